Lints: clippy, rustdoc and rustfmt clean

Cause: the lint list found names that hide the Iterator trait's, and arguments taken by value for nothing. Measured: scripts/check.sh's steps pass; doc examples are the only tests so far.

--- a/crates/stairvale-load/src/client.rs
+++ b/crates/stairvale-load/src/client.rs
@@ -201,7 +201,7 @@
     async fn refused(&self, response: Response<Incoming>) -> Outcome {
         let status = response.status();
         let retry_after = response.headers().contains_key("retry-after");
-        let body = response.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+        let body = response.into_body().collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
         let problem: Value = serde_json::from_slice(&body).unwrap_or_default();
         let reason = problem["reason"].as_str().map_or_else(|| format!("status-{status}"), str::to_owned);
         let mut tally = lock(&self.tally);
--- a/crates/stairvale-permit/src/home.rs
+++ b/crates/stairvale-permit/src/home.rs
@@ -297,7 +297,7 @@
         if account.queue.is_empty() && self.has_room(now, &upstream) {
             return vec![self.grant(now, &waiting)];
         }
-        self.wait(now, waiting)
+        self.wait(now, &waiting)
     }
 
     /// An entry no longer waits for an attempt.
@@ -454,7 +454,7 @@
         let outstanding = u32::try_from(account.held.len()).unwrap_or(u32::MAX);
         self.counts.granted += 1;
         self.counts.over_bound += u64::from(over);
-        if let Some(chat) = waiting.ask.chat.filter(|_| self.exceptions.len() > 0) {
+        if let Some(chat) = waiting.ask.chat.filter(|_| !self.exceptions.is_empty()) {
             self.settle_exception(now, chat, &waiting.ask);
         }
         answer(waiting, Verdict::Granted { outstanding })
@@ -482,15 +482,15 @@
         mean.is_some() && account.outstanding(now).is_some_and(|outstanding| outstanding >= bound)
     }
 
-    fn wait(&mut self, now: Moment, waiting: Waiting) -> Vec<Answer> {
+    fn wait(&mut self, now: Moment, waiting: &Waiting) -> Vec<Answer> {
         let upstream = waiting.ask.upstream.clone();
         if waiting.ask.patience.is_zero() {
             self.counts.overflowed += 1;
-            return vec![answer(&waiting, self.overflow(&waiting.ask.service))];
+            return vec![answer(waiting, self.overflow(&waiting.ask.service))];
         }
         let predicted = self.predict(now, &waiting.ask);
         if waiting.last_resort && predicted > waiting.ask.deadline {
-            return vec![self.refuse(&waiting, Reason::Deadline, predicted)];
+            return vec![self.refuse(waiting, Reason::Deadline, predicted)];
         }
         let item =
             Item::new(waiting.clone(), waiting.ask.customer.clone(), waiting.ask.class, now + waiting.ask.patience);
--- a/crates/stairvale-router/src/peers.rs
+++ b/crates/stairvale-router/src/peers.rs
@@ -228,7 +228,7 @@
         shared.metrics.received(piece.len() + DATA_HEAD);
         buffer.extend(&piece);
         loop {
-            let frame = match buffer.next::<Frame>() {
+            let frame = match buffer.take::<Frame>() {
                 Ok(Some(frame)) => frame,
                 Ok(None) => break,
                 Err(error) => {
--- a/crates/stairvale-router/src/relay.rs
+++ b/crates/stairvale-router/src/relay.rs
@@ -143,7 +143,7 @@
     /// The next event that was not delivered yet.
     async fn next(&mut self) -> Result<Event, Failure> {
         loop {
-            let event = self.splitter.next().map_err(|_| Failure::Broken)?;
+            let event = self.splitter.take().map_err(|_| Failure::Broken)?;
             if let Some(event) = event {
                 if event.id.is_some_and(|id| id <= self.delivered) {
                     continue;
--- a/crates/stairvale-router/src/sse.rs
+++ b/crates/stairvale-router/src/sse.rs
@@ -39,7 +39,7 @@
     ///
     /// # Errors
     /// [`Long`] if the event that begins here has no end within the limit.
-    pub fn next(&mut self) -> Result<Option<Event>, Long> {
+    pub fn take(&mut self) -> Result<Option<Event>, Long> {
         let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") else {
             return if self.buffer.len() > MAX_EVENT { Err(Long) } else { Ok(None) };
         };
--- a/crates/stairvale-wire/src/codec.rs
+++ b/crates/stairvale-wire/src/codec.rs
@@ -81,7 +81,7 @@
     ///
     /// # Errors
     /// The stream can't be read further after any [`Error`].
-    pub fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Error> {
+    pub fn take<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Error> {
         let Some(prefix) = self.bytes.first_chunk::<PREFIX>() else {
             return Ok(None);
         };
--- a/crates/stairvale-wire/src/lib.rs
+++ b/crates/stairvale-wire/src/lib.rs
@@ -8,7 +8,7 @@
 //! let bytes = codec::encode(&frame).unwrap();
 //! let mut buffer = codec::Buffer::default();
 //! buffer.extend(&bytes);
-//! assert_eq!(buffer.next::<Frame>().unwrap(), Some(frame));
+//! assert_eq!(buffer.take::<Frame>().unwrap(), Some(frame));
 //! ```
 
 pub mod codec;
