--- a/crates/stairvale-control/src/generation.rs
+++ b/crates/stairvale-control/src/generation.rs
@@ -74,7 +74,7 @@
     /// Chunks that are here, of those asked for.
     #[must_use]
     pub fn find(&self, wanted: &[Digest]) -> Vec<String> {
-        wanted.iter().filter_map(|digest| self.chunks.get(digest)).map(|chunk| chunk.to_string()).collect()
+        wanted.iter().filter_map(|digest| self.chunks.get(digest)).map(ToString::to_string).collect()
     }
 
     // ------------------------------------------------------------------------
@@ -173,7 +173,7 @@
         let Some(chunks) = chunks else {
             return Vec::new();
         };
-        let text: String = chunks.iter().map(|chunk| chunk.as_ref()).collect();
+        let text: String = chunks.iter().map(AsRef::as_ref).collect();
         let manifest = pending.manifest.clone();
         self.pending = None;
         let Ok(document) = Document::parse(&text) else {
--- /dev/null
+++ b/crates/stairvale-control/src/handlers/claims.rs
@@ -0,0 +1,137 @@
+//! Claims: as an entry and as a shard's keeper.
+
+use std::time::Duration;
+
+use stairvale_claim::{shard, shard_of};
+use stairvale_types::id;
+use stairvale_wire::{ClaimVerdict, Frame, Stored};
+
+use crate::{
+    Node, Output,
+    io::{Action, Answer, Purpose},
+    node::{Claiming, Unsettled},
+};
+
+/// A claim's answer later than this is not used.
+const CLAIM_VALID: Duration = Duration::from_secs(5);
+/// Settled claims are told to the keeper this many times, a second apart; telling twice changes nothing.
+const SETTLE_TRIES: u8 = 3;
+const SETTLE_EVERY: Duration = Duration::from_secs(1);
+
+impl Node {
+    pub(crate) fn tick_claims(&mut self) {
+        for number in self.shards.keys().copied().collect::<Vec<_>>() {
+            let Some(shard) = self.shards.get_mut(&number) else {
+                continue;
+            };
+            let effects = shard.tick(self.now, self.now_ms);
+            self.shard_effects(number, effects);
+        }
+        let overdue = self.claiming.iter().filter(|(_, claiming)| self.now.since(claiming.asked) >= CLAIM_VALID);
+        let overdue: Vec<_> = overdue.map(|(attempt, claiming)| (*attempt, claiming.key)).collect();
+        self.abandon_claims(overdue);
+        let now = self.now;
+        let due: Vec<_> = self.unsettled.iter().filter(|u| now.since(u.sent) >= SETTLE_EVERY).cloned().collect();
+        for settled in due {
+            self.send_settled(&settled);
+        }
+        for settled in self.unsettled.iter_mut().filter(|u| now.since(u.sent) >= SETTLE_EVERY) {
+            settled.sent = now;
+            settled.left -= 1;
+        }
+        self.unsettled.retain(|settled| settled.left > 0);
+    }
+
+    /// Claims whose keeper doesn't answer are given up: nothing runs, and should they stand they are given back.
+    pub(crate) fn abandon_claims(&mut self, claims: Vec<(id::Attempt, id::Key)>) {
+        for (attempt, key) in claims {
+            let verdict = ClaimVerdict::Unavailable { retry_after: SETTLE_EVERY };
+            self.outputs.push(Output::Claimed { attempt, verdict });
+            self.settle(key, attempt, None);
+        }
+    }
+
+    pub(crate) fn claim(&mut self, key: id::Key, attempt: id::Attempt) {
+        let Some(keeper) = self.claim_keeper(key) else {
+            return;
+        };
+        let claiming = Claiming { key, keeper: keeper.clone(), asked: self.now };
+        self.claiming.insert(attempt, claiming);
+        self.send(&keeper, Frame::Claim { key, attempt });
+    }
+
+    pub(crate) fn claim_keeper(&self, key: id::Key) -> Option<id::Router> {
+        self.fleet.keeper(&format!("claims/{}", shard_of(key)))
+    }
+
+    pub(crate) fn keep_claim(&mut self, from: &id::Router, key: id::Key, attempt: id::Attempt) {
+        let number = shard_of(key);
+        let shard = self.shards.entry(number).or_default();
+        let effects = shard.claim(self.now, self.now_ms, from.clone(), key, attempt);
+        self.shard_effects(number, effects);
+    }
+
+    pub(crate) fn claimed(&mut self, key: id::Key, attempt: id::Attempt, verdict: ClaimVerdict) {
+        let claiming = self.claiming.remove(&attempt);
+        let valid = claiming.is_some_and(|claiming| self.now.since(claiming.asked) < CLAIM_VALID);
+        if valid {
+            self.outputs.push(Output::Claimed { attempt, verdict });
+            return;
+        }
+        // Nobody waits any more, so nothing will run: the claim is given back.
+        if matches!(verdict, ClaimVerdict::Yours { .. }) {
+            self.settle(key, attempt, None);
+        }
+    }
+
+    pub(crate) fn settle(&mut self, key: id::Key, attempt: id::Attempt, stored: Option<Stored>) {
+        self.claiming.remove(&attempt);
+        let settled = Unsettled { key, attempt, stored, sent: self.now, left: SETTLE_TRIES };
+        self.send_settled(&settled);
+        self.unsettled.push(settled);
+    }
+
+    pub(crate) fn send_settled(&mut self, settled: &Unsettled) {
+        let Some(keeper) = self.claim_keeper(settled.key) else {
+            return;
+        };
+        let Unsettled { key, attempt, stored, .. } = settled.clone();
+        self.send(&keeper, Frame::Settle { key, attempt, stored });
+    }
+
+    pub(crate) fn keep_settled(&mut self, key: id::Key, attempt: id::Attempt, stored: Option<Stored>) {
+        let number = shard_of(key);
+        let shard = self.shards.entry(number).or_default();
+        let effects = shard.settle(self.now, self.now_ms, key, attempt, stored);
+        self.shard_effects(number, effects);
+    }
+
+    pub(crate) fn claims_answer(&mut self, number: u32, answer: Answer) {
+        let reply = match answer {
+            Answer::Value(value) => shard::Reply::Read(value),
+            Answer::Written(revision) => shard::Reply::Written(revision),
+            Answer::Conflict => shard::Reply::Conflict,
+            Answer::Lost => shard::Reply::Lost,
+        };
+        let Some(shard) = self.shards.get_mut(&number) else {
+            return;
+        };
+        let effects = shard.reply(self.now, self.now_ms, reply);
+        self.shard_effects(number, effects);
+    }
+
+    pub(crate) fn shard_effects(&mut self, number: u32, effects: Vec<shard::Effect>) {
+        for effect in effects {
+            let key = format!("claims/{number}");
+            match effect {
+                shard::Effect::Read => self.call(Purpose::Claims(number), key, Action::Read),
+                shard::Effect::Write { text, revision } => {
+                    self.call(Purpose::Claims(number), key, Action::Write { value: text, revision });
+                }
+                shard::Effect::Answer { to, key, attempt, verdict } => {
+                    self.send(&to, Frame::Claimed { key, attempt, verdict });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairvale-control/src/handlers/configuration.rs
@@ -0,0 +1,136 @@
+//! The configuration, the list of VMs and the store's answers.
+
+use std::time::Duration;
+
+use stairvale_config::{Generation, Manifest};
+use stairvale_types::id;
+use stairvale_wire::Frame;
+
+use crate::{
+    Event, Node, Output, apply, generation,
+    io::{Action, Answer, Call, Purpose},
+};
+
+/// How often an availability zone asks the platform for its list.
+const VMS_EVERY: Duration = Duration::from_millis(500);
+/// How often a router without a configuration asks for one.
+const MANIFEST_EVERY: Duration = Duration::from_millis(500);
+/// A watch begins anew this long after the last one ended, so that an outage isn't stormed.
+const WATCH_EVERY: Duration = Duration::from_millis(200);
+
+impl Node {
+    pub(crate) fn tick_config(&mut self) {
+        let peer = self.random_peer();
+        let effects = self.config.tick(self.now, peer.as_ref());
+        self.config_effects(effects);
+        let none = self.config.generation() == Generation(0);
+        let due = self.schedule.manifest.is_none_or(|at| self.now.since(at) >= MANIFEST_EVERY);
+        if none && due {
+            self.schedule.manifest = Some(self.now);
+            if let Some(peer) = peer {
+                self.send(&peer, Frame::FetchManifest);
+            }
+        }
+        let zone = self.fleet.zone().clone();
+        let watches = none || self.fleet.holder("config", &zone).as_ref() == Some(&self.me);
+        if watches && !self.schedule.watching && self.now >= self.schedule.watch_after {
+            self.schedule.watching = true;
+            let action = Action::Watch { revision: self.schedule.manifest_revision };
+            self.call(Purpose::Manifest, apply::MANIFEST_KEY.to_owned(), action);
+        }
+        self.tick_vms(&zone);
+    }
+
+    pub(crate) fn tick_vms(&mut self, zone: &id::Zone) {
+        let due = self.schedule.vms.is_none_or(|at| self.now.since(at) >= VMS_EVERY);
+        let asks = self.fleet.upstreams.revision() == 0 || self.fleet.holder("vms", zone).as_ref() == Some(&self.me);
+        if due && asks {
+            self.schedule.vms = Some(self.now);
+            self.outputs.push(Output::FetchVms);
+        }
+    }
+
+    pub(crate) fn accepted(&mut self, manifest: Manifest, chunks: Vec<String>) {
+        let effects = self.config.offer(self.now, None, manifest);
+        let quiet = effects.into_iter().filter(|effect| !matches!(effect, generation::Effect::ReadChunk(_)));
+        self.config_effects(quiet.collect());
+        let effects = self.config.take(chunks);
+        self.config_effects(effects);
+    }
+
+    pub(crate) fn config_effects(&mut self, effects: Vec<generation::Effect>) {
+        for effect in effects {
+            match effect {
+                generation::Effect::FetchManifest(peer) => self.send(&peer, Frame::FetchManifest),
+                generation::Effect::FetchChunks(peer, wanted) => self.send(&peer, Frame::FetchChunks(wanted)),
+                generation::Effect::ReadChunk(digest) => {
+                    self.call(Purpose::Chunk(digest), apply::chunk_key(digest), Action::Read);
+                }
+                generation::Effect::InForce(generation, document) => {
+                    self.fleet.document = document.clone();
+                    self.fleet.refresh();
+                    self.move_accounts();
+                    self.outputs.push(Output::InForce { generation, document });
+                    self.tell_versions();
+                }
+                generation::Effect::Audit(event) => self.audit(event),
+            }
+        }
+    }
+
+    pub(crate) fn random_peer(&mut self) -> Option<id::Router> {
+        let random = usize::try_from(self.random() >> 1).unwrap_or(0);
+        let peers: Vec<_> = self.fleet.swim.live().map(|m| &m.router).filter(|router| **router != self.me).collect();
+        if peers.is_empty() {
+            return None;
+        }
+        Some(peers[random % peers.len()].clone())
+    }
+
+    pub(crate) fn call(&mut self, purpose: Purpose, key: String, action: Action) {
+        self.outputs.push(Output::Store(Call { purpose, key, action }));
+    }
+
+    pub(crate) fn stored(&mut self, purpose: &Purpose, answer: Answer) {
+        match purpose {
+            Purpose::Manifest => {
+                self.schedule.watching = false;
+                self.schedule.watch_after = self.now + WATCH_EVERY;
+                if let Answer::Value(Some((text, revision))) = answer {
+                    self.schedule.manifest_revision = revision;
+                    self.read_manifest(&text);
+                }
+            }
+            Purpose::Chunk(_) => {
+                if let Answer::Value(Some((text, _))) = answer {
+                    let effects = self.config.take(vec![text]);
+                    self.config_effects(effects);
+                }
+            }
+            Purpose::Claims(number) => self.claims_answer(*number, answer),
+            Purpose::Orders => {
+                let holds = self.orders.answer(self.now, &answer);
+                if let Some(holds) = holds {
+                    let token = self.orders.holds(self.now).unwrap_or(0);
+                    self.audit(Event::OrderHolder { holds, token });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn read_manifest(&mut self, text: &str) {
+        let Ok(manifest) = serde_json::from_str::<Manifest>(text) else {
+            return;
+        };
+        let peer = self.random_peer();
+        let effects = self.config.offer(self.now, peer.as_ref(), manifest);
+        self.config_effects(effects);
+    }
+
+    pub(crate) fn ordered(&mut self, upstream: &id::Upstream, taken: bool) {
+        // A refused order means a later holder: its word counts, so this one only looks again.
+        if !taken {
+            self.probe(upstream);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairvale-control/src/handlers/members.rs
@@ -0,0 +1,104 @@
+//! Routers and the list of VMs.
+
+use std::time::Duration;
+
+use stairvale_config::Generation;
+use stairvale_membership::swim;
+use stairvale_types::id;
+use stairvale_wire::{Frame, Vm, packet::Role};
+
+use crate::{Event, Node, Output};
+
+/// A peer's hint of a newer list is followed this often at the most.
+const HINT_EVERY: Duration = Duration::from_millis(100);
+
+impl Node {
+    pub(crate) fn swim_effects(&mut self, effects: Vec<swim::Effect>) {
+        let mut changed = false;
+        for effect in effects {
+            match effect {
+                swim::Effect::Send { to, packet } => self.outputs.push(Output::Datagram { to, packet }),
+                swim::Effect::Joined(router) => {
+                    changed = true;
+                    self.audit(Event::RouterJoined { router });
+                }
+                swim::Effect::Died(router) => {
+                    changed = true;
+                    let answers = self.home.drop_entry(self.now, &router);
+                    self.answers(answers);
+                    self.audit(Event::RouterDied { router });
+                }
+                swim::Effect::Leaves(router) => {
+                    changed = true;
+                    self.audit(Event::RouterLeaves { router });
+                }
+                swim::Effect::Upstream(word) => self.hear(&word),
+                swim::Effect::Versions { from, generation, vms } => self.versions(&from, generation, vms),
+            }
+        }
+        if changed {
+            self.refresh();
+        }
+    }
+
+    pub(crate) fn versions(&mut self, from: &id::Router, generation: u64, vms: u64) {
+        self.generations.insert(from.clone(), generation);
+        let effects = self.config.hear(self.now, from, Generation(generation));
+        self.config_effects(effects);
+        let newer = vms > self.fleet.upstreams.revision();
+        if newer && self.now.since(self.schedule.vms_hint) >= HINT_EVERY {
+            self.schedule.vms_hint = self.now;
+            self.send(from, Frame::FetchVms);
+        }
+    }
+
+    /// Works out homes anew and moves accounts accordingly.
+    pub(crate) fn refresh(&mut self) {
+        if !self.fleet.refresh() {
+            self.outputs.push(Output::FleetChanged);
+            return;
+        }
+        self.move_accounts();
+        let effects = self.entry.homes_changed(self.now, &self.fleet);
+        self.entry_effects(effects);
+        self.outputs.push(Output::FleetChanged);
+    }
+
+    pub(crate) fn vms(&mut self, revision: u64, vms: &[Vm]) {
+        if !self.fleet.upstreams.list(self.now, revision, vms) {
+            return;
+        }
+        let me = self.me.to_string();
+        let routers = vms.iter().filter(|vm| vm.role == Role::Router && vm.name != me);
+        for router in routers {
+            self.fleet.swim.introduce(router.address);
+        }
+        self.refresh();
+        self.tell_versions();
+    }
+
+    pub(crate) fn send_vms(&mut self, to: &id::Router) {
+        let revision = self.fleet.upstreams.revision();
+        if revision == 0 {
+            return;
+        }
+        let vm = |upstream: &stairvale_membership::upstreams::Upstream| Vm {
+            name: upstream.name.to_string(),
+            role: Role::Upstream,
+            zone: upstream.zone.clone(),
+            service: Some(upstream.service.clone()),
+            address: upstream.address,
+            weight: upstream.weight,
+            leaving: upstream.leaving,
+        };
+        let vms = self.fleet.upstreams.iter().filter(|u| u.is_listed()).map(vm).collect();
+        self.send(to, Frame::Vms { revision, vms });
+    }
+
+    pub(crate) fn tell_versions(&mut self) {
+        let generation = self.config.generation().0;
+        let revision = self.fleet.upstreams.revision();
+        let effects = self.fleet.swim.set_versions(generation, revision);
+        self.swim_effects(effects);
+    }
+}
--- /dev/null
+++ b/crates/stairvale-control/src/handlers/requests.rs
@@ -0,0 +1,140 @@
+//! Callers' requests: from a wish to a permit, and back.
+
+use std::time::Duration;
+
+use stairvale_config::Kind;
+use stairvale_permit::{
+    entry::{Directory, Effect, Want},
+    home::Answer as HomeAnswer,
+};
+use stairvale_placement::choice::Estimate;
+use stairvale_types::{Reason, Refusal, id};
+use stairvale_wire::{Frame, Verdict, frame::rebuild};
+
+use crate::{Node, Output, io::Request, node::Policy};
+
+/// When to come back once the retry budget is spent.
+const RETRY_BUDGET: Duration = Duration::from_secs(2);
+
+impl Node {
+    pub(crate) fn request(&mut self, request: Request) {
+        let attempt = request.attempt;
+        self.explain.begin(self.now, attempt, &request.service, &request.customer, request.chat);
+        if request.retry && !self.budget(&request.service).spend() {
+            self.refuse(attempt, Refusal::new(Reason::Budget, RETRY_BUDGET));
+            return;
+        }
+        self.services.insert(attempt, request.service.clone());
+        let Some(want) = self.want(request) else {
+            self.refuse(attempt, Refusal::new(Reason::NotReady, RETRY_BUDGET));
+            return;
+        };
+        let effects = self.entry.want(self.now, &self.fleet, want);
+        self.entry_effects(effects);
+    }
+
+    pub(crate) fn want(&mut self, request: Request) -> Option<Want> {
+        let service = self.fleet.service(&request.service)?.clone();
+        let is_fleet = self.policy == Policy::Fleet;
+        let keeps_prefix = service.kind == Kind::Model && matches!(self.policy, Policy::Fleet | Policy::Hash);
+        let random = self.random();
+        let key = request.chat.filter(|_| keeps_prefix).map_or(random, |chat| chat.0);
+        let mut candidates = self.fleet.rank(&request.service, key);
+        candidates.retain(|upstream| !request.avoid.contains(upstream));
+        if self.policy == Policy::LeastLoaded {
+            self.prefer_emptiest(&request.service, &mut candidates);
+        }
+        let moves = is_fleet && service.transfer_us_per_token > 0;
+        let estimate = Estimate {
+            rebuild: rebuild(request.prompt, service.prefill_us_per_token),
+            transfer: moves.then(|| rebuild(request.prompt, service.transfer_us_per_token)),
+            allowed: if is_fleet { service.prefix_wait } else { Duration::ZERO },
+            deadline: request.deadline,
+        };
+        Some(Want {
+            attempt: request.attempt,
+            service: request.service,
+            customer: request.customer,
+            weight: request.weight,
+            class: request.class,
+            chat: request.chat.filter(|_| keeps_prefix && is_fleet),
+            returning: request.returning && keeps_prefix,
+            estimate,
+            candidates,
+        })
+    }
+
+    /// Puts one of the emptiest engines first; which one is left to chance, so that routers don't all rush to it.
+    pub(crate) fn prefer_emptiest(&mut self, service: &id::Service, candidates: &mut [id::Upstream]) {
+        let random = usize::try_from(self.random() >> 1).unwrap_or(0);
+        let Some(hints) = self.hints.get(service).filter(|hints| !hints.is_empty()) else {
+            return;
+        };
+        let (pick, _) = &hints[random % hints.len()];
+        if let Some(index) = candidates.iter().position(|candidate| candidate == pick) {
+            candidates.swap(0, index);
+        }
+    }
+
+    pub(crate) fn refuse(&mut self, attempt: id::Attempt, refusal: Refusal) {
+        self.services.remove(&attempt);
+        self.explain.refused(attempt, refusal, &[]);
+        self.outputs.push(Output::Refused { attempt, refusal });
+    }
+
+    pub(crate) fn end(&mut self, attempt: id::Attempt, success: Option<bool>, unreachable: bool) {
+        let upstream = self.entry.upstream_of(attempt).cloned();
+        if let (Some(service), Some(true)) = (self.services.remove(&attempt), success) {
+            self.budget(&service).earn();
+        }
+        if let Some(upstream) = upstream {
+            if unreachable {
+                self.fleet.upstreams.failed(self.now, &upstream);
+                if let Some(home) = self.fleet.home(&upstream, 0) {
+                    self.send(&home, Frame::Trouble { upstream });
+                }
+            } else if success == Some(true) {
+                self.fleet.upstreams.succeeded(&upstream);
+            }
+        }
+        let effects = self.entry.end(attempt);
+        self.entry_effects(effects);
+    }
+
+    pub(crate) fn entry_effects(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Ask { to, ask } => self.send(&to, Frame::Ask(ask)),
+                Effect::Forget { to, upstream, attempt } => self.send(&to, Frame::Forget { upstream, attempt }),
+                Effect::Release { to, upstream, attempt } => {
+                    self.send(&to, Frame::Release { upstream, attempts: vec![attempt] });
+                }
+                Effect::Renew { to, held } => {
+                    let incarnation = self.fleet.swim.me().incarnation;
+                    self.send(&to, Frame::Renew { incarnation, held });
+                }
+                Effect::Moved { to, chat, first, upstream } => {
+                    self.send(&to, Frame::Moved { chat, first, to: upstream });
+                }
+                Effect::Granted(grant) => {
+                    self.explain.granted(grant.attempt, &grant.upstream, &grant.steps);
+                    self.outputs.push(Output::Granted(grant));
+                }
+                Effect::Refused { attempt, refusal, steps } => {
+                    self.refuse(attempt, refusal);
+                    self.explain.refused(attempt, refusal, &steps);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn answers(&mut self, answers: Vec<HomeAnswer>) {
+        let incarnation = self.home.incarnation();
+        for HomeAnswer { to, upstream, attempt, mut verdict } in answers {
+            if let Verdict::NotHome { home } = &mut verdict {
+                *home = self.fleet.home(&upstream, 0).filter(|home| home != &self.me);
+            }
+            self.send(&to, Frame::Answer { incarnation, upstream, attempt, verdict });
+        }
+    }
+}
--- a/crates/stairvale-router/src/control.rs
+++ b/crates/stairvale-router/src/control.rs
@@ -170,7 +170,7 @@
 
     fn publish(&self) {
         let fleet = self.node.fleet();
-        let generation = self.node.manifest().map_or(Generation(0), |manifest| manifest.generation());
+        let generation = self.node.manifest().map_or(Generation(0), stairvale_config::Manifest::generation);
         let before = self.shared.snapshot.load();
         let snapshot = Snapshot::new(&before, generation, fleet.document.clone(), fleet);
         self.shared.snapshot.store(Arc::new(snapshot));
--- a/crates/stairvale-router/src/operators.rs
+++ b/crates/stairvale-router/src/operators.rs
@@ -243,7 +243,7 @@
 
 async fn read(request: Request<Incoming>) -> Result<Bytes, Error> {
     let body = Limited::new(request.into_body(), MAX_DOCUMENT).collect().await;
-    body.map(|body| body.to_bytes()).map_err(|_| Error::Body)
+    body.map(http_body_util::Collected::to_bytes).map_err(|_| Error::Body)
 }
 
 fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
