--- a/crates/stairvale-load/src/drive.rs
+++ b/crates/stairvale-load/src/drive.rs
@@ -8,6 +8,7 @@
 };
 
 use http::Method;
+use tokio::task::JoinSet;
 
 use crate::{
     client::{Client, lock},
@@ -68,13 +69,19 @@
     let skew = Arc::new(Mutex::new(Skew::default()));
     let sampler = tokio::spawn(sample_after(settings.warmup, client.clone(), settings.parts.clone(), skew.clone()));
     let forcing = tokio::spawn(force(client.clone(), settings.clone()));
-    drive(&client, settings.seed, begun).await;
+    let runs = Arc::new(Mutex::new(sample::Runs::new()));
+    let counting = tokio::spawn(sample::keep_runs(client.clone(), settings.parts.clone(), runs.clone()));
+    let tasks = start_all(&client, settings.seed, begun).await;
+    // While the last requests run out nothing new comes in, and skew would show only stragglers.
     sampler.abort();
+    finish_all(&client, tasks).await;
+    counting.abort();
     let forced = forcing.await.unwrap_or_default();
     let after = counters(&client, &settings.parts).await;
     balancer.abort();
     let passed = begun.elapsed().as_secs_f64();
-    let runs = sample::runs(&client, &settings.parts).await;
+    sample::update_runs(&client, &settings.parts, &runs).await;
+    let runs = total(&lock(&runs));
     let mut report = report(&settings, &lock(&client.tally), &lock(&skew), &runs);
     add_counters(&mut report, &before, &after, passed);
     report.config_in_force_ms_max = forced.map(|time| time.as_secs_f64() * 1e3);
@@ -86,9 +93,17 @@
     sample::skew(client, parts, skew).await;
 }
 
-/// Starts each request at its intended moment, and waits for all.
-async fn drive(client: &Arc<Client>, seed: u64, begun: Instant) {
-    let mut tasks = tokio::task::JoinSet::new();
+fn total(runs: &sample::Runs) -> HashMap<String, u64> {
+    let mut total: HashMap<String, u64> = HashMap::new();
+    for (request, count) in runs.values().flatten() {
+        *total.entry(request.clone()).or_default() += count;
+    }
+    total
+}
+
+/// Starts each request at its intended moment.
+async fn start_all(client: &Arc<Client>, seed: u64, begun: Instant) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
     let mut turns = client.plan.turns.iter().peekable();
     let mut plains = client.plan.plains.iter().peekable();
     loop {
@@ -107,6 +122,11 @@
             tasks.spawn(client.clone().plain(plain.clone(), seed));
         }
     }
+    tasks
+}
+
+/// Waits for all requests to end.
+async fn finish_all(client: &Client, mut tasks: JoinSet<()>) {
     let all = async { while tasks.join_next().await.is_some() {} };
     let _ = tokio::time::timeout(LAST, all).await;
     let left = tasks.len() as u64;
--- a/crates/stairvale-load/src/sample.rs
+++ b/crates/stairvale-load/src/sample.rs
@@ -19,6 +19,8 @@
 const WINDOW: Duration = Duration::from_millis(100);
 /// Below this mean load skew is only rounding.
 const MIN_MEAN: f64 = 1.0;
+/// How often the counts of what ran are fetched.
+const RUNS_EVERY: Duration = Duration::from_millis(150);
 /// How often routers are asked while a configuration spreads.
 const POLL: Duration = Duration::from_millis(20);
 /// A configuration that isn't in force by then counts as this long.
@@ -127,16 +129,32 @@
     get(client, format!("http://{engine}/admin/load"), "").await?["load"].as_f64()
 }
 
-/// How often each request ran, over all upstreams.
-pub async fn runs(client: &Client, parts: &Parts) -> HashMap<String, u64> {
-    let mut runs: HashMap<String, u64> = HashMap::new();
-    for upstream in upstreams(client, parts).await {
-        let counts = get(client, format!("http://{}/admin/runs", upstream.address), "").await.unwrap_or_default();
-        for (request, count) in counts.as_object().into_iter().flatten() {
-            *runs.entry(request.clone()).or_default() += count.as_u64().unwrap_or(0);
-        }
+/// How often each request ran, by upstream. An upstream that leaves takes its counts along, so they are kept here.
+pub type Runs = HashMap<SocketAddr, HashMap<String, u64>>;
+
+/// Keeps the plain upstreams' counts until dropped.
+pub async fn keep_runs(client: Arc<Client>, parts: Parts, runs: Arc<Mutex<Runs>>) {
+    loop {
+        update_runs(&client, &parts, &runs).await;
+        tokio::time::sleep(RUNS_EVERY).await;
+    }
+}
+
+/// Fetches the plain upstreams' counts once.
+pub async fn update_runs(client: &Client, parts: &Parts, runs: &Mutex<Runs>) {
+    let listed = upstreams(client, parts).await.into_iter().filter(|upstream| upstream.service == client.plain);
+    let known: Vec<_> = lock(runs).keys().copied().collect();
+    let mut addresses: Vec<_> = listed.map(|upstream| upstream.address).chain(known).collect();
+    addresses.sort();
+    addresses.dedup();
+    for address in addresses {
+        let Some(counts) = get(client, format!("http://{address}/admin/runs"), "").await else {
+            continue;
+        };
+        let counts = counts.as_object().into_iter().flatten();
+        let counts = counts.map(|(request, count)| (request.clone(), count.as_u64().unwrap_or(0)));
+        lock(runs).insert(address, counts.collect());
     }
-    runs
 }
 
 /// A router's counters, by name.
--- a/crates/stairvale-router/src/metrics.rs
+++ b/crates/stairvale-router/src/metrics.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// Messages of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    messages: u64,
+    bytes: u64,
+}
+
 /// A router's counters.
 #[derive(Debug)]
 pub struct Metrics {
@@ -74,8 +81,8 @@
     problems: Mutex<BTreeMap<&'static str, u64>>,
     first_byte: Times,
     between_tokens: Times,
-    /// Control bytes sent to peers, upstreams (probes) and the platform.
-    pub control_sent: AtomicU64,
+    /// Messages and bytes sent to peers and upstreams (probes), by kind.
+    sent: Mutex<BTreeMap<&'static str, Sent>>,
     /// Control bytes received from peers.
     pub control_received: AtomicU64,
     /// Frames and packets dropped because a queue was full or they made no sense.
@@ -89,7 +96,7 @@
             problems: Mutex::default(),
             first_byte: Times::new(),
             between_tokens: Times::new(),
-            control_sent: AtomicU64::new(0),
+            sent: Mutex::default(),
             control_received: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
         }
@@ -119,9 +126,13 @@
         self.between_tokens.record(time);
     }
 
-    /// Counts control bytes that left.
-    pub fn sent(&self, bytes: usize) {
-        self.control_sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    /// Counts a control message of some bytes that left.
+    pub fn sent(&self, kind: &'static str, bytes: usize) {
+        if let Ok(mut all) = self.sent.lock() {
+            let sent = all.entry(kind).or_default();
+            sent.messages += 1;
+            sent.bytes += bytes as u64;
+        }
     }
 
     /// Counts control bytes that came.
@@ -141,7 +152,7 @@
         for (name, count) in names.iter().zip(&self.outcomes) {
             gauge(&mut registry, &format!("requests_{name}"), whole(count.load(Ordering::Relaxed)));
         }
-        let sent = self.control_sent.load(Ordering::Relaxed) + store_bytes;
+        let sent = self.sent_bytes() + store_bytes;
         gauge(&mut registry, "control_sent_bytes", whole(sent));
         gauge(&mut registry, "control_received_bytes", whole(self.control_received.load(Ordering::Relaxed)));
         gauge(&mut registry, "control_dropped", whole(self.dropped.load(Ordering::Relaxed)));
@@ -153,12 +164,31 @@
         }
         let mut text = text.replace("# EOF\n", "");
         self.write_problems(&mut text);
+        self.write_sent(&mut text);
         self.first_byte.write("stairvale_first_byte_seconds", &mut text);
         self.between_tokens.write("stairvale_between_tokens_seconds", &mut text);
         text.push_str("# EOF\n");
         text
     }
 
+    fn sent_bytes(&self) -> u64 {
+        self.sent.lock().map(|all| all.values().map(|sent| sent.bytes).sum()).unwrap_or(0)
+    }
+
+    fn write_sent(&self, text: &mut String) {
+        let Ok(all) = self.sent.lock() else {
+            return;
+        };
+        text.push_str("# TYPE stairvale_control_kind_bytes gauge\n");
+        for (kind, sent) in all.iter() {
+            let _ = writeln!(text, "stairvale_control_kind_bytes{{kind=\"{kind}\"}} {}", sent.bytes);
+        }
+        text.push_str("# TYPE stairvale_control_kind_messages gauge\n");
+        for (kind, sent) in all.iter() {
+            let _ = writeln!(text, "stairvale_control_kind_messages{{kind=\"{kind}\"}} {}", sent.messages);
+        }
+    }
+
     fn write_problems(&self, text: &mut String) {
         let Ok(problems) = self.problems.lock() else {
             return;
--- a/crates/stairvale-router/src/peers.rs
+++ b/crates/stairvale-router/src/peers.rs
@@ -165,7 +165,10 @@
     let mut bytes = BytesMut::new();
     for frame in &batch {
         match codec::encode(frame) {
-            Ok(encoded) => bytes.extend_from_slice(&encoded),
+            Ok(encoded) => {
+                shared.metrics.sent(frame.kind(), encoded.len());
+                bytes.extend_from_slice(&encoded);
+            }
             Err(_) => {
                 shared.metrics.dropped.fetch_add(1, Ordering::Relaxed);
             }
@@ -177,7 +180,7 @@
         let capacity = tokio::time::timeout(SEND_TIMEOUT, poll_fn(|context| stream.poll_capacity(context)));
         let capacity = capacity.await.ok()??.ok()?;
         let piece = bytes.split_to(capacity.min(bytes.len()));
-        shared.metrics.sent(piece.len() + DATA_HEAD);
+        shared.metrics.sent("h2", DATA_HEAD);
         stream.send_data(piece, false).ok()?;
     }
     Some(())
@@ -273,7 +276,7 @@
     let mut datagram = code(shared, &bytes).to_vec();
     datagram.extend_from_slice(&bytes);
     if socket.try_send_to(&datagram, to).is_ok() {
-        shared.metrics.sent(datagram.len());
+        shared.metrics.sent("datagram", datagram.len());
     }
 }
 
--- a/crates/stairvale-router/src/probes.rs
+++ b/crates/stairvale-router/src/probes.rs
@@ -90,7 +90,7 @@
             return None;
         }
         let uri = format!("http://{}/v1/status", place.address);
-        self.shared.metrics.sent(HEAD_BYTES);
+        self.shared.metrics.sent("probe", HEAD_BYTES);
         let request = Request::get(uri).body(Full::default()).ok()?;
         let response = self.http.request(request).await.ok()?;
         if !response.status().is_success() {
@@ -110,7 +110,7 @@
         }
         let Loaded { model, version } = order.load.clone();
         let body = serde_json::to_vec(&OrderBody { token: order.token, model, version }).ok()?;
-        self.shared.metrics.sent(HEAD_BYTES + body.len());
+        self.shared.metrics.sent("order", HEAD_BYTES + body.len());
         let uri = format!("http://{}/v1/orders", place.address);
         let request =
             Request::post(uri).header("content-type", "application/json").body(Full::new(body.into())).ok()?;
--- a/crates/stairvale-wire/src/frame.rs
+++ b/crates/stairvale-wire/src/frame.rs
@@ -125,6 +125,27 @@
     },
 }
 
+impl Frame {
+    /// A word for metrics.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Ask(_) | Self::Forget { .. } => "ask",
+            Self::Answer { .. } => "answer",
+            Self::Release { .. } => "release",
+            Self::Renew { .. } => "renew",
+            Self::Moved { .. } => "moved",
+            Self::Load(_) => "load",
+            Self::Mean { .. } => "mean",
+            Self::Trouble { .. } => "trouble",
+            Self::Manifest(_) | Self::FetchManifest | Self::FetchChunks(_) | Self::Chunks(_) => "configuration",
+            Self::FetchVms | Self::Vms { .. } => "vms",
+            Self::Claim { .. } | Self::Claimed { .. } | Self::Settle { .. } => "claim",
+        }
+    }
+}
+
 /// An entry's wish for a permit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
--- a/scripts/lab.sh
+++ b/scripts/lab.sh
@@ -29,6 +29,7 @@
 }
 
 lab_close() {
+  set +e
   local name
   for name in "${!PIDS[@]}"; do kill -CONT "${PIDS[$name]}" 2>/dev/null; kill -KILL "${PIDS[$name]}" 2>/dev/null; done
   wait 2>/dev/null
@@ -43,7 +44,11 @@
   PIDS[$name]=$!
 }
 
-stop_now() { kill -KILL "${PIDS[$1]}" 2>/dev/null; wait "${PIDS[$1]}" 2>/dev/null; unset "PIDS[$1]"; }
+stop_now() {
+  kill -KILL "${PIDS[$1]}"
+  wait "${PIDS[$1]}" 2>/dev/null || true
+  unset "PIDS[$1]"
+}
 
 # stop_planned NAME: tells a process to stop, waits, and gives its exit code.
 stop_planned() {
@@ -170,3 +175,13 @@
     --operator-key "$OPERATOR_KEY" --platform "$PLATFORM" --keys "$KEYS" --service "$LLM" --plain "$PLAIN" \
     --policy "$POLICY" "$@"
 }
+
+# Prints what each router sent by kind; to find what control traffic is made of.
+control_kinds() {
+  local name
+  for name in "${ROUTERS[@]}"; do
+    say "$name"
+    curl -s -m 2 -H "authorization: Bearer $OPERATOR_KEY" "http://${ADDRESS[$name-operators]}/metrics" |
+      grep -E 'control_kind|store_calls|control_sent' >&2
+  done
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -30,5 +30,6 @@
 [ -n "$json" ] && arguments+=(--json "$json")
 code=0
 load "${arguments[@]}" || code=$?
+[ -n "${KINDS:-}" ] && control_kinds
 say "stopping…"
 exit $code
