--- a/crates/stairvale-control/src/handlers/claims.rs
+++ b/crates/stairvale-control/src/handlers/claims.rs
@@ -16,6 +16,8 @@
 const CLAIM_VALID: Duration = Duration::from_secs(5);
 /// Settled claims are told to the keeper this many times, a second apart; telling twice changes nothing.
 const SETTLE_TRIES: u8 = 3;
+/// A claim that was given up is remembered this long, to give it back should its answer still come.
+const GIVEN_UP_KEEP: Duration = Duration::from_secs(60);
 const SETTLE_EVERY: Duration = Duration::from_secs(1);
 
 impl Node {
@@ -31,6 +33,7 @@
         let overdue: Vec<_> = overdue.map(|(attempt, claiming)| (*attempt, claiming.key)).collect();
         self.abandon_claims(overdue);
         let now = self.now;
+        self.given_up.retain(|_, at| now.since(*at) < GIVEN_UP_KEEP);
         let due: Vec<_> = self.unsettled.iter().filter(|u| now.since(u.sent) >= SETTLE_EVERY).cloned().collect();
         for settled in due {
             self.send_settled(&settled);
@@ -47,6 +50,7 @@
         for (attempt, key) in claims {
             let verdict = ClaimVerdict::Unavailable { retry_after: SETTLE_EVERY };
             self.outputs.push(Output::Claimed { attempt, verdict });
+            self.given_up.insert(attempt, self.now);
             self.settle(key, attempt, None);
         }
     }
@@ -73,13 +77,13 @@
 
     pub(crate) fn claimed(&mut self, key: id::Key, attempt: id::Attempt, verdict: ClaimVerdict) {
         let claiming = self.claiming.remove(&attempt);
-        let valid = claiming.is_some_and(|claiming| self.now.since(claiming.asked) < CLAIM_VALID);
-        if valid {
+        if claiming.is_some() {
             self.outputs.push(Output::Claimed { attempt, verdict });
             return;
         }
-        // Nobody waits any more, so nothing will run: the claim is given back.
-        if matches!(verdict, ClaimVerdict::Yours { .. }) {
+        // Only a claim that was given up may be given back: a second copy of an answer that was used must change nothing.
+        let given_up = self.given_up.contains_key(&attempt);
+        if given_up && matches!(verdict, ClaimVerdict::Yours { .. }) {
             self.settle(key, attempt, None);
         }
     }
