Claims move into segments, so that a write stays small however many are kept

At 100 claims a second a record would pass the store's megabyte within minutes. Ruled out: more shards (the same bytes on more routers), deleting claims early (a repeat would run again). An entry tells its outcome until the keeper says that it is written down (before: three times, blindly).

--- a/crates/stairvale-claim/src/lib.rs
+++ b/crates/stairvale-claim/src/lib.rs
@@ -1,5 +1,8 @@
 //! At most once: a request that must not be repeated is claimed in the platform's store before its first byte leaves.
 //!
+//! The record holds young claims only; those that no longer change move into segments ([`seal`]), so that a write stays
+//! small.
+//!
 //! Keys are spread over [`SHARDS`]; each [`Shard`] has one record in the store that only compare-and-swap changes.
 //! Claims that come in while a write is on its way go out together with the next one, so that writes grow slower than
 //! requests. A write whose answer was lost is read back and recognised by its attempt id.
@@ -12,6 +15,7 @@
 //! ```
 
 pub mod record;
+pub mod seal;
 pub mod shard;
 
 pub use record::Record;
@@ -20,7 +24,7 @@
 use stairvale_types::id;
 
 /// How many records the keys are spread over.
-pub const SHARDS: u32 = 16;
+pub const SHARDS: u32 = 8;
 
 /// The shard that keeps a key.
 #[must_use]
--- a/crates/stairvale-claim/src/shard.rs
+++ b/crates/stairvale-claim/src/shard.rs
@@ -3,14 +3,15 @@
 //! Several routers may believe to be a shard's keeper; the compare-and-swap alone decides. Keeping it at one router only
 //! makes the batches larger.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use stairvale_types::{Moment, id};
 use stairvale_wire::{ClaimVerdict, Stored};
 
 use crate::{
     Record,
-    record::{Claim, MAX_BODY, MAX_RECORD},
+    record::{Claim, Claims, KEEP_MS, MAX_BODY, MAX_RECORD, from_text},
+    seal::Seal,
 };
 
 /// When to come back if the store can't be reached.
@@ -24,6 +25,11 @@
 /// Settlements that wait for a write at the most; beyond this the oldest are dropped and stay `Running`.
 const MAX_SETTLEMENTS: usize = 10_000;
 
+/// The least time between two writes for claims: what comes in meanwhile goes out together. The first doesn't wait.
+const LINGER: Duration = Duration::from_millis(40);
+/// Nobody waits for a settlement, so it goes out with the next claim, or after this long.
+const SETTLE_LINGER: Duration = Duration::from_millis(400);
+
 /// Something the record shall take in.
 #[derive(Clone, Debug)]
 struct Wish {
@@ -41,6 +47,9 @@
     attempt: id::Attempt,
     /// `None` gives the claim back: nothing was sent.
     stored: Option<Stored>,
+    /// Who wants to hear that it is kept; `None` if this shard gave the claim back itself.
+    from: Option<id::Router>,
+    since: Moment,
 }
 
 /// What to do.
@@ -55,6 +64,27 @@
         /// The revision that it replaces.
         revision: u64,
     },
+    /// Read a segment.
+    ReadSegment {
+        /// Its name.
+        id: String,
+    },
+    /// Create a segment, under a lease that outlasts its claims.
+    WriteSegment {
+        /// Its name.
+        id: String,
+        /// Its text.
+        text: String,
+    },
+    /// Tell an entry that what became of its request is kept.
+    Settled {
+        /// The entry.
+        to: id::Router,
+        /// The key.
+        key: id::Key,
+        /// The attempt.
+        attempt: id::Attempt,
+    },
     /// Tell an entry what the record says.
     Answer {
         /// The entry.
@@ -77,6 +107,15 @@
     Written(u64),
     /// Another write came first.
     Conflict,
+    /// A segment, or that there is none.
+    Segment {
+        /// Its name.
+        id: String,
+        /// Its text.
+        text: Option<String>,
+    },
+    /// A segment was created, or was there already.
+    SegmentWritten,
     /// No answer: a write may or may not have taken effect.
     Lost,
 }
@@ -84,6 +123,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Call {
     Reading,
+    /// So many segments are still to come.
+    Fetching(usize),
+    Sealing,
     Writing,
 }
 
@@ -92,8 +134,12 @@
 pub struct Counts {
     /// Claims asked for.
     pub claims: u64,
-    /// Writes sent.
+    /// Writes of the record sent.
     pub writes: u64,
+    /// Their bytes, and those of segments.
+    pub written_bytes: u64,
+    /// Segments sealed.
+    pub sealed: u64,
     /// Claims that a read-back recognised after a lost answer.
     pub recognised: u64,
     /// Claims refused because the store didn't answer.
@@ -106,6 +152,10 @@
 #[derive(Debug, Default)]
 pub struct Shard {
     known: Option<(Record, u64)>,
+    sealed: HashMap<String, Claims>,
+    /// A segment that was created and goes into the record with the next write.
+    seal: Option<Seal>,
+    last_write: Option<Moment>,
     call: Option<Call>,
     wishes: Vec<Wish>,
     settlements: Vec<Settlement>,
@@ -161,35 +211,43 @@
         &mut self,
         now: Moment,
         now_ms: u64,
+        from: &id::Router,
         key: id::Key,
         attempt: id::Attempt,
         stored: Option<Stored>,
     ) -> Vec<Effect> {
+        let doubled = self.settlements.iter().any(|settlement| settlement.attempt == attempt && settlement.key == key);
+        if doubled || self.settlements.len() >= MAX_SETTLEMENTS {
+            // The entry tells it again until it hears that it is kept.
+            return Vec::new();
+        }
         let trim = |mut stored: Stored| {
             stored.body = stored.body.filter(|body| body.len() <= MAX_BODY);
             stored
         };
-        if self.settlements.len() >= MAX_SETTLEMENTS {
-            self.settlements.remove(0);
-        }
-        self.settlements.push(Settlement { key, attempt, stored: stored.map(trim) });
+        let stored = stored.map(trim);
+        self.settlements.push(Settlement { key, attempt, stored, from: Some(from.clone()), since: now });
         self.advance(now, now_ms)
     }
 
     /// The store answered.
     pub fn reply(&mut self, now: Moment, now_ms: u64, reply: Reply) -> Vec<Effect> {
+        if let Reply::Segment { id, text } = reply {
+            return self.fetched(now, now_ms, id, text);
+        }
         let call = self.call.take();
         match (call, reply) {
             (Some(Call::Reading), Reply::Read(read)) => self.read(now, now_ms, read),
             (Some(Call::Writing), Reply::Written(revision)) => self.written(now, now_ms, revision),
+            (Some(Call::Sealing), Reply::SegmentWritten) => self.advance(now, now_ms),
             (Some(Call::Writing), Reply::Conflict) => {
-                self.known = None;
+                self.forget_known();
                 self.lost += 1;
                 self.advance(now, now_ms)
             }
-            (Some(call), Reply::Lost) => self.unanswered(now, now_ms, call),
+            (Some(call), Reply::Lost) => self.unanswered(now, call),
             (Some(_) | None, _) => {
-                self.known = None;
+                self.forget_known();
                 Vec::new()
             }
         }
@@ -219,17 +277,47 @@
             self.call = Some(Call::Reading);
             return vec![Effect::Read];
         };
+        let missing: Vec<_> = record.segments.iter().filter(|s| !self.sealed.contains_key(&s.id)).collect();
+        if !missing.is_empty() {
+            self.call = Some(Call::Fetching(missing.len()));
+            return missing.iter().map(|segment| Effect::ReadSegment { id: segment.id.clone() }).collect();
+        }
         let mut effects = self.answer_known(&record);
-        effects.extend(self.write(now_ms, record, revision));
+        if self.is_write_due(now) {
+            effects.extend(self.seal_or_write(now, now_ms, record, revision));
+        }
         effects
     }
 
-    /// Answers wishes whose key the record has already.
+    fn is_write_due(&self, now: Moment) -> bool {
+        let lingered = self.last_write.is_none_or(|at| now.since(at) >= LINGER);
+        if !self.wishes.is_empty() {
+            return lingered;
+        }
+        let oldest = self.settlements.iter().map(|settlement| settlement.since).min();
+        oldest.is_some_and(|since| now.since(since) >= SETTLE_LINGER) && lingered
+    }
+
+    fn seal_or_write(&mut self, now: Moment, now_ms: u64, record: Record, revision: u64) -> Vec<Effect> {
+        if self.seal.is_none() {
+            self.seal = Seal::of(&record, &self.sealed, now_ms);
+            if let Some(seal) = &self.seal {
+                self.call = Some(Call::Sealing);
+                self.counts.sealed += 1;
+                self.counts.written_bytes += seal.text.len() as u64;
+                return vec![Effect::WriteSegment { id: seal.segment.id.clone(), text: seal.text.clone() }];
+            }
+        }
+        self.write(now, now_ms, record, revision)
+    }
+
+    /// Answers wishes whose key the record or a segment has already.
     fn answer_known(&mut self, record: &Record) -> Vec<Effect> {
         let mut effects = Vec::new();
         let wishes = std::mem::take(&mut self.wishes);
         for wish in wishes {
-            let Some(claim) = record.get(wish.key) else {
+            let sealed = || self.sealed.values().find_map(|claims| claims.get(&wish.key));
+            let Some(claim) = record.get(wish.key).or_else(sealed) else {
                 self.wishes.push(wish);
                 continue;
             };
@@ -238,20 +326,22 @@
         effects
     }
 
-    fn write(&mut self, now_ms: u64, mut record: Record, revision: u64) -> Vec<Effect> {
+    fn write(&mut self, now: Moment, now_ms: u64, mut record: Record, revision: u64) -> Vec<Effect> {
         let before = record.clone();
         record.expire(now_ms);
-        self.settlements.retain(|settlement| settlement.applies(&record));
+        if let Some(seal) = &self.seal {
+            seal.apply(&mut record);
+        }
         for settlement in &self.settlements {
             settlement.apply(&mut record);
         }
         for wish in &self.wishes {
             // The first of two wishes for one key gets it; the second is answered from the record after the write.
             let claim = Claim { attempt: wish.attempt, at_ms: now_ms, stored: None };
-            record.claims.entry(wish.key.to_string()).or_insert(claim);
+            record.claims.entry(wish.key).or_insert(claim);
         }
-        if record == before || (self.wishes.is_empty() && self.settlements.is_empty()) {
-            return Vec::new();
+        if record == before {
+            return self.drop_settled(&record);
         }
         record.fence += 1;
         let text = record.to_text();
@@ -259,7 +349,9 @@
             return self.refuse_all();
         }
         self.counts.writes += 1;
+        self.counts.written_bytes += text.len() as u64;
         self.call = Some(Call::Writing);
+        self.last_write = Some(now);
         for wish in &mut self.wishes {
             wish.written = true;
         }
@@ -277,11 +369,25 @@
         if revision <= old {
             self.counts.violations += 1;
         }
-        self.settlements.retain(|settlement| settlement.applies(&record));
-        let effects = self.answer_known(&record);
+        if let Some(seal) = self.seal.take() {
+            self.sealed.insert(seal.segment.id, seal.claims);
+        }
+        self.sealed.retain(|id, _| record.segments.iter().any(|segment| &segment.id == id));
+        let mut effects = self.drop_settled(&record);
+        effects.extend(self.answer_known(&record));
         self.known = Some((record, revision));
-        let more = self.advance(now, now_ms);
-        effects.into_iter().chain(more).collect()
+        effects.extend(self.advance(now, now_ms));
+        effects
+    }
+
+    /// Settlements that the record has, or that no longer concern it, are done with.
+    fn drop_settled(&mut self, record: &Record) -> Vec<Effect> {
+        let done: Vec<_> = self.settlements.extract_if(.., |settlement| !settlement.applies(record)).collect();
+        let told = done.into_iter().filter_map(|settlement| {
+            let Settlement { key, attempt, from, .. } = settlement;
+            Some(Effect::Settled { to: from?, key, attempt })
+        });
+        told.collect()
     }
 
     fn read(&mut self, now: Moment, now_ms: u64, read: Option<(String, u64)>) -> Vec<Effect> {
@@ -302,12 +408,44 @@
         self.advance(now, now_ms)
     }
 
-    fn unanswered(&mut self, now: Moment, now_ms: u64, call: Call) -> Vec<Effect> {
+    /// A segment came in, or it turned out that there is none.
+    fn fetched(&mut self, now: Moment, now_ms: u64, id: String, text: Option<String>) -> Vec<Effect> {
+        let Some(Call::Fetching(left)) = self.call else {
+            return Vec::new();
+        };
+        self.call = if left > 1 { Some(Call::Fetching(left - 1)) } else { None };
+        let claims = match text {
+            Some(text) => from_text(&text).ok(),
+            None => self.lapsed(&id, now_ms).then(Claims::default),
+        };
+        let Some(claims) = claims else {
+            // What it said has run can't be told any more; better no answer than a wrong one.
+            self.call = None;
+            self.forget_known();
+            self.pause_until = now + PAUSE;
+            return self.refuse_all();
+        };
+        self.sealed.insert(id, claims);
+        self.advance(now, now_ms)
+    }
+
+    /// Whether all claims of a segment are kept no longer.
+    fn lapsed(&self, id: &str, now_ms: u64) -> bool {
+        let segments = self.known.iter().flat_map(|(record, _)| &record.segments);
+        let segment = segments.into_iter().find(|segment| segment.id == id);
+        segment.is_none_or(|segment| segment.newest_ms.saturating_add(KEEP_MS) <= now_ms)
+    }
+
+    fn forget_known(&mut self) {
         self.known = None;
+        self.seal = None;
+    }
+
+    fn unanswered(&mut self, now: Moment, call: Call) -> Vec<Effect> {
+        self.forget_known();
         self.in_doubt |= call == Call::Writing;
         self.pause_until = now + PAUSE;
-        let _ = now_ms;
-        if call == Call::Reading && !self.in_doubt {
+        if call != Call::Writing && !self.in_doubt {
             // Nothing was written for those who wait: they can be told so at once.
             return self.refuse_all();
         }
@@ -332,7 +470,8 @@
         if wish.written && self.settlements.len() < MAX_SETTLEMENTS {
             // The write may have taken effect: give the claim back, so that the caller's next try can run. An entry asks
             // once for an attempt and starts nothing after a no, so nothing can run under this claim.
-            self.settlements.push(Settlement { key: wish.key, attempt: wish.attempt, stored: None });
+            let (key, attempt, since) = (wish.key, wish.attempt, wish.since);
+            self.settlements.push(Settlement { key, attempt, stored: None, from: None, since });
         }
         unavailable(wish.from, wish.key, wish.attempt)
     }
@@ -351,12 +490,11 @@
         if !self.applies(record) {
             return;
         }
-        let key = self.key.to_string();
         let Some(stored) = &self.stored else {
-            record.claims.remove(&key);
+            record.claims.remove(&self.key);
             return;
         };
-        if let Some(claim) = record.claims.get_mut(&key) {
+        if let Some(claim) = record.claims.get_mut(&self.key) {
             claim.stored = Some(stored.clone());
         }
     }
--- a/crates/stairvale-control/src/handlers/claims.rs
+++ b/crates/stairvale-control/src/handlers/claims.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stairvale_claim::{shard, shard_of};
+use stairvale_claim::{record::KEEP_MS, shard, shard_of};
 use stairvale_types::id;
 use stairvale_wire::{ClaimVerdict, Frame, Stored};
 
@@ -14,8 +14,11 @@
 
 /// A claim's answer later than this is not used.
 const CLAIM_VALID: Duration = Duration::from_secs(5);
-/// Settled claims are told to the keeper this many times, a second apart; telling twice changes nothing.
-const SETTLE_TRIES: u8 = 3;
+/// Settled claims are told to the keeper until it has written them down, this many times at the most; telling twice
+/// changes nothing.
+const SETTLE_TRIES: u16 = 600;
+/// A segment outlasts its claims by far, since keepers' times differ a little.
+const SEGMENT_KEEP: Duration = Duration::from_millis(2 * KEEP_MS);
 /// A claim that was given up is remembered this long, to give it back should its answer still come.
 const GIVEN_UP_KEEP: Duration = Duration::from_secs(60);
 const SETTLE_EVERY: Duration = Duration::from_secs(1);
@@ -103,10 +106,16 @@
         self.send(&keeper, Frame::Settle { key, attempt, stored });
     }
 
-    pub(crate) fn keep_settled(&mut self, key: id::Key, attempt: id::Attempt, stored: Option<Stored>) {
+    pub(crate) fn keep_settled(
+        &mut self,
+        from: &id::Router,
+        key: id::Key,
+        attempt: id::Attempt,
+        stored: Option<Stored>,
+    ) {
         let number = shard_of(key);
         let shard = self.shards.entry(number).or_default();
-        let effects = shard.settle(self.now, self.now_ms, key, attempt, stored);
+        let effects = shard.settle(self.now, self.now_ms, from, key, attempt, stored);
         self.shard_effects(number, effects);
     }
 
@@ -117,6 +126,20 @@
             Answer::Conflict => shard::Reply::Conflict,
             Answer::Lost => shard::Reply::Lost,
         };
+        self.shard_reply(number, reply);
+    }
+
+    pub(crate) fn segment_answer(&mut self, number: u32, id: &str, answer: Answer) {
+        let reply = match answer {
+            Answer::Value(value) => shard::Reply::Segment { id: id.to_owned(), text: value.map(|(text, _)| text) },
+            // The name says what is in it, so one that is there already is as good.
+            Answer::Written(_) | Answer::Conflict => shard::Reply::SegmentWritten,
+            Answer::Lost => shard::Reply::Lost,
+        };
+        self.shard_reply(number, reply);
+    }
+
+    fn shard_reply(&mut self, number: u32, reply: shard::Reply) {
         let Some(shard) = self.shards.get_mut(&number) else {
             return;
         };
@@ -132,6 +155,15 @@
                 shard::Effect::Write { text, revision } => {
                     self.call(Purpose::Claims(number), key, Action::Write { value: text, revision });
                 }
+                shard::Effect::ReadSegment { id } => {
+                    let key = format!("claims/{number}/{id}");
+                    self.call(Purpose::Segment(number, id), key, Action::Read);
+                }
+                shard::Effect::WriteSegment { id, text } => {
+                    let key = format!("claims/{number}/{id}");
+                    self.call(Purpose::Segment(number, id), key, Action::Create { value: text, keep: SEGMENT_KEEP });
+                }
+                shard::Effect::Settled { to, key, attempt } => self.send(&to, Frame::Settled { key, attempt }),
                 shard::Effect::Answer { to, key, attempt, verdict } => {
                     self.send(&to, Frame::Claimed { key, attempt, verdict });
                 }
--- a/crates/stairvale-control/src/handlers/configuration.rs
+++ b/crates/stairvale-control/src/handlers/configuration.rs
@@ -108,6 +108,7 @@
                 }
             }
             Purpose::Claims(number) => self.claims_answer(*number, answer),
+            Purpose::Segment(number, id) => self.segment_answer(*number, id, answer),
             Purpose::Orders => {
                 let holds = self.orders.answer(self.now, &answer);
                 if let Some(holds) = holds {
--- a/crates/stairvale-control/src/handlers/frames.rs
+++ b/crates/stairvale-control/src/handlers/frames.rs
@@ -64,7 +64,10 @@
             }
             Frame::Claim { key, attempt } => self.keep_claim(from, key, attempt),
             Frame::Claimed { key, attempt, verdict } => self.claimed(key, attempt, verdict),
-            Frame::Settle { key, attempt, stored } => self.keep_settled(key, attempt, stored),
+            Frame::Settled { key, attempt } => {
+                self.unsettled.retain(|settled| (settled.key, settled.attempt) != (key, attempt));
+            }
+            Frame::Settle { key, attempt, stored } => self.keep_settled(from, key, attempt, stored),
         }
     }
 
--- a/crates/stairvale-control/src/io.rs
+++ b/crates/stairvale-control/src/io.rs
@@ -73,6 +73,8 @@
     Chunk(Digest),
     /// The record of a claim shard.
     Claims(u32),
+    /// A segment of a claim shard.
+    Segment(u32, String),
     /// The order holder's record of an availability zone.
     Orders,
 }
@@ -98,6 +100,13 @@
         /// The revision that is known.
         revision: u64,
     },
+    /// Create a key that lapses after some time.
+    Create {
+        /// The value.
+        value: String,
+        /// How long it is kept at least.
+        keep: Duration,
+    },
     /// Compare and swap; revision zero creates.
     Write {
         /// The new value.
--- a/crates/stairvale-control/src/node.rs
+++ b/crates/stairvale-control/src/node.rs
@@ -143,7 +143,7 @@
     pub attempt: id::Attempt,
     pub stored: Option<Stored>,
     pub sent: Moment,
-    pub left: u8,
+    pub left: u16,
 }
 
 /// A claim that was asked for.
@@ -338,6 +338,8 @@
             let counts = shard.counts();
             stats.claims += counts.claims;
             stats.claim_writes += counts.writes;
+            stats.claim_bytes += counts.written_bytes;
+            stats.claim_segments += counts.sealed;
             stats.claims_recognised += counts.recognised;
             stats.claims_unavailable += counts.unavailable;
             stats.violations += counts.violations;
--- a/crates/stairvale-control/src/stats.rs
+++ b/crates/stairvale-control/src/stats.rs
@@ -29,6 +29,10 @@
     pub claims: u64,
     /// Writes of claim records.
     pub claim_writes: u64,
+    /// Bytes of claim records and segments written.
+    pub claim_bytes: u64,
+    /// Segments of claims sealed.
+    pub claim_segments: u64,
     /// Claims recognised after a lost answer.
     pub claims_recognised: u64,
     /// Claims refused because the store didn't answer.
--- a/crates/stairvale-control/tests/world/store.rs
+++ b/crates/stairvale-control/tests/world/store.rs
@@ -29,6 +29,7 @@
             Action::Read | Action::Watch { .. } => Answer::Value(self.entries.get(key).cloned()),
             Action::Write { value, revision } if key.starts_with("orders/") => self.lease(now, key, value, revision),
             Action::Write { value, revision } => self.swap(key, value, revision),
+            Action::Create { value, .. } => self.swap(key, value, 0),
         }
     }
 
--- a/crates/stairvale-router/src/store.rs
+++ b/crates/stairvale-router/src/store.rs
@@ -1,8 +1,11 @@
 //! The control thread's calls to the platform.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use serde::Deserialize;
@@ -97,6 +100,7 @@
     match action {
         Action::Read => read(store.read(key).await),
         Action::Watch { revision } => read(store.watch(key, revision).await),
+        Action::Create { value, keep } => create(store, key, value, keep).await,
         Action::Write { value, revision } => match store.swap(key, value, revision).await {
             Ok(Swap::Written(revision)) => Answer::Written(revision),
             Ok(Swap::Conflict) => Answer::Conflict,
@@ -104,3 +108,15 @@
         },
     }
 }
+
+/// Creates a key under a lease of its own, which nobody renews.
+async fn create(store: &Client, key: &str, value: String, keep: Duration) -> Answer {
+    let Ok(lease) = store.lease(keep).await else {
+        return Answer::Lost;
+    };
+    match store.create_leased(key, value, lease).await {
+        Ok(Swap::Written(revision)) => Answer::Written(revision),
+        Ok(Swap::Conflict) => Answer::Conflict,
+        Err(_) => Answer::Lost,
+    }
+}
--- a/crates/stairvale-wire/src/frame.rs
+++ b/crates/stairvale-wire/src/frame.rs
@@ -125,6 +125,13 @@
         /// The answer, or `None` if it was given back without a byte sent.
         stored: Option<Stored>,
     },
+    /// The keeper has written down what became of a claimed request.
+    Settled {
+        /// The key.
+        key: id::Key,
+        /// The attempt.
+        attempt: id::Attempt,
+    },
 }
 
 impl Frame {
@@ -143,7 +150,7 @@
             Self::Trouble { .. } => "trouble",
             Self::Manifest(_) | Self::FetchManifest | Self::FetchChunks(_) | Self::Chunks(_) => "configuration",
             Self::FetchVms | Self::Vms { .. } | Self::Words(_) => "vms",
-            Self::Claim { .. } | Self::Claimed { .. } | Self::Settle { .. } => "claim",
+            Self::Claim { .. } | Self::Claimed { .. } | Self::Settle { .. } | Self::Settled { .. } => "claim",
         }
     }
 }
