--- /dev/null
+++ b/crates/stairvale-placement/tests/placement.rs
@@ -0,0 +1,116 @@
+//! Churn moves as few chats as it can, and memory of exceptions is bounded.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::cast_precision_loss)]
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use stairvale_placement::{
+    Engine, Exceptions,
+    choice::{Estimate, plan},
+    keep::Hawkes,
+    pick, rank,
+};
+use stairvale_types::{Moment, id};
+
+fn engines(count: usize) -> Vec<Engine> {
+    (0..count).map(|n| Engine::new(format!("engine-{n}").parse().unwrap(), 1)).collect()
+}
+
+#[test]
+fn a_leave_moves_only_the_chats_of_that_engine() {
+    let before = engines(12);
+    let gone = before[5].upstream.clone();
+    let mut after = before.clone();
+    after.remove(5);
+    for chat in 0..5_000 {
+        let (was, is) = (rank(chat, &before), rank(chat, &after));
+        let expected: Vec<_> = was.into_iter().filter(|upstream| upstream != &gone).collect();
+        assert_eq!(is, expected, "the rest of the list keeps its order, so an overflow lands where it landed");
+    }
+}
+
+#[test]
+fn a_join_takes_its_share_and_no_more() {
+    let (before, after) = (engines(11), engines(12));
+    let moved = (0..12_000).filter(|chat| rank(*chat, &before)[0] != rank(*chat, &after)[0]).count();
+    assert!((850..1_150).contains(&moved), "{moved} of 12000 chats moved, 1000 expected");
+}
+
+#[test]
+fn chats_spread_by_weight() {
+    let mut engines = engines(4);
+    engines[0] = Engine::new(engines[0].upstream.clone(), 3);
+    let heavy = (0..12_000).filter(|chat| rank(*chat, &engines)[0] == engines[0].upstream).count();
+    assert!((5_700..6_300).contains(&heavy), "{heavy} of 12000 at weight 3 of 6");
+}
+
+#[test]
+fn exceptions_are_believed_for_a_while() {
+    let mut exceptions = Exceptions::new(100, Duration::from_secs(10));
+    let (chat, upstream) = (id::Chat(1), "e".parse().unwrap());
+    exceptions.remember(Moment::ZERO, chat, &upstream);
+    assert_eq!(exceptions.find(Moment::from_millis(9_000), chat), Some(&upstream));
+    assert_eq!(exceptions.find(Moment::from_millis(10_000), chat), None);
+    exceptions.remember(Moment::ZERO, chat, &upstream);
+    exceptions.forget_upstream(&upstream);
+    assert_eq!(exceptions.find(Moment::ZERO, chat), None);
+}
+
+#[test]
+fn a_million_and_a_half_exceptions_of_the_fleet_fit() {
+    // 1.9 million chats before 370 routers are 5,135 a router, were all of them exceptions.
+    let mut exceptions = Exceptions::new(200_000, Duration::from_secs(1_800));
+    let upstream = "engine-1".parse().unwrap();
+    for chat in 0..300_000 {
+        exceptions.remember(Moment::ZERO, id::Chat(chat), &upstream);
+    }
+    assert!(exceptions.len() <= 200_000);
+    assert!(exceptions.bytes() < 20 << 20, "{} bytes", exceptions.bytes());
+}
+
+#[test]
+fn waiting_never_costs_more_than_what_it_saves() {
+    let ms = Duration::from_millis;
+    let estimate = Estimate { rebuild: ms(200), transfer: Some(ms(40)), allowed: ms(300), deadline: ms(10_000) };
+    let cheap = plan(estimate);
+    assert_eq!(cheap.patience, ms(40));
+    assert!(cheap.transfer);
+    let gone = plan(Estimate { transfer: None, ..estimate });
+    assert_eq!(gone.patience, ms(200));
+    assert!(!gone.transfer);
+    let hurried = plan(Estimate { deadline: ms(80), ..estimate });
+    assert_eq!(hurried.patience, ms(20));
+}
+
+#[test]
+fn the_papers_keep_alive_grows_with_recent_arrivals() {
+    let hawkes = Hawkes { lambda0: 0.001, alpha: 0.5, beta: 0.1 };
+    let alone = hawkes.keep(&[], 0.02).unwrap();
+    let busy = hawkes.keep(&[1.0, 2.0, 3.0], 0.02).unwrap();
+    assert!(busy > alone);
+    assert_eq!(hawkes.keep(&[], 0.0005), None, "a base rate above the ratio is kept for ever");
+    assert_eq!(hawkes.keep(&[], 10.0), Some(Duration::ZERO), "a ratio above the excited rate is not kept at all");
+}
+
+quickcheck! {
+    fn a_pick_survives_the_loss_of_others(key: u64, names: Vec<u8>, lost: usize) -> bool {
+        let names: Vec<u64> = names.into_iter().map(u64::from).collect();
+        let Some(best) = pick(key, names.iter().map(|name| (*name, name))).copied() else {
+            return names.is_empty();
+        };
+        let lost = names[lost % names.len()];
+        let left: Vec<u64> = names.iter().copied().filter(|name| *name != lost).collect();
+        lost == best || pick(key, left.iter().map(|name| (*name, name))) == Some(&best)
+    }
+
+    fn memory_is_bounded(chats: Vec<(u16, u8)>) -> bool {
+        let mut exceptions = Exceptions::new(50, Duration::from_secs(5));
+        let mut now = Moment::ZERO;
+        chats.into_iter().all(|(chat, wait)| {
+            now = now + Duration::from_millis(u64::from(wait) * 10);
+            exceptions.remember(now, id::Chat(u64::from(chat)), &"e".parse().unwrap());
+            exceptions.len() <= 50
+        })
+    }
+}
