--- a/crates/stairvale-admission/src/lib.rs
+++ b/crates/stairvale-admission/src/lib.rs
@@ -1,6 +1,7 @@
 //! Who goes first, and who is told to come back.
 //!
 //! [`Queue`] is bounded, serves classes strictly but ages what waits, and shares turns among customers by weight.
+//! [`Shares`] tells what each customer's part of the slots is, so that a surge leaves room for others.
 //! [`Budget`] bounds retries to a share of successes. [`Pace`] predicts a wait.
 //!
 //! ```
@@ -17,7 +18,9 @@
 pub mod budget;
 pub mod pace;
 pub mod queue;
+pub mod shares;
 
 pub use budget::Budget;
 pub use pace::Pace;
 pub use queue::Queue;
+pub use shares::Shares;
--- a/crates/stairvale-control/src/explain.rs
+++ b/crates/stairvale-control/src/explain.rs
@@ -97,7 +97,11 @@
         Event::Asked { home, patience } => {
             format!("asked its home {home}, willing to wait {} ms", patience.as_millis())
         }
-        Event::Answered(Verdict::Granted { outstanding }) => format!("granted; {outstanding} outstanding there"),
+        Event::Answered(Verdict::Granted { outstanding, over_share }) => {
+            let note =
+                if *over_share { "; the customer is over its share, so the engine serves others first" } else { "" };
+            format!("granted; {outstanding} outstanding there{note}")
+        }
         Event::Answered(Verdict::Elsewhere { upstream }) => format!("the chat's prefix sits at {upstream}"),
         Event::Answered(Verdict::Overflow { .. }) => "passed over: at its bound".to_owned(),
         Event::Answered(Verdict::Refused(refusal)) => format!("refused, {refusal}"),
--- a/crates/stairvale-control/src/fleet.rs
+++ b/crates/stairvale-control/src/fleet.rs
@@ -177,13 +177,20 @@
         self.upstreams.get(upstream).is_some_and(|u| u.usable(self.now))
     }
 
+    /// Without a home nobody knows the engine's account: all routers together should stay within the bound that their
+    /// latest grants suggest, so each takes its part of that.
+    #[allow(clippy::cast_precision_loss)]
     fn share(&self, upstream: &id::Upstream) -> Option<Share> {
         let known = self.upstreams.get(upstream)?;
         let service = self.service(&known.service)?;
         let routers = self.swim.live().filter(|member| self.is_near(&member.zone)).count();
         let routers = u32::try_from(routers.max(1)).unwrap_or(u32::MAX);
-        let own = (service.slots / routers).max(1);
+        let engines = self.engines.get(&known.service)?;
+        let seen: Vec<_> = engines.iter().filter_map(|engine| self.seen.get(&engine.upstream)).collect();
+        let sum: u64 = seen.iter().map(|load| u64::from(**load)).sum();
+        let mean = sum as f64 / seen.len().max(1) as f64;
+        let bound = service.load_multiple.bound(mean).min(service.slots);
         let reported = self.seen.get(upstream).copied().unwrap_or(0);
-        Some(Share { reported, slots: service.slots, own })
+        Some(Share { reported, slots: service.slots, own: (bound / routers).max(1) })
     }
 }
--- a/crates/stairvale-control/src/handlers/frames.rs
+++ b/crates/stairvale-control/src/handlers/frames.rs
@@ -1,6 +1,6 @@
 //! Frames from peers.
 
-use stairvale_permit::home::Answer as HomeAnswer;
+use stairvale_permit::{home::Answer as HomeAnswer, mean::Sum};
 use stairvale_types::id;
 use stairvale_wire::{Ask, Frame, Verdict};
 
@@ -16,7 +16,7 @@
                 self.answers(answers);
             }
             Frame::Answer { upstream, attempt, verdict, .. } => {
-                if let Verdict::Granted { outstanding } = &verdict {
+                if let Verdict::Granted { outstanding, .. } = &verdict {
                     self.fleet.saw(&upstream, *outstanding);
                 }
                 let effects = self.entry.answer(self.now, &self.fleet, from, &upstream, attempt, verdict);
@@ -32,9 +32,10 @@
             }
             Frame::Moved { chat, first, to } => self.home.moved(self.now, chat, &first, &to),
             Frame::Load(load) => self.sums.hear(self.now, from, load),
-            Frame::Mean { service, outstanding, engines, emptiest } => {
+            Frame::Mean { service, outstanding, engines, waiting, emptiest } => {
+                let others = Sum { outstanding, engines, waiting };
                 self.hints.insert(service.clone(), emptiest.clone());
-                let answers = self.home.mean(self.now, &service, (outstanding, engines), emptiest);
+                let answers = self.home.mean(self.now, &service, others, emptiest);
                 self.answers(answers);
             }
             Frame::Trouble { upstream } => self.trouble(&upstream),
--- a/crates/stairvale-control/src/handlers/mean_sums.rs
+++ b/crates/stairvale-control/src/handlers/mean_sums.rs
@@ -1,5 +1,6 @@
 //! Loads, sums and means.
 
+use stairvale_permit::mean::Sum;
 use stairvale_types::id;
 use stairvale_wire::Frame;
 
@@ -29,8 +30,9 @@
                     self.send(&to, Frame::Load(load.clone()));
                 }
             }
-            sums::Effect::Mean { to, service, outstanding, engines, emptiest } => {
-                self.send(&to, Frame::Mean { service, outstanding, engines, emptiest });
+            sums::Effect::Mean { to, service, others, emptiest } => {
+                let Sum { outstanding, engines, waiting } = others;
+                self.send(&to, Frame::Mean { service, outstanding, engines, waiting, emptiest });
             }
         }
     }
--- a/crates/stairvale-control/src/handlers/upstreams.rs
+++ b/crates/stairvale-control/src/handlers/upstreams.rs
@@ -9,7 +9,7 @@
 use crate::{Event, Node, Output, io::Report, node::Policy};
 
 /// How often a home probes its upstreams.
-const PROBE_EVERY: Duration = Duration::from_millis(200);
+const PROBE_EVERY: Duration = Duration::from_millis(400);
 /// A probe that isn't answered by then counts as missed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Missed probes in a row after which an upstream counts as unreachable.
--- a/crates/stairvale-control/src/sums.rs
+++ b/crates/stairvale-control/src/sums.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use stairvale_permit::home::EMPTIEST;
+use stairvale_permit::{home::EMPTIEST, mean::Sum};
 use stairvale_types::{Moment, id};
 use stairvale_wire::Load;
 
@@ -45,11 +45,11 @@
 
 /// What the adding router of a service knows.
 #[derive(Debug, Default)]
-struct Sum {
+struct Adder {
     homes: BTreeMap<id::Router, (Load, Moment)>,
     zones: BTreeMap<id::Zone, (Load, Moment)>,
     zone_pacer: Pacer<Load>,
-    mean_pacers: BTreeMap<id::Router, Pacer<(u64, u32)>>,
+    mean_pacers: BTreeMap<id::Router, Pacer<Sum>>,
 }
 
 /// A sum to send.
@@ -66,9 +66,7 @@
         /// The service.
         service: id::Service,
         /// What others' engines carry.
-        outstanding: u64,
-        /// How many those are.
-        engines: u32,
+        others: Sum,
         /// The emptiest engines of all.
         emptiest: Vec<(id::Upstream, u32)>,
     },
@@ -78,7 +76,7 @@
 #[derive(Debug, Default)]
 pub struct Sums {
     own: BTreeMap<id::Service, Pacer<Load>>,
-    sums: BTreeMap<id::Service, Sum>,
+    sums: BTreeMap<id::Service, Adder>,
 }
 
 impl Sums {
@@ -114,7 +112,7 @@
     }
 }
 
-impl Sum {
+impl Adder {
     fn tick(&mut self, now: Moment, service: &id::Service, zone: &id::Zone) -> Vec<Effect> {
         self.homes.retain(|_, (_, at)| now.since(*at) < REPORT_TTL);
         self.zones.retain(|_, (_, at)| now.since(*at) < REPORT_TTL);
@@ -126,39 +124,47 @@
         if self.zone_pacer.due(now, &own) {
             effects.push(Effect::ZoneSum(own.clone()));
         }
-        let others = self.zones.iter().filter(|(other, _)| *other != zone).map(|(_, (load, _))| load);
-        let total = add(service, None, others.chain(std::iter::once(&own)));
-        effects.extend(self.means(now, &total));
+        let others: Vec<_> = self.zones.iter().filter(|(other, _)| *other != zone).map(|(_, (load, _))| load).collect();
+        let emptiest = add(service, None, others.iter().copied().chain(std::iter::once(&own))).emptiest;
+        let elsewhere = others.into_iter().map(sum_of).fold(Sum::default(), Sum::plus);
+        effects.extend(self.means(now, service, elsewhere, &emptiest));
         effects
     }
 
-    fn means(&mut self, now: Moment, total: &Load) -> Vec<Effect> {
+    /// Tells each home what all others carry: `elsewhere`, and the other homes of this zone.
+    fn means(
+        &mut self,
+        now: Moment,
+        service: &id::Service,
+        elsewhere: Sum,
+        emptiest: &[(id::Upstream, u32)],
+    ) -> Vec<Effect> {
         let homes = &self.homes;
         self.mean_pacers.retain(|home, _| homes.contains_key(home));
         let mut effects = Vec::new();
-        for (home, (load, _)) in homes {
-            let outstanding = total.outstanding - load.outstanding;
-            let engines = total.engines - load.engines;
-            let pacer = self.mean_pacers.entry(home.clone()).or_default();
-            if !pacer.due(now, &(outstanding, engines)) {
-                continue;
+        for to in homes.keys() {
+            let near = homes.iter().filter(|(home, _)| *home != to).map(|(_, (load, _))| sum_of(load));
+            let others = near.fold(elsewhere, Sum::plus);
+            let pacer = self.mean_pacers.entry(to.clone()).or_default();
+            if pacer.due(now, &others) {
+                let (to, service, emptiest) = (to.clone(), service.clone(), emptiest.to_vec());
+                effects.push(Effect::Mean { to, service, others, emptiest });
             }
-            let service = total.service.clone();
-            let emptiest = total.emptiest.clone();
-            effects.push(Effect::Mean { to: home.clone(), service, outstanding, engines, emptiest });
         }
         effects
     }
 }
 
+fn sum_of(load: &Load) -> Sum {
+    Sum { outstanding: load.outstanding, engines: load.engines, waiting: load.waiting }
+}
+
 fn add<'a>(service: &id::Service, zone: Option<&id::Zone>, loads: impl Iterator<Item = &'a Load>) -> Load {
-    let mut sum =
-        Load { service: service.clone(), zone: zone.cloned(), outstanding: 0, engines: 0, emptiest: Vec::new() };
-    for load in loads {
-        sum.outstanding += load.outstanding;
-        sum.engines += load.engines;
-        sum.emptiest.extend(load.emptiest.iter().cloned());
-    }
+    let loads: Vec<_> = loads.collect();
+    let sum = loads.iter().map(|load| sum_of(load)).fold(Sum::default(), Sum::plus);
+    let emptiest = loads.into_iter().flat_map(|load| load.emptiest.iter().cloned()).collect();
+    let Sum { outstanding, engines, waiting } = sum;
+    let mut sum = Load { service: service.clone(), zone: zone.cloned(), outstanding, engines, waiting, emptiest };
     sum.emptiest.sort_by(|(x, a), (y, b)| a.cmp(b).then_with(|| x.cmp(y)));
     sum.emptiest.truncate(EMPTIEST);
     sum
--- /dev/null
+++ b/crates/stairvale-membership/tests/membership.rs
@@ -0,0 +1,266 @@
+//! Routers find, suspect, refute and bury each other; upstreams are judged by the best evidence.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use quickcheck::quickcheck;
+use stairvale_membership::{
+    Swim, Upstreams,
+    swim::{Effect, Settings},
+    upstreams::FORGET_AFTER,
+};
+use stairvale_types::{Moment, id};
+use stairvale_wire::{
+    Member, Packet, Status, Vm, Word,
+    packet::{Role, State},
+};
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + number))
+}
+
+fn member(number: u16) -> Member {
+    Member {
+        router: format!("r{number}").parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        address: address(number),
+        incarnation: id::Incarnation(1),
+        status: Status::Alive,
+    }
+}
+
+/// Routers that hear each other at once, but for those that are silent.
+struct Net {
+    routers: HashMap<SocketAddr, Swim>,
+    silent: Vec<SocketAddr>,
+    now: Moment,
+    loss: u8,
+    sent: u64,
+    died: Vec<(id::Router, Moment)>,
+}
+
+impl Net {
+    fn new(count: u16) -> Self {
+        let router = |number| {
+            let seeds = (0..count).filter(|other| *other != number).map(address).collect();
+            let swim = Swim::new(member(number), Settings::default(), u64::from(number)).with_seeds(seeds);
+            (address(number), swim)
+        };
+        let routers = (0..count).map(router).collect();
+        Self { routers, silent: Vec::new(), now: Moment::ZERO, loss: 0, sent: 0, died: Vec::new() }
+    }
+
+    fn deliver(&mut self, from: SocketAddr, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, packet } => self.packet(from, to, packet),
+                Effect::Died(router) => self.died.push((router, self.now)),
+                _ => {}
+            }
+        }
+    }
+
+    fn packet(&mut self, from: SocketAddr, to: SocketAddr, packet: Packet) {
+        self.sent += 1;
+        let lost = self.loss > 0 && self.sent.wrapping_mul(2_654_435_761) % 100 < u64::from(self.loss);
+        if lost || self.silent.contains(&from) || self.silent.contains(&to) {
+            return;
+        }
+        let Some(router) = self.routers.get_mut(&to) else {
+            return;
+        };
+        let effects = router.receive(self.now, from, packet);
+        self.deliver(to, effects);
+    }
+
+    fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + Duration::from_millis(10);
+            let mut addresses: Vec<_> = self.routers.keys().copied().collect();
+            addresses.sort();
+            for address in addresses {
+                let effects = self.routers.get_mut(&address).unwrap().tick(self.now);
+                self.deliver(address, effects);
+            }
+        }
+    }
+
+    fn live(&self, number: u16) -> usize {
+        self.routers[&address(number)].live().count()
+    }
+}
+
+#[test]
+fn all_find_all() {
+    let mut net = Net::new(9);
+    net.run(Duration::from_secs(4));
+    assert!((0..9).all(|number| net.live(number) == 9));
+}
+
+#[test]
+fn a_silent_router_is_dead_within_seconds_and_comes_back() {
+    let mut net = Net::new(9);
+    net.run(Duration::from_secs(4));
+    let since = net.now;
+    net.silent.push(address(3));
+    net.run(Duration::from_secs(6));
+    let first = net.died.iter().filter(|(router, _)| router.as_str() == "r3").map(|(_, at)| *at).min().unwrap();
+    assert!(first.since(since) < Duration::from_secs(5), "known after {:?}", first.since(since));
+    assert_eq!(net.live(0), 8);
+    net.silent.clear();
+    net.run(Duration::from_secs(8));
+    assert_eq!(net.live(0), 9, "it refutes its death with a higher incarnation");
+}
+
+#[test]
+fn lost_packets_alone_kill_nobody_for_good() {
+    let mut net = Net::new(9);
+    net.run(Duration::from_secs(4));
+    net.loss = 15;
+    net.run(Duration::from_secs(20));
+    net.loss = 0;
+    net.run(Duration::from_secs(5));
+    assert!((0..9).all(|number| net.live(number) == 9));
+}
+
+#[test]
+fn a_leaving_router_is_told_of_at_once() {
+    let mut net = Net::new(5);
+    net.run(Duration::from_secs(4));
+    let effects = net.routers.get_mut(&address(2)).unwrap().leave();
+    net.deliver(address(2), effects);
+    assert!([0, 1, 3, 4].into_iter().all(|number| net.live(number) == 4));
+}
+
+#[test]
+fn packets_fit_an_ethernet_frame_whatever_the_news() {
+    let mut swim = Swim::new(member(0), Settings::default(), 1).with_seeds(vec![address(1)]);
+    for number in 0..2_000 {
+        let upstream = format!("a-rather-long-upstream-name-{number}").parse().unwrap();
+        let word = Word { upstream, boot: u64::MAX, change: 3, reach: 4, state: State::Draining };
+        swim.spread(word);
+    }
+    let effects = swim.tick(Moment::from_millis(300));
+    let Some(Effect::Send { packet, .. }) = effects.first() else {
+        panic!("{effects:?}");
+    };
+    let size = stairvale_wire::codec::pack(packet).unwrap().len();
+    assert!(size <= stairvale_wire::codec::MAX_PACKET - 16, "{size} bytes");
+    assert!(packet.updates.len() > 10);
+}
+
+// ----------------------------------------------------------------------------
+
+fn vm(name: &str, leaving: bool) -> Vm {
+    Vm {
+        name: name.into(),
+        role: Role::Upstream,
+        zone: "a".parse().unwrap(),
+        service: Some("chat".parse().unwrap()),
+        address: address(900),
+        weight: 1,
+        leaving,
+    }
+}
+
+fn word(boot: u64, change: u64, reach: u64, state: State) -> Word {
+    Word { upstream: "e".parse().unwrap(), boot, change, reach, state }
+}
+
+fn listed() -> Upstreams {
+    let mut upstreams = Upstreams::new();
+    assert!(upstreams.list(Moment::ZERO, 1, &[vm("e", false)]));
+    upstreams
+}
+
+fn usable(upstreams: &Upstreams, now: Moment) -> bool {
+    upstreams.get(&"e".parse().unwrap()).is_some_and(|upstream| upstream.usable(now))
+}
+
+#[test]
+fn the_list_alone_makes_nothing_usable_but_takes_away() {
+    let mut upstreams = listed();
+    assert!(!usable(&upstreams, Moment::ZERO), "it hasn't said a word itself");
+    upstreams.hear(Moment::ZERO, &word(1, 0, 0, State::Serving));
+    assert!(usable(&upstreams, Moment::ZERO));
+    upstreams.list(Moment::ZERO, 2, &[vm("e", true)]);
+    assert!(!usable(&upstreams, Moment::ZERO));
+    assert!(!upstreams.list(Moment::ZERO, 1, &[vm("e", false)]), "an older list changes nothing");
+}
+
+#[test]
+fn its_own_word_goes_before_the_list() {
+    let mut upstreams = listed();
+    upstreams.hear(Moment::ZERO, &word(1, 1, 0, State::Draining));
+    assert!(!usable(&upstreams, Moment::ZERO), "it drains, whatever the list says");
+    upstreams.hear(Moment::ZERO, &word(1, 0, 5, State::Serving));
+    assert!(!usable(&upstreams, Moment::ZERO), "an earlier word that comes late changes nothing");
+    upstreams.hear(Moment::ZERO, &word(2, 0, 0, State::Serving));
+    assert!(usable(&upstreams, Moment::ZERO), "a new life starts anew");
+}
+
+#[test]
+fn failed_connections_cool_down_and_double() {
+    let mut upstreams = listed();
+    let name = "e".parse().unwrap();
+    upstreams.hear(Moment::ZERO, &word(1, 0, 0, State::Serving));
+    upstreams.failed(Moment::ZERO, &name);
+    assert!(!usable(&upstreams, Moment::from_millis(499)));
+    assert!(usable(&upstreams, Moment::from_millis(500)));
+    upstreams.failed(Moment::from_millis(500), &name);
+    assert!(!usable(&upstreams, Moment::from_millis(1_499)));
+    upstreams.succeeded(&name);
+    upstreams.failed(Moment::from_millis(2_000), &name);
+    assert!(usable(&upstreams, Moment::from_millis(2_500)));
+}
+
+#[test]
+fn a_flapping_upstream_is_held_back_but_keeps_its_rank() {
+    let mut upstreams = listed();
+    let mut reach = 0;
+    for flap in 0..6 {
+        let now = Moment::from_millis(flap * 500);
+        upstreams.hear(now, &word(1, 0, reach + 1, State::Unreachable));
+        upstreams.hear(now, &word(1, 0, reach + 2, State::Serving));
+        reach += 2;
+    }
+    let now = Moment::from_millis(3_000);
+    assert!(!usable(&upstreams, now));
+    assert!(upstreams.get(&"e".parse().unwrap()).is_some(), "its chats keep their first choice");
+    let later = Moment::from_millis(90_000);
+    upstreams.tick(later);
+    assert!(usable(&upstreams, later));
+}
+
+#[test]
+fn an_unlisted_upstream_keeps_its_rank_for_a_while() {
+    let mut upstreams = listed();
+    upstreams.hear(Moment::ZERO, &word(1, 0, 0, State::Serving));
+    upstreams.list(Moment::ZERO, 2, &[]);
+    assert!(!usable(&upstreams, Moment::ZERO));
+    assert!(upstreams.forget(Moment::from_millis(1_000)).is_empty());
+    assert_eq!(upstreams.forget(Moment::ZERO + FORGET_AFTER).len(), 1);
+}
+
+quickcheck! {
+    fn words_in_any_order_end_the_same(order: Vec<usize>) -> bool {
+        let words = [
+            word(1, 0, 0, State::Serving),
+            word(1, 0, 1, State::Unreachable),
+            word(1, 0, 2, State::Serving),
+            word(1, 1, 0, State::Draining),
+            word(2, 0, 0, State::Serving),
+            word(2, 1, 0, State::Draining),
+        ];
+        let mut upstreams = listed();
+        for index in order {
+            upstreams.hear(Moment::ZERO, &words[index % words.len()]);
+        }
+        for word in &words {
+            upstreams.hear(Moment::ZERO, word);
+        }
+        !usable(&upstreams, Moment::from_millis(60_000))
+    }
+}
--- a/crates/stairvale-permit/src/account.rs
+++ b/crates/stairvale-permit/src/account.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use stairvale_admission::{Pace, Queue};
+use stairvale_admission::{Pace, Queue, Shares};
 use stairvale_types::{Moment, id};
 use stairvale_wire::Ask;
 
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Holder {
     pub entry: id::Router,
+    /// Whose request it is; a permit that was registered anew doesn't say.
+    pub customer: Option<id::Customer>,
     pub since: Moment,
     pub renewed: Moment,
     pub missed: u8,
@@ -40,6 +42,7 @@
     pub(crate) queue: Queue<Waiting>,
     pub(crate) pace: Pace,
     pub(crate) open: bool,
+    pub(crate) shares: Shares,
     reported: Option<u32>,
     settle_until: Moment,
 }
@@ -51,6 +54,7 @@
             queue: Queue::new(queue),
             pace: Pace::default(),
             open: true,
+            shares: Shares::default(),
             reported,
             settle_until: now + SETTLE,
         }
@@ -84,8 +88,31 @@
         self.reported = Some(load);
     }
 
-    pub(crate) fn hold(&mut self, now: Moment, attempt: id::Attempt, entry: &id::Router) {
-        let holder = Holder { entry: entry.clone(), since: now, renewed: now, missed: 0 };
+    /// A customer asks here.
+    pub(crate) fn notice(&mut self, now: Moment, customer: &id::Customer, weight: u32) {
+        self.shares.notice(now, customer, weight);
+    }
+
+    /// Whether a customer holds its share of the slots or more, while others ask here, too.
+    pub(crate) fn is_over_share(&self, now: Moment, customer: &id::Customer, slots: u32) -> bool {
+        is_over_share(&self.held, &self.shares, now, customer, slots)
+    }
+
+    /// Whether a customer holds and waits for its share of the slots or more, while others ask here, too.
+    pub(crate) fn asks_over_share(&self, now: Moment, customer: &id::Customer, slots: u32) -> bool {
+        let held = self.held.values().filter(|holder| holder.customer.as_ref() == Some(customer)).count();
+        let waiting = self.queue.iter().filter(|item| &item.customer == customer).count();
+        self.shares.of(now, customer, slots).is_some_and(|share| held + waiting >= share as usize)
+    }
+
+    pub(crate) fn hold(
+        &mut self,
+        now: Moment,
+        attempt: id::Attempt,
+        entry: &id::Router,
+        customer: Option<id::Customer>,
+    ) {
+        let holder = Holder { entry: entry.clone(), customer, since: now, renewed: now, missed: 0 };
         self.held.insert(attempt, holder);
     }
 
@@ -107,7 +134,7 @@
         }
         for attempt in attempts {
             let Some(holder) = self.held.get_mut(attempt) else {
-                self.hold(now, *attempt, entry);
+                self.hold(now, *attempt, entry, None);
                 continue;
             };
             holder.renewed = now;
@@ -126,6 +153,7 @@
 
     /// Drops permits that were not renewed in time.
     pub(crate) fn age(&mut self, now: Moment) -> usize {
+        self.shares.age(now);
         let before = self.held.len();
         self.held.retain(|_, holder| now.since(holder.renewed) < PERMIT_TTL);
         before - self.held.len()
@@ -138,3 +166,15 @@
         self.settle_until = now + SETTLE;
     }
 }
+
+/// As [`Account::is_over_share`], for when the queue is borrowed beside it.
+pub(crate) fn is_over_share(
+    held: &HashMap<id::Attempt, Holder>,
+    shares: &Shares,
+    now: Moment,
+    customer: &id::Customer,
+    slots: u32,
+) -> bool {
+    let held = held.values().filter(|holder| holder.customer.as_ref() == Some(customer)).count();
+    shares.of(now, customer, slots).is_some_and(|share| held >= share as usize)
+}
--- a/crates/stairvale-permit/src/entry.rs
+++ b/crates/stairvale-permit/src/entry.rs
@@ -165,6 +165,8 @@
     pub import_from: Option<id::Upstream>,
     /// Whether no home was reached.
     pub degraded: bool,
+    /// Whether the customer is over its share there, so that the engine should serve others first.
+    pub over_share: bool,
     /// How it came to that.
     pub steps: Vec<Step>,
 }
@@ -298,7 +300,10 @@
         }
         self.step(now, attempt, upstream, Event::Answered(verdict.clone()));
         match verdict {
-            Verdict::Granted { .. } => self.granted(attempt, upstream.clone(), Some(from.clone()), directory),
+            Verdict::Granted { over_share, .. } => {
+                let home = Some((from.clone(), over_share));
+                self.granted(attempt, upstream.clone(), home, directory)
+            }
             Verdict::Refused(refusal) => self.refused(attempt, refusal),
             Verdict::Elsewhere { upstream } => self.elsewhere(now, directory, attempt, upstream),
             Verdict::Overflow { emptiest } => {
@@ -521,14 +526,15 @@
         &mut self,
         attempt: id::Attempt,
         upstream: id::Upstream,
-        home: Option<id::Router>,
+        home: Option<(id::Router, bool)>,
         directory: &D,
     ) -> Vec<Effect> {
         let Some(asking) = self.asking.remove(&attempt) else {
             return Vec::new();
         };
         let degraded = home.is_none();
-        let home = home.or_else(|| directory.home(&upstream, 0));
+        let over_share = home.as_ref().is_some_and(|(_, over_share)| *over_share);
+        let home = home.map(|(home, _)| home).or_else(|| directory.home(&upstream, 0));
         let holding = Holding { upstream: upstream.clone(), home };
         if self.holding.insert(attempt, holding).is_some() {
             self.counts.violations += 1;
@@ -537,7 +543,8 @@
         let mut effects = Vec::new();
         effects.extend(asking.moved(&upstream, directory));
         let import_from = asking.import_from(&upstream, directory);
-        effects.push(Effect::Granted(Grant { attempt, upstream, import_from, degraded, steps: asking.steps }));
+        let steps = asking.steps;
+        effects.push(Effect::Granted(Grant { attempt, upstream, import_from, degraded, over_share, steps }));
         effects
     }
 
--- a/crates/stairvale-permit/src/home.rs
+++ b/crates/stairvale-permit/src/home.rs
@@ -2,12 +2,19 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use stairvale_admission::queue::{Full, Item};
+use stairvale_admission::{
+    queue::{Full, Item},
+    shares::unreserved,
+};
 use stairvale_placement::Exceptions;
 use stairvale_types::{Moment, Reason, Refusal, id, unit};
 use stairvale_wire::{Ask, Held, Load, Verdict};
 
-use crate::{Account, Mean, account::Waiting};
+use crate::{
+    Account, Mean,
+    account::{Waiting, is_over_share},
+    mean::Sum,
+};
 
 /// Chats that one home remembers as exceptions; at 40 bytes each this is 8 MB.
 pub const EXCEPTIONS: usize = 200_000;
@@ -94,6 +101,15 @@
     pub violations: u64,
 }
 
+/// Room for one more at an engine.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    /// The bound that the grant must stay below.
+    limit: u32,
+    /// Whether the latest mean alone would have said no.
+    over_latest: bool,
+}
+
 /// A service as a home sees it.
 #[derive(Debug, Default)]
 struct View {
@@ -180,7 +196,9 @@
     /// What this home's engines of a service carry.
     #[must_use]
     pub fn load(&self, now: Moment, service: &id::Service) -> Load {
-        let mut load = Load { service: service.clone(), zone: None, outstanding: 0, engines: 0, emptiest: Vec::new() };
+        let mut load =
+            Load { service: service.clone(), zone: None, outstanding: 0, engines: 0, waiting: 0, emptiest: Vec::new() };
+        let mut waiting = usize::MAX;
         for (upstream, (rules, account)) in &self.accounts {
             if &rules.service != service || !account.open {
                 continue;
@@ -188,8 +206,10 @@
             let outstanding = account.outstanding(now).unwrap_or(rules.slots);
             load.outstanding += u64::from(outstanding);
             load.engines += 1;
+            waiting = waiting.min(account.queue.len());
             load.emptiest.push((upstream.clone(), outstanding));
         }
+        load.waiting = if load.engines > 0 { u32::try_from(waiting).unwrap_or(0) } else { 0 };
         load.emptiest.sort_by(|(x, a), (y, b)| a.cmp(b).then_with(|| x.cmp(y)));
         load.emptiest.truncate(EMPTIEST);
         load
@@ -283,7 +303,7 @@
         if account.held.contains_key(&waiting.ask.attempt) {
             // The ask was doubled on the way, or its answer was lost: the permit stands.
             let outstanding = u32::try_from(account.held.len()).unwrap_or(u32::MAX);
-            return vec![answer(&waiting, Verdict::Granted { outstanding })];
+            return vec![answer(&waiting, Verdict::Granted { outstanding, over_share: false })];
         }
         if account.queue.iter().any(|item| item.value.ask.attempt == waiting.ask.attempt) {
             return Vec::new();
@@ -294,8 +314,10 @@
         if !account.open {
             return vec![answer(&waiting, Verdict::Closed)];
         }
-        if account.queue.is_empty() && self.has_room(now, &upstream) {
-            return vec![self.grant(now, &waiting)];
+        self.notice(now, &waiting.ask);
+        let room = self.room(now, &upstream).filter(|_| self.queue_is_empty(&upstream));
+        if let Some(room) = room.filter(|_| self.may_take(now, &waiting)) {
+            return vec![self.grant(now, &waiting, room)];
         }
         self.wait(now, &waiting)
     }
@@ -380,11 +402,11 @@
         &mut self,
         now: Moment,
         service: &id::Service,
-        others: (u64, u32),
+        others: Sum,
         emptiest: Vec<(id::Upstream, u32)>,
     ) -> Vec<Answer> {
         let view = self.services.entry(service.clone()).or_default();
-        view.mean.report(now, others.0, others.1);
+        view.mean.report(now, others);
         view.emptiest = emptiest;
         let mut answers = self.serve_all(now);
         answers.extend(self.send_on(now, service));
@@ -416,48 +438,82 @@
         (elsewhere != &ask.upstream).then(|| elsewhere.clone())
     }
 
+    /// What this home's engines of a service carry, for the mean.
+    fn sum(&self, now: Moment, service: &id::Service) -> Sum {
+        let load = self.load(now, service);
+        Sum { outstanding: load.outstanding, engines: load.engines, waiting: load.waiting }
+    }
+
     fn limit(&self, now: Moment, rules: &Rules) -> u32 {
         let Some(multiple) = rules.multiple else {
             return rules.slots;
         };
-        let own = self.load(now, &rules.service);
-        let mean = self.services.get(&rules.service).map(|view| &view.mean);
-        let bound = mean.map_or_else(
-            || Mean::default().bound(now, multiple, own.outstanding, own.engines),
-            |mean| mean.bound(now, multiple, own.outstanding, own.engines),
-        );
+        let own = self.sum(now, &rules.service);
+        let mean = self.services.get(&rules.service).map(|view| view.mean.get(now, own));
+        let bound = multiple.bound(mean.unwrap_or_else(|| own.mean()));
         bound.min(rules.slots)
     }
 
-    fn has_room(&self, now: Moment, upstream: &id::Upstream) -> bool {
+    /// The room that an engine has now, if any.
+    fn room(&self, now: Moment, upstream: &id::Upstream) -> Option<Room> {
+        let (rules, account) = self.accounts.get(upstream)?;
+        let limit = self.limit(now, rules);
+        let over_latest = self.is_over_latest(now, upstream);
+        (account.open && account.outstanding(now)? < limit).then_some(Room { limit, over_latest })
+    }
+
+    fn notice(&mut self, now: Moment, ask: &Ask) {
+        if let Some((_, account)) = self.accounts.get_mut(&ask.upstream) {
+            account.notice(now, &ask.customer, ask.weight);
+        }
+    }
+
+    fn queue_is_empty(&self, upstream: &id::Upstream) -> bool {
+        self.accounts.get(upstream).is_some_and(|(_, account)| account.queue.is_empty())
+    }
+
+    /// Whether a customer may take what room there is: one over its share leaves some slots to the others.
+    fn may_take(&self, now: Moment, waiting: &Waiting) -> bool {
+        !self.is_over_share(now, waiting) || self.has_unreserved(now, &waiting.ask.upstream)
+    }
+
+    fn has_unreserved(&self, now: Moment, upstream: &id::Upstream) -> bool {
         let Some((rules, account)) = self.accounts.get(upstream) else {
             return false;
         };
-        let Some(outstanding) = account.outstanding(now) else {
-            return false;
-        };
-        account.open && outstanding < self.limit(now, rules)
+        account.outstanding(now).is_some_and(|outstanding| outstanding < unreserved(rules.slots))
+    }
+
+    fn is_over_share(&self, now: Moment, waiting: &Waiting) -> bool {
+        let account = self.accounts.get(&waiting.ask.upstream);
+        account.is_some_and(|(rules, account)| account.is_over_share(now, &waiting.ask.customer, rules.slots))
+    }
+
+    /// Whether a customer asks for more than its share, by what it holds and what it has waiting: then the engine serves
+    /// others' prompts first.
+    fn asks_over_share(&self, now: Moment, waiting: &Waiting) -> bool {
+        let account = self.accounts.get(&waiting.ask.upstream);
+        account.is_some_and(|(rules, account)| account.asks_over_share(now, &waiting.ask.customer, rules.slots))
     }
 
-    fn grant(&mut self, now: Moment, waiting: &Waiting) -> Answer {
-        let upstream = &waiting.ask.upstream;
-        // Held when it is used: the room is looked at once more, right where the permit is made.
-        if !self.has_room(now, upstream) {
+    fn grant(&mut self, now: Moment, waiting: &Waiting, room: Room) -> Answer {
+        let over_share = self.asks_over_share(now, waiting);
+        let Some((_, account)) = self.accounts.get_mut(&waiting.ask.upstream) else {
+            return answer(waiting, Verdict::NotHome { home: None });
+        };
+        // Held where the permit is made, whatever led here.
+        if account.outstanding(now).is_none_or(|outstanding| outstanding >= room.limit) {
             self.counts.violations += 1;
             return answer(waiting, Verdict::Overflow { emptiest: Vec::new() });
         }
-        let over = self.is_over_latest(now, upstream);
-        let Some((_, account)) = self.accounts.get_mut(upstream) else {
-            return answer(waiting, Verdict::NotHome { home: None });
-        };
-        account.hold(now, waiting.ask.attempt, &waiting.entry);
+        account.hold(now, waiting.ask.attempt, &waiting.entry, Some(waiting.ask.customer.clone()));
         let outstanding = u32::try_from(account.held.len()).unwrap_or(u32::MAX);
         self.counts.granted += 1;
-        self.counts.over_bound += u64::from(over);
+        self.counts.over_bound += u64::from(room.over_latest);
         if let Some(chat) = waiting.ask.chat.filter(|_| !self.exceptions.is_empty()) {
             self.settle_exception(now, chat, &waiting.ask);
         }
-        answer(waiting, Verdict::Granted { outstanding })
+        answer(waiting, Verdict::Granted { outstanding, over_share })
     }
 
     /// A chat that runs at its first choice has its prefix there from now on.
@@ -476,8 +532,8 @@
         let Some(multiple) = rules.multiple else {
             return false;
         };
-        let own = self.load(now, &rules.service);
-        let mean = self.services.get(&rules.service).map(|view| view.mean.latest(now, own.outstanding, own.engines));
+        let own = self.sum(now, &rules.service);
+        let mean = self.services.get(&rules.service).map(|view| view.mean.latest(now, own));
         let bound = multiple.bound(mean.unwrap_or_default());
         mean.is_some() && account.outstanding(now).is_some_and(|outstanding| outstanding >= bound)
     }
@@ -533,14 +589,19 @@
     /// Grants to those who wait, in turn, while there is room.
     fn serve(&mut self, now: Moment, upstream: &id::Upstream) -> Vec<Answer> {
         let mut answers = Vec::new();
-        while self.has_room(now, upstream) {
-            let Some((_, account)) = self.accounts.get_mut(upstream) else {
+        // The room is that with the item still in the queue: it counts as waiting until it runs.
+        while let Some(room) = self.room(now, upstream) {
+            let full_for_most = !self.has_unreserved(now, upstream);
+            let Some((rules, account)) = self.accounts.get_mut(upstream) else {
                 break;
             };
-            let Some(item) = account.queue.pop(now) else {
+            let slots = rules.slots;
+            let Account { queue, held, shares, .. } = account;
+            let is_over = |customer: &id::Customer| is_over_share(held, shares, now, customer, slots);
+            let Some(item) = queue.pop_if(now, |item| !full_for_most || !is_over(&item.customer)) else {
                 break;
             };
-            answers.push(self.grant(now, &item.value));
+            answers.push(self.grant(now, &item.value, room));
         }
         answers
     }
--- a/crates/stairvale-permit/src/mean.rs
+++ b/crates/stairvale-permit/src/mean.rs
@@ -13,8 +13,42 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Report {
     at: Moment,
-    outstanding: u64,
-    engines: u32,
+    sum: Sum,
+}
+
+/// What some engines carry together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sum {
+    /// Outstanding requests.
+    pub outstanding: u64,
+    /// The engines.
+    pub engines: u32,
+    /// The fewest requests that wait for any of them.
+    pub waiting: u32,
+}
+
+impl Sum {
+    /// Both together. Without engines nothing waits for any.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        let waiting = match (self.engines, other.engines) {
+            (0, _) => other.waiting,
+            (_, 0) => self.waiting,
+            _ => self.waiting.min(other.waiting),
+        };
+        Self { outstanding: self.outstanding + other.outstanding, engines: self.engines + other.engines, waiting }
+    }
+
+    /// The mean load. What waits for *every* engine counts as if it ran: all are raised by it together, so the mean is
+    /// that as soon as each has granted what the bound lets it.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn mean(self) -> f64 {
+        if self.engines == 0 {
+            return 0.0;
+        }
+        self.outstanding as f64 / f64::from(self.engines) + f64::from(self.waiting)
+    }
 }
 
 /// The mean of a service.
@@ -27,9 +61,9 @@
 }
 
 impl Mean {
-    /// A report came in; `outstanding` and `engines` are those of all other homes.
-    pub fn report(&mut self, now: Moment, outstanding: u64, engines: u32) {
-        self.others.push_back(Report { at: now, outstanding, engines });
+    /// A report of what all other homes' engines carry came in.
+    pub fn report(&mut self, now: Moment, sum: Sum) {
+        self.others.push_back(Report { at: now, sum });
         while self.others.len() > 1 && now.since(self.others[0].at) > MEAN_WINDOW {
             self.others.pop_front();
         }
@@ -37,35 +71,22 @@
 
     /// The mean, given what this home's own engines carry now.
     #[must_use]
-    #[allow(clippy::cast_precision_loss)]
-    pub fn get(&self, now: Moment, own_outstanding: u64, own_engines: u32) -> f64 {
-        let own = mean(own_outstanding, own_engines);
+    pub fn get(&self, now: Moment, own: Sum) -> f64 {
         let fresh = self.others.iter().filter(|report| now.since(report.at) <= MEAN_TTL);
-        let means = fresh.map(|r| mean(r.outstanding + own_outstanding, r.engines + own_engines));
-        means.reduce(f64::min).unwrap_or(own)
+        let means = fresh.map(|report| report.sum.plus(own).mean());
+        means.reduce(f64::min).unwrap_or_else(|| own.mean())
     }
 
     /// The mean by the latest report alone, to count grants that a stale bound let through.
     #[must_use]
-    pub fn latest(&self, now: Moment, own_outstanding: u64, own_engines: u32) -> f64 {
+    pub fn latest(&self, now: Moment, own: Sum) -> f64 {
         let last = self.others.back().filter(|report| now.since(report.at) <= MEAN_TTL);
-        last.map_or_else(
-            || mean(own_outstanding, own_engines),
-            |r| mean(r.outstanding + own_outstanding, r.engines + own_engines),
-        )
+        last.map_or(own, |report| report.sum.plus(own)).mean()
     }
 
     /// The most that an engine may carry.
     #[must_use]
-    pub fn bound(&self, now: Moment, multiple: unit::Multiple, own_outstanding: u64, own_engines: u32) -> u32 {
-        multiple.bound(self.get(now, own_outstanding, own_engines))
-    }
-}
-
-#[allow(clippy::cast_precision_loss)]
-fn mean(outstanding: u64, engines: u32) -> f64 {
-    if engines == 0 {
-        return 0.0;
+    pub fn bound(&self, now: Moment, multiple: unit::Multiple, own: Sum) -> u32 {
+        multiple.bound(self.get(now, own))
     }
-    outstanding as f64 / f64::from(engines)
 }
--- /dev/null
+++ b/crates/stairvale-permit/tests/home.rs
@@ -0,0 +1,294 @@
+//! The home grants only under the bound, whatever comes doubled, late or after a change of home.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use stairvale_permit::{
+    Home, Mean,
+    account::{PERMIT_TTL, SETTLE},
+    home::{Answer, Rules},
+    mean::Sum,
+};
+use stairvale_types::{Class, Moment, Reason, id, unit};
+use stairvale_wire::{Ask, Held, Verdict};
+
+const SETTLED: Moment = Moment::from_millis(10_000);
+
+fn router(name: &str) -> id::Router {
+    name.parse().unwrap()
+}
+
+fn upstream(name: &str) -> id::Upstream {
+    name.parse().unwrap()
+}
+
+fn rules() -> Rules {
+    Rules::new("chat".parse().unwrap()).with_multiple("1.25".parse().unwrap()).with_slots(8).with_queue(4)
+}
+
+fn home(engines: usize) -> Home {
+    let mut home = Home::new(router("home"), id::Incarnation(1));
+    for number in 0..engines {
+        home.adopt(Moment::ZERO, upstream(&format!("e{number}")), rules(), Some(0));
+    }
+    home
+}
+
+/// A home of one engine with so many slots: alone, it is the mean, so only its slots bound it.
+fn lone(slots: u32) -> Home {
+    let mut home = Home::new(router("home"), id::Incarnation(1));
+    home.adopt(Moment::ZERO, upstream("e0"), rules().with_slots(slots), Some(0));
+    home
+}
+
+fn ask(attempt: u128, engine: &str, patience_ms: u64) -> Ask {
+    Ask {
+        attempt: id::Attempt(attempt),
+        upstream: upstream(engine),
+        service: "chat".parse().unwrap(),
+        customer: "c".parse().unwrap(),
+        weight: 1,
+        class: Class::Normal,
+        chat: Some(id::Chat(7)),
+        returning: true,
+        first: true,
+        patience: Duration::from_millis(patience_ms),
+        deadline: Duration::from_millis(10_000),
+    }
+}
+
+fn sum(outstanding: u64, engines: u32, waiting: u32) -> Sum {
+    Sum { outstanding, engines, waiting }
+}
+
+fn verdicts(answers: &[Answer]) -> Vec<&Verdict> {
+    answers.iter().map(|answer| &answer.verdict).collect()
+}
+
+fn is_granted(answers: &[Answer]) -> bool {
+    matches!(verdicts(answers)[..], [Verdict::Granted { .. }])
+}
+
+#[test]
+fn the_bound_follows_the_mean() {
+    let mut home = home(2);
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), ask(1, "e0", 0))));
+    // Mean 0.5 of two engines: one each at the most.
+    let second = home.ask(SETTLED, &router("r"), ask(2, "e0", 0));
+    assert!(matches!(verdicts(&second)[..], [Verdict::Overflow { .. }]));
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), ask(3, "e1", 0))));
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), ask(4, "e0", 0))), "mean 1, bound 2");
+}
+
+#[test]
+fn the_mean_of_others_counts_and_the_least_recent_one_is_used() {
+    let mut mean = Mean::default();
+    let multiple: unit::Multiple = "1.25".parse().unwrap();
+    mean.report(SETTLED, sum(100, 10, 0));
+    assert_eq!(mean.bound(SETTLED, multiple, Sum::default()), 13);
+    mean.report(SETTLED + Duration::from_millis(100), sum(40, 10, 0));
+    assert_eq!(mean.bound(SETTLED + Duration::from_millis(100), multiple, Sum::default()), 5);
+    mean.report(SETTLED + Duration::from_millis(200), sum(100, 10, 0));
+    assert_eq!(
+        mean.bound(SETTLED + Duration::from_millis(200), multiple, Sum::default()),
+        5,
+        "a late mean errs to the safe side"
+    );
+    let later = SETTLED + Duration::from_secs(5);
+    assert_eq!(mean.bound(later, multiple, sum(4, 2, 0)), 3, "an old mean is not used at all");
+}
+
+#[test]
+fn what_waits_for_every_engine_raises_the_bound_at_once() {
+    let mut mean = Mean::default();
+    let multiple: unit::Multiple = "1.25".parse().unwrap();
+    mean.report(SETTLED, sum(20, 10, 6));
+    assert_eq!(mean.bound(SETTLED, multiple, sum(4, 2, 0)), 3, "here nothing waits, so only what runs counts");
+    assert_eq!(mean.bound(SETTLED, multiple, sum(4, 2, 3)), 7, "three wait for each: mean 2 and 3");
+}
+
+#[test]
+fn a_doubled_ask_gets_one_permit() {
+    let mut home = home(1);
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), ask(1, "e0", 0))));
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), ask(1, "e0", 0))));
+    assert_eq!(home.outstanding(&upstream("e0")), Some(1));
+    home.release(SETTLED, &router("r"), &upstream("e0"), &[id::Attempt(1)]);
+    home.release(SETTLED, &router("r"), &upstream("e0"), &[id::Attempt(1)]);
+    assert_eq!(home.outstanding(&upstream("e0")), Some(0));
+}
+
+#[test]
+fn nobody_releases_anothers_permit() {
+    let mut home = home(1);
+    home.ask(SETTLED, &router("r"), ask(1, "e0", 0));
+    home.release(SETTLED, &router("other"), &upstream("e0"), &[id::Attempt(1)]);
+    assert_eq!(home.outstanding(&upstream("e0")), Some(1));
+}
+
+#[test]
+fn a_new_home_counts_the_reported_load_until_entries_have_registered() {
+    let mut home = Home::new(router("home"), id::Incarnation(1));
+    home.adopt(Moment::ZERO, upstream("e0"), rules().with_slots(3), None);
+    let early = Moment::from_millis(10);
+    assert!(!is_granted(&home.ask(early, &router("r"), ask(1, "e0", 0))), "nothing is known yet");
+    home.report(early, &upstream("e0"), 3);
+    assert!(!is_granted(&home.ask(early, &router("r"), ask(2, "e0", 0))), "three run there, by its own word");
+    let held = vec![Held { upstream: upstream("e0"), attempts: vec![id::Attempt(90), id::Attempt(91)] }];
+    home.renew(early, &router("r"), &held);
+    assert_eq!(home.outstanding(&upstream("e0")), Some(2));
+    let settled = Moment::ZERO + SETTLE;
+    assert_eq!(home.load(settled, &"chat".parse().unwrap()).outstanding, 2, "once settled, entries' word counts");
+}
+
+#[test]
+fn permits_that_nobody_renews_age() {
+    let mut home = home(1);
+    home.ask(SETTLED, &router("r"), ask(1, "e0", 0));
+    home.tick(SETTLED + PERMIT_TTL / 2);
+    assert_eq!(home.outstanding(&upstream("e0")), Some(1));
+    home.tick(SETTLED + PERMIT_TTL);
+    assert_eq!(home.outstanding(&upstream("e0")), Some(0));
+    assert_eq!(home.counts().aged, 1);
+}
+
+#[test]
+fn a_release_that_was_lost_shows_in_the_renewals() {
+    let mut home = home(1);
+    home.ask(SETTLED, &router("r"), ask(1, "e0", 0));
+    let later = SETTLED + Duration::from_secs(2);
+    home.renew(later, &router("r"), &[]);
+    assert_eq!(home.outstanding(&upstream("e0")), Some(1), "one renewal may have crossed the grant");
+    home.renew(later, &router("r"), &[]);
+    assert_eq!(home.outstanding(&upstream("e0")), Some(0));
+}
+
+#[test]
+fn a_distrusting_home_starts_a_new_life_with_empty_accounts() {
+    let mut home = lone(1);
+    home.ask(SETTLED, &router("r"), ask(1, "e0", 0));
+    home.ask(SETTLED, &router("r"), ask(2, "e0", 500));
+    let answers = home.distrust(SETTLED);
+    assert!(matches!(verdicts(&answers)[..], [Verdict::NotHome { .. }]), "who waited is told to ask anew");
+    assert_eq!(home.incarnation(), id::Incarnation(2));
+    assert!(!is_granted(&home.ask(SETTLED, &router("r"), ask(3, "e0", 0))), "nothing is known of the load any more");
+}
+
+#[test]
+fn a_wait_for_a_prefix_ends_in_a_grant_or_in_time() {
+    let mut home = lone(2);
+    home.ask(SETTLED, &router("r"), ask(1, "e0", 0));
+    home.ask(SETTLED, &router("r"), ask(2, "e0", 0));
+    assert!(home.ask(SETTLED, &router("r"), ask(3, "e0", 200)).is_empty(), "it waits");
+    let answers = home.release(SETTLED, &router("r"), &upstream("e0"), &[id::Attempt(1)]);
+    assert!(is_granted(&answers));
+    assert!(home.ask(SETTLED, &router("r"), ask(4, "e0", 200)).is_empty());
+    let answers = home.tick(SETTLED + Duration::from_millis(200));
+    assert!(matches!(verdicts(&answers)[..], [Verdict::Overflow { .. }]));
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once() {
+    let mut home = lone(1);
+    // Each permit is held for a second.
+    for attempt in 0..20 {
+        let at = SETTLED + Duration::from_secs(attempt);
+        home.ask(at, &router("r"), ask(attempt.into(), "e0", 0));
+        home.release(at + Duration::from_secs(1), &router("r"), &upstream("e0"), &[id::Attempt(attempt.into())]);
+    }
+    let now = SETTLED + Duration::from_secs(30);
+    home.ask(now, &router("r"), ask(100, "e0", 0));
+    let hurried = Ask { deadline: Duration::from_millis(100), ..ask(102, "e0", 100) };
+    let answers = home.ask(now, &router("r"), hurried);
+    let [Verdict::Refused(refusal)] = verdicts(&answers)[..] else {
+        panic!("{answers:?}");
+    };
+    assert_eq!(refusal.reason, Reason::Deadline);
+    assert!(refusal.retry_after >= Duration::from_millis(500));
+}
+
+#[test]
+fn a_full_queue_refuses_at_once() {
+    let mut home = lone(2);
+    home.ask(SETTLED, &router("r"), ask(1, "e0", 0));
+    let patient = |attempt| ask(attempt, "e0", 10_000);
+    let answers: Vec<_> = (2..10).flat_map(|attempt| home.ask(SETTLED, &router("r"), patient(attempt))).collect();
+    let refused =
+        answers.iter().filter(|answer| matches!(&answer.verdict, Verdict::Refused(r) if r.reason == Reason::Busy));
+    assert_eq!(refused.count(), 3, "one more runs, four wait, the others are refused now");
+}
+
+#[test]
+fn an_exception_is_told_and_forgotten_when_the_chat_comes_back() {
+    let mut home = home(2);
+    let (first, other) = (upstream("e0"), upstream("e1"));
+    home.moved(SETTLED, id::Chat(7), &first, &other);
+    let answers = home.ask(SETTLED, &router("r"), ask(1, "e0", 0));
+    assert_eq!(verdicts(&answers), [&Verdict::Elsewhere { upstream: other.clone() }]);
+    // The other was busy, so the entry asks here again, knowing of the exception.
+    let again = Ask { returning: false, ..ask(1, "e0", 0) };
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), again)));
+    assert_eq!(home.exceptions().0, 0, "its prefix is at the first choice from now on");
+}
+
+#[test]
+fn closing_an_engine_sends_on_all_that_waits() {
+    let mut home = lone(2);
+    home.ask(SETTLED, &router("r"), ask(1, "e0", 0));
+    home.ask(SETTLED, &router("r"), ask(2, "e0", 0));
+    home.ask(SETTLED, &router("r"), ask(3, "e0", 500));
+    let answers = home.set_open(SETTLED, &upstream("e0"), false);
+    assert_eq!(verdicts(&answers), [&Verdict::Closed]);
+    assert_eq!(verdicts(&home.ask(SETTLED, &router("r"), ask(4, "e0", 0))), [&Verdict::Closed]);
+}
+
+#[test]
+fn a_customer_over_its_share_leaves_slots_to_others() {
+    let mut home = Home::new(router("home"), id::Incarnation(1));
+    let unbounded = Rules { multiple: None, ..rules() };
+    home.adopt(Moment::ZERO, upstream("e0"), unbounded, Some(0));
+    let of = |attempt, name: &str| Ask { customer: name.parse().unwrap(), ..ask(attempt, "e0", 0) };
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), of(1, "other"))));
+    let granted = (10..30).filter(|n| is_granted(&home.ask(SETTLED, &router("r"), of(*n, "surge")))).count();
+    assert_eq!(granted, 5, "of eight slots one is taken and two are reserved");
+    let answers = home.ask(SETTLED, &router("r"), of(40, "other"));
+    assert!(matches!(verdicts(&answers)[..], [Verdict::Granted { over_share: false, .. }]));
+}
+
+quickcheck! {
+    fn the_account_never_passes_the_bound(moves: Vec<(u8, u8, u8)>) -> bool {
+        let mut home = home(3);
+        let mut now = SETTLED;
+        let mut held: Vec<(u128, String)> = Vec::new();
+        for (number, (kind, engine, wait)) in moves.into_iter().enumerate() {
+            now = now + Duration::from_millis(u64::from(wait));
+            let name = format!("e{}", engine % 3);
+            let answers = match kind % 6 {
+                0..=2 => home.ask(now, &router("r"), ask(number as u128, &name, u64::from(wait) * 4)),
+                3 if !held.is_empty() => {
+                    let (attempt, engine) = held.swap_remove(usize::from(wait) % held.len());
+                    home.release(now, &router("r"), &upstream(&engine), &[id::Attempt(attempt)])
+                }
+                4 => home.mean(now, &"chat".parse().unwrap(), sum(u64::from(wait) / 8, 5, u32::from(engine % 3)), Vec::new()),
+                _ => home.tick(now),
+            };
+            for answer in answers {
+                if matches!(answer.verdict, Verdict::Granted { .. }) && !held.iter().any(|(a, _)| *a == answer.attempt.0) {
+                    held.push((answer.attempt.0, answer.upstream.to_string()));
+                }
+            }
+            let renewed: Vec<_> = (0..3).map(|n| format!("e{n}")).map(|name| Held {
+                attempts: held.iter().filter(|(_, at)| at == &name).map(|(a, _)| id::Attempt(*a)).collect(),
+                upstream: upstream(&name),
+            }).collect();
+            home.renew(now, &router("r"), &renewed);
+            let within = (0..3).all(|n| home.outstanding(&upstream(&format!("e{n}"))).unwrap() <= 8);
+            if !within || home.counts().violations > 0 {
+                return false;
+            }
+        }
+        true
+    }
+}
--- a/crates/stairvale-router/src/caller.rs
+++ b/crates/stairvale-router/src/caller.rs
@@ -16,7 +16,7 @@
 };
 use stairvale_control::io;
 use stairvale_permit::entry::Grant;
-use stairvale_types::{Reason, Refusal, id, unit};
+use stairvale_types::{Class, Reason, Refusal, id, unit};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
@@ -234,6 +234,7 @@
     /// Fits the call to the upstream that was granted.
     pub fn prepare(&mut self, shared: &Shared, grant: &Grant, import: bool) {
         self.call.attempt = grant.attempt;
+        self.call.class = if grant.over_share { Class::Bulk } else { self.wish.class };
         let source = grant.import_from.as_ref().filter(|_| import);
         let snapshot = shared.snapshot.load();
         let place = source.and_then(|source| snapshot.places.get(source));
--- a/crates/stairvale-router/src/settings.rs
+++ b/crates/stairvale-router/src/settings.rs
@@ -18,6 +18,29 @@
     pub reason: String,
 }
 
+impl Fault {
+    /// What the parser found. It can't tell the line of a value that a type refused, so that field is looked for: the
+    /// first one whose value alone is refused with the same words.
+    fn syntax(error: &serde_norway::Error, text: &str) -> Self {
+        let reason = error.to_string();
+        let refused = |line: &&(usize, &str)| {
+            let without: String = text.lines().filter(|other| other != &line.1).map(|other| format!("{other}\n")).collect();
+            let rest = serde_norway::from_str::<Settings>(&without);
+            rest.is_err_and(|rest| !rest.to_string().contains(&reason))
+        };
+        let lines: Vec<_> = text.lines().enumerate().collect();
+        let found = lines.iter().filter(|(_, line)| line.contains(": ")).find(refused);
+        match (error.location(), found) {
+            (Some(location), _) if location.line() > 1 => Self { line: Some(location.line()), reason },
+            (_, Some((line, text))) => {
+                let field = text.split(':').next().unwrap_or_default().trim();
+                Self { line: Some(line + 1), reason: format!("{field}: {reason}") }
+            }
+            (location, None) => Self { line: location.map(|location| location.line()), reason },
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.line {
@@ -127,10 +150,7 @@
     /// # Errors
     /// A [`Fault`] with the line and field of what is wrong.
     pub fn parse(text: &str) -> Result<Self, Report<Fault>> {
-        let settings: Self = serde_norway::from_str(text).map_err(|error| {
-            let line = error.location().map(|location| location.line());
-            Report::new(Fault { line, reason: error.to_string() })
-        })?;
+        let settings: Self = serde_norway::from_str(text).map_err(|error| Report::new(Fault::syntax(&error, text)))?;
         settings.check()?;
         Ok(settings)
     }
--- /dev/null
+++ b/crates/stairvale-router/tests/parts.rs
@@ -0,0 +1,120 @@
+//! Parts of a router that take bytes from outside.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, StatusCode};
+use quickcheck::quickcheck;
+use stairvale_router::{
+    Problem, Settings, head,
+    problem::{Bad, Unknown},
+    sse::Splitter,
+    upstream::pass_on,
+};
+use stairvale_types::{Reason, Refusal};
+
+const SETTINGS: &str = "\
+router: r1
+zone: a
+callers: 127.0.0.1:8080
+operators: 127.0.0.1:8081
+peers: 127.0.0.1:8082
+platform: http://127.0.0.1:9000
+fleet_key: secret
+";
+
+fn fault(text: &str) -> String {
+    Settings::parse(text).expect_err("the settings are wrong").current_context().to_string()
+}
+
+#[test]
+fn settings_name_what_is_wrong_and_where() {
+    assert!(fault(&SETTINGS.replace("zone: a", "zone: a b")).contains("line 2: zone: a name has only"));
+    assert!(fault(&SETTINGS.replace("zone: a", "zome: a")).contains("zome"));
+    assert!(fault(&SETTINGS.replace("8082", "8081")).contains("address of its own"));
+    assert!(fault(&SETTINGS.replace("http://", "ftp://")).contains("platform"));
+    assert!(fault(&format!("{SETTINGS}traffic_threads: 0\n")).contains("traffic_threads"));
+}
+
+#[test]
+fn a_key_is_never_printed() {
+    let settings = Settings::parse(SETTINGS).unwrap();
+    assert!(!format!("{settings:?}").contains("secret"));
+}
+
+#[test]
+fn every_refusal_says_not_run_and_when_to_come_back() {
+    for reason in Reason::ALL {
+        let problem = Problem::Refused(Refusal::new(reason, Duration::from_millis(1_200)));
+        assert_eq!(problem.outcome(), "not-run");
+        let response = problem.respond(None);
+        assert_eq!(response.headers()["retry-after"], "2", "{reason}: rounded up");
+    }
+    assert_eq!(Problem::Unknown(Unknown::Broken).outcome(), "unknown");
+    assert_eq!(Problem::Unknown(Unknown::Broken).status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(Problem::Bad(Bad::Key).status(), StatusCode::UNAUTHORIZED);
+}
+
+#[test]
+fn secrets_and_connection_headers_stay_here() {
+    let mut headers = HeaderMap::new();
+    headers.insert("authorization", HeaderValue::from_static("Bearer k"));
+    headers.insert("connection", HeaderValue::from_static("x-hop"));
+    headers.insert("x-hop", HeaderValue::from_static("1"));
+    headers.insert("x-kept", HeaderValue::from_static("1"));
+    let passed = pass_on(&headers);
+    assert_eq!(passed.keys().map(http::HeaderName::as_str).collect::<Vec<_>>(), ["x-kept"]);
+}
+
+#[test]
+fn returning_chats_are_told_by_their_earlier_answers() {
+    assert!(head::is_returning(br#"{"messages":[{"role":"user"},{"role":"assistant"},{"role":"user"}]}"#));
+    assert!(!head::is_returning(br#"{"messages":[{"role":"user"}]}"#));
+    assert!(!head::is_returning(b"not json"));
+}
+
+quickcheck! {
+    fn events_come_back_in_any_pieces(cuts: Vec<usize>) -> bool {
+        let stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n: comment\n\nid: 3\ndata: [DONE]\n\n";
+        let mut cuts: Vec<_> = cuts.into_iter().map(|cut| cut % stream.len()).collect();
+        cuts.sort_unstable();
+        cuts.push(stream.len());
+        let mut splitter = Splitter::default();
+        let mut events = Vec::new();
+        let mut start = 0;
+        for cut in cuts {
+            splitter.extend(&stream[start..cut]);
+            start = cut;
+            while let Some(event) = splitter.take().unwrap() {
+                events.push(event);
+            }
+        }
+        let bytes: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+        bytes == stream && ids == [Some(1), Some(2), None, Some(3)] && events[3].done && !events[0].done
+    }
+
+    fn any_bytes_are_events_or_wait(bytes: Vec<u8>) -> bool {
+        let mut splitter = Splitter::default();
+        splitter.extend(&bytes);
+        while let Ok(Some(_)) = splitter.take() {}
+        true
+    }
+
+    fn any_settings_are_settings_or_a_fault(text: String, at: usize, byte: u8) -> bool {
+        let _ = Settings::parse(&text);
+        let mut bytes = SETTINGS.as_bytes().to_vec();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        if let Ok(text) = String::from_utf8(bytes) {
+            let _ = Settings::parse(&text);
+        }
+        true
+    }
+
+    fn any_body_is_returning_or_not(bytes: Vec<u8>) -> bool {
+        let _ = head::is_returning(&bytes);
+        true
+    }
+}
--- /dev/null
+++ b/crates/stairvale-router/tests/path.rs
@@ -0,0 +1,305 @@
+//! The whole path in one process: platform, engines, a plain service and routers, over real sockets.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::OnceLock,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use gumdrop::Options;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{client::legacy, rt::TokioExecutor};
+use serde_json::{Value, json};
+use stairvale_config::document::key_hash;
+use stairvale_router::{Settings, run};
+use stairvale_standin::{engine, platform, service, text};
+
+const OPERATOR: &str = "operators-key";
+const CUSTOMER: &str = "customers-key";
+/// Everything is up long before this.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Fleet {
+    platform: SocketAddr,
+    callers: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
+    engines: Vec<SocketAddr>,
+    service: SocketAddr,
+}
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn document() -> String {
+    let (customer, operator) = (key_hash(CUSTOMER), key_hash(OPERATOR));
+    format!(
+        "zones:\n  - name: a\n    region: r\n  - name: b\n    region: r\n\
+         services:\n  - name: chat\n    kind: model\n    model: prairie-8b\n\
+         \x20 - name: points\n    kind: plain\n    not_repeatable: [POST]\n\
+         customers:\n  - name: c\n    key_hash: {customer}\n\
+         operators:\n  - name: op\n    key_hash: {operator}\n"
+    )
+}
+
+/// Runs a stand-in on a thread of its own.
+fn spawn<F, R>(part: F)
+where
+    F: FnOnce() -> R + Send + 'static,
+    R: std::future::Future,
+{
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(part());
+    });
+}
+
+fn start() -> Fleet {
+    let (platform_at, service_at) = (free(), free());
+    let listen = platform_at.to_string();
+    spawn(move || async move {
+        platform::run(platform::Arguments::parse_args_default(&["--listen", &listen, "--lag-ms", "0"]).unwrap())
+            .await
+            .unwrap()
+    });
+    let listen = service_at.to_string();
+    spawn(move || async move {
+        service::run(service::Arguments::parse_args_default(&["--listen", &listen]).unwrap()).await.unwrap()
+    });
+    let engines: Vec<_> = (0..2).map(|_| free()).collect();
+    for engine in &engines {
+        let listen = engine.to_string();
+        spawn(move || async move {
+            engine::run(engine::Arguments::parse_args_default(&["--listen", &listen]).unwrap()).await.unwrap()
+        });
+    }
+    let mut callers = Vec::new();
+    let mut operators = Vec::new();
+    let mut peers = Vec::new();
+    for zone in ["a", "b"] {
+        let (caller, operator, peer) = (free(), free(), free());
+        let seeds: Vec<_> = peers.iter().map(SocketAddr::to_string).collect();
+        let text = format!(
+            "router: router-{zone}\nzone: {zone}\ncallers: {caller}\noperators: {operator}\npeers: {peer}\n\
+             platform: http://{platform_at}\nfleet_key: k\nseeds: [{}]\nfirst_operators:\n  - name: first\n    key_hash: {}\n",
+            seeds.join(", "),
+            key_hash(OPERATOR),
+        );
+        let settings = Settings::parse(&text).unwrap();
+        std::thread::spawn(move || run::run(settings));
+        callers.push(caller);
+        operators.push(operator);
+        peers.push(peer);
+    }
+    Fleet { platform: platform_at, callers, operators, engines, service: service_at }
+}
+
+/// One fleet serves all tests of this file.
+fn fleet() -> &'static Fleet {
+    static FLEET: OnceLock<Fleet> = OnceLock::new();
+    FLEET.get_or_init(|| {
+        let fleet = start();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(settle(&fleet));
+        fleet
+    })
+}
+
+struct Answer {
+    status: StatusCode,
+    headers: http::HeaderMap,
+    body: String,
+}
+
+impl Answer {
+    fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+}
+
+async fn call(method: Method, uri: String, headers: &[(&str, &str)], body: String) -> Option<Answer> {
+    let client: legacy::Client<_, Full<Bytes>> = legacy::Client::builder(TokioExecutor::new()).build_http();
+    let mut request = Request::builder().method(method).uri(uri);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let response = client.request(request.body(Full::new(body.into())).unwrap()).await.ok()?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    Some(Answer { status: head.status, headers: head.headers, body: String::from_utf8_lossy(&body).into_owned() })
+}
+
+async fn settle(fleet: &Fleet) {
+    let mut vms = Vec::new();
+    for (number, engine) in fleet.engines.iter().enumerate() {
+        let zone = ["a", "b"][number];
+        vms.push(json!({ "name": format!("engine-{number}"), "role": "upstream", "zone": zone, "service": "chat", "address": engine }));
+    }
+    vms.push(
+        json!({ "name": "points-0", "role": "upstream", "zone": "a", "service": "points", "address": fleet.service }),
+    );
+    let begun = Instant::now();
+    let admin = format!("http://{}/admin/vms", fleet.platform);
+    while call(Method::POST, admin.clone(), &[], json!(vms).to_string()).await.is_none() {
+        wait(begun).await;
+    }
+    let key = format!("Bearer {OPERATOR}");
+    let uri = format!("http://{}/v1/config?base=0&submission=first", fleet.operators[0]);
+    loop {
+        let answer = call(Method::PUT, uri.clone(), &[("authorization", &key)], document()).await;
+        if answer.is_some_and(|answer| answer.status == StatusCode::OK) {
+            break;
+        }
+        wait(begun).await;
+    }
+    for operators in &fleet.operators {
+        loop {
+            let status =
+                call(Method::GET, format!("http://{operators}/v1/status"), &[("authorization", &key)], String::new())
+                    .await;
+            let stats = status.map(|status| status.json()["stats"].clone()).unwrap_or_default();
+            if stats["usable"] == 3 && stats["routers"] == 2 && stats["generation"] == 1 {
+                break;
+            }
+            wait(begun).await;
+        }
+    }
+}
+
+async fn wait(begun: Instant) {
+    assert!(begun.elapsed() < PATIENCE, "the fleet didn't come up");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
+fn chat_body(turns: &[&str]) -> String {
+    let mut messages = Vec::new();
+    for (number, turn) in turns.iter().enumerate() {
+        if number > 0 {
+            messages.push(json!({ "role": "assistant", "content": text::answer(turns[number - 1], 8) }));
+        }
+        messages.push(json!({ "role": "user", "content": turn }));
+    }
+    json!({ "messages": messages, "max_tokens": 8 }).to_string()
+}
+
+async fn chat(router: usize, name: &str, turns: &[&str]) -> Answer {
+    let uri = format!("http://{}/chat/v1/chat/completions", fleet().callers[router]);
+    let key = format!("Bearer {CUSTOMER}");
+    let headers = [("authorization", key.as_str()), ("stairvale-chat", name)];
+    call(Method::POST, uri, &headers, chat_body(turns)).await.unwrap()
+}
+
+#[tokio::test]
+async fn a_chat_streams_whole_and_returns_to_its_prefix_through_another_router() {
+    std::thread::spawn(fleet).join().unwrap();
+    let padding = "long ".repeat(500);
+    let first = chat(0, "monday", &[&padding]).await;
+    assert_eq!(first.status, StatusCode::OK, "{}", first.body);
+    assert_eq!(first.headers["x-cached-tokens"], "0");
+    assert!(first.body.ends_with("data: [DONE]\n\n"));
+    assert_eq!(first.body.matches("\"content\"").count(), 8);
+    let second = chat(1, "monday", &[&padding, "and then?"]).await;
+    let cached: u64 = second.headers["x-cached-tokens"].to_str().unwrap().parse().unwrap();
+    assert!(cached > 500, "{cached} tokens found cached");
+}
+
+#[tokio::test]
+async fn a_redemption_runs_once_however_often_it_is_asked_for() {
+    std::thread::spawn(fleet).join().unwrap();
+    let fleet = fleet();
+    let key = format!("Bearer {CUSTOMER}");
+    let headers = [("authorization", key.as_str()), ("idempotency-key", "r-1"), ("x-request-id", "r-1")];
+    let mut answers = Vec::new();
+    for router in [0, 1, 0] {
+        let uri = format!("http://{}/points/redeem", fleet.callers[router]);
+        let answer = call(Method::POST, uri, &headers, "{\"redeem\":1}".into()).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+        answers.push(answer.body);
+    }
+    assert_eq!(answers[0], answers[1]);
+    assert_eq!(answers[0], answers[2]);
+    let runs = call(Method::GET, format!("http://{}/admin/runs", fleet.service), &[], String::new()).await.unwrap();
+    assert_eq!(runs.json()["r-1"], 1);
+}
+
+#[tokio::test]
+async fn bad_requests_get_typed_problems() {
+    std::thread::spawn(fleet).join().unwrap();
+    let caller = fleet().callers[0];
+    let key = format!("Bearer {CUSTOMER}");
+    let good = ("authorization", key.as_str());
+    let cases: [(&str, &[(&str, &str)], &str, u16); 7] = [
+        ("/chat/x", &[], "key", 401),
+        ("/chat/x", &[("authorization", "Bearer wrong")], "key", 401),
+        ("/nothing/x", &[good], "service", 404),
+        ("/chat/x", &[good, ("priority", "soon")], "bad-priority", 400),
+        ("/chat/x", &[good, ("stairvale-deadline-ms", "0")], "bad-deadline", 400),
+        ("/chat/x", &[good, ("stairvale-deadline-ms", "many")], "bad-deadline", 400),
+        ("/chat/x", &[good, ("stairvale-chat", "")], "bad-chat", 400),
+    ];
+    for (path, headers, reason, status) in cases {
+        let answer = call(Method::POST, format!("http://{caller}{path}"), headers, "{}".into()).await.unwrap();
+        assert_eq!(answer.status.as_u16(), status, "{path} {headers:?}");
+        assert_eq!(answer.headers["content-type"], "application/problem+json");
+        assert_eq!(answer.json()["reason"], reason);
+        assert_eq!(answer.json()["outcome"], "not-run");
+    }
+    let large = "x".repeat(5 << 20);
+    let answer = call(Method::POST, format!("http://{caller}/chat/x"), &[good], large).await;
+    if let Some(answer) = answer {
+        assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
+    }
+}
+
+#[tokio::test]
+async fn operators_need_a_key_and_conflicts_are_told() {
+    std::thread::spawn(fleet).join().unwrap();
+    let operators = fleet().operators[1];
+    let no_key = call(Method::GET, format!("http://{operators}/v1/status"), &[], String::new()).await.unwrap();
+    assert_eq!(no_key.status, StatusCode::UNAUTHORIZED);
+    let key = format!("Bearer {OPERATOR}");
+    let headers = [("authorization", key.as_str())];
+    let uri = format!("http://{operators}/v1/config?base=0&submission=late");
+    let conflict = call(Method::PUT, uri, &headers, document()).await.unwrap();
+    assert_eq!(conflict.status, StatusCode::CONFLICT);
+    assert_eq!(conflict.json()["operator"], "first");
+    let uri = format!("http://{operators}/v1/config?base=1&submission=bad");
+    let invalid = call(Method::PUT, uri, &headers, "zones: 3".into()).await.unwrap();
+    assert_eq!(invalid.status, StatusCode::UNPROCESSABLE_ENTITY);
+    let again = format!("http://{operators}/v1/config?base=0&submission=first");
+    let settled = call(Method::PUT, again, &headers, document()).await.unwrap();
+    assert_eq!(settled.status, StatusCode::OK, "the same submission again is the same acceptance: {}", settled.body);
+    let metrics = call(Method::GET, format!("http://{operators}/metrics"), &headers, String::new()).await.unwrap();
+    assert!(metrics.body.contains("stairvale_generation 1"));
+    assert!(metrics.body.ends_with("# EOF\n"));
+}
+
+#[tokio::test]
+async fn a_request_can_be_explained() {
+    std::thread::spawn(fleet).join().unwrap();
+    let answer = chat(0, "explained", &["hello"]).await;
+    let number = answer.headers["stairvale-request"].to_str().unwrap().to_owned();
+    let key = format!("Bearer {OPERATOR}");
+    let uri = format!("http://{}/v1/explain/{number}", fleet().operators[0]);
+    let records = call(Method::GET, uri, &[("authorization", &key)], String::new()).await.unwrap().json();
+    assert!(records[0]["upstream"].as_str().unwrap().starts_with("engine-"), "{records}");
+}
+
+#[tokio::test]
+async fn a_stranger_on_the_peers_port_is_refused() {
+    std::thread::spawn(fleet).join().unwrap();
+    // The peers' port speaks h2 only, and nothing without proof of the fleet's key.
+    let status = call(
+        Method::GET,
+        format!("http://{}/v1/status", fleet().operators[0]),
+        &[("authorization", &format!("Bearer {OPERATOR}"))],
+        String::new(),
+    )
+    .await
+    .unwrap();
+    assert_eq!(status.json()["stats"]["routers"], 2, "only the fleet's own routers are members");
+}
--- a/crates/stairvale-wire/src/frame.rs
+++ b/crates/stairvale-wire/src/frame.rs
@@ -73,6 +73,8 @@
         outstanding: u64,
         /// Those engines.
         engines: u32,
+        /// The fewest requests that wait for any of them.
+        waiting: u32,
         /// The engines with the least load, least first.
         emptiest: Vec<(id::Upstream, u32)>,
     },
@@ -189,6 +191,8 @@
     Granted {
         /// The upstream's outstanding requests with this one.
         outstanding: u32,
+        /// Whether the customer holds more than its share there, so that the engine should serve others first.
+        over_share: bool,
     },
     /// The chat's prefix sits elsewhere: ask there.
     Elsewhere {
@@ -231,6 +235,8 @@
     pub outstanding: u64,
     /// Engines that may take work.
     pub engines: u32,
+    /// The fewest requests that wait for any of them.
+    pub waiting: u32,
     /// The engines with the least load, least first.
     pub emptiest: Vec<(id::Upstream, u32)>,
 }
