--- a/crates/stairvale-router/src/settings.rs
+++ b/crates/stairvale-router/src/settings.rs
@@ -24,7 +24,8 @@
     fn syntax(error: &serde_norway::Error, text: &str) -> Self {
         let reason = error.to_string();
         let refused = |line: &&(usize, &str)| {
-            let without: String = text.lines().filter(|other| other != &line.1).map(|other| format!("{other}\n")).collect();
+            let without: String =
+                text.lines().filter(|other| other != &line.1).map(|other| format!("{other}\n")).collect();
             let rest = serde_norway::from_str::<Settings>(&without);
             rest.is_err_and(|rest| !rest.to_string().contains(&reason))
         };
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# For each invariant a mutation that must be caught: the mechanism is switched off in a copy, and the named test must fail.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files | grep -v '^docs/' | tar -cf - -T - | tar -xf - -C "$copy"
+export CARGO_TARGET_DIR=$PWD/target/mutants
+missed=0
+
+# mutant NAME FILE SED CRATE TEST: applies the sed script, runs the test, and puts the file back.
+mutant() {
+  local name=$1 file=$copy/$2 script=$3 crate=$4 test=$5 result
+  cp "$file" "$copy/original"
+  sed -i -E "$script" "$file"
+  if cmp -s "$file" "$copy/original"; then
+    echo "$name: the mutation changed nothing"
+    missed=1
+    return
+  fi
+  if (cd "$copy" && cargo test --quiet --package "$crate" --test "$test" >"$copy/log" 2>&1); then result=MISSED; missed=1; else result=caught; fi
+  if grep -q '^error\(\[\|: could not compile\)' "$copy/log"; then result="DOES NOT COMPILE"; missed=1; fi
+  printf '%-58s %-28s %s\n' "$name" "$crate/$test" "$result"
+  cp "$copy/original" "$file"
+}
+
+mutant "a new home ignores the reported load" crates/stairvale-permit/src/account.rs \
+  's/self\.reported\.map\(\|reported\| reported\.max\(known\)\)/Some(known)/' stairvale-permit spec
+mutant "a home that was paused keeps its accounts" crates/stairvale-permit/src/account.rs \
+  's/self\.held\.clear\(\);//; s/self\.reported = None;//' stairvale-permit home
+mutant "a late grant is not returned" crates/stairvale-permit/src/entry.rs \
+  's/vec!\[Effect::Release \{ to: from\.clone\(\), upstream: upstream\.clone\(\), attempt \}\]/Vec::new()/' stairvale-permit entry
+mutant "the bound is not looked at" crates/stairvale-permit/src/home.rs \
+  's/account\.outstanding\(now\)\? < limit\)/account.outstanding(now)? < limit + 1)/' stairvale-permit home
+mutant "a claim is answered before it is written" crates/stairvale-claim/src/shard.rs \
+  's/let mut effects = self\.answer_known\(&record\);/let mut effects: Vec<_> = std::mem::take(\&mut self.wishes).iter().map(|w| answer(w, ClaimVerdict::Yours { fence: 0 })).collect();/' stairvale-claim shard
+mutant "a doubled answer gives a running claim back" crates/stairvale-control/src/handlers/claims.rs \
+  's/let given_up = self\.given_up\.contains_key\(&attempt\);/let given_up = true;/' stairvale-control random
+mutant "a keeper gives back what it never wrote" crates/stairvale-claim/src/shard.rs \
+  's/if wish\.written \&\&/if true \&\&/' stairvale-claim shard
+mutant "a lower generation is taken" crates/stairvale-control/src/generation.rs \
+  's/if offered < in_force \{/if false {/; s/if offered == in_force \{/if offered == in_force || offered.0 == 0 {/; s/if to <= from \{/if false {/' stairvale-control spec
+mutant "an operator's lost answer is not settled" crates/stairvale-control/src/apply.rs \
+  's/if manifest\.find\(&self\.submission\.id\)\.is_some\(\) \{/if false {/' stairvale-control spec
+mutant "an older word of an upstream wins" crates/stairvale-membership/src/upstreams.rs \
+  's/word\.order\(\) <= old\.order\(\)/false/' stairvale-membership membership
+mutant "a closed engine is granted" crates/stairvale-control/src/handlers/upstreams.rs \
+  's/let usable = self\.fleet\.usable\(upstream\);/let usable = true;/' stairvale-control fleet
+mutant "words are not shared after a cut" crates/stairvale-control/src/handlers/members.rs \
+  's/if !words\.is_empty\(\) \{/if false {/' stairvale-control fleet
+mutant "turns are not shared among customers" crates/stairvale-admission/src/queue.rs \
+  's/let start = self\.last\.get\(customer\)\.copied\(\)\.unwrap_or\(0\)\.max\(self\.virtual_time\);/let start = 0;/' stairvale-admission admission
+exit $missed
