--- /dev/null
+++ b/crates/stairvale-permit/benches/grant.rs
@@ -0,0 +1,70 @@
+//! A grant and its release at a home, by how many engines it keeps and how many permits each has out.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use stairvale_permit::{Home, home::Rules};
+use stairvale_types::{Class, Moment, id};
+use stairvale_wire::Ask;
+
+fn main() {
+    divan::main();
+}
+
+fn ask(attempt: u128, engine: usize) -> Ask {
+    Ask {
+        attempt: id::Attempt(attempt),
+        upstream: format!("engine-{engine}").parse().unwrap(),
+        service: "chat".parse().unwrap(),
+        customer: "c".parse().unwrap(),
+        weight: 1,
+        class: Class::Normal,
+        chat: Some(id::Chat(7)),
+        returning: false,
+        first: true,
+        patience: Duration::ZERO,
+        deadline: Duration::from_secs(30),
+    }
+}
+
+fn home(engines: usize, permits: usize) -> Home {
+    let mut home = Home::new("home".parse().unwrap(), id::Incarnation(1));
+    let now = Moment::from_millis(10_000);
+    for engine in 0..engines {
+        let rules = Rules::new("chat".parse().unwrap()).with_slots(1_000).with_multiple("2".parse().unwrap());
+        home.adopt(Moment::ZERO, format!("engine-{engine}").parse().unwrap(), rules, Some(0));
+    }
+    let entry = "entry".parse().unwrap();
+    for permit in 0..permits {
+        for engine in 0..engines {
+            home.ask(now, &entry, ask((permit * engines + engine) as u128, engine));
+        }
+    }
+    home
+}
+
+/// At the size to design for a home keeps two engines with 57 permits each.
+#[divan::bench(args = [(1, 10), (2, 57), (7, 57), (7, 500)])]
+fn grant_and_release(bencher: divan::Bencher, (engines, permits): (usize, usize)) {
+    let mut home = home(engines, permits);
+    let entry: id::Router = "entry".parse().unwrap();
+    let now = Moment::from_millis(10_000);
+    let mut attempt = 1 << 40;
+    bencher.bench_local(|| {
+        attempt += 1;
+        let ask = ask(attempt, 0);
+        let upstream = ask.upstream.clone();
+        let answers = home.ask(now, &entry, ask);
+        home.release(now, &entry, &upstream, &[id::Attempt(attempt)]);
+        answers.len()
+    });
+}
+
+/// What a home does a hundred times a second.
+#[divan::bench(args = [(1, 10), (2, 57), (7, 57), (7, 500)])]
+fn tick(bencher: divan::Bencher, (engines, permits): (usize, usize)) {
+    let mut home = home(engines, permits);
+    let now = Moment::from_millis(10_001);
+    bencher.bench_local(|| home.tick(now).len());
+}
--- a/crates/stairvale-placement/src/lib.rs
+++ b/crates/stairvale-placement/src/lib.rs
@@ -15,7 +15,6 @@
 
 pub mod choice;
 pub mod exceptions;
-pub mod keep;
 pub mod rendezvous;
 
 pub use exceptions::Exceptions;
--- a/crates/stairvale-placement/tests/placement.rs
+++ b/crates/stairvale-placement/tests/placement.rs
@@ -8,7 +8,6 @@
 use stairvale_placement::{
     Engine, Exceptions,
     choice::{Estimate, plan},
-    keep::Hawkes,
     pick, rank,
 };
 use stairvale_types::{Moment, id};
@@ -83,16 +82,6 @@
     assert_eq!(hurried.patience, ms(20));
 }
 
-#[test]
-fn the_papers_keep_alive_grows_with_recent_arrivals() {
-    let hawkes = Hawkes { lambda0: 0.001, alpha: 0.5, beta: 0.1 };
-    let alone = hawkes.keep(&[], 0.02).unwrap();
-    let busy = hawkes.keep(&[1.0, 2.0, 3.0], 0.02).unwrap();
-    assert!(busy > alone);
-    assert_eq!(hawkes.keep(&[], 0.0005), None, "a base rate above the ratio is kept for ever");
-    assert_eq!(hawkes.keep(&[], 10.0), Some(Duration::ZERO), "a ratio above the excited rate is not kept at all");
-}
-
 quickcheck! {
     fn a_pick_survives_the_loss_of_others(key: u64, names: Vec<u8>, lost: usize) -> bool {
         let names: Vec<u64> = names.into_iter().map(u64::from).collect();
