What a home needs to know of a request is one type; permit's files split by job

An incarnation travelled with each answer and renewal that nobody looked at (an entry takes a grant only from the home it asks, for the attempt it asked for, and renews what it holds; tests/spec.rs shows that this is enough). Change: wire::Profile; permit's rules, decide, request, asking; no incarnation in answers, renewals and hellos.

--- a/crates/stairvale-control/src/explain.rs
+++ b/crates/stairvale-control/src/explain.rs
@@ -3,9 +3,9 @@
 use std::collections::VecDeque;
 
 use serde::Serialize;
-use stairvale_permit::entry::{Event, Step};
+use stairvale_permit::request::{Event, Step};
 use stairvale_types::{Moment, Refusal, id};
-use stairvale_wire::Verdict;
+use stairvale_wire::{Profile, Verdict};
 
 /// Requests remembered at the most.
 const CAPACITY: usize = 2_048;
@@ -39,22 +39,15 @@
 
 impl Memory {
     /// Remembers a request that just began.
-    pub fn begin(
-        &mut self,
-        now: Moment,
-        attempt: id::Attempt,
-        service: &id::Service,
-        customer: &id::Customer,
-        chat: Option<id::Chat>,
-    ) {
+    pub fn begin(&mut self, now: Moment, attempt: id::Attempt, profile: &Profile) {
         if self.records.len() >= CAPACITY {
             self.records.pop_front();
         }
         self.records.push_back(Record {
             attempt: attempt.to_string(),
-            service: service.clone(),
-            customer: customer.clone(),
-            chat: chat.map(|chat| chat.to_string()),
+            service: profile.service.clone(),
+            customer: profile.customer.clone(),
+            chat: profile.chat.map(|chat| chat.to_string()),
             at_ms: now.millis(),
             upstream: None,
             refusal: None,
--- a/crates/stairvale-control/src/fleet.rs
+++ b/crates/stairvale-control/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use stairvale_config::{Document, Service};
 use stairvale_membership::{Swim, Upstreams, upstreams::Upstream};
-use stairvale_permit::entry::{Directory, Share};
+use stairvale_permit::request::{Directory, Share};
 use stairvale_placement::{Engine, pick, rank};
 use stairvale_types::{Moment, id};
 use stairvale_wire::Member;
--- a/crates/stairvale-control/src/handlers/frames.rs
+++ b/crates/stairvale-control/src/handlers/frames.rs
@@ -1,6 +1,6 @@
 //! Frames from peers.
 
-use stairvale_permit::{home::Answer as HomeAnswer, mean::Sum};
+use stairvale_permit::{mean::Sum, rules::Answer as HomeAnswer};
 use stairvale_types::id;
 use stairvale_wire::{Ask, Frame, Verdict};
 
@@ -15,7 +15,7 @@
                 let answers = self.home.forget(self.now, from, &upstream, attempt);
                 self.answers(answers);
             }
-            Frame::Answer { upstream, attempt, verdict, .. } => {
+            Frame::Answer { upstream, attempt, verdict } => {
                 if let Verdict::Granted { outstanding, .. } = &verdict {
                     self.fleet.saw(&upstream, *outstanding);
                 }
@@ -26,7 +26,7 @@
                 let answers = self.home.release(self.now, from, &upstream, &attempts);
                 self.answers(answers);
             }
-            Frame::Renew { held, .. } => {
+            Frame::Renew { held } => {
                 let answers = self.home.renew(self.now, from, &held);
                 self.answers(answers);
             }
--- a/crates/stairvale-control/src/handlers/requests.rs
+++ b/crates/stairvale-control/src/handlers/requests.rs
@@ -4,12 +4,12 @@
 
 use stairvale_config::Kind;
 use stairvale_permit::{
-    entry::{Directory, Effect, Want},
-    home::Answer as HomeAnswer,
+    request::{Directory, Effect, Want},
+    rules::Answer as HomeAnswer,
 };
 use stairvale_placement::choice::Estimate;
 use stairvale_types::{Reason, Refusal, id};
-use stairvale_wire::{Frame, Verdict, frame::rebuild};
+use stairvale_wire::{Frame, Profile, Verdict, frame::rebuild};
 
 use crate::{Node, Output, io::Request, node::Policy};
 
@@ -19,12 +19,12 @@
 impl Node {
     pub(crate) fn request(&mut self, request: Request) {
         let attempt = request.attempt;
-        self.explain.begin(self.now, attempt, &request.service, &request.customer, request.chat);
-        if request.retry && !self.budget(&request.service).spend() {
+        self.explain.begin(self.now, attempt, &request.profile);
+        if request.retry && !self.budget(&request.profile.service).spend() {
             self.refuse(attempt, Refusal::new(Reason::Budget, RETRY_BUDGET));
             return;
         }
-        self.services.insert(attempt, request.service.clone());
+        self.services.insert(attempt, request.profile.service.clone());
         let Some(want) = self.want(request) else {
             self.refuse(attempt, Refusal::new(Reason::NotReady, RETRY_BUDGET));
             return;
@@ -34,15 +34,15 @@
     }
 
     pub(crate) fn want(&mut self, request: Request) -> Option<Want> {
-        let service = self.fleet.service(&request.service)?.clone();
+        let service = self.fleet.service(&request.profile.service)?.clone();
         let is_fleet = self.policy == Policy::Fleet;
         let keeps_prefix = service.kind == Kind::Model && matches!(self.policy, Policy::Fleet | Policy::Hash);
         let random = self.random();
-        let key = request.chat.filter(|_| keeps_prefix).map_or(random, |chat| chat.0);
-        let mut candidates = self.fleet.rank(&request.service, key);
+        let key = request.profile.chat.filter(|_| keeps_prefix).map_or(random, |chat| chat.0);
+        let mut candidates = self.fleet.rank(&request.profile.service, key);
         candidates.retain(|upstream| !request.avoid.contains(upstream));
         if self.policy == Policy::LeastLoaded {
-            self.prefer_emptiest(&request.service, &mut candidates);
+            self.prefer_emptiest(&request.profile.service, &mut candidates);
         }
         let moves = is_fleet && service.transfer_us_per_token > 0;
         let estimate = Estimate {
@@ -51,17 +51,10 @@
             allowed: if is_fleet { service.prefix_wait } else { Duration::ZERO },
             deadline: request.deadline,
         };
-        Some(Want {
-            attempt: request.attempt,
-            service: request.service,
-            customer: request.customer,
-            weight: request.weight,
-            class: request.class,
-            chat: request.chat.filter(|_| keeps_prefix && is_fleet),
-            returning: request.returning && keeps_prefix,
-            estimate,
-            candidates,
-        })
+        let chat = request.profile.chat.filter(|_| keeps_prefix && is_fleet);
+        let returning = request.profile.returning && keeps_prefix;
+        let profile = Profile { chat, returning, ..request.profile };
+        Some(Want { attempt: request.attempt, profile, estimate, candidates })
     }
 
     /// Puts one of the emptiest engines first; which one is left to chance, so that routers don't all rush to it.
@@ -110,8 +103,7 @@
                     self.send(&to, Frame::Release { upstream, attempts: vec![attempt] });
                 }
                 Effect::Renew { to, held } => {
-                    let incarnation = self.fleet.swim.me().incarnation;
-                    self.send(&to, Frame::Renew { incarnation, held });
+                    self.send(&to, Frame::Renew { held });
                 }
                 Effect::Moved { to, chat, first, upstream } => {
                     self.send(&to, Frame::Moved { chat, first, to: upstream });
@@ -129,12 +121,11 @@
     }
 
     pub(crate) fn answers(&mut self, answers: Vec<HomeAnswer>) {
-        let incarnation = self.home.incarnation();
         for HomeAnswer { to, upstream, attempt, mut verdict } in answers {
             if let Verdict::NotHome { home } = &mut verdict {
                 *home = self.fleet.home(&upstream, 0).filter(|home| home != &self.me);
             }
-            self.send(&to, Frame::Answer { incarnation, upstream, attempt, verdict });
+            self.send(&to, Frame::Answer { upstream, attempt, verdict });
         }
     }
 }
--- a/crates/stairvale-control/src/handlers/upstreams.rs
+++ b/crates/stairvale-control/src/handlers/upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stairvale_permit::{entry::Directory, home::Rules};
+use stairvale_permit::{Rules, request::Directory};
 use stairvale_types::id;
 use stairvale_wire::{Word, packet::State};
 
--- a/crates/stairvale-control/src/io.rs
+++ b/crates/stairvale-control/src/io.rs
@@ -3,9 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use stairvale_config::{Document, Generation, Manifest, chunk::Digest};
-use stairvale_permit::entry::Grant;
-use stairvale_types::{Class, Refusal, id, unit};
-use stairvale_wire::{ClaimVerdict, Frame, Packet, Stored, Vm, packet::State};
+use stairvale_permit::request::Grant;
+use stairvale_types::{Refusal, id, unit};
+use stairvale_wire::{ClaimVerdict, Frame, Packet, Profile, Stored, Vm, packet::State};
 
 use crate::{Event, orders};
 
@@ -14,18 +14,8 @@
 pub struct Request {
     /// The attempt.
     pub attempt: id::Attempt,
-    /// The service.
-    pub service: id::Service,
-    /// Whose request it is.
-    pub customer: id::Customer,
-    /// The customer's weight.
-    pub weight: u32,
-    /// How urgent it is.
-    pub class: Class,
-    /// The chat, if any.
-    pub chat: Option<id::Chat>,
-    /// Whether earlier turns are in the prompt.
-    pub returning: bool,
+    /// What it is.
+    pub profile: Profile,
     /// The prompt's size.
     pub prompt: unit::Tokens,
     /// What is left until the deadline.
--- a/crates/stairvale-control/src/node.rs
+++ b/crates/stairvale-control/src/node.rs
@@ -223,7 +223,7 @@
             me: settings.router.clone(),
             policy: settings.policy,
             fleet: Fleet::new(swim),
-            home: Home::new(settings.router, settings.incarnation),
+            home: Home::new(settings.router),
             entry: Entry::new(),
             config: generation::Holder::new(),
             sums: Sums::new(),
--- a/crates/stairvale-membership/src/swim.rs
+++ b/crates/stairvale-membership/src/swim.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use rand::{
-    Rng, SeedableRng,
+    SeedableRng,
     seq::{IndexedRandom, SliceRandom},
 };
 use rand_chacha::ChaCha8Rng;
@@ -268,7 +268,7 @@
         effects.push(Effect::Versions { from: packet.from.clone(), generation: packet.generation, vms: packet.vms });
         match packet.body {
             Body::Ping { probe } => effects.push(self.packet(from, Body::Ack { probe })),
-            Body::Ack { probe } => effects.extend(self.acked(now, &packet.from, probe)),
+            Body::Ack { probe } => effects.extend(self.acked(probe)),
             Body::Indirect { probe, target } => effects.extend(self.favour(now, from, probe, &target)),
             Body::News => {}
         }
@@ -289,7 +289,7 @@
         let Some(target) = self.round.pop() else {
             return effects;
         };
-        let Some(peer) = self.peers.get(&target).filter(|peer| is_probed(peer.member.status)) else {
+        let Some(peer) = self.peers.get(&target).filter(|peer| is_live(peer.member.status)) else {
             return effects;
         };
         let to = peer.member.address;
@@ -339,7 +339,7 @@
         self.learn(now, Update::Member(member))
     }
 
-    fn acked(&mut self, now: Moment, from: &id::Router, number: u64) -> Vec<Effect> {
+    fn acked(&mut self, number: u64) -> Vec<Effect> {
         if let Some(index) = self.favours.iter().position(|favour| favour.number == number && number != 0) {
             let favour = self.favours.swap_remove(index);
             return vec![self.packet(favour.asker, Body::Ack { probe: favour.theirs })];
@@ -347,8 +347,7 @@
         if self.probe.as_ref().is_some_and(|probe| probe.number == number) {
             self.probe = None;
         }
-        // Whoever answers lives; a suspect refutes by its own update, which rides on the same packet.
-        let _ = (now, from);
+        // A suspect that answers refutes by its own update, which rides on the same packet.
         Vec::new()
     }
 
@@ -460,12 +459,7 @@
     }
 
     fn live_peers(&self) -> impl Iterator<Item = &Member> {
-        self.peers.values().map(|peer| &peer.member).filter(|member| is_probed(member.status))
-    }
-
-    /// A number that differs between routers and lives, for whoever needs one.
-    pub fn random(&mut self) -> u64 {
-        self.rng.random()
+        self.peers.values().map(|peer| &peer.member).filter(|member| is_live(member.status))
     }
 }
 
@@ -473,10 +467,6 @@
     matches!(status, Status::Alive | Status::Suspect)
 }
 
-fn is_probed(status: Status) -> bool {
-    is_live(status)
-}
-
 /// Whether news replaces what is known: a later life, or a worse status in the same one.
 fn supersedes(new: &Member, old: &Member) -> bool {
     if new.incarnation != old.incarnation {
--- a/crates/stairvale-permit/src/entry.rs
+++ b/crates/stairvale-permit/src/entry.rs
@@ -6,189 +6,23 @@
 };
 
 use stairvale_placement::choice;
-use stairvale_types::{Class, Moment, Reason, Refusal, id};
-use stairvale_wire::{Ask, Held, Verdict};
+use stairvale_types::{Moment, Reason, Refusal, id};
+use stairvale_wire::{Held, Verdict};
+
+use crate::{
+    asking::{Asking, placeholder},
+    request::{Directory, Effect, Event, Grant, Step, Want},
+};
 
 /// An ask that isn't answered within this time, beyond its patience, has an unreachable home.
 pub const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// How often permits are renewed.
 pub const RENEW_EVERY: Duration = Duration::from_millis(500);
-/// Ranked engines tried before the emptiest are.
-const RANKED_HOPS: usize = 2;
 /// Asks made for one attempt at the most, the last resort included.
-const MAX_ASKS: u32 = 12;
+pub(crate) const MAX_ASKS: u32 = 12;
 /// When to come back if no upstream may take work.
 const RETRY_NO_UPSTREAM: Duration = Duration::from_secs(1);
 
-/// What an entry needs to know of the fleet.
-pub trait Directory {
-    /// The home of an upstream; `rank` 0 is the first choice, 1 the router that takes over.
-    fn home(&self, upstream: &id::Upstream, rank: usize) -> Option<id::Router>;
-    /// Whether an upstream may take new work.
-    fn usable(&self, upstream: &id::Upstream) -> bool;
-    /// The load that an upstream reported last, and how many of its slots this router may use without a home.
-    fn share(&self, upstream: &id::Upstream) -> Option<Share>;
-}
-
-/// What a router may use of an upstream whose home it can't reach.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Share {
-    /// The load reported last.
-    pub reported: u32,
-    /// All slots.
-    pub slots: u32,
-    /// Slots that this router may fill by itself.
-    pub own: u32,
-}
-
-/// A request that wants an upstream.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Want {
-    /// The attempt.
-    pub attempt: id::Attempt,
-    /// The service.
-    pub service: id::Service,
-    /// Whose request it is.
-    pub customer: id::Customer,
-    /// The customer's weight.
-    pub weight: u32,
-    /// How urgent it is.
-    pub class: Class,
-    /// The chat, if any.
-    pub chat: Option<id::Chat>,
-    /// Whether earlier turns are in the prompt.
-    pub returning: bool,
-    /// What waiting, rebuilding and moving cost; the deadline in it counts from now.
-    pub estimate: choice::Estimate,
-    /// The upstreams in order of preference.
-    pub candidates: Vec<id::Upstream>,
-}
-
-/// A step on an attempt's way, for `explain`.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Step {
-    /// When.
-    pub at: Moment,
-    /// The upstream that was asked for.
-    pub upstream: id::Upstream,
-    /// What came of it.
-    pub event: Event,
-}
-
-/// What came of asking for an upstream.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    /// Its home was asked.
-    Asked {
-        /// The home.
-        home: id::Router,
-        /// How long the ask may wait there.
-        patience: Duration,
-    },
-    /// The home answered.
-    Answered(Verdict),
-    /// The home didn't answer in time.
-    Unanswered,
-    /// The upstream may take no work in this router's view.
-    PassedOver,
-    /// Taken without a home.
-    Degraded,
-}
-
-/// What to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Ask a home.
-    Ask {
-        /// The home.
-        to: id::Router,
-        /// The ask.
-        ask: Ask,
-    },
-    /// Tell a home that an attempt no longer waits there.
-    Forget {
-        /// The home.
-        to: id::Router,
-        /// The upstream.
-        upstream: id::Upstream,
-        /// The attempt.
-        attempt: id::Attempt,
-    },
-    /// Give a permit back.
-    Release {
-        /// The home.
-        to: id::Router,
-        /// The upstream.
-        upstream: id::Upstream,
-        /// The attempt.
-        attempt: id::Attempt,
-    },
-    /// Tell all that is held of a home.
-    Renew {
-        /// The home.
-        to: id::Router,
-        /// What is held.
-        held: Vec<Held>,
-    },
-    /// Tell the first choice's home where a chat's prefix goes.
-    Moved {
-        /// The home.
-        to: id::Router,
-        /// The chat.
-        chat: id::Chat,
-        /// The first choice.
-        first: id::Upstream,
-        /// Where it goes.
-        upstream: id::Upstream,
-    },
-    /// The attempt may use an upstream.
-    Granted(Grant),
-    /// The attempt is refused.
-    Refused {
-        /// The attempt.
-        attempt: id::Attempt,
-        /// Why.
-        refusal: Refusal,
-        /// How it came to that.
-        steps: Vec<Step>,
-    },
-}
-
-/// A granted attempt.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Grant {
-    /// The attempt.
-    pub attempt: id::Attempt,
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// Where the chat's prefix is believed to be, if it is worth moving from there.
-    pub import_from: Option<id::Upstream>,
-    /// Whether no home was reached.
-    pub degraded: bool,
-    /// Whether the customer is over its share there, so that the engine should serve others first.
-    pub over_share: bool,
-    /// How it came to that.
-    pub steps: Vec<Step>,
-}
-
-#[derive(Debug)]
-struct Asking {
-    want: Want,
-    plan: choice::Plan,
-    deadline: Moment,
-    upstream: id::Upstream,
-    home: id::Router,
-    home_rank: usize,
-    answer_by: Moment,
-    asks: u32,
-    next: usize,
-    emptiest: Vec<id::Upstream>,
-    last_resort: bool,
-    /// Where the prefix is, by exception or by being the first choice.
-    prefix_at: Option<id::Upstream>,
-    steps: Vec<Step>,
-}
-
 #[derive(Debug)]
 struct Holding {
     upstream: id::Upstream,
@@ -264,7 +98,7 @@
             return vec![Effect::Refused { attempt, refusal, steps: Vec::new() }];
         };
         let plan = choice::plan(want.estimate);
-        let prefix_at = want.returning.then(|| first.clone());
+        let prefix_at = want.profile.returning.then(|| first.clone());
         let me = Asking {
             plan,
             deadline,
@@ -600,91 +434,3 @@
         }
     }
 }
-
-impl Asking {
-    /// The ranked list first, then the emptiest, then the first usable choice as a last resort.
-    fn next_upstream<D: Directory>(&mut self, directory: &D) -> Option<id::Upstream> {
-        let candidates = &self.want.candidates;
-        while self.next < candidates.len() && self.usable_before(directory) < RANKED_HOPS {
-            let upstream = candidates[self.next].clone();
-            self.next += 1;
-            if upstream != self.upstream || self.asks == 0 || self.next == 1 {
-                return Some(upstream);
-            }
-        }
-        while !self.emptiest.is_empty() {
-            let upstream = self.emptiest.remove(0);
-            let known = candidates.contains(&upstream);
-            if known && upstream != self.upstream {
-                // One hint a round; the next overflow brings fresher ones.
-                self.emptiest.clear();
-                self.last_resort = false;
-                if self.asks + 2 < MAX_ASKS && self.asks < self.hint_asks() {
-                    return Some(upstream);
-                }
-            }
-        }
-        self.last_resort = true;
-        candidates.iter().find(|candidate| directory.usable(candidate)).cloned()
-    }
-
-    /// After this many asks the last resort comes, with a fresh hint now and then in between.
-    fn hint_asks(&self) -> u32 {
-        const HINTS: u32 = 4;
-        u32::try_from(RANKED_HOPS).unwrap_or(0) + HINTS
-    }
-
-    fn usable_before<D: Directory>(&self, directory: &D) -> usize {
-        self.want.candidates[..self.next].iter().filter(|candidate| directory.usable(candidate)).count()
-    }
-
-    fn to_ask(&self, now: Moment) -> Ask {
-        let left = self.deadline.since(now);
-        let has_prefix = self.prefix_at.as_ref() == Some(&self.upstream);
-        let patience = match (self.last_resort, has_prefix) {
-            (true, _) => left,
-            (false, true) => self.plan.patience.min(left / 2),
-            (false, false) => Duration::ZERO,
-        };
-        let first = self.want.candidates.first() == Some(&self.upstream);
-        let knows_exception = self.prefix_at.as_ref().is_some_and(|at| at != &self.upstream);
-        Ask {
-            attempt: self.want.attempt,
-            upstream: self.upstream.clone(),
-            service: self.want.service.clone(),
-            customer: self.want.customer.clone(),
-            weight: self.want.weight,
-            class: self.want.class,
-            chat: self.want.chat,
-            returning: self.want.returning && !knows_exception,
-            first,
-            patience,
-            deadline: left,
-        }
-    }
-
-    /// Tells the first choice's home where the prefix goes, if that changes what it knows.
-    fn moved<D: Directory>(&self, upstream: &id::Upstream, directory: &D) -> Option<Effect> {
-        let chat = self.want.chat?;
-        let first = self.want.candidates.first()?;
-        let known = self.prefix_at.as_ref().unwrap_or(first);
-        if known == upstream {
-            return None;
-        }
-        let to = directory.home(first, 0)?;
-        Some(Effect::Moved { to, chat, first: first.clone(), upstream: upstream.clone() })
-    }
-
-    fn import_from<D: Directory>(&self, upstream: &id::Upstream, directory: &D) -> Option<id::Upstream> {
-        if !self.plan.transfer {
-            return None;
-        }
-        let source = self.prefix_at.clone()?;
-        (&source != upstream && directory.usable(&source)).then_some(source)
-    }
-}
-
-/// Stands until the first ask names the real home.
-fn placeholder() -> id::Router {
-    "none".parse().unwrap_or_else(|_| unreachable!("a plain word is a name"))
-}
--- a/crates/stairvale-permit/src/lib.rs
+++ b/crates/stairvale-permit/src/lib.rs
@@ -6,20 +6,24 @@
 //!
 //! ```
 //! use std::time::Duration;
-//! use stairvale_permit::{Home, home::Rules};
-//! use stairvale_types::id;
+//! use stairvale_permit::{Home, Rules};
 //!
-//! let mut home = Home::new("r1".parse().unwrap(), id::Incarnation(1));
+//! let mut home = Home::new("r1".parse().unwrap());
 //! home.adopt(Default::default(), "e1".parse().unwrap(), Rules::new("chat".parse().unwrap()), None);
 //! assert_eq!(home.outstanding(&"e1".parse().unwrap()), Some(0));
 //! ```
 
 pub mod account;
+mod asking;
+mod decide;
 pub mod entry;
 pub mod home;
 pub mod mean;
+pub mod request;
+pub mod rules;
 
 pub use account::Account;
 pub use entry::Entry;
 pub use home::Home;
 pub use mean::Mean;
+pub use rules::Rules;
--- a/crates/stairvale-router/src/caller.rs
+++ b/crates/stairvale-router/src/caller.rs
@@ -15,8 +15,9 @@
     server::conn::auto,
 };
 use stairvale_control::io;
-use stairvale_permit::entry::Grant;
+use stairvale_permit::request::Grant;
 use stairvale_types::{Class, Reason, Refusal, id, unit};
+use stairvale_wire::Profile;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
@@ -175,14 +176,17 @@
         begun: Instant,
     ) -> Self {
         let customer = &head.account.customer;
-        let wish = io::Request {
-            attempt,
+        let profile = Profile {
             service: head.service.name.clone(),
             customer: customer.name.clone(),
             weight: customer.weight,
             class: head.class,
             chat: head.chat,
             returning: head.chat.is_some() && is_returning(&body),
+        };
+        let wish = io::Request {
+            attempt,
+            profile,
             prompt: unit::Tokens::guess(body.len()),
             deadline: head.deadline,
             retry: false,
@@ -234,7 +238,7 @@
     /// Fits the call to the upstream that was granted.
     pub fn prepare(&mut self, shared: &Shared, grant: &Grant, import: bool) {
         self.call.attempt = grant.attempt;
-        self.call.class = if grant.over_share { Class::Bulk } else { self.wish.class };
+        self.call.class = if grant.over_share { Class::Bulk } else { self.wish.profile.class };
         let source = grant.import_from.as_ref().filter(|_| import);
         let snapshot = shared.snapshot.load();
         let place = source.and_then(|source| snapshot.places.get(source));
--- a/crates/stairvale-router/src/control.rs
+++ b/crates/stairvale-router/src/control.rs
@@ -11,7 +11,7 @@
     Input, Node, Output,
     node::{Settings, TICK},
 };
-use stairvale_permit::entry::Directory;
+use stairvale_permit::request::Directory;
 use stairvale_types::{Moment, id};
 use stairvale_wire::ClaimVerdict;
 use tokio::{
@@ -48,11 +48,10 @@
     socket: Arc<UdpSocket>,
     mut commands: mpsc::UnboundedReceiver<Command>,
 ) {
-    let incarnation = settings.incarnation;
     let mut this = Loop {
         node: Node::new(settings),
         started: Instant::now(),
-        links: Links::new(shared.clone(), incarnation),
+        links: Links::new(shared.clone()),
         socket,
         prober: Prober::new(shared.clone()),
         caller: Caller::new(shared.clone()),
--- a/crates/stairvale-router/src/metrics.rs
+++ b/crates/stairvale-router/src/metrics.rs
@@ -172,7 +172,7 @@
     }
 
     fn sent_bytes(&self) -> u64 {
-        self.sent.lock().map(|all| all.values().map(|sent| sent.bytes).sum()).unwrap_or(0)
+        self.sent.lock().map_or(0, |all| all.values().map(|sent| sent.bytes).sum())
     }
 
     fn write_sent(&self, text: &mut String) {
--- a/crates/stairvale-router/src/peers.rs
+++ b/crates/stairvale-router/src/peers.rs
@@ -50,7 +50,6 @@
 #[derive(Debug)]
 pub struct Links {
     shared: Arc<Shared>,
-    incarnation: id::Incarnation,
     links: HashMap<id::Router, Link>,
     paused: HashMap<id::Router, Instant>,
 }
@@ -58,8 +57,8 @@
 impl Links {
     /// No streams yet.
     #[must_use]
-    pub fn new(shared: Arc<Shared>, incarnation: id::Incarnation) -> Self {
-        Self { shared, incarnation, links: HashMap::new(), paused: HashMap::new() }
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared, links: HashMap::new(), paused: HashMap::new() }
     }
 
     /// Sends a frame; what can't be sent is dropped.
@@ -78,36 +77,27 @@
         }
     }
 
+    /// Opens a stream, unless the last one broke a moment ago.
     fn open(&mut self, to: &id::Router, address: SocketAddr) -> bool {
-        let was_open = self.links.remove(to).is_some();
-        if was_open {
+        if self.links.remove(to).is_some() {
             self.paused.insert(to.clone(), Instant::now());
         }
-        let paused = self.paused.get(to).is_some_and(|since| since.elapsed() < PAUSE);
-        if paused && was_open {
-            return false;
-        }
-        if self.paused.get(to).is_some_and(|since| since.elapsed() < PAUSE) {
+        self.paused.retain(|_, since| since.elapsed() < PAUSE);
+        if self.paused.contains_key(to) {
             return false;
         }
         let (queue, frames) = mpsc::channel(QUEUED);
         self.links.insert(to.clone(), Link { queue, address });
-        tokio::spawn(run_link(self.shared.clone(), self.incarnation, to.clone(), address, frames));
+        tokio::spawn(run_link(self.shared.clone(), to.clone(), address, frames));
         true
     }
 }
 
-async fn run_link(
-    shared: Arc<Shared>,
-    incarnation: id::Incarnation,
-    to: id::Router,
-    address: SocketAddr,
-    mut frames: mpsc::Receiver<Frame>,
-) {
+async fn run_link(shared: Arc<Shared>, to: id::Router, address: SocketAddr, mut frames: mpsc::Receiver<Frame>) {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(&shared, address));
     let stream = connecting.await.ok().flatten();
     if let Some(mut stream) = stream {
-        pump(&shared, incarnation, &to, &mut stream, &mut frames).await;
+        pump(&shared, &to, &mut stream, &mut frames).await;
     }
     frames.close();
     shared.tell(Input::PeerUnreachable(to));
@@ -131,14 +121,8 @@
 }
 
 /// Writes frames until the stream breaks or nobody sends any more.
-async fn pump(
-    shared: &Shared,
-    incarnation: id::Incarnation,
-    to: &id::Router,
-    stream: &mut SendStream<Bytes>,
-    frames: &mut mpsc::Receiver<Frame>,
-) {
-    let hello = Frame::Hello { version: VERSION, from: shared.settings.router.clone(), incarnation };
+async fn pump(shared: &Shared, to: &id::Router, stream: &mut SendStream<Bytes>, frames: &mut mpsc::Receiver<Frame>) {
+    let hello = Frame::Hello { version: VERSION, from: shared.settings.router.clone() };
     if write(shared, stream, vec![hello]).await.is_none() {
         return;
     }
@@ -240,7 +224,7 @@
                 }
             };
             match (&from, frame) {
-                (None, Frame::Hello { version, from: name, .. }) if version == VERSION => from = Some(name),
+                (None, Frame::Hello { version, from: name }) if version == VERSION => from = Some(name),
                 (None, _) => return None,
                 (Some(from), frame) => shared.tell(Input::Frame { from: from.clone(), frame }),
             }
--- a/crates/stairvale-router/src/shared.rs
+++ b/crates/stairvale-router/src/shared.rs
@@ -14,7 +14,7 @@
 use governor::{DefaultDirectRateLimiter, Quota, RateLimiter};
 use stairvale_config::{Customer, Document, Generation, Manifest, Service};
 use stairvale_control::{Fleet, Input, explain, io::Request, stats::Stats};
-use stairvale_permit::entry::Grant;
+use stairvale_permit::request::Grant;
 use stairvale_types::{Refusal, id, unit};
 use stairvale_wire::ClaimVerdict;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/stairvale-wire/src/frame.rs
+++ b/crates/stairvale-wire/src/frame.rs
@@ -17,8 +17,6 @@
         version: u16,
         /// The sender.
         from: id::Router,
-        /// The sender's life.
-        incarnation: id::Incarnation,
     },
     /// An entry asks a home for a permit.
     Ask(Ask),
@@ -31,8 +29,6 @@
     },
     /// The home's answer to an ask.
     Answer {
-        /// The home's life; the permit is good only with it.
-        incarnation: id::Incarnation,
         /// The upstream that was asked for.
         upstream: id::Upstream,
         /// The attempt that asked.
@@ -49,8 +45,6 @@
     },
     /// All that an entry holds of one home, so that the home keeps it or learns it anew.
     Renew {
-        /// The entry's life.
-        incarnation: id::Incarnation,
         /// A list an upstream.
         held: Vec<Held>,
     },
@@ -157,13 +151,9 @@
     }
 }
 
-/// An entry's wish for a permit.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// The attempt.
-    pub attempt: id::Attempt,
-    /// The upstream that is asked for.
-    pub upstream: id::Upstream,
+/// What a home needs to know of a request.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Profile {
     /// The service.
     pub service: id::Service,
     /// Whose request it is, for fair shares.
@@ -176,6 +166,17 @@
     pub chat: Option<id::Chat>,
     /// Whether the chat's earlier turns are in the prompt.
     pub returning: bool,
+}
+
+/// An entry's wish for a permit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// The upstream that is asked for.
+    pub upstream: id::Upstream,
+    /// What the request is.
+    pub profile: Profile,
     /// Whether this upstream is the chat's first choice, whose home knows exceptions.
     pub first: bool,
     /// How long the ask may wait in the queue; zero answers at once.
--- a/crates/stairvale-wire/src/lib.rs
+++ b/crates/stairvale-wire/src/lib.rs
@@ -2,9 +2,8 @@
 //!
 //! ```
 //! use stairvale_wire::{Frame, codec};
-//! use stairvale_types::id;
 //!
-//! let frame = Frame::Renew { incarnation: id::Incarnation(7), held: vec![] };
+//! let frame = Frame::Trouble { upstream: "engine-1".parse().unwrap() };
 //! let bytes = codec::encode(&frame).unwrap();
 //! let mut buffer = codec::Buffer::default();
 //! buffer.extend(&bytes);
@@ -15,7 +14,7 @@
 pub mod frame;
 pub mod packet;
 
-pub use frame::{Ask, ClaimVerdict, Frame, Held, Load, Stored, Verdict};
+pub use frame::{Ask, ClaimVerdict, Frame, Held, Load, Profile, Stored, Verdict};
 pub use packet::{Member, Packet, Status, Update, Vm, Word};
 
 /// The version of frames and packets; a router refuses a peer of another.
