What an upstream refuses by its own word goes to another one, also if it must not be repeated

Ruled out: the claim (it held), late spread of the word (400 ms until the next probe is within the seconds allowed). Change: an upstream that refuses says stairvale-not-run beside its 503; with that word, and only then, the request goes to another upstream. If none takes it, the outcome is still 'unknown', since bytes left. Stand-ins drain for 2.5 s at least.

--- a/crates/stairvale-router/src/once.rs
+++ b/crates/stairvale-router/src/once.rs
@@ -118,9 +118,15 @@
 ) -> Result<(Response<Body>, Stored), Problem> {
     let deadline = ready.deadline;
     let work = async {
+        let mut refused = false;
         for _ in 0..TRIES {
             let mut permit = Permit::new(shared.clone(), ready.next_attempt());
-            let (place, grant) = ready.ask(shared, &permit).await?;
+            let (place, grant) = match ready.ask(shared, &permit).await {
+                Ok(granted) => granted,
+                // An upstream had the request, and only its own word says that it did not run it.
+                Err(_) if refused => return Err(Unknown::Broken.into()),
+                Err(refusal) => return Err(refusal.into()),
+            };
             if claim.is_some_and(|claim| claim.since.elapsed() >= SEND_BY) {
                 return Err(Refusal::new(Reason::Deadline, RETRY_STOPPING).into());
             }
@@ -132,12 +138,20 @@
                     permit.fail(true);
                     ready.avoid.push(grant.upstream);
                 }
-                Err(Failure::Broken | Failure::Refusing) => {
+                Err(Failure::Refusing) => {
+                    permit.fail(false);
+                    refused = true;
+                    ready.avoid.push(grant.upstream);
+                }
+                Err(Failure::Broken) => {
                     permit.fail(false);
                     return Err(Unknown::Broken.into());
                 }
             }
         }
+        if refused {
+            return Err(Unknown::Broken.into());
+        }
         Err(Refusal::new(Reason::NoUpstream, RETRY_STOPPING).into())
     };
     let result = tokio::time::timeout_at(deadline.into(), work).await;
--- a/crates/stairvale-router/src/upstream.rs
+++ b/crates/stairvale-router/src/upstream.rs
@@ -17,6 +17,9 @@
 
 /// A connection that isn't made by then counts as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// An upstream's own word, beside a 503, that it did not run the request, as when it drains. Only with this word is a
+/// request that must not be repeated sent to another upstream.
+const NOT_RUN: &str = "stairvale-not-run";
 /// Headers that are a connection's own (RFC 9110, section 7.6.1), or the caller's secret, and never passed on.
 const DROPPED: [header::HeaderName; 9] = [
     header::CONNECTION,
@@ -166,7 +169,11 @@
         // The connection ends with its answer; its errors show in the answer.
         tokio::spawn(connection);
         offered();
-        sender.send_request(request).await.map_err(|_| Failure::Broken)
+        let response = sender.send_request(request).await.map_err(|_| Failure::Broken)?;
+        if response.headers().get(NOT_RUN).is_some_and(|value| value == "?1") {
+            return Err(Failure::Refusing);
+        }
+        Ok(response)
     }
 
     /// Asks an engine for the rest of a stream.
--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -28,7 +28,7 @@
     callers: Vec<SocketAddr>,
     operators: Vec<SocketAddr>,
     engines: Vec<SocketAddr>,
-    service: SocketAddr,
+    services: Vec<SocketAddr>,
 }
 
 fn free() -> SocketAddr {
@@ -59,17 +59,20 @@
 }
 
 fn start() -> Fleet {
-    let (platform_at, service_at) = (free(), free());
+    let platform_at = free();
+    let services: Vec<_> = (0..2).map(|_| free()).collect();
     let listen = platform_at.to_string();
     spawn(move || async move {
         platform::run(platform::Arguments::parse_args_default(&["--listen", &listen, "--lag-ms", "0"]).unwrap())
             .await
             .unwrap();
     });
-    let listen = service_at.to_string();
-    spawn(move || async move {
-        service::run(service::Arguments::parse_args_default(&["--listen", &listen]).unwrap()).await.unwrap();
-    });
+    for service in &services {
+        let listen = service.to_string();
+        spawn(move || async move {
+            service::run(service::Arguments::parse_args_default(&["--listen", &listen]).unwrap()).await.unwrap();
+        });
+    }
     let engines: Vec<_> = (0..2).map(|_| free()).collect();
     for engine in &engines {
         let listen = engine.to_string();
@@ -95,7 +98,7 @@
         operators.push(operator);
         peers.push(peer);
     }
-    Fleet { platform: platform_at, callers, operators, engines, service: service_at }
+    Fleet { platform: platform_at, callers, operators, engines, services }
 }
 
 /// One fleet serves all tests of this file.
@@ -139,9 +142,10 @@
         let zone = ["a", "b"][number];
         vms.push(json!({ "name": format!("engine-{number}"), "role": "upstream", "zone": zone, "service": "chat", "address": engine }));
     }
-    vms.push(
-        json!({ "name": "points-0", "role": "upstream", "zone": "a", "service": "points", "address": fleet.service }),
-    );
+    for (number, service) in fleet.services.iter().enumerate() {
+        let name = format!("points-{number}");
+        vms.push(json!({ "name": name, "role": "upstream", "zone": "a", "service": "points", "address": service }));
+    }
     let begun = Instant::now();
     let admin = format!("http://{}/admin/vms", fleet.platform);
     while call(Method::POST, admin.clone(), &[], json!(vms).to_string()).await.is_none() {
@@ -162,7 +166,7 @@
                 call(Method::GET, format!("http://{operators}/v1/status"), &[("authorization", &key)], String::new())
                     .await;
             let stats = status.map(|status| status.json()["stats"].clone()).unwrap_or_default();
-            if stats["usable"] == 3 && stats["routers"] == 2 && stats["generation"] == 1 {
+            if stats["usable"] == 4 && stats["routers"] == 2 && stats["generation"] == 1 {
                 break;
             }
             wait(begun).await;
@@ -222,8 +226,36 @@
     }
     assert_eq!(answers[0], answers[1]);
     assert_eq!(answers[0], answers[2]);
-    let runs = call(Method::GET, format!("http://{}/admin/runs", fleet.service), &[], String::new()).await.unwrap();
-    assert_eq!(runs.json()["r-1"], 1);
+    assert_eq!(runs("r-1").await, 1);
+}
+
+#[tokio::test]
+async fn what_an_upstream_refuses_by_its_own_word_goes_to_another_and_runs_once() {
+    std::thread::spawn(fleet).join().unwrap();
+    let fleet = fleet();
+    let faults = format!("http://{}/admin/faults", fleet.services[0]);
+    call(Method::POST, faults.clone(), &[], "{\"refuse\":true}".into()).await.unwrap();
+    for number in 0..10 {
+        let id = format!("refused-{number}");
+        let key = format!("Bearer {CUSTOMER}");
+        let headers = [("authorization", key.as_str()), ("idempotency-key", &id), ("x-request-id", &id)];
+        let uri = format!("http://{}/points/redeem", fleet.callers[number % 2]);
+        let answer = call(Method::POST, uri, &headers, format!("{{\"redeem\":\"{id}\"}}")).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+        assert_eq!(runs(&id).await, 1);
+    }
+    call(Method::POST, faults, &[], "{}".into()).await.unwrap();
+}
+
+/// How often a request ran at the plain upstreams.
+async fn runs(id: &str) -> u64 {
+    let mut runs = 0;
+    for service in &fleet().services {
+        let counts =
+            call(Method::GET, format!("http://{service}/admin/runs"), &[], String::new()).await.unwrap().json();
+        runs += counts[id].as_u64().unwrap_or(0);
+    }
+    runs
 }
 
 #[tokio::test]
--- a/crates/stairvale-standin/src/engine.rs
+++ b/crates/stairvale-standin/src/engine.rs
@@ -25,8 +25,8 @@
     batch::{Batch, Job, Speed},
     cache::Cache,
     http::{
-        Body, Cut, Error, Piece, body, events, header_text, json as answer_json, number, parameter, parse, serve,
-        status,
+        Body, Cut, DRAIN, Error, Piece, body, draining, events, header_text, json as answer_json, number, parameter,
+        parse, serve, status,
     },
     runs::{REQUEST_ID, Runs},
 };
@@ -210,6 +210,7 @@
             state.draining = true;
             state.change += 1;
         }
+        tokio::time::sleep(DRAIN).await;
         // Readers get their last events before the process ends.
         loop {
             tokio::time::sleep(Duration::from_millis(300)).await;
@@ -226,7 +227,7 @@
         {
             let state = self.state();
             if state.draining || state.faults.drain {
-                return Some(status(StatusCode::SERVICE_UNAVAILABLE));
+                return Some(draining());
             }
         }
         let attempt = header_text(&request, "stairvale-attempt").unwrap_or_else(|| "none".to_owned());
--- a/crates/stairvale-standin/src/http.rs
+++ b/crates/stairvale-standin/src/http.rs
@@ -113,6 +113,17 @@
     response
 }
 
+/// The answer of an upstream that drains: it did not run the request, and says so.
+#[must_use]
+pub fn draining() -> Response<Body> {
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+    response.headers_mut().insert("stairvale-not-run", header::HeaderValue::from_static("?1"));
+    response
+}
+
+/// A draining upstream stays at least this long: routers take some seconds to hear of it.
+pub const DRAIN: std::time::Duration = std::time::Duration::from_millis(2_500);
+
 /// A streamed answer of server-sent events.
 #[must_use]
 pub fn events(pieces: mpsc::Receiver<Piece>) -> Response<Body> {
--- a/crates/stairvale-standin/src/service.rs
+++ b/crates/stairvale-standin/src/service.rs
@@ -10,14 +10,14 @@
 };
 
 use gumdrop::Options;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    http::{Body, Error, body, header_text, json as answer_json, parse, serve, status},
+    http::{Body, DRAIN, Error, body, draining, header_text, json as answer_json, parse, serve},
     runs::{REQUEST_ID, Runs},
     text,
 };
@@ -41,6 +41,8 @@
 struct Faults {
     /// It says that it drains.
     drain: bool,
+    /// It refuses calls, though it says that it serves.
+    refuse: bool,
     /// The connection breaks after the call ran, before its answer: so many of the next calls.
     break_after: u32,
 }
@@ -111,8 +113,8 @@
     async fn call(&self, request: Request<Incoming>) -> Option<Response<Body>> {
         {
             let state = self.state();
-            if state.draining || state.faults.drain {
-                return Some(status(StatusCode::SERVICE_UNAVAILABLE));
+            if state.draining || state.faults.drain || state.faults.refuse {
+                return Some(draining());
             }
         }
         self.load.fetch_add(1, Ordering::Relaxed);
@@ -151,8 +153,9 @@
             state.draining = true;
             state.change += 1;
         }
+        tokio::time::sleep(DRAIN).await;
         loop {
-            tokio::time::sleep(Duration::from_millis(500)).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
             if self.load.load(Ordering::Relaxed) == 0 {
                 return;
             }
