Loads are told when they changed by 2%, and means less often the more homes hear them

Cause: worked out from the slopes, at the size to design for a router would spend 1.3 KB/s telling loads of 91 each time one request begins or ends, and the router that adds up a service's zone 15 KB/s telling 19 homes; 7 KB/s are allowed. Change: a change below a fiftieth is only repeated each 0.7 s (below 50 outstanding every change counts, as before); means go out at most each 15 ms a home, so that they stay below 5 KB/s.

--- a/crates/stairvale-control/src/sums.rs
+++ b/crates/stairvale-control/src/sums.rs
@@ -12,11 +12,35 @@
 
 /// The least time between two reports of one load, sum or mean; docs/MEASUREMENTS.md weighs it against skew.
 pub const REPORT_EVERY: Duration = Duration::from_millis(100);
+/// The time that one mean to one home takes up of the sender's traffic: 70 bytes in 15 ms are below 5 KB/s.
+const MEAN_COST: Duration = Duration::from_millis(15);
 /// An unchanged load is repeated after this long.
 const REPEAT_EVERY: Duration = Duration::from_millis(700);
 /// A load or sum that wasn't repeated for this long no longer counts.
 const REPORT_TTL: Duration = Duration::from_secs(2);
 
+/// A sum that changed by less than one part in so many is only repeated: the mean is off by no more than that.
+const NEWS: u64 = 50;
+
+/// Something that is told when it has changed enough.
+trait News {
+    /// Whether it differs enough from what was told last.
+    fn is_news(&self, last: &Self) -> bool;
+}
+
+impl News for Sum {
+    fn is_news(&self, last: &Self) -> bool {
+        let change = self.outstanding.abs_diff(last.outstanding);
+        change * NEWS > last.outstanding || self.engines != last.engines || self.waiting != last.waiting
+    }
+}
+
+impl News for Load {
+    fn is_news(&self, last: &Self) -> bool {
+        sum_of(self).is_news(&sum_of(last))
+    }
+}
+
 /// Decides when something is worth sending again.
 #[derive(Clone, Debug)]
 struct Pacer<T> {
@@ -29,12 +53,12 @@
     }
 }
 
-impl<T: PartialEq + Clone> Pacer<T> {
-    fn due(&mut self, now: Moment, value: &T) -> bool {
+impl<T: News + Clone> Pacer<T> {
+    fn due(&mut self, now: Moment, value: &T, every: Duration) -> bool {
         let due = match &self.last {
             None => true,
-            Some((last, at)) if last == value => now.since(*at) >= REPEAT_EVERY,
-            Some((_, at)) => now.since(*at) >= REPORT_EVERY,
+            Some((last, at)) if !value.is_news(last) => now.since(*at) >= REPEAT_EVERY,
+            Some((_, at)) => now.since(*at) >= every,
         };
         if due {
             self.last = Some((value.clone(), now));
@@ -100,7 +124,7 @@
         let mut effects = Vec::new();
         for load in own {
             let pacer = self.own.entry(load.service.clone()).or_default();
-            if pacer.due(now, &load) {
+            if pacer.due(now, &load, REPORT_EVERY) {
                 effects.push(Effect::Report(load));
             }
         }
@@ -121,7 +145,8 @@
         }
         let mut effects = Vec::new();
         let own = add(service, Some(zone), self.homes.values().map(|(load, _)| load));
-        if self.zone_pacer.due(now, &own) {
+        let every = self.means_every();
+        if self.zone_pacer.due(now, &own, every) {
             effects.push(Effect::ZoneSum(own.clone()));
         }
         let others: Vec<_> = self.zones.iter().filter(|(other, _)| *other != zone).map(|(_, (load, _))| load).collect();
@@ -131,6 +156,13 @@
         effects
     }
 
+    /// With many homes each hears less often, so that what this router sends stays bounded. The mean of many engines
+    /// moves slowly.
+    fn means_every(&self) -> Duration {
+        let homes = u32::try_from(self.homes.len()).unwrap_or(u32::MAX);
+        REPORT_EVERY.max(MEAN_COST.saturating_mul(homes))
+    }
+
     /// Tells each home what all others carry: `elsewhere`, and the other homes of this zone.
     fn means(
         &mut self,
@@ -139,6 +171,7 @@
         elsewhere: Sum,
         emptiest: &[(id::Upstream, u32)],
     ) -> Vec<Effect> {
+        let every = self.means_every();
         let homes = &self.homes;
         self.mean_pacers.retain(|home, _| homes.contains_key(home));
         let mut effects = Vec::new();
@@ -146,7 +179,7 @@
             let near = homes.iter().filter(|(home, _)| *home != to).map(|(_, (load, _))| sum_of(load));
             let others = near.fold(elsewhere, Sum::plus);
             let pacer = self.mean_pacers.entry(to.clone()).or_default();
-            if pacer.due(now, &others) {
+            if pacer.due(now, &others, every) {
                 let (to, service, emptiest) = (to.clone(), service.clone(), emptiest.to_vec());
                 effects.push(Effect::Mean { to, service, others, emptiest });
             }
