Routers compare what they know of upstreams; lost news is made up for

News of an upstream is passed on so many times and then no more; while a fleet starts, routers know few peers and the passes are used up on those. Nothing compared afterwards. Ruled out: the VM list (all were listed), probing (their home had them serving), damping, losses on loopback. Change: each packet carries a digest of all words; two routers that differ for a second send each other all they know. Before: news_that_got_lost_on_the_way_is_made_up_for fails ('never heard that an engine leaves'). After: passes, with the other tests of stairvale-control and stairvale-membership.

--- a/crates/stairvale-control/src/handlers/frames.rs
+++ b/crates/stairvale-control/src/handlers/frames.rs
@@ -62,6 +62,7 @@
             }
             Frame::FetchVms => self.send_vms(from),
             Frame::Vms { revision, vms } => self.vms(revision, &vms),
+            Frame::FetchWords => self.send_words(from),
             Frame::Words(words) => {
                 for word in &words {
                     self.hear(word);
--- a/crates/stairvale-control/src/handlers/members.rs
+++ b/crates/stairvale-control/src/handlers/members.rs
@@ -12,6 +12,10 @@
 /// A peer's hint of a newer list is followed this often at the most.
 const HINT_EVERY: Duration = Duration::from_millis(100);
 
+/// Words that differ for so long are not just on their way.
+const WORDS_PATIENCE: Duration = Duration::from_millis(1_000);
+/// All words are asked for this often at the most.
+const WORDS_EVERY: Duration = Duration::from_secs(2);
 /// The job of telling joiners what is known of upstreams.
 const WORDS: &str = "words";
 
@@ -37,7 +41,10 @@
                     self.audit(Event::RouterLeaves { router });
                 }
                 swim::Effect::Upstream(word) => self.hear(&word),
-                swim::Effect::Versions { from, generation, vms } => self.versions(&from, generation, vms),
+                swim::Effect::Versions { from, generation, vms, words } => {
+                    self.versions(&from, generation, vms);
+                    self.compare_words(&from, words);
+                }
             }
         }
         if changed {
@@ -58,9 +65,30 @@
         if !tells || !hears {
             return;
         }
+        self.send_words(joined);
+    }
+
+    pub(crate) fn send_words(&mut self, to: &id::Router) {
         let words: Vec<_> = self.fleet.upstreams.iter().filter_map(|upstream| upstream.word.clone()).collect();
         if !words.is_empty() {
-            self.send(joined, Frame::Words(words));
+            self.send(to, Frame::Words(words));
+        }
+    }
+
+    /// News is passed on only so often and may get lost, so routers compare digests of what they know. A difference that
+    /// lasts is made up for by asking for everything.
+    pub(crate) fn compare_words(&mut self, from: &id::Router, theirs: u64) {
+        if theirs == self.words {
+            self.schedule.words_differ = None;
+            return;
+        }
+        let since = *self.schedule.words_differ.get_or_insert(self.now);
+        let recent = self.schedule.words_fetched.is_some_and(|at| self.now.since(at) < WORDS_EVERY);
+        if self.now.since(since) >= WORDS_PATIENCE && !recent {
+            self.schedule.words_fetched = Some(self.now);
+            // Whichever of the two knows more, the other learns it, and passes it on as news.
+            self.send_words(from);
+            self.send(from, Frame::FetchWords);
         }
     }
 
@@ -96,6 +124,7 @@
         for router in routers {
             self.fleet.swim.introduce(router.address);
         }
+        self.digest_words();
         self.refresh();
         self.tell_versions();
     }
--- a/crates/stairvale-control/src/handlers/upstreams.rs
+++ b/crates/stairvale-control/src/handlers/upstreams.rs
@@ -31,6 +31,7 @@
             self.home.forget_upstream(upstream);
         }
         if !forgotten.is_empty() {
+            self.digest_words();
             self.refresh();
         }
         let due: Vec<_> = self.probing.iter().filter(|(_, p)| self.is_probe_due(p)).map(|(u, _)| u.clone()).collect();
@@ -58,6 +59,12 @@
         self.outputs.push(Output::Probe { upstream: upstream.clone(), address });
     }
 
+    /// Works out the digest of all words anew, after any of them changed.
+    pub(crate) fn digest_words(&mut self) {
+        self.words = self.fleet.upstreams.digest();
+        self.fleet.swim.set_words(self.words);
+    }
+
     pub(crate) fn probed(&mut self, upstream: &id::Upstream, report: Option<Report>) {
         let Some(probing) = self.probing.get_mut(upstream) else {
             return;
@@ -94,6 +101,7 @@
             let to = state_name(word.state).to_owned();
             self.audit(Event::UpstreamChanged { upstream: word.upstream.clone(), from, to });
         }
+        self.digest_words();
         self.sync_open(&word.upstream);
         let effects = self.fleet.swim.spread(word.clone());
         self.swim_effects(effects);
--- a/crates/stairvale-control/src/node.rs
+++ b/crates/stairvale-control/src/node.rs
@@ -162,6 +162,8 @@
     pub vms_hint: Moment,
     pub manifest: Option<Moment>,
     pub manifest_revision: u64,
+    pub words_differ: Option<Moment>,
+    pub words_fetched: Option<Moment>,
     pub watching: bool,
     pub watch_after: Moment,
 }
@@ -197,6 +199,8 @@
     pub(crate) probing: BTreeMap<id::Upstream, Probing>,
     pub(crate) generations: HashMap<id::Router, u64>,
     pub(crate) explain: explain::Memory,
+    /// The digest of the words that this router knows.
+    pub(crate) words: u64,
     pub(crate) schedule: Schedule,
     pub(crate) rejoining: bool,
     pub(crate) leaving: bool,
@@ -238,6 +242,7 @@
             probing: BTreeMap::new(),
             generations: HashMap::new(),
             explain: explain::Memory::default(),
+            words: 0,
             schedule: Schedule::default(),
             rejoining: false,
             leaving: false,
--- a/crates/stairvale-control/tests/fleet.rs
+++ b/crates/stairvale-control/tests/fleet.rs
@@ -215,3 +215,16 @@
     assert_eq!(records[0].upstream.as_ref(), Some(&world.grants[0].1.upstream));
     assert!(records[0].steps.iter().any(|step| step.contains("granted")), "{:?}", records[0].steps);
 }
+
+#[test]
+fn news_that_got_lost_on_the_way_is_made_up_for() {
+    let mut world = World::settled(15, 2, 2);
+    world.faults.no_news = true;
+    world.drain("b-engine-0");
+    world.run(SECOND * 5);
+    world.faults.no_news = false;
+    world.run(SECOND * 5);
+    for (name, slot) in &world.routers {
+        assert_eq!(slot.node.stats().usable, 8, "{name} never heard that an engine leaves");
+    }
+}
--- a/crates/stairvale-control/tests/world/mod.rs
+++ b/crates/stairvale-control/tests/world/mod.rs
@@ -67,6 +67,8 @@
     pub doubled: f64,
     /// The longest delay of a message, in microseconds.
     pub delay_us: u64,
+    /// No news of upstreams rides on datagrams.
+    pub no_news: bool,
     /// Pairs of availability zones that don't hear each other.
     pub cuts: HashSet<(String, String)>,
     /// Answers of the store that are lost after the call took effect.
@@ -77,7 +79,15 @@
 
 impl Default for Faults {
     fn default() -> Self {
-        Self { loss: 0.0, doubled: 0.0, delay_us: 2_000, cuts: HashSet::new(), lost_answers: 0.0, store_down: false }
+        Self {
+            loss: 0.0,
+            doubled: 0.0,
+            delay_us: 2_000,
+            no_news: false,
+            cuts: HashSet::new(),
+            lost_answers: 0.0,
+            store_down: false,
+        }
     }
 }
 
@@ -537,7 +547,10 @@
         self.push(at, Event::Input(to.to_owned(), there, input));
     }
 
-    fn send_datagram(&mut self, from: &str, to: SocketAddr, packet: stairvale_wire::Packet) {
+    fn send_datagram(&mut self, from: &str, to: SocketAddr, mut packet: stairvale_wire::Packet) {
+        if self.faults.no_news {
+            packet.updates.retain(|update| matches!(update, stairvale_wire::Update::Member(_)));
+        }
         let Some((name, slot)) = self.routers.iter().find(|(_, slot)| slot.address == to) else {
             return;
         };
--- a/crates/stairvale-membership/src/swim.rs
+++ b/crates/stairvale-membership/src/swim.rs
@@ -70,6 +70,8 @@
         generation: u64,
         /// Its list's revision.
         vms: u64,
+        /// The digest of the words it knows.
+        words: u64,
     },
 }
 
@@ -118,6 +120,7 @@
     rng: ChaCha8Rng,
     generation: u64,
     vms: u64,
+    words: u64,
     heard: Moment,
 }
 
@@ -139,6 +142,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             generation: 0,
             vms: 0,
+            words: 0,
             heard: Moment::ZERO,
         }
     }
@@ -208,6 +212,11 @@
         self.rumour()
     }
 
+    /// The digest of the words that this router knows, told with every packet.
+    pub fn set_words(&mut self, digest: u64) {
+        self.words = digest;
+    }
+
     /// News of an upstream to pass on; a few peers are told at once.
     pub fn spread(&mut self, word: Word) -> Vec<Effect> {
         self.enqueue(Update::Upstream(word));
@@ -265,7 +274,12 @@
         for update in packet.updates {
             effects.extend(self.learn(now, update));
         }
-        effects.push(Effect::Versions { from: packet.from.clone(), generation: packet.generation, vms: packet.vms });
+        effects.push(Effect::Versions {
+            from: packet.from.clone(),
+            generation: packet.generation,
+            vms: packet.vms,
+            words: packet.words,
+        });
         match packet.body {
             Body::Ping { probe } => effects.push(self.packet(from, Body::Ack { probe })),
             Body::Ack { probe } => effects.extend(self.acked(probe)),
@@ -436,6 +450,7 @@
             from: self.me.router.clone(),
             generation: self.generation,
             vms: self.vms,
+            words: self.words,
             body,
             updates: vec![Update::Member(self.me.clone())],
         };
--- a/crates/stairvale-membership/src/upstreams.rs
+++ b/crates/stairvale-membership/src/upstreams.rs
@@ -122,6 +122,13 @@
         self.table.values()
     }
 
+    /// A digest of all words: two routers with the same one know the same.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let words = self.table.values().filter_map(|upstream| upstream.word.as_ref());
+        words.map(digest).fold(0, u64::wrapping_add)
+    }
+
     /// The revision of the platform's list that this builds on.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -244,3 +251,12 @@
         }
     }
 }
+
+/// One word's part of the digest.
+fn digest(word: &Word) -> u64 {
+    /// Spreads small differences over all bits (the golden ratio's fraction, as in Fibonacci hashing).
+    const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+    let (boot, change, reach) = word.order();
+    let mixed = |hash: u64, value: u64| (hash ^ value).wrapping_mul(SPREAD).rotate_left(23);
+    [boot, change, reach].into_iter().fold(word.upstream.hash64(), mixed)
+}
--- a/crates/stairvale-wire/src/frame.rs
+++ b/crates/stairvale-wire/src/frame.rs
@@ -96,6 +96,8 @@
         /// The list.
         vms: Vec<Vm>,
     },
+    /// Asks for all that the receiver knows of upstreams.
+    FetchWords,
     /// All that the sender knows of upstreams, for a router that just joined or was cut off.
     Words(Vec<Word>),
     /// An entry asks the shard's keeper to claim a key.
@@ -147,7 +149,7 @@
             Self::Mean { .. } => "mean",
             Self::Trouble { .. } => "trouble",
             Self::Manifest(_) | Self::FetchManifest | Self::FetchChunks(_) | Self::Chunks(_) => "configuration",
-            Self::FetchVms | Self::Vms { .. } | Self::Words(_) => "vms",
+            Self::FetchVms | Self::Vms { .. } | Self::FetchWords | Self::Words(_) => "vms",
             Self::Claim { .. } | Self::Claimed { .. } | Self::Settle { .. } | Self::Settled { .. } => "claim",
         }
     }
--- a/crates/stairvale-wire/src/packet.rs
+++ b/crates/stairvale-wire/src/packet.rs
@@ -17,6 +17,8 @@
     pub generation: u64,
     /// The revision of the sender's list of VMs.
     pub vms: u64,
+    /// A digest of all words of upstreams that the sender knows.
+    pub words: u64,
     /// What this packet is.
     pub body: Body,
     /// News, the freshest first.
