--- a/crates/stairvale-control/tests/fleet.rs
+++ b/crates/stairvale-control/tests/fleet.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 use stairvale_control::apply::Outcome;
 use stairvale_permit::account::SETTLE;
+use stairvale_wire::{ClaimVerdict, Frame};
 use world::{DOCUMENT, Fate, World};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -228,3 +229,20 @@
         assert_eq!(slot.node.stats().usable, 8, "{name} never heard that an engine leaves");
     }
 }
+
+#[test]
+fn a_second_copy_of_an_answer_does_not_give_a_running_claim_back() {
+    let mut world = World::settled(16, 2, 2);
+    world.settles = 0.0;
+    let first = world.claim("a-router-0", 5);
+    world.run(SECOND);
+    let key = world.claim_keys[&first];
+    assert_eq!(world.ran[&key], [first]);
+    let copy = Frame::Claimed { key, attempt: first, verdict: ClaimVerdict::Yours { fence: 1 } };
+    world.frame("a-router-0", "b-router-0", copy);
+    world.run(SECOND * 3);
+    let second = world.claim("c-router-0", 5);
+    world.run(SECOND);
+    assert_eq!(world.claims[&second], ClaimVerdict::Running);
+    world.assert_at_most_once();
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -35,7 +35,7 @@
 mutant "a claim is answered before it is written" crates/stairvale-claim/src/shard.rs \
   's/let mut effects = self\.answer_known\(&record\);/let mut effects: Vec<_> = std::mem::take(\&mut self.wishes).iter().map(|w| answer(w, ClaimVerdict::Yours { fence: 0 })).collect();/' stairvale-claim shard
 mutant "a doubled answer gives a running claim back" crates/stairvale-control/src/handlers/claims.rs \
-  's/let given_up = self\.given_up\.contains_key\(&attempt\);/let given_up = true;/' stairvale-control random
+  's/let given_up = self\.given_up\.contains_key\(&attempt\);/let given_up = true;/' stairvale-control fleet
 mutant "a keeper gives back what it never wrote" crates/stairvale-claim/src/shard.rs \
   's/if wish\.written \&\&/if true \&\&/' stairvale-claim shard
 mutant "a lower generation is taken" crates/stairvale-control/src/generation.rs \
