--- a/crates/stairvale-router/tests/parts.rs
+++ b/crates/stairvale-router/tests/parts.rs
@@ -2,13 +2,16 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
-use std::time::Duration;
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use quickcheck::quickcheck;
+use stairvale_config::{Document, document::key_hash};
 use stairvale_router::{
-    Problem, Settings, head,
+    Problem, Settings,
+    head::{self, Head},
     problem::{Bad, Unknown},
+    shared::{Account, Snapshot},
     sse::Splitter,
     upstream::pass_on,
 };
@@ -74,7 +77,48 @@
     assert!(!head::is_returning(b"not json"));
 }
 
+/// A snapshot with one service and one customer, whose key is `k`.
+fn snapshot() -> Snapshot {
+    let key_hash = key_hash("k");
+    let text = format!(
+        "zones: []\nservices:\n  - name: chat\n    kind: plain\ncustomers:\n  - name: c\n    key_hash: {key_hash}\noperators: []\n"
+    );
+    let document = Document::parse(&text).unwrap();
+    let account = Account { customer: document.customers[0].clone(), limiter: None };
+    let customers = HashMap::from([(key_hash, account)]);
+    Snapshot { document: Arc::new(document), customers: Arc::new(customers), ..Snapshot::default() }
+}
+
+const HEADERS: [&str; 5] =
+    ["priority", "stairvale-deadline-ms", "stairvale-chat", "idempotency-key", "stairvale-repeatable"];
+
 quickcheck! {
+    fn any_headers_are_a_head_or_a_problem(values: Vec<(usize, Vec<u8>)>) -> bool {
+        let snapshot = snapshot();
+        let mut headers = HeaderMap::new();
+        headers.insert("authorization", HeaderValue::from_static("Bearer k"));
+        for (which, value) in values {
+            if let Ok(value) = HeaderValue::from_bytes(&value) {
+                headers.insert(HEADERS[which % HEADERS.len()], value);
+            }
+        }
+        let uri = "/chat/x?y".parse().unwrap();
+        match Head::parse(&snapshot, &Method::POST, &uri, &headers) {
+            Ok(head) => head.rest == "/x?y" && !head.deadline.is_zero(),
+            Err(bad) => bad != Bad::Key && bad != Bad::Service,
+        }
+    }
+
+    fn any_key_but_the_right_one_is_refused(value: Vec<u8>) -> bool {
+        let snapshot = snapshot();
+        let mut headers = HeaderMap::new();
+        if let Ok(value) = HeaderValue::from_bytes(&value) {
+            headers.insert("authorization", value);
+        }
+        let uri = "/chat/x".parse().unwrap();
+        matches!(Head::parse(&snapshot, &Method::GET, &uri, &headers), Err(Bad::Key))
+    }
+
     fn events_come_back_in_any_pieces(cuts: Vec<usize>) -> bool {
         let stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n: comment\n\nid: 3\ndata: [DONE]\n\n";
         let mut cuts: Vec<_> = cuts.into_iter().map(|cut| cut % stream.len()).collect();
