An answer is handed out once its claim's keeper knows it

Cause: the entry told the keeper the answer and handed it to the caller in the same moment. A repeat at another router (most surely at the keeper itself) overtakes that word, and the keeper still says "running". Ruled out: the keeper's record (the write lingers 400 ms, but pending settlements are looked at first), a lost settlement (none in the log), a second run (the counter said 1).

Change: the keeper answers `Noted` as soon as it knows of an answer; the entry hands the answer out then, or after 1 s without a keeper. One exchange with the keeper more, no write.

Seen failing first: world test whoever_has_an_answer_gets_it_again_at_any_router (links of up to 20 ms) failed when the world handed answers out at once, as the shell did: verdict Running. It passes now, with all of control's and claim's tests.

--- a/crates/stairvale-claim/examples/growth.rs
+++ b/crates/stairvale-claim/examples/growth.rs
@@ -49,7 +49,7 @@
                     Reply::Written(revision + 1)
                 }
                 Effect::WriteSegment { .. } => Reply::SegmentWritten,
-                Effect::ReadSegment { .. } | Effect::Settled { .. } => continue,
+                Effect::ReadSegment { .. } | Effect::Settled { .. } | Effect::Noted { .. } => continue,
                 Effect::Answer { key, attempt, .. } => {
                     let body = Some("{\"receipt\":\"receipt-0123456789abcdef\"}".into());
                     let stored = Stored { status: 200, content_type: "application/json".into(), body };
--- a/crates/stairvale-claim/src/shard.rs
+++ b/crates/stairvale-claim/src/shard.rs
@@ -76,6 +76,13 @@
         /// Its text.
         text: String,
     },
+    /// Tell an entry that this keeper knows what became of its request, though it isn't written down yet.
+    Noted {
+        /// The entry.
+        to: id::Router,
+        /// The attempt.
+        attempt: id::Attempt,
+    },
     /// Tell an entry that what became of its request is kept.
     Settled {
         /// The entry.
@@ -220,7 +227,12 @@
         stored: Option<Stored>,
     ) -> Vec<Effect> {
         let doubled = self.settlements.iter().any(|settlement| settlement.attempt == attempt && settlement.key == key);
-        if doubled || self.settlements.len() >= MAX_SETTLEMENTS {
+        // An answer is handed out once a keeper knows of it, so that its repeat meets it at any router.
+        let noted = stored.is_some().then(|| Effect::Noted { to: from.clone(), attempt });
+        if doubled {
+            return noted.into_iter().collect();
+        }
+        if self.settlements.len() >= MAX_SETTLEMENTS {
             // The entry tells it again until it hears that it is kept.
             return Vec::new();
         }
@@ -230,7 +242,9 @@
         };
         let stored = stored.map(trim);
         self.settlements.push(Settlement { key, attempt, stored, from: Some(from.clone()), since: now });
-        self.advance(now, now_ms)
+        let mut effects: Vec<_> = noted.into_iter().collect();
+        effects.extend(self.advance(now, now_ms));
+        effects
     }
 
     /// The store answered.
--- a/crates/stairvale-claim/tests/shard.rs
+++ b/crates/stairvale-claim/tests/shard.rs
@@ -44,7 +44,7 @@
                 self.segments.insert(id.clone(), text.clone());
                 Reply::SegmentWritten
             }
-            Effect::Settled { .. } | Effect::Answer { .. } => return None,
+            Effect::Settled { .. } | Effect::Noted { .. } | Effect::Answer { .. } => return None,
         };
         if self.loses() { Some(Reply::Lost) } else { Some(reply) }
     }
@@ -87,6 +87,7 @@
                     self.settled.push(*attempt);
                     continue;
                 }
+                Effect::Noted { .. } => continue,
                 _ => {}
             }
             let reply = self.store.call(&effect).unwrap();
--- a/crates/stairvale-claim/tests/spec.rs
+++ b/crates/stairvale-claim/tests/spec.rs
@@ -190,7 +190,7 @@
                     }
                     self.entries[usize::try_from(attempt.0).unwrap()].inbox.push_back(verdict);
                 }
-                Effect::Settled { .. } => {}
+                Effect::Settled { .. } | Effect::Noted { .. } => {}
                 call => {
                     self.made.insert(if matches!(call, Effect::Read) { "read" } else { "write" });
                     assert!(self.calls[keeper].is_none(), "two calls at a time");
--- a/crates/stairvale-control/src/handlers/claims.rs
+++ b/crates/stairvale-control/src/handlers/claims.rs
@@ -163,6 +163,7 @@
                     let key = format!("claims/{number}/{id}");
                     self.call(Purpose::Segment(number, id), key, Action::Create { value: text, keep: SEGMENT_KEEP });
                 }
+                shard::Effect::Noted { to, attempt } => self.send(&to, Frame::Noted { attempt }),
                 shard::Effect::Settled { to, key, attempt } => self.send(&to, Frame::Settled { key, attempt }),
                 shard::Effect::Answer { to, key, attempt, verdict } => {
                     self.send(&to, Frame::Claimed { key, attempt, verdict });
--- a/crates/stairvale-control/src/io.rs
+++ b/crates/stairvale-control/src/io.rs
@@ -223,6 +223,11 @@
         /// What it says.
         verdict: ClaimVerdict,
     },
+    /// The claim's keeper knows what became of an attempt, so its answer may be handed out. May come more than once.
+    Noted {
+        /// The attempt.
+        attempt: id::Attempt,
+    },
     /// Probe an upstream.
     Probe {
         /// The upstream.
--- a/crates/stairvale-control/tests/fleet.rs
+++ b/crates/stairvale-control/tests/fleet.rs
@@ -246,3 +246,24 @@
     assert_eq!(world.claims[&second], ClaimVerdict::Running);
     world.assert_at_most_once();
 }
+
+#[test]
+fn whoever_has_an_answer_gets_it_again_at_any_router() {
+    let mut world = World::settled(17, 2, 2);
+    world.settles = 1.0;
+    // Some keepers are far from the first router and near to the one that is asked next.
+    world.faults.delay_us = 20_000;
+    let routers = world.live();
+    for key in 0..60 {
+        let first = world.claim("a-router-0", key);
+        while !world.answered.contains(&first) {
+            world.run(Duration::from_micros(100));
+        }
+        let router = &routers[usize::try_from(key).unwrap() % routers.len()];
+        let again = world.claim(router, key);
+        world.run(SECOND);
+        let verdict = &world.claims[&again];
+        assert!(matches!(verdict, ClaimVerdict::Ran(_)), "key {key} at {router}: {verdict:?}");
+    }
+    world.assert_at_most_once();
+}
--- a/crates/stairvale-control/tests/world/mod.rs
+++ b/crates/stairvale-control/tests/world/mod.rs
@@ -204,6 +204,8 @@
     pub entries: HashMap<id::Attempt, String>,
     /// Attempts that ran for each key.
     pub ran: HashMap<id::Key, Vec<id::Attempt>>,
+    /// Attempts whose answer an entry may hand out.
+    pub answered: HashSet<id::Attempt>,
     /// What was told about claims.
     pub claims: HashMap<id::Attempt, ClaimVerdict>,
     /// Keys of claims.
@@ -235,6 +237,7 @@
             fates: HashMap::new(),
             entries: HashMap::new(),
             ran: HashMap::new(),
+            answered: HashSet::new(),
             claims: HashMap::new(),
             claim_keys: HashMap::new(),
             grants: Vec::new(),
@@ -487,6 +490,7 @@
                 }
             }
             Output::Claimed { attempt, verdict } => self.claimed(name, attempt, &verdict),
+            Output::Noted { attempt } => drop(self.answered.insert(attempt)),
             Output::Probe { upstream, .. } => self.probe(name, &upstream),
             Output::Store(call) => {
                 let life = self.routers[name].life;
--- a/crates/stairvale-router/src/control.rs
+++ b/crates/stairvale-router/src/control.rs
@@ -39,6 +39,7 @@
     caller: Caller,
     waiting: HashMap<id::Attempt, oneshot::Sender<Decision>>,
     claiming: HashMap<id::Attempt, oneshot::Sender<ClaimVerdict>>,
+    noting: HashMap<id::Attempt, oneshot::Sender<()>>,
 }
 
 /// Runs the loop until nobody can send commands any more.
@@ -57,6 +58,7 @@
         caller: Caller::new(shared.clone()),
         waiting: HashMap::new(),
         claiming: HashMap::new(),
+        noting: HashMap::new(),
         shared,
     };
     let mut ticks = tokio::time::interval(TICK);
@@ -85,6 +87,11 @@
                 self.claiming.insert(attempt, reply);
                 self.handle(Input::Claim { key, attempt });
             }
+            Command::Settle(key, attempt, stored, reply) => {
+                self.noting.retain(|_, reply| !reply.is_closed());
+                self.noting.insert(attempt, reply);
+                self.handle(Input::Settle { key, attempt, stored: Some(stored) });
+            }
             // Whoever asked may have gone; then nobody misses the answer.
             Command::Status(reply) => drop(reply.send(self.status())),
             Command::Config(reply) => drop(reply.send(self.config())),
@@ -136,6 +143,12 @@
                     let _ = reply.send(verdict);
                 }
             }
+            Output::Noted { attempt } => {
+                if let Some(reply) = self.noting.remove(&attempt) {
+                    // Who waited may have given up; the answer is handed out all the same.
+                    let _ = reply.send(());
+                }
+            }
             Output::Probe { upstream, .. } => {
                 if let Some(place) = self.place(&upstream) {
                     tokio::spawn(self.prober.clone().probe(upstream, place));
--- a/crates/stairvale-router/src/once.rs
+++ b/crates/stairvale-router/src/once.rs
@@ -33,6 +33,8 @@
 const SEND_BY: Duration = Duration::from_secs(60);
 /// Upstreams that are tried for a connection.
 const TRIES: u32 = 3;
+/// An answer in hand waits no longer than this for the claim's keeper to know it.
+const NOTED_BY: Duration = Duration::from_secs(1);
 /// When to come back if the router has no answer from its own control thread.
 const RETRY_STOPPING: Duration = Duration::from_secs(1);
 
@@ -69,8 +71,12 @@
         .inspect_err(|_| claim.offered.store(true, Ordering::Relaxed))
     }
 
-    fn settle(&self, stored: Stored) {
-        self.shared.tell(Input::Settle { key: self.key, attempt: self.attempt, stored: Some(stored) });
+    /// Tells the claim's keeper the answer, and waits until it knows it: a caller that has the answer gets the same one
+    /// again from any router.
+    async fn settle(&self, stored: Stored) {
+        let noted = self.shared.ask(|reply| Command::Settle(self.key, self.attempt, stored, reply));
+        // Without a keeper the answer goes out all the same: it is whole, and whoever repeats the key is told `unknown`.
+        let _ = tokio::time::timeout(NOTED_BY, noted).await;
     }
 }
 
@@ -104,7 +110,7 @@
     };
     ready.call.fence = Some(claim.fence);
     let (response, stored) = send(shared, client, &mut ready, &claim.offered, Some(&claim)).await?;
-    claim.settle(stored);
+    claim.settle(stored).await;
     Ok(response)
 }
 
--- a/crates/stairvale-router/src/shared.rs
+++ b/crates/stairvale-router/src/shared.rs
@@ -16,7 +16,7 @@
 use stairvale_control::{Fleet, Input, explain, io::Request, stats::Stats};
 use stairvale_permit::request::Grant;
 use stairvale_types::{Refusal, id, unit};
-use stairvale_wire::ClaimVerdict;
+use stairvale_wire::{ClaimVerdict, Stored};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{audit, faults, metrics::Metrics, settings::Settings};
@@ -101,6 +101,8 @@
     Request(Request, oneshot::Sender<Decision>),
     /// A request wants its claim.
     Claim(id::Key, id::Attempt, oneshot::Sender<ClaimVerdict>),
+    /// A claimed request got its answer; the reply says that the claim's keeper knows it.
+    Settle(id::Key, id::Attempt, Stored, oneshot::Sender<()>),
     /// Tell the state.
     Status(oneshot::Sender<Status>),
     /// Tell the configuration in force with its chunks.
--- a/crates/stairvale-wire/src/frame.rs
+++ b/crates/stairvale-wire/src/frame.rs
@@ -132,6 +132,11 @@
         /// The attempt.
         attempt: id::Attempt,
     },
+    /// The keeper knows what became of a claimed request: whoever asks it from now on is told.
+    Noted {
+        /// The attempt.
+        attempt: id::Attempt,
+    },
 }
 
 impl Frame {
@@ -150,7 +155,11 @@
             Self::Trouble { .. } => "trouble",
             Self::Manifest(_) | Self::FetchManifest | Self::FetchChunks(_) | Self::Chunks(_) => "configuration",
             Self::FetchVms | Self::Vms { .. } | Self::FetchWords | Self::Words(_) => "vms",
-            Self::Claim { .. } | Self::Claimed { .. } | Self::Settle { .. } | Self::Settled { .. } => "claim",
+            Self::Claim { .. }
+            | Self::Claimed { .. }
+            | Self::Settle { .. }
+            | Self::Settled { .. }
+            | Self::Noted { .. } => "claim",
         }
     }
 }
