A repeatable request that an upstream may have is never said to be not run

Cause: serve_repeatable noted that a request was offered only after the upstream's head came. A deadline that passed before the head dropped the future with the note unset, and the caller was told "not-run" although the request ran. Ruled out: once.rs, which notes it before the first byte.

Change: it is noted before the request goes to a connection, and taken back only if no connection could be made.

Seen failing first: a_lookup_that_an_upstream_has_is_not_said_to_be_not_run ("held-0 ran 1 times, and its caller was told not-run"), with a new fault of the stand-in service that holds answers back.

--- a/crates/stairvale-router/src/caller.rs
+++ b/crates/stairvale-router/src/caller.rs
@@ -2,7 +2,10 @@
 
 use std::{
     convert::Infallible,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -254,7 +257,8 @@
     in_flight: InFlight,
 ) -> Result<Response<Body>, Problem> {
     let deadline = ready.deadline;
-    let mut offered = false;
+    // Whether an upstream may have it. The deadline can pass at any point below, so this is set before each try.
+    let offered = AtomicBool::new(false);
     let mut in_flight = Some(in_flight);
     let work = async {
         for _ in 0..TRIES {
@@ -262,13 +266,13 @@
             let asked = ready.ask(shared, &permit).await;
             let (place, grant) = match asked {
                 Ok(granted) => granted,
-                Err(_) if offered => return Err(Unknown::Broken.into()),
+                Err(_) if offered.load(Ordering::Relaxed) => return Err(Unknown::Broken.into()),
                 Err(refusal) => return Err(refusal.into()),
             };
             ready.prepare(shared, &grant, true);
+            let before = offered.swap(true, Ordering::Relaxed);
             let failure = match client.ask(&place, &ready.call).await {
                 Ok(response) if is_stream(&response) => {
-                    offered = true;
                     match stream(shared, client, place, permit, response, &mut in_flight).await {
                         Ok(response) => return Ok(response),
                         Err(failure) => failure,
@@ -280,18 +284,20 @@
                     failure
                 }
             };
-            offered |= failure != Failure::Unreachable;
+            if failure == Failure::Unreachable {
+                offered.store(before, Ordering::Relaxed);
+            }
             shared.metrics.count(Outcome::Retried);
             ready.avoid.push(grant.upstream);
         }
-        if offered {
+        if offered.load(Ordering::Relaxed) {
             return Err(Unknown::Broken.into());
         }
         Err(Refusal::new(Reason::NoUpstream, RETRY_NOT_READY).into())
     };
     let result: Result<Result<_, Problem>, _> = tokio::time::timeout_at(deadline.into(), work).await;
     result.unwrap_or_else(|_| {
-        if offered {
+        if offered.load(Ordering::Relaxed) {
             return Err(Unknown::Deadline.into());
         }
         Err(Refusal::new(Reason::Deadline, RETRY_NOT_READY).into())
--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -29,6 +29,8 @@
     operators: Vec<SocketAddr>,
     engines: Vec<SocketAddr>,
     services: Vec<SocketAddr>,
+    /// Upstreams of a service whose calls may be repeated.
+    slow: Vec<SocketAddr>,
 }
 
 fn free() -> SocketAddr {
@@ -41,6 +43,7 @@
         "zones:\n  - name: a\n    region: r\n  - name: b\n    region: r\n\
          services:\n  - name: chat\n    kind: model\n    model: prairie-8b\n\
          \x20 - name: points\n    kind: plain\n    not_repeatable: [POST]\n\
+         \x20 - name: slow\n    kind: plain\n\
          customers:\n  - name: c\n    key_hash: {customer}\n\
          operators:\n  - name: op\n    key_hash: {operator}\n"
     )
@@ -67,7 +70,8 @@
             .await
             .unwrap();
     });
-    for service in &services {
+    let slow = vec![free()];
+    for service in services.iter().chain(&slow) {
         let listen = service.to_string();
         spawn(move || async move {
             service::run(service::Arguments::parse_args_default(&["--listen", &listen]).unwrap()).await.unwrap();
@@ -98,7 +102,7 @@
         operators.push(operator);
         peers.push(peer);
     }
-    Fleet { platform: platform_at, callers, operators, engines, services }
+    Fleet { platform: platform_at, callers, operators, engines, services, slow }
 }
 
 /// One fleet serves all tests of this file.
@@ -146,6 +150,9 @@
         let name = format!("points-{number}");
         vms.push(json!({ "name": name, "role": "upstream", "zone": "a", "service": "points", "address": service }));
     }
+    for service in &fleet.slow {
+        vms.push(json!({ "name": "slow", "role": "upstream", "zone": "b", "service": "slow", "address": service }));
+    }
     let begun = Instant::now();
     let admin = format!("http://{}/admin/vms", fleet.platform);
     while call(Method::POST, admin.clone(), &[], json!(vms).to_string()).await.is_none() {
@@ -166,7 +173,7 @@
                 call(Method::GET, format!("http://{operators}/v1/status"), &[("authorization", &key)], String::new())
                     .await;
             let stats = status.map(|status| status.json()["stats"].clone()).unwrap_or_default();
-            if stats["usable"] == 4 && stats["routers"] == 2 && stats["generation"] == 1 {
+            if stats["usable"] == 5 && stats["routers"] == 2 && stats["generation"] == 1 {
                 break;
             }
             wait(begun).await;
@@ -247,10 +254,39 @@
     call(Method::POST, faults, &[], "{}".into()).await.unwrap();
 }
 
+#[tokio::test]
+async fn a_lookup_that_an_upstream_has_is_not_said_to_be_not_run() {
+    std::thread::spawn(fleet).join().unwrap();
+    let fleet = fleet();
+    let faults: Vec<_> = fleet.slow.iter().map(|service| format!("http://{service}/admin/faults")).collect();
+    for faults in &faults {
+        call(Method::POST, faults.clone(), &[], "{\"hold\":true}".into()).await.unwrap();
+    }
+    let key = format!("Bearer {CUSTOMER}");
+    for number in 0..4 {
+        let id = format!("held-{number}");
+        let headers =
+            [("authorization", key.as_str()), ("stairvale-deadline-ms", "250"), ("x-request-id", id.as_str())];
+        let uri = format!("http://{}/slow/lookup", fleet.callers[number % 2]);
+        let answer = call(Method::GET, uri, &headers, String::new()).await.unwrap();
+        assert!(!answer.status.is_success());
+        let ran = runs_at(&fleet.slow, &id).await;
+        let told = answer.json()["outcome"].clone();
+        assert!(told != "not-run" || ran == 0, "{id} ran {ran} times, and its caller was told {told}");
+    }
+    for faults in faults {
+        call(Method::POST, faults, &[], "{}".into()).await.unwrap();
+    }
+}
+
 /// How often a request ran at the plain upstreams.
 async fn runs(id: &str) -> u64 {
+    runs_at(&fleet().services, id).await
+}
+
+async fn runs_at(services: &[SocketAddr], id: &str) -> u64 {
     let mut runs = 0;
-    for service in &fleet().services {
+    for service in services {
         let counts =
             call(Method::GET, format!("http://{service}/admin/runs"), &[], String::new()).await.unwrap().json();
         runs += counts[id].as_u64().unwrap_or(0);
--- a/crates/stairvale-standin/src/service.rs
+++ b/crates/stairvale-standin/src/service.rs
@@ -22,6 +22,9 @@
     text,
 };
 
+/// How often a call whose answer is held back looks whether it still is.
+const HOLD_STEP: Duration = Duration::from_millis(20);
+
 /// A service's command line.
 #[derive(Debug, Options)]
 pub struct Arguments {
@@ -45,6 +48,8 @@
     refuse: bool,
     /// The connection breaks after the call ran, before its answer: so many of the next calls.
     break_after: u32,
+    /// Calls run, and their answers are held back until this is switched off.
+    hold: bool,
 }
 
 #[derive(Debug, Default)]
@@ -124,6 +129,9 @@
         if let (Some(id), Some(_)) = (id, &body) {
             self.runs.count(&id);
         }
+        while self.state().faults.hold {
+            tokio::time::sleep(HOLD_STEP).await;
+        }
         self.load.fetch_sub(1, Ordering::Relaxed);
         let body = body?;
         {
