The load names its worst windows, and tells skew at sliver load

At sliver load (mean below one) skew was not measured at all.

Change: the JSON has the three windows with the highest skew (second, mean, engine), and the skew of windows whose mean is below one, apart from the others. No figure of an earlier run changes its meaning.

--- a/crates/stairvale-load/src/report.rs
+++ b/crates/stairvale-load/src/report.rs
@@ -4,6 +4,8 @@
 
 use serde::Serialize;
 
+use crate::sample::Window;
+
 /// A run's figures. A field that wasn't measured is `None`, never 0.
 #[derive(Clone, Debug, Default, Serialize)]
 #[allow(missing_docs)]
@@ -34,6 +36,12 @@
     pub not_run_but_ran: u64,
     /// The mean load of an engine over the windows that skew was taken from.
     pub mean_load: Option<f64>,
+    /// Skew in windows whose mean load is below one.
+    pub sliver_skew_p50: Option<f64>,
+    /// Skew in windows whose mean load is below one.
+    pub sliver_skew_p99: Option<f64>,
+    /// The windows with the highest skew.
+    pub worst_windows: Vec<Window>,
     /// First token of urgent requests.
     pub urgent_first_token_ms_p95: Option<f64>,
     /// First token of long jobs.
--- a/crates/stairvale-load/src/sample.rs
+++ b/crates/stairvale-load/src/sample.rs
@@ -11,6 +11,7 @@
 use futures::future::join_all;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
+use serde::Serialize;
 use serde_json::Value;
 
 use crate::client::{Client, lock};
@@ -19,6 +20,8 @@
 const WINDOW: Duration = Duration::from_millis(100);
 /// Below this mean load skew is only rounding.
 const MIN_MEAN: f64 = 1.0;
+/// Windows with the highest skew that are reported.
+const WORST: usize = 3;
 /// How often the counts of what ran are fetched.
 const RUNS_EVERY: Duration = Duration::from_millis(150);
 /// How often routers are asked while a configuration spreads.
@@ -46,30 +49,69 @@
     pub address: SocketAddr,
 }
 
+/// One window.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Window {
+    /// Seconds since the first window.
+    pub at_s: f64,
+    /// The highest load over the mean.
+    pub skew: f64,
+    /// The mean load.
+    pub mean: f64,
+    /// The engine with the highest load.
+    pub engine: SocketAddr,
+}
+
 /// Max over mean of each window, and the mean itself.
 #[derive(Debug, Default)]
 pub struct Skew {
-    windows: Vec<(f64, f64)>,
+    windows: Vec<Window>,
+    sliver: Vec<Window>,
+}
+
+/// A quantile of windows' skew; `None` of nothing.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+fn quantile(windows: &[Window], quantile: f64) -> Option<f64> {
+    let mut skews: Vec<_> = windows.iter().map(|window| window.skew).collect();
+    skews.sort_by(f64::total_cmp);
+    let index = (quantile * skews.len() as f64) as usize;
+    skews.get(index.min(skews.len().saturating_sub(1))).copied()
 }
 
 impl Skew {
-    /// A quantile over all windows; `None` of nothing.
+    /// A quantile over all windows whose mean is at least one; `None` of nothing.
+    #[must_use]
+    pub fn quantile(&self, part: f64) -> Option<f64> {
+        quantile(&self.windows, part)
+    }
+
+    /// A quantile over the windows below that, where skew is mostly rounding.
     #[must_use]
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
-    pub fn quantile(&self, quantile: f64) -> Option<f64> {
-        let mut skews: Vec<_> = self.windows.iter().map(|(skew, _)| *skew).collect();
-        skews.sort_by(f64::total_cmp);
-        let index = (quantile * skews.len() as f64) as usize;
-        skews.get(index.min(skews.len().saturating_sub(1))).copied()
+    pub fn sliver_quantile(&self, part: f64) -> Option<f64> {
+        quantile(&self.sliver, part)
     }
 
-    /// The mean load over all windows; `None` of nothing.
+    /// The mean load over all windows whose mean is at least one; `None` of nothing.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
     pub fn mean_load(&self) -> Option<f64> {
-        let sum: f64 = self.windows.iter().map(|(_, mean)| *mean).sum();
+        let sum: f64 = self.windows.iter().map(|window| window.mean).sum();
         (!self.windows.is_empty()).then(|| sum / self.windows.len() as f64)
     }
+
+    /// The windows with the highest skew, to look up what happened then.
+    #[must_use]
+    pub fn worst(&self) -> Vec<Window> {
+        let mut worst = self.windows.clone();
+        worst.sort_by(|a, b| b.skew.total_cmp(&a.skew));
+        worst.truncate(WORST);
+        worst
+    }
+
+    fn add(&mut self, window: Window) {
+        let windows = if window.mean >= MIN_MEAN { &mut self.windows } else { &mut self.sliver };
+        windows.push(window);
+    }
 }
 
 /// Asks for JSON; `None` if nobody answers.
@@ -104,29 +146,39 @@
     let mut ticks = tokio::time::interval(WINDOW);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut engines = Vec::new();
+    let begun = Instant::now();
     for tick in 0_u64.. {
         ticks.tick().await;
         if tick % 5 == 0 {
             engines = upstreams(&client, &parts).await;
             engines.retain(|engine| engine.service == client.service);
         }
-        let loads = join_all(engines.iter().map(|engine| load(&client, engine.address))).await;
-        let loads: Vec<f64> = loads.into_iter().flatten().collect();
-        if let Some(window) = window(&loads) {
-            lock(&skew).windows.push(window);
+        let asked = engines.iter().map(|engine| load(&client, engine.address));
+        let loads: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
+        if let Some(window) = window(begun.elapsed(), &loads) {
+            lock(&skew).add(window);
         }
     }
 }
 
 #[allow(clippy::cast_precision_loss)]
-fn window(loads: &[f64]) -> Option<(f64, f64)> {
-    let mean = loads.iter().sum::<f64>() / loads.len() as f64;
-    let max = loads.iter().copied().fold(0.0, f64::max);
-    (mean >= MIN_MEAN).then(|| (max / mean, mean))
+fn window(at: Duration, loads: &[Loaded]) -> Option<Window> {
+    let mean = loads.iter().map(|loaded| loaded.load).sum::<f64>() / loads.len() as f64;
+    let most = loads.iter().max_by(|a, b| a.load.total_cmp(&b.load))?;
+    let window = Window { at_s: at.as_secs_f64(), skew: most.load / mean, mean, engine: most.engine };
+    (mean > 0.0).then_some(window)
+}
+
+/// What an engine carries.
+#[derive(Clone, Copy, Debug)]
+struct Loaded {
+    engine: SocketAddr,
+    load: f64,
 }
 
-async fn load(client: &Client, engine: SocketAddr) -> Option<f64> {
-    get(client, format!("http://{engine}/admin/load"), "").await?["load"].as_f64()
+async fn load(client: &Client, engine: SocketAddr) -> Option<Loaded> {
+    let load = get(client, format!("http://{engine}/admin/load"), "").await?["load"].as_f64()?;
+    Some(Loaded { engine, load })
 }
 
 /// How often each request ran, by upstream. An upstream that leaves takes its counts along, so they are kept here.
