Skew is sampled to the planned end, not to the last repeated plain call

A plain call's repeat may be due up to a second later, and until then the sampler went on while no chats came in: the mean falls to 2 and stragglers make the maximum. Ruled out: two homes granting, degraded grants (0), the engines' own load.

Change: sampling ends at the planned end.

--- a/crates/stairvale-load/src/drive.rs
+++ b/crates/stairvale-load/src/drive.rs
@@ -67,14 +67,14 @@
     let before = counters(&client, &settings.parts).await;
     let begun = Instant::now();
     let skew = Arc::new(Mutex::new(Skew::default()));
-    let sampler = tokio::spawn(sample_after(settings.warmup, client.clone(), settings.parts.clone(), skew.clone()));
+    let sampler = tokio::spawn(sample(settings.clone(), begun, client.clone(), skew.clone()));
     let forcing = tokio::spawn(force(client.clone(), settings.clone()));
     let runs = Arc::new(Mutex::new(sample::Runs::new()));
     let counting = tokio::spawn(sample::keep_runs(client.clone(), settings.parts.clone(), runs.clone()));
     let tasks = start_all(&client, settings.seed, begun).await;
-    // While the last requests run out nothing new comes in, and skew would show only stragglers.
-    sampler.abort();
     finish_all(&client, tasks).await;
+    // It has ended long since, but for a run that is all warm-up.
+    sampler.abort();
     counting.abort();
     let forced = forcing.await.unwrap_or_default();
     let after = counters(&client, &settings.parts).await;
@@ -88,9 +88,12 @@
     report
 }
 
-async fn sample_after(warmup: Duration, client: Arc<Client>, parts: Parts, skew: Arc<Mutex<Skew>>) {
-    tokio::time::sleep(warmup).await;
-    sample::skew(client, parts, skew).await;
+/// Samples skew from the warm-up to the planned end. Some plain calls are repeated after that, when no chats come in any more,
+/// and skew would show only stragglers.
+async fn sample(settings: Settings, begun: Instant, client: Arc<Client>, skew: Arc<Mutex<Skew>>) {
+    tokio::time::sleep(settings.warmup).await;
+    let end = begun + Duration::from_secs_f64(settings.shape.seconds);
+    let _ = tokio::time::timeout_at(end.into(), sample::skew(client, settings.parts, skew)).await;
 }
 
 fn total(runs: &sample::Runs) -> HashMap<String, u64> {
