Tests' addresses lie where no outgoing connection starts from; the lab says what is missing

Cause: the path test picked each free port by itself and let it go. Another part's outgoing connection could take it before its listener did, or the same port came twice (about 0.3% of runs by the birthday bound).

Change: the test's addresses are picked together at 127.0.0.2; the lab gives up on a platform that doesn't answer and prints which parts ended and what isn't usable, so that the next such start tells its cause.

--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -33,8 +33,11 @@
     slow: Vec<SocketAddr>,
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Free addresses, picked together so that none comes twice. They lie where no connection starts from: an outgoing
+/// connection of another test takes its port at 127.0.0.1, and could take one that was just found free there.
+fn free(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.2:0").unwrap()).collect();
+    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
 }
 
 fn document() -> String {
@@ -62,47 +65,57 @@
 }
 
 fn start() -> Fleet {
-    let platform_at = free();
-    let services: Vec<_> = (0..2).map(|_| free()).collect();
-    let listen = platform_at.to_string();
+    let mut free = free(12).into_iter();
+    let mut take = |count| free.by_ref().take(count).collect::<Vec<_>>();
+    let fleet = Fleet {
+        platform: take(1)[0],
+        services: take(2),
+        slow: take(1),
+        engines: take(2),
+        callers: take(2),
+        operators: take(2),
+    };
+    start_stand_ins(&fleet);
+    start_routers(&fleet, &take(2));
+    fleet
+}
+
+fn start_stand_ins(fleet: &Fleet) {
+    let listen = fleet.platform.to_string();
     spawn(move || async move {
         platform::run(platform::Arguments::parse_args_default(&["--listen", &listen, "--lag-ms", "0"]).unwrap())
             .await
             .unwrap();
     });
-    let slow = vec![free()];
-    for service in services.iter().chain(&slow) {
+    for service in fleet.services.iter().chain(&fleet.slow) {
         let listen = service.to_string();
         spawn(move || async move {
             service::run(service::Arguments::parse_args_default(&["--listen", &listen]).unwrap()).await.unwrap();
         });
     }
-    let engines: Vec<_> = (0..2).map(|_| free()).collect();
-    for engine in &engines {
+    for engine in &fleet.engines {
         let listen = engine.to_string();
         spawn(move || async move {
             engine::run(engine::Arguments::parse_args_default(&["--listen", &listen]).unwrap()).await.unwrap();
         });
     }
-    let mut callers = Vec::new();
-    let mut operators = Vec::new();
-    let mut peers = Vec::new();
-    for zone in ["a", "b"] {
-        let (caller, operator, peer) = (free(), free(), free());
-        let seeds: Vec<_> = peers.iter().map(SocketAddr::to_string).collect();
+}
+
+/// The second router is told of the first.
+fn start_routers(fleet: &Fleet, peers: &[SocketAddr]) {
+    for (number, zone) in ["a", "b"].into_iter().enumerate() {
+        let (caller, operator, peer) = (fleet.callers[number], fleet.operators[number], peers[number]);
+        let seeds: Vec<_> = peers[..number].iter().map(SocketAddr::to_string).collect();
         let text = format!(
             "router: router-{zone}\nzone: {zone}\ncallers: {caller}\noperators: {operator}\npeers: {peer}\n\
-             platform: http://{platform_at}\nfleet_key: k\nseeds: [{}]\nfirst_operators:\n  - name: first\n    key_hash: {}\n",
-            seeds.join(", "),
-            key_hash(OPERATOR),
+             platform: http://{platform}\nfleet_key: k\nseeds: [{seeds}]\nfirst_operators:\n  - name: first\n    key_hash: {hash}\n",
+            platform = fleet.platform,
+            seeds = seeds.join(", "),
+            hash = key_hash(OPERATOR),
         );
         let settings = Settings::parse(&text).unwrap();
         std::thread::spawn(move || run::run(settings));
-        callers.push(caller);
-        operators.push(operator);
-        peers.push(peer);
     }
-    Fleet { platform: platform_at, callers, operators, engines, services, slow }
 }
 
 /// One fleet serves all tests of this file.
--- a/scripts/lab.sh
+++ b/scripts/lab.sh
@@ -69,7 +69,13 @@
 
 start_platform() {
   start platform "$BIN/stairvale-standin" platform --listen "$PLATFORM" "$@"
-  until curl -sf -m 1 "http://$PLATFORM/admin/stats" >/dev/null; do sleep 0.05; done
+  local i
+  for ((i = 0; i < 200; i++)); do
+    curl -sf -m 1 "http://$PLATFORM/admin/stats" >/dev/null && return 0
+    sleep 0.05
+  done
+  say "the platform's stand-in doesn't answer: $(cat "$LAB/platform.log")"
+  return 1
 }
 
 # start_engine NAME ZONE [ARGS…]
@@ -158,7 +164,9 @@
     [ "$(ctl --output json status 2>/dev/null | grep -o '"usable":[0-9]*' | head -1 | cut -d: -f2)" = "$1" ] && return 0
     sleep 0.05
   done
-  say "not all upstreams became usable"
+  say "not all upstreams became usable; what the parts that ended or are missing say:"
+  for i in "${!PIDS[@]}"; do kill -0 "${PIDS[$i]}" 2>/dev/null || say "$i has ended: $(tail -1 "$LAB/$i.log")"; done
+  ctl --output json status 2>/dev/null | grep -o '{"upstream"[^}]*"usable":false[^}]*}' >&2 || true
   return 1
 }
 
