How long a request waits for its permits is told and measured

Cause: the wait alone of a lookup beside long jobs, and of other customers in a surge, was not known: first token has the engine's prefill in it. So nobody could say whether the home's queue or the engine makes a surge's first tokens late.

Change: answers carry the wait in the W3C's server-timing header, routers keep a histogram of it, the load reports it for urgent requests and for customers other than the first, before and after the middle of a run.

--- a/crates/stairvale-load/src/client.rs
+++ b/crates/stairvale-load/src/client.rs
@@ -60,6 +60,29 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// What a caller saw of a chat's turn.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    outcome: Outcome,
+    first: Option<Duration>,
+    waited: Option<Duration>,
+    reuse: Option<(u64, u64)>,
+}
+
+impl Seen {
+    /// No answer began.
+    const fn only(outcome: Outcome) -> Self {
+        Self { outcome, first: None, waited: None, reuse: None }
+    }
+}
+
+/// The wait for permits that the router tells.
+fn waited(headers: &http::HeaderMap) -> Option<Duration> {
+    let text = headers.get("server-timing")?.to_str().ok()?;
+    let millis: f64 = text.strip_prefix("permit;dur=")?.parse().ok()?;
+    Duration::try_from_secs_f64(millis / 1e3).ok()
+}
+
 impl Client {
     /// A client without connections.
     #[must_use]
@@ -96,29 +119,28 @@
 
     /// Runs a chat's turn that is due now.
     pub async fn turn(self: Arc<Self>, turn: Turn, due: Instant) {
-        let (outcome, first, reuse) = match tokio::time::timeout(LIMIT, self.chat(turn, due)).await {
-            Ok(result) => result,
-            Err(_) => (Outcome::Unknown, None, None),
-        };
+        let seen = tokio::time::timeout(LIMIT, self.chat(turn, due)).await;
+        let seen = seen.unwrap_or_else(|_| Seen::only(Outcome::Unknown));
         let chat = &self.plan.chats[turn.chat];
         let counted = turn.at >= self.warmup;
         let measure = Measure {
-            outcome,
-            first: first.filter(|_| counted),
+            outcome: seen.outcome,
+            first: seen.first.filter(|_| counted),
+            waited: seen.waited.filter(|_| counted),
             customer: chat.customer,
             urgent: chat.priority(turn.turn) == "u=1",
             bulk: chat.bulk,
             late: turn.at >= self.middle,
-            reuse: reuse.filter(|_| counted),
+            reuse: seen.reuse.filter(|_| counted),
         };
         lock(&self.tally).count(measure);
     }
 
-    async fn chat(&self, turn: Turn, due: Instant) -> (Outcome, Option<Duration>, Option<(u64, u64)>) {
+    async fn chat(&self, turn: Turn, due: Instant) -> Seen {
         let chat = &self.plan.chats[turn.chat];
         let key = &self.keys[chat.customer % self.keys.len()];
         let Some(router) = self.router() else {
-            return (Outcome::NotRun, None, None);
+            return Seen::only(Outcome::NotRun);
         };
         let request = Request::post(format!("http://{router}/{}/v1/chat/completions", self.service))
             .header("authorization", format!("Bearer {key}"))
@@ -128,21 +150,22 @@
             .header(REQUEST_ID, format!("{}-{}", chat.name, turn.turn))
             .body(Full::new(chat.body(turn.turn).into()));
         let Ok(request) = request else {
-            return (Outcome::Lost, None, None);
+            return Seen::only(Outcome::Lost);
         };
         let response = match self.http.request(request).await {
             Ok(response) => response,
-            Err(error) => return (self.broken(error.is_connect()), None, None),
+            Err(error) => return Seen::only(self.broken(error.is_connect())),
         };
         if response.status() != StatusCode::OK {
-            return (self.refused(response).await, None, None);
+            return Seen::only(self.refused(response).await);
         }
         let number = |name: &str| response.headers().get(name)?.to_str().ok()?.parse::<u64>().ok();
         let cached = number("x-cached-tokens").unwrap_or(0);
         let prompt = number("x-prompt-tokens").unwrap_or(0);
+        let waited = waited(response.headers());
         let (outcome, first) = self.read(response, &chat.answer(turn.turn), due).await;
         let reuse = self.reuse(turn, outcome, cached, prompt, &chat.answer(turn.turn));
-        (outcome, first, reuse)
+        Seen { outcome, first, waited, reuse }
     }
 
     /// Counts the reuse of a returning turn, and remembers what this one leaves behind.
--- a/crates/stairvale-load/src/report.rs
+++ b/crates/stairvale-load/src/report.rs
@@ -44,6 +44,8 @@
     pub worst_windows: Vec<Window>,
     /// First token of urgent requests.
     pub urgent_first_token_ms_p95: Option<f64>,
+    /// Waits for permits of urgent requests.
+    pub urgent_wait_ms_p95: Option<f64>,
     /// First token of long jobs.
     pub bulk_first_token_ms_p95: Option<f64>,
     /// Long jobs answered whole, of all.
@@ -52,6 +54,10 @@
     pub others_early_ms_p95: Option<f64>,
     /// In its second half.
     pub others_late_ms_p95: Option<f64>,
+    /// Waits for permits of all customers but the first, in the run's first half.
+    pub others_early_wait_ms_p95: Option<f64>,
+    /// In its second half.
+    pub others_late_wait_ms_p95: Option<f64>,
     /// Permits taken without a home.
     pub degraded_grants: Option<u64>,
     /// Broken invariants that the routers counted.
--- a/crates/stairvale-load/src/tally.rs
+++ b/crates/stairvale-load/src/tally.rs
@@ -26,6 +26,8 @@
     pub outcome: Outcome,
     /// From the intended start to the first token.
     pub first: Option<Duration>,
+    /// How long it waited for permits, as its router told.
+    pub waited: Option<Duration>,
     /// Whose it was.
     pub customer: usize,
     /// Whether it was urgent.
@@ -86,6 +88,12 @@
     pub others_late: Times,
     /// Urgent requests' first tokens.
     pub urgent: Times,
+    /// Urgent requests' waits for permits.
+    pub urgent_wait: Times,
+    /// The waits for permits of customers other than the first, before and after the middle of the run.
+    pub others_early_wait: Times,
+    /// After the middle.
+    pub others_late_wait: Times,
     /// Long jobs' first tokens.
     pub bulk: Times,
     /// Long jobs that were answered whole, and all of them.
@@ -123,11 +131,24 @@
         if measure.urgent {
             self.urgent.record(first);
         }
+        if let Some(waited) = measure.waited {
+            self.count_wait(measure, waited);
+        }
         if measure.bulk {
             self.bulk.record(first);
         }
     }
 
+    fn count_wait(&mut self, measure: Measure, waited: Duration) {
+        if measure.urgent {
+            self.urgent_wait.record(waited);
+        }
+        if measure.customer > 0 {
+            let others = if measure.late { &mut self.others_late_wait } else { &mut self.others_early_wait };
+            others.record(waited);
+        }
+    }
+
     /// How many had an outcome.
     #[must_use]
     pub fn of(&self, outcome: Outcome) -> u64 {
--- a/crates/stairvale-router/src/caller.rs
+++ b/crates/stairvale-router/src/caller.rs
@@ -164,6 +164,8 @@
     pub deadline: Instant,
     /// Upstreams that failed it.
     pub avoid: Vec<id::Upstream>,
+    /// How long it waited for permits, all attempts together.
+    pub waited: Duration,
     wish: io::Request,
     attempts: u32,
 }
@@ -207,7 +209,7 @@
             fence: None,
         };
         let deadline = begun + head.deadline;
-        Self { attempt, key: head.key, call, deadline, avoid: Vec::new(), wish, attempts: 0 }
+        Self { attempt, key: head.key, call, deadline, avoid: Vec::new(), waited: Duration::ZERO, wish, attempts: 0 }
     }
 
     /// The id of the next attempt: the request's own first, a new one for each retry.
@@ -223,13 +225,17 @@
     ///
     /// # Errors
     /// The refusal; nothing was sent under this attempt.
-    pub async fn ask(&self, shared: &Shared, permit: &Permit) -> Result<(Place, Grant), Refusal> {
+    pub async fn ask(&mut self, shared: &Shared, permit: &Permit) -> Result<(Place, Grant), Refusal> {
         let mut wish = self.wish.clone();
         wish.attempt = permit.attempt();
         wish.avoid.clone_from(&self.avoid);
         wish.retry = self.attempts > 1;
         wish.deadline = self.deadline.saturating_duration_since(Instant::now());
+        let begun = Instant::now();
         let decision = shared.ask(|reply| Command::Request(wish, reply)).await;
+        let waited = begun.elapsed();
+        shared.metrics.permit(waited);
+        self.waited += waited;
         let grant = decision.ok_or_else(|| Refusal::new(Reason::NotReady, RETRY_NOT_READY))??;
         let snapshot = shared.snapshot.load();
         let place = snapshot.places.get(&grant.upstream).cloned();
@@ -273,11 +279,14 @@
             let failure = match client.ask(&place, &ready.call).await {
                 Ok(response) if is_stream(&response) => {
                     match stream(shared, client, place, permit, response, &mut in_flight).await {
-                        Ok(response) => return Ok(response),
+                        Ok(response) => return Ok(with_wait(response, ready.waited)),
                         Err(failure) => failure,
                     }
                 }
-                Ok(response) => return Ok(pass(shared, permit, response, &mut in_flight)),
+                Ok(response) => {
+                    let response = pass(shared, permit, response, &mut in_flight);
+                    return Ok(with_wait(response, ready.waited));
+                }
                 Err(failure) => {
                     permit.fail(failure == Failure::Unreachable);
                     failure
@@ -338,6 +347,15 @@
     with_head(&head, Body::Stream(pieces))
 }
 
+/// Tells how long the request waited for its permits, in milliseconds, as the `server-timing` header of the W3C has it.
+pub(crate) fn with_wait(mut response: Response<Body>, waited: Duration) -> Response<Body> {
+    let text = format!("permit;dur={:.2}", waited.as_secs_f64() * 1e3);
+    if let Ok(value) = HeaderValue::try_from(text) {
+        response.headers_mut().append("server-timing", value);
+    }
+    response
+}
+
 fn with_head(head: &http::response::Parts, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
--- a/crates/stairvale-router/src/metrics.rs
+++ b/crates/stairvale-router/src/metrics.rs
@@ -80,6 +80,7 @@
     outcomes: [AtomicU64; 5],
     problems: Mutex<BTreeMap<&'static str, u64>>,
     first_byte: Times,
+    permit: Times,
     between_tokens: Times,
     /// Messages and bytes sent to peers and upstreams (probes), by kind.
     sent: Mutex<BTreeMap<&'static str, Sent>>,
@@ -95,6 +96,7 @@
             outcomes: Default::default(),
             problems: Mutex::default(),
             first_byte: Times::new(),
+            permit: Times::new(),
             between_tokens: Times::new(),
             sent: Mutex::default(),
             control_received: AtomicU64::new(0),
@@ -116,6 +118,11 @@
         }
     }
 
+    /// A request waited this long for a permit, or for a no.
+    pub fn permit(&self, time: Duration) {
+        self.permit.record(time);
+    }
+
     /// The time from a request's head to its first byte.
     pub fn first_byte(&self, time: Duration) {
         self.first_byte.record(time);
@@ -166,6 +173,7 @@
         self.write_problems(&mut text);
         self.write_sent(&mut text);
         self.first_byte.write("stairvale_first_byte_seconds", &mut text);
+        self.permit.write("stairvale_permit_seconds", &mut text);
         self.between_tokens.write("stairvale_between_tokens_seconds", &mut text);
         text.push_str("# EOF\n");
         text
--- a/crates/stairvale-router/src/once.rs
+++ b/crates/stairvale-router/src/once.rs
@@ -19,7 +19,7 @@
 use crate::{
     Problem, Shared,
     body::Body,
-    caller::Ready,
+    caller::{Ready, with_wait},
     guard::Permit,
     metrics::Outcome,
     problem::Unknown,
@@ -101,7 +101,8 @@
 pub async fn serve(shared: &Arc<Shared>, client: &Client, mut ready: Ready) -> Result<Response<Body>, Problem> {
     let Some(key) = ready.key else {
         let offered = Arc::default();
-        return send(shared, client, &mut ready, &offered, None).await.map(|(response, _)| response);
+        let sent = send(shared, client, &mut ready, &offered, None).await;
+        return sent.map(|(response, _)| with_wait(response, ready.waited));
     };
     let claim = match Claim::take(shared, key, ready.attempt).await {
         Ok(claim) => claim,
@@ -111,7 +112,7 @@
     ready.call.fence = Some(claim.fence);
     let (response, stored) = send(shared, client, &mut ready, &claim.offered, Some(&claim)).await?;
     claim.settle(stored).await;
-    Ok(response)
+    Ok(with_wait(response, ready.waited))
 }
 
 /// Sends the request to the first upstream that takes a connection, and waits for the whole answer.
