What is left to others in a surge is theirs at once

Cause: at a home whose queue isn't empty an ask without patience was sent on, although the room that was left was for nobody who waited there: those were all of a customer over its share, which may not take the reserve. So others went through up to eight homes and were granted only as a last resort. Ruled out: ageing of the surge's requests past others' (they can't take the reserve at any age).

Change: such an ask goes first. Seen failing first: what_is_left_to_others_is_theirs_at_once_though_a_surge_waits (Overflow).

--- a/crates/stairvale-permit/src/decide.rs
+++ b/crates/stairvale-permit/src/decide.rs
@@ -71,8 +71,14 @@
         }
     }
 
-    pub(crate) fn queue_is_empty(&self, upstream: &id::Upstream) -> bool {
-        self.accounts.get(upstream).is_some_and(|(_, account)| account.queue.is_empty())
+    /// Whether the room that an engine has is for none of those who wait there: nobody does, or only customers over their
+    /// share, and what is left is for the others.
+    pub(crate) fn goes_first(&self, now: Moment, upstream: &id::Upstream) -> bool {
+        let Some((rules, account)) = self.accounts.get(upstream) else {
+            return false;
+        };
+        let is_over = |item: &Item<Waiting>| account.is_over_share(now, &item.customer, rules.slots);
+        account.queue.is_empty() || (!self.has_unreserved(now, upstream) && account.queue.iter().all(is_over))
     }
 
     /// Whether a customer may take what room there is: one over its share leaves some slots to the others.
--- a/crates/stairvale-permit/src/home.rs
+++ b/crates/stairvale-permit/src/home.rs
@@ -225,7 +225,7 @@
             return vec![answer(&waiting, Verdict::Closed)];
         }
         self.notice(now, &waiting.ask);
-        let room = self.room(now, &upstream).filter(|_| self.queue_is_empty(&upstream));
+        let room = self.room(now, &upstream).filter(|_| self.goes_first(now, &upstream));
         if let Some(room) = room.filter(|_| self.may_take(now, &waiting)) {
             return vec![self.grant(now, &waiting, room)];
         }
--- a/crates/stairvale-permit/tests/home.rs
+++ b/crates/stairvale-permit/tests/home.rs
@@ -249,6 +249,23 @@
     assert_eq!(verdicts(&home.ask(SETTLED, &router("r"), ask(4, "e0", 0))), [&Verdict::Closed]);
 }
 
+#[test]
+fn what_is_left_to_others_is_theirs_at_once_though_a_surge_waits() {
+    let mut home = lone(8);
+    let of = |attempt, customer: &str, patience_ms| {
+        let ask = ask(attempt, "e0", patience_ms);
+        let profile = Profile { customer: customer.parse().unwrap(), ..ask.profile };
+        Ask { profile, ..ask }
+    };
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), of(100, "other", 0))));
+    for attempt in 0..10 {
+        home.ask(SETTLED, &router("r"), of(attempt, "surge", 10_000));
+    }
+    assert!(home.waiting() > 0, "the surge waits");
+    let answers = home.ask(SETTLED, &router("r"), of(101, "other", 0));
+    assert!(is_granted(&answers), "slots are left to others, but {answers:?}");
+}
+
 #[test]
 fn a_customer_over_its_share_leaves_slots_to_others() {
     let mut home = Home::new(router("home"));
