A surge is served after others at its engines before it fills its share of the slots

Cause: a grant to a customer over its share tells the engine to serve others' prompts first. Over its share was counted against all slots (11 of 32 for the surging customer), but in a surge's first half second the bound lets only 6 to 10 run, so none of its prompts was marked, and others' prompts queued behind them in the engines: others' first token was 300 to 500 ms late while their wait for permits was below 100 ms.

Change: what counts is twice its share of the bound, at most its share of the slots. Seen failing first: a_surge_shows_before_it_fills_its_share_of_the_slots.

--- a/crates/stairvale-permit/src/decide.rs
+++ b/crates/stairvale-permit/src/decide.rs
@@ -20,6 +20,9 @@
 /// The least time to tell a refused caller to wait.
 const MIN_RETRY: Duration = Duration::from_millis(500);
 
+/// A customer that asks for so many times its share of the bound surges.
+const SURGE: u32 = 2;
+
 /// Room for one more at an engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Room {
@@ -100,9 +103,14 @@
 
     /// Whether a customer asks for more than its share, by what it holds and what it has waiting: then the engine serves
     /// others' prompts first.
+    ///
+    /// A surge shows long before it fills the slots: it asks for far more than its share of what may run now.
     pub(crate) fn asks_over_share(&self, now: Moment, waiting: &Waiting) -> bool {
-        let account = self.accounts.get(&waiting.ask.upstream);
-        account.is_some_and(|(rules, account)| account.asks_over_share(now, &waiting.ask.profile.customer, rules.slots))
+        let Some((rules, account)) = self.accounts.get(&waiting.ask.upstream) else {
+            return false;
+        };
+        let competed = self.limit(now, rules).saturating_mul(SURGE).min(rules.slots);
+        account.asks_over_share(now, &waiting.ask.profile.customer, competed)
     }
 
     /// Makes a permit in the room that was seen.
--- a/crates/stairvale-permit/tests/home.rs
+++ b/crates/stairvale-permit/tests/home.rs
@@ -249,6 +249,25 @@
     assert_eq!(verdicts(&home.ask(SETTLED, &router("r"), ask(4, "e0", 0))), [&Verdict::Closed]);
 }
 
+#[test]
+fn a_surge_shows_before_it_fills_its_share_of_the_slots() {
+    let mut home = lone(32);
+    let of = |attempt, customer: &str| {
+        let ask = ask(attempt, "e0", 0);
+        let profile = Profile { customer: customer.parse().unwrap(), ..ask.profile };
+        Ask { profile, ..ask }
+    };
+    for (attempt, customer) in [(100, "a"), (101, "b"), (102, "c")] {
+        home.ask(SETTLED, &router("r"), of(attempt, customer));
+    }
+    // Its share of the slots is eight; while ten requests run, twice its share of the bound is less.
+    let answers = (0..7).flat_map(|attempt| home.ask(SETTLED, &router("r"), of(attempt, "surge")));
+    let over: Vec<_> =
+        answers.map(|answer| matches!(answer.verdict, Verdict::Granted { over_share: true, .. })).collect();
+    assert_eq!(over.first(), Some(&false));
+    assert_eq!(over.last(), Some(&true), "{over:?}");
+}
+
 #[test]
 fn what_is_left_to_others_is_theirs_at_once_though_a_surge_waits() {
     let mut home = lone(8);
