Orders reach every engine of a zone, whichever router is its home

Cause: a zone's order holder knew what an engine has loaded only from its own probes, and it probes only the engines whose home it is. In a zone with three routers about two engines in three were never ordered to load the configured model. Found by reading; unit tests of the machine hand it its needs, and the scenarios' engines start with the right model, so nothing showed it.

Seen failing first in the world: every_engine_of_a_zone_is_ordered_whichever_router_is_its_home (a-engine-0 was never ordered), and with it orders_go_on_after_their_holder_died and a_frozen_holder_gives_no_order_after_its_successor, whose engines check no tokens and count stale orders. All pass now.

--- a/crates/stairvale-control/src/handlers/frames.rs
+++ b/crates/stairvale-control/src/handlers/frames.rs
@@ -4,7 +4,7 @@
 use stairvale_types::id;
 use stairvale_wire::{Ask, Frame, Verdict};
 
-use crate::{Node, Output, node::TICK};
+use crate::{Node, Output, node::TICK, orders::Loaded};
 
 impl Node {
     pub(crate) fn frame(&mut self, from: &id::Router, frame: Frame) {
@@ -73,6 +73,7 @@
             Frame::Settled { key, attempt } => {
                 self.unsettled.retain(|settled| (settled.key, settled.attempt) != (key, attempt));
             }
+            Frame::Loaded { upstream, model, version } => self.mismatched(upstream, Loaded { model, version }),
             Frame::Usage(usages) => self.keep_usage(from, usages),
             Frame::Share { customer, millionths } => self.share(customer, millionths),
             Frame::Noted { attempt } => self.outputs.push(Output::Noted { attempt }),
--- a/crates/stairvale-control/tests/fleet.rs
+++ b/crates/stairvale-control/tests/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use rand::Rng;
-use stairvale_control::apply::Outcome;
+use stairvale_control::{apply::Outcome, orders::Loaded};
 use stairvale_permit::account::SETTLE;
 use stairvale_wire::{ClaimVerdict, Frame};
 use world::{DOCUMENT, Fate, World};
@@ -308,3 +308,58 @@
     let passed = passed_in_a_surge(&mut world, 16);
     assert!((30..=48).contains(&passed), "{passed} a second passed: twice the rate of 20, once a side");
 }
+
+/// A world whose engines have version 1 of their model, and whose configuration says 2.
+fn with_new_version(seed: u64) -> World {
+    let mut world = World::settled(seed, 3, 4);
+    for engine in world.engines.values_mut().filter(|engine| engine.service == "chat") {
+        engine.loaded = Some(loaded("1"));
+    }
+    let text = DOCUMENT.replace("    model: m\n", "    model: m\n    version: \"2\"\n");
+    assert!(matches!(world.apply("a-router-0", &text, 1, "v2"), Outcome::Accepted(_)));
+    world
+}
+
+fn loaded(version: &str) -> Loaded {
+    Loaded { model: "m".to_owned(), version: version.to_owned() }
+}
+
+/// The router that holds the orders of a zone.
+fn order_holder(world: &World, zone: &str) -> String {
+    let fleet = world.routers[&world.live()[0]].node.fleet();
+    fleet.holder("orders", &zone.parse().unwrap()).unwrap().to_string()
+}
+
+fn assert_all_ordered(world: &World) {
+    for (name, engine) in world.engines.iter().filter(|(_, engine)| engine.service == "chat") {
+        assert_eq!(engine.loaded, Some(loaded("2")), "{name} was never ordered");
+        assert_eq!(engine.stale_orders, 0, "{name} got an order of an earlier holder after a later one's");
+    }
+}
+
+#[test]
+fn every_engine_of_a_zone_is_ordered_whichever_router_is_its_home() {
+    let mut world = with_new_version(21);
+    world.run(SECOND * 30);
+    assert_all_ordered(&world);
+}
+
+#[test]
+fn orders_go_on_after_their_holder_died() {
+    let mut world = with_new_version(22);
+    world.run(SECOND * 8);
+    let holder = order_holder(&world, "a");
+    world.kill(&holder);
+    world.run(SECOND * 40);
+    assert_all_ordered(&world);
+}
+
+#[test]
+fn a_frozen_holder_gives_no_order_after_its_successor() {
+    let mut world = with_new_version(23);
+    world.run(SECOND * 8);
+    let holder = order_holder(&world, "a");
+    world.freeze(&holder, SECOND * 15);
+    world.run(SECOND * 45);
+    assert_all_ordered(&world);
+}
--- a/crates/stairvale-control/tests/world/mod.rs
+++ b/crates/stairvale-control/tests/world/mod.rs
@@ -26,6 +26,7 @@
     apply::{Machine, Outcome, Step, Submission},
     io::{Action, Answer, Call, Purpose, Report, Request},
     node::{Policy, Settings, TICK},
+    orders::{Loaded, Order},
 };
 use stairvale_permit::request::Grant;
 use stairvale_types::{Class, Moment, Refusal, id, unit};
@@ -135,6 +136,12 @@
     pub last_work: u64,
     /// When it began to drain or died.
     pub closed_at: Option<u64>,
+    /// The model that it has loaded; none if it is no model engine.
+    pub loaded: Option<Loaded>,
+    /// The highest fencing token of an order; it takes older ones all the same.
+    pub token: u64,
+    /// Orders that came after one with a higher token.
+    pub stale_orders: u64,
     address: SocketAddr,
 }
 
@@ -522,7 +529,8 @@
                 self.input_now(name, Input::Vms(Some((self.vm_revision, vms))));
             }
             Output::Share { customer, fraction } => drop(self.shares.insert((name.to_owned(), customer), fraction)),
-            Output::InForce { .. } | Output::FleetChanged | Output::Audit(_) | Output::Order(_) => {}
+            Output::Order(order) => self.order(name, &order),
+            Output::InForce { .. } | Output::FleetChanged | Output::Audit(_) => {}
         }
     }
 
--- a/crates/stairvale-control/tests/world/parts.rs
+++ b/crates/stairvale-control/tests/world/parts.rs
@@ -15,6 +15,9 @@
             running: HashMap::new(),
             last_work: 0,
             closed_at: None,
+            loaded: None,
+            token: 0,
+            stale_orders: 0,
             address: SocketAddr::from(([127, 0, 0, 1], port)),
         };
         self.engines.insert(name.to_owned(), engine);
--- a/crates/stairvale-control/tests/world/upstreams.rs
+++ b/crates/stairvale-control/tests/world/upstreams.rs
@@ -17,13 +17,25 @@
             change: engine.change,
             state: if engine.draining { State::Draining } else { State::Serving },
             load: u32::try_from(engine.running.len()).unwrap(),
-            model: None,
+            model: engine.loaded.clone(),
         });
         let delay = if reached { self.delay() } else { 500_000 };
         let input = Input::Probed { upstream: upstream.clone(), report };
         self.push(self.now + delay, Event::Input(name.to_owned(), life, input));
     }
 
+    /// An engine that doesn't check tokens gets an order.
+    pub(super) fn order(&mut self, name: &str, order: &Order) {
+        if !self.reaches(name, order.upstream.as_str()) {
+            return;
+        }
+        let engine = self.engines.get_mut(order.upstream.as_str()).unwrap();
+        engine.stale_orders += u64::from(order.token < engine.token);
+        engine.token = engine.token.max(order.token);
+        engine.loaded = Some(order.load.clone());
+        self.input_now(name, Input::Ordered { upstream: order.upstream.clone(), taken: true });
+    }
+
     pub(super) fn granted(&mut self, name: &str, grant: Grant) {
         let attempt = grant.attempt;
         let before = self.fates.get(&attempt).cloned();
--- a/crates/stairvale-wire/src/frame.rs
+++ b/crates/stairvale-wire/src/frame.rs
@@ -132,6 +132,15 @@
         /// The attempt.
         attempt: id::Attempt,
     },
+    /// An engine's home tells its zone's order holder that the engine has another model than the configuration says.
+    Loaded {
+        /// The engine.
+        upstream: id::Upstream,
+        /// The model that it has.
+        model: String,
+        /// The model's version.
+        version: String,
+    },
     /// What was asked of the sender by customers that have a rate, to the keeper of their accounts.
     Usage(Vec<Usage>),
     /// The share of a customer's asks that the receiver may let pass.
@@ -164,6 +173,7 @@
             Self::Trouble { .. } => "trouble",
             Self::Manifest(_) | Self::FetchManifest | Self::FetchChunks(_) | Self::Chunks(_) => "configuration",
             Self::FetchVms | Self::Vms { .. } | Self::FetchWords | Self::Words(_) => "vms",
+            Self::Loaded { .. } => "order",
             Self::Usage(_) | Self::Share { .. } => "limit",
             Self::Claim { .. }
             | Self::Claimed { .. }
--- a/crates/stairvale-wire/tests/codec.rs
+++ b/crates/stairvale-wire/tests/codec.rs
@@ -37,6 +37,7 @@
         Frame::Usage(vec![Usage { customer: "c".parse().unwrap(), asked: 3, passed: 1, millionths: 250_000 }]),
         Frame::Share { customer: "c".parse().unwrap(), millionths: 250_000 },
         Frame::Noted { attempt },
+        Frame::Loaded { upstream: upstream.clone(), model: "m".to_owned(), version: "1".to_owned() },
         Frame::Claimed { key: id::Key(7), attempt, verdict: ClaimVerdict::Ran(stored) },
         Frame::FetchManifest,
     ]
