--- a/crates/stairvale-claim/src/lib.rs
+++ b/crates/stairvale-claim/src/lib.rs
@@ -14,9 +14,11 @@
 //! assert!(shard_of(id::Key(7)) < SHARDS);
 //! ```
 
+pub mod effect;
 pub mod record;
 pub mod seal;
 pub mod shard;
+mod wish;
 
 pub use record::Record;
 pub use shard::Shard;
--- a/crates/stairvale-claim/src/shard.rs
+++ b/crates/stairvale-claim/src/shard.rs
@@ -8,10 +8,12 @@
 use stairvale_types::{Moment, id};
 use stairvale_wire::{ClaimVerdict, Stored};
 
+pub use crate::effect::{Effect, Reply};
 use crate::{
     Record,
     record::{Claim, Claims, KEEP_MS, MAX_BODY, MAX_RECORD, from_text},
     seal::Seal,
+    wish::{Settlement, Wish},
 };
 
 /// When to come back if the store can't be reached.
@@ -22,7 +24,7 @@
 const MAX_LOST: u32 = 8;
 /// After the store didn't answer it is left alone for this long.
 const PAUSE: Duration = Duration::from_millis(200);
-/// Settlements that wait for a write at the most; beyond this the oldest are dropped and stay `Running`.
+/// Settlements that wait for a write at the most; beyond this entries tell theirs again later.
 const MAX_SETTLEMENTS: usize = 10_000;
 
 /// The least time between two writes for claims: what comes in meanwhile goes out together. The first doesn't wait.
@@ -30,103 +32,6 @@
 /// Nobody waits for a settlement, so it goes out with the next claim, or after this long.
 const SETTLE_LINGER: Duration = Duration::from_millis(400);
 
-/// Something the record shall take in.
-#[derive(Clone, Debug)]
-struct Wish {
-    key: id::Key,
-    attempt: id::Attempt,
-    from: id::Router,
-    since: Moment,
-    /// A write that carried this claim left, from a record that lacked it.
-    written: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Settlement {
-    key: id::Key,
-    attempt: id::Attempt,
-    /// `None` gives the claim back: nothing was sent.
-    stored: Option<Stored>,
-    /// Who wants to hear that it is kept; `None` if this shard gave the claim back itself.
-    from: Option<id::Router>,
-    since: Moment,
-}
-
-/// What to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Read the record.
-    Read,
-    /// Write the record if its revision is still this one (zero: if there is none).
-    Write {
-        /// The record.
-        text: String,
-        /// The revision that it replaces.
-        revision: u64,
-    },
-    /// Read a segment.
-    ReadSegment {
-        /// Its name.
-        id: String,
-    },
-    /// Create a segment, under a lease that outlasts its claims.
-    WriteSegment {
-        /// Its name.
-        id: String,
-        /// Its text.
-        text: String,
-    },
-    /// Tell an entry that this keeper knows what became of its request, though it isn't written down yet.
-    Noted {
-        /// The entry.
-        to: id::Router,
-        /// The attempt.
-        attempt: id::Attempt,
-    },
-    /// Tell an entry that what became of its request is kept.
-    Settled {
-        /// The entry.
-        to: id::Router,
-        /// The key.
-        key: id::Key,
-        /// The attempt.
-        attempt: id::Attempt,
-    },
-    /// Tell an entry what the record says.
-    Answer {
-        /// The entry.
-        to: id::Router,
-        /// The key.
-        key: id::Key,
-        /// The attempt.
-        attempt: id::Attempt,
-        /// What the record says.
-        verdict: ClaimVerdict,
-    },
-}
-
-/// What came of a call to the store.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Reply {
-    /// The record and its revision; `None` if there is none.
-    Read(Option<(String, u64)>),
-    /// The write took effect; this is its revision.
-    Written(u64),
-    /// Another write came first.
-    Conflict,
-    /// A segment, or that there is none.
-    Segment {
-        /// Its name.
-        id: String,
-        /// Its text.
-        text: Option<String>,
-    },
-    /// A segment was created, or was there already.
-    SegmentWritten,
-    /// No answer: a write may or may not have taken effect.
-    Lost,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Call {
     Reading,
@@ -344,7 +249,8 @@
                 self.wishes.push(wish);
                 continue;
             };
-            effects.push(answer(&wish, verdict(&wish, claim, record.fence)));
+            let verdict = wish.verdict(claim, record.fence);
+            effects.push(wish.answer(verdict));
         }
         effects
     }
@@ -500,43 +406,6 @@
     }
 }
 
-impl Settlement {
-    /// Whether the record still lacks this.
-    fn applies(&self, record: &Record) -> bool {
-        let Some(claim) = record.get(self.key) else {
-            return false;
-        };
-        claim.attempt == self.attempt && claim.stored.is_none()
-    }
-
-    fn apply(&self, record: &mut Record) {
-        if !self.applies(record) {
-            return;
-        }
-        let Some(stored) = &self.stored else {
-            record.claims.remove(&self.key);
-            return;
-        };
-        if let Some(claim) = record.claims.get_mut(&self.key) {
-            claim.stored = Some(stored.clone());
-        }
-    }
-}
-
-fn verdict(wish: &Wish, claim: &Claim, fence: u64) -> ClaimVerdict {
-    if let Some(stored) = &claim.stored {
-        return ClaimVerdict::Ran(stored.clone());
-    }
-    if claim.attempt == wish.attempt {
-        return ClaimVerdict::Yours { fence };
-    }
-    ClaimVerdict::Running
-}
-
-fn answer(wish: &Wish, verdict: ClaimVerdict) -> Effect {
-    Effect::Answer { to: wish.from.clone(), key: wish.key, attempt: wish.attempt, verdict }
-}
-
 fn unavailable(to: id::Router, key: id::Key, attempt: id::Attempt) -> Effect {
     Effect::Answer { to, key, attempt, verdict: ClaimVerdict::Unavailable { retry_after: RETRY_UNAVAILABLE } }
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -33,7 +33,7 @@
 mutant "the bound is not looked at" crates/stairvale-permit/src/decide.rs \
   's/account\.outstanding\(now\)\? < limit\)/account.outstanding(now)? < limit + 1)/' stairvale-permit home
 mutant "a claim is answered before it is written" crates/stairvale-claim/src/shard.rs \
-  's/let mut effects = self\.answer_known\(&record\);/let mut effects: Vec<_> = std::mem::take(\&mut self.wishes).iter().map(|w| answer(w, ClaimVerdict::Yours { fence: 0 })).collect();/' stairvale-claim shard
+  's/let mut effects = self\.answer_known\(&record\);/let mut effects: Vec<_> = std::mem::take(\&mut self.wishes).iter().map(|w| w.answer(ClaimVerdict::Yours { fence: 0 })).collect();/' stairvale-claim shard
 mutant "a doubled answer gives a running claim back" crates/stairvale-control/src/handlers/claims.rs \
   's/let given_up = self\.given_up\.contains_key\(&attempt\);/let given_up = true;/' stairvale-control fleet
 mutant "a keeper gives back what it never wrote" crates/stairvale-claim/src/shard.rs \
@@ -50,4 +50,16 @@
   's/if !words\.is_empty\(\) \{/if false {/' stairvale-control fleet
 mutant "turns are not shared among customers" crates/stairvale-admission/src/queue.rs \
   's/let start = self\.last\.get\(customer\)\.copied\(\)\.unwrap_or\(0\)\.max\(self\.virtual_time\);/let start = 0;/' stairvale-admission admission
+mutant "an answer goes out before its keeper knows it" crates/stairvale-control/src/handlers/claims.rs \
+  's/self\.unsettled\.push\(settled\);/self.outputs.push(Output::Noted { attempt }); self.unsettled.push(settled);/' stairvale-control fleet
+mutant "a holder orders only its own engines" crates/stairvale-control/src/handlers/engine_orders.rs \
+  's/if let Some\(holder\) = holder \{/if let Some(holder) = holder.filter(|holder| holder == \&self.me) {/' stairvale-control fleet
+mutant "a customer's share is forgotten soon" crates/stairvale-admission/src/limit.rs \
+  's/SHARE_TTL: Duration = Duration::from_secs\(60\)/SHARE_TTL: Duration = Duration::from_secs(1)/' stairvale-admission limit
+mutant "a successor's first words lift a surge's share" crates/stairvale-admission/src/limit.rs \
+  's/\(knows \&\& fraction/(fraction/' stairvale-admission limit
+mutant "a surge is told by the slots alone" crates/stairvale-permit/src/decide.rs \
+  's/saturating_mul\(SURGE\)\.min\(rules\.slots\)/max(rules.slots)/' stairvale-permit home
+mutant "the reserve is closed while a surge waits" crates/stairvale-permit/src/decide.rs \
+  's/account\.queue\.is_empty\(\) \|\| .*$/account.queue.is_empty()/' stairvale-permit home
 exit $missed
