Chunks of old configurations are deleted from the platform's store

Chosen: every router remembers which chunks went with a generation, one of the fleet deletes them, at the revision that they had ten minutes before the manifest was read without them; a submission writes each chunk anew that the manifest before it lacks. The platform's compare-and-swap and leases suffice.

Both are mutations now.

--- a/crates/stairvale-control/src/apply.rs
+++ b/crates/stairvale-control/src/apply.rs
@@ -57,6 +57,10 @@
 enum Phase {
     Reading,
     Chunk(usize),
+    /// The chunk is there already; its revision is looked up.
+    Finding(usize),
+    /// The chunk is written anew as it is, so that a sweep that looked it up before leaves it alone.
+    Touching(usize),
     Swapping,
     /// The swap's answer was lost: the manifest's history tells.
     Settling,
@@ -97,7 +101,11 @@
         match (self.phase, answer) {
             (Phase::Reading, Answer::Value(value)) => self.compare(value),
             (Phase::Settling, Answer::Value(value)) => self.settle(value),
-            (Phase::Chunk(index), Answer::Written(_) | Answer::Conflict) => self.chunk(index + 1),
+            (Phase::Chunk(index) | Phase::Touching(index), Answer::Written(_)) => self.chunk(index + 1),
+            (Phase::Chunk(index), Answer::Conflict) if self.is_in_force(index) => self.chunk(index + 1),
+            (Phase::Chunk(index) | Phase::Touching(index), Answer::Conflict) => self.find(index),
+            (Phase::Finding(index), Answer::Value(Some((text, revision)))) => self.touch(index, &text, revision),
+            (Phase::Finding(index), Answer::Value(None)) => self.chunk(index),
             (Phase::Swapping, Answer::Written(_)) => {
                 let manifest = self.manifest();
                 Step::Done(Outcome::Accepted(Box::new(manifest)))
@@ -108,8 +116,10 @@
                 read_manifest()
             }
             (phase, Answer::Lost) => self.again(phase),
-            (Phase::Reading | Phase::Settling, Answer::Written(_) | Answer::Conflict)
-            | (Phase::Chunk(_) | Phase::Swapping, Answer::Value(_)) => Step::Done(Outcome::Unknown),
+            (Phase::Reading | Phase::Settling | Phase::Finding(_), Answer::Written(_) | Answer::Conflict)
+            | (Phase::Chunk(_) | Phase::Touching(_) | Phase::Swapping, Answer::Value(_)) => {
+                Step::Done(Outcome::Unknown)
+            }
         }
     }
 
@@ -135,11 +145,38 @@
             return self.swap();
         };
         self.phase = Phase::Chunk(index);
-        // A chunk that is there already has the same content, for that is its name.
         let key = chunk_key(Digest::of(chunk.as_bytes()));
         Step::Call(key, Action::Write { value: chunk.clone(), revision: 0 })
     }
 
+    /// Whether the manifest before has a chunk: then nobody deletes it before this submission is decided.
+    fn is_in_force(&self, index: usize) -> bool {
+        let digest = self.chunks.get(index).map(|chunk| Digest::of(chunk.as_bytes()));
+        self.before.as_ref().zip(digest).is_some_and(|((manifest, _), digest)| manifest.chunks.contains(&digest))
+    }
+
+    /// A chunk that is there already has the same content, for that is its name; but it may be about to be deleted.
+    fn find(&mut self, index: usize) -> Step {
+        let Some(chunk) = self.chunks.get(index) else {
+            return self.chunk(index);
+        };
+        self.phase = Phase::Finding(index);
+        Step::Call(chunk_key(Digest::of(chunk.as_bytes())), Action::Read)
+    }
+
+    fn touch(&mut self, index: usize, found: &str, revision: u64) -> Step {
+        let Some(chunk) = self.chunks.get(index) else {
+            return self.chunk(index);
+        };
+        if found != chunk {
+            // It was deleted this moment and goes with its lease; in a second it can be written anew.
+            return Step::Done(Outcome::Unavailable);
+        }
+        self.phase = Phase::Touching(index);
+        let key = chunk_key(Digest::of(chunk.as_bytes()));
+        Step::Call(key, Action::Write { value: chunk.clone(), revision })
+    }
+
     fn swap(&self) -> Step {
         let revision = self.before.as_ref().map_or(0, |(_, revision)| *revision);
         let value = serde_json::to_string(&self.manifest());
@@ -172,6 +209,8 @@
         }
         match phase {
             Phase::Reading => read_manifest(),
+            // A touch whose answer was lost did no harm; it is looked up and touched again.
+            Phase::Finding(index) | Phase::Touching(index) => self.find(index),
             Phase::Chunk(index) => {
                 let lost = self.lost;
                 let step = self.chunk(index);
--- a/crates/stairvale-control/src/handlers/configuration.rs
+++ b/crates/stairvale-control/src/handlers/configuration.rs
@@ -9,6 +9,7 @@
 use crate::{
     Event, Node, Output, apply, generation,
     io::{Action, Answer, Call, Purpose},
+    sweep,
 };
 
 /// How often an availability zone asks the platform for its list.
@@ -39,6 +40,20 @@
             self.call(Purpose::Manifest, apply::MANIFEST_KEY.to_owned(), action);
         }
         self.tick_vms(&zone);
+        let sweeps = self.fleet.keeper("sweep").as_ref() == Some(&self.me);
+        let wish = self.sweep.tick(self.now, sweeps);
+        self.sweep_wish(wish);
+    }
+
+    /// Calls the store for the sweep of old chunks.
+    fn sweep_wish(&mut self, wish: Option<sweep::Wish>) {
+        let (key, action) = match wish {
+            None => return,
+            Some(sweep::Wish::ReadChunk(chunk)) => (apply::chunk_key(chunk), Action::Read),
+            Some(sweep::Wish::ReadManifest) => (apply::MANIFEST_KEY.to_owned(), Action::Read),
+            Some(sweep::Wish::Delete(chunk, revision)) => (apply::chunk_key(chunk), Action::Delete { revision }),
+        };
+        self.call(Purpose::Sweep, key, action);
     }
 
     pub(crate) fn tick_vms(&mut self, zone: &id::Zone) {
@@ -67,6 +82,9 @@
                     self.call(Purpose::Chunk(digest), apply::chunk_key(digest), Action::Read);
                 }
                 generation::Effect::InForce(generation, document) => {
+                    if let Some(manifest) = self.config.manifest() {
+                        self.sweep.in_force(self.now, manifest);
+                    }
                     self.fleet.document = document.clone();
                     self.fleet.refresh();
                     self.move_accounts();
@@ -109,6 +127,10 @@
             }
             Purpose::Claims(number) => self.claims_answer(*number, answer),
             Purpose::Segment(number, id) => self.segment_answer(*number, id, answer),
+            Purpose::Sweep => {
+                let wish = self.sweep.answer(self.now, &answer);
+                self.sweep_wish(wish);
+            }
             Purpose::Orders => {
                 let holds = self.orders.answer(self.now, &answer);
                 if let Some(holds) = holds {
--- a/crates/stairvale-control/src/io.rs
+++ b/crates/stairvale-control/src/io.rs
@@ -68,6 +68,8 @@
     Segment(u32, String),
     /// The order holder's record of an availability zone.
     Orders,
+    /// Chunks that no configuration in force has.
+    Sweep,
 }
 
 /// A call to the store.
@@ -98,6 +100,11 @@
         /// How long it is kept at least.
         keep: Duration,
     },
+    /// Delete a key if its revision is still this.
+    Delete {
+        /// The revision.
+        revision: u64,
+    },
     /// Compare and swap; revision zero creates.
     Write {
         /// The new value.
--- a/crates/stairvale-control/src/lib.rs
+++ b/crates/stairvale-control/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod orders;
 pub mod stats;
 pub mod sums;
+pub mod sweep;
 
 pub use event::Event;
 pub use fleet::Fleet;
--- a/crates/stairvale-control/src/node.rs
+++ b/crates/stairvale-control/src/node.rs
@@ -18,7 +18,7 @@
 use stairvale_types::{Moment, id};
 use stairvale_wire::{Frame, Member, Status, Stored};
 
-use crate::{Event, Fleet, Input, Output, explain, generation, orders, stats::Stats, sums::Sums};
+use crate::{Event, Fleet, Input, Output, explain, generation, orders, stats::Stats, sums::Sums, sweep};
 
 /// How often [`Input::Tick`] comes.
 pub const TICK: Duration = Duration::from_millis(10);
@@ -189,6 +189,7 @@
     pub(crate) entry: Entry,
     pub(crate) config: generation::Holder,
     pub(crate) sums: Sums,
+    pub(crate) sweep: sweep::Machine,
     pub(crate) shards: BTreeMap<u32, Shard>,
     pub(crate) claiming: HashMap<id::Attempt, Claiming>,
     pub(crate) given_up: HashMap<id::Attempt, Moment>,
@@ -236,6 +237,7 @@
             entry: Entry::new(),
             config: generation::Holder::new(),
             sums: Sums::new(),
+            sweep: sweep::Machine::default(),
             shards: BTreeMap::new(),
             claiming: HashMap::new(),
             given_up: HashMap::new(),
--- a/crates/stairvale-control/tests/world/store.rs
+++ b/crates/stairvale-control/tests/world/store.rs
@@ -30,6 +30,7 @@
             Action::Write { value, revision } if key.starts_with("orders/") => self.lease(now, key, value, revision),
             Action::Write { value, revision } => self.swap(key, value, revision),
             Action::Create { value, .. } => self.swap(key, value, 0),
+            Action::Delete { revision } => self.delete(now, key, revision),
         }
     }
 
@@ -54,6 +55,27 @@
         Answer::Written(self.revision)
     }
 
+    /// As the router does it: the value is swapped for nothing, under a lease that lapses; nothing detaches it again.
+    fn delete(&mut self, now: u64, key: &str, revision: u64) -> Answer {
+        if self.entries.get(key).is_none_or(|(_, found)| *found != revision) {
+            return Answer::Conflict;
+        }
+        self.leased.insert(key.to_owned(), now + 1_000_000);
+        self.revision += 1;
+        self.entries.insert(key.to_owned(), (String::new(), self.revision));
+        Answer::Written(self.revision)
+    }
+
+    /// Whether a key has a value that stays.
+    pub fn has(&self, key: &str) -> bool {
+        self.entries.contains_key(key) && !self.leased.contains_key(key)
+    }
+
+    /// Keys that begin so and stay.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.entries.keys().filter(|key| key.starts_with(prefix) && self.has(key)).count()
+    }
+
     fn lease(&mut self, now: u64, key: &str, value: String, revision: u64) -> Answer {
         let holder = self.entries.get(key).map(|(holder, _)| holder.clone());
         let until = now + u64::try_from(LEASE.as_micros()).unwrap_or(u64::MAX);
--- a/crates/stairvale-router/src/store.rs
+++ b/crates/stairvale-router/src/store.rs
@@ -19,6 +19,9 @@
 
 use crate::Shared;
 
+/// A key that is deleted goes after this long.
+const DELETE_AFTER: Duration = Duration::from_secs(1);
+
 /// The answer of the platform's list of VMs.
 #[derive(Debug, Deserialize)]
 struct List {
@@ -80,7 +83,7 @@
         let Ok(lease) = store.lease(LEASE).await else {
             return Answer::Lost;
         };
-        match store.create_leased(key, value, lease).await {
+        match store.swap_leased(key, value, 0, lease).await {
             Ok(Swap::Written(token)) => {
                 self.lease.store(lease, Ordering::Relaxed);
                 Answer::Written(token)
@@ -100,6 +103,7 @@
     match action {
         Action::Read => read(store.read(key).await),
         Action::Watch { revision } => read(store.watch(key, revision).await),
+        Action::Delete { revision } => delete(store, key, revision).await,
         Action::Create { value, keep } => create(store, key, value, keep).await,
         Action::Write { value, revision } => match store.swap(key, value, revision).await {
             Ok(Swap::Written(revision)) => Answer::Written(revision),
@@ -109,12 +113,25 @@
     }
 }
 
+/// The platform has no call to delete a key at a revision, but a key goes with its lease: the value is swapped for nothing under a
+/// lease that nobody renews.
+async fn delete(store: &Client, key: &str, revision: u64) -> Answer {
+    let Ok(lease) = store.lease(DELETE_AFTER).await else {
+        return Answer::Lost;
+    };
+    match store.swap_leased(key, String::new(), revision, lease).await {
+        Ok(Swap::Written(revision)) => Answer::Written(revision),
+        Ok(Swap::Conflict) => Answer::Conflict,
+        Err(_) => Answer::Lost,
+    }
+}
+
 /// Creates a key under a lease of its own, which nobody renews.
 async fn create(store: &Client, key: &str, value: String, keep: Duration) -> Answer {
     let Ok(lease) = store.lease(keep).await else {
         return Answer::Lost;
     };
-    match store.create_leased(key, value, lease).await {
+    match store.swap_leased(key, value, 0, lease).await {
         Ok(Swap::Written(revision)) => Answer::Written(revision),
         Ok(Swap::Conflict) => Answer::Conflict,
         Err(_) => Answer::Lost,
--- a/crates/stairvale-store/src/client.rs
+++ b/crates/stairvale-store/src/client.rs
@@ -135,12 +135,18 @@
         self.put(&format!("/v1/kv/{key}?revision={revision}"), value).await
     }
 
-    /// Creates a key that lives as long as a lease.
+    /// Writes a key as [`Client::swap`]; from then on it lives as long as a lease.
     ///
     /// # Errors
     /// As [`Client::swap`].
-    pub async fn create_leased(&self, key: &str, value: String, lease: u64) -> Result<Swap, Report<Error>> {
-        self.put(&format!("/v1/kv/{key}?revision=0&lease={lease}"), value).await
+    pub async fn swap_leased(
+        &self,
+        key: &str,
+        value: String,
+        revision: u64,
+        lease: u64,
+    ) -> Result<Swap, Report<Error>> {
+        self.put(&format!("/v1/kv/{key}?revision={revision}&lease={lease}"), value).await
     }
 
     /// Makes a lease.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,4 +62,8 @@
   's/saturating_mul\(SURGE\)\.min\(rules\.slots\)/max(rules.slots)/' stairvale-permit home
 mutant "the reserve is closed while a surge waits" crates/stairvale-permit/src/decide.rs \
   's/account\.queue\.is_empty\(\) \|\| .*$/account.queue.is_empty()/' stairvale-permit home
+mutant "a submission relies on a chunk that may go" crates/stairvale-control/src/apply.rs \
+  's/Answer::Conflict\) if self\.is_in_force\(index\) =>/Answer::Conflict) if index < usize::MAX =>/' stairvale-control sweep
+mutant "a chunk that came back is deleted" crates/stairvale-control/src/sweep.rs \
+  's/self\.batch\.retain\(\|found\| !manifest\.chunks\.contains\(&found\.chunk\)\);/drop(manifest.chunks.len());/' stairvale-control sweep
 exit $missed
