A key that was used for another request doesn't get its answer

Cause: a repeat of an idempotency key got the first answer whatever it asked, so a caller that used a key again for another redemption was told the receipt of the first: not the answer to its own request.

Weighed: the request's hash in the key (a second body would run under the same key, which is what keys are there to prevent); in the claim (a claim that is still running answers no request, so nothing is won). Chosen: the stored answer names the request that it answers by a hash of method, path and body; another request is refused with 422 `key-reused`, not run. The form of claim records changes, so their mark is 2.

Seen failing first: a_key_of_another_request_gets_nobody_elses_answer (200 with the first's receipt). Passes now, with all tests of the crates it touches.

--- a/crates/stairvale-claim/examples/growth.rs
+++ b/crates/stairvale-claim/examples/growth.rs
@@ -52,7 +52,8 @@
                 Effect::ReadSegment { .. } | Effect::Settled { .. } | Effect::Noted { .. } => continue,
                 Effect::Answer { key, attempt, .. } => {
                     let body = Some("{\"receipt\":\"receipt-0123456789abcdef\"}".into());
-                    let stored = Stored { status: 200, content_type: "application/json".into(), body };
+                    let stored =
+                        Stored { print: id::Print(1), status: 200, content_type: "application/json".into(), body };
                     let more = shard.settle(now, now.millis(), &entry, key, attempt, Some(stored));
                     assert!(more.is_empty());
                     continue;
--- a/crates/stairvale-claim/src/record.rs
+++ b/crates/stairvale-claim/src/record.rs
@@ -63,7 +63,7 @@
 pub struct Error;
 
 /// What stands before a value of this form; another form gets another mark.
-const MARK: &str = "1:";
+const MARK: &str = "2:";
 
 /// A value as it goes into the store, which holds text: `bincode` in base64, less than half the size of JSON here.
 pub(crate) fn to_text<T: Serialize>(value: &T) -> String {
--- a/crates/stairvale-claim/tests/shard.rs
+++ b/crates/stairvale-claim/tests/shard.rs
@@ -108,7 +108,12 @@
     }
 
     fn settle(&mut self, keeper: usize, key: u128, attempt: u128) {
-        let stored = Stored { status: 200, content_type: "t".into(), body: Some(format!("answer {attempt}")) };
+        let stored = Stored {
+            print: id::Print(1),
+            status: 200,
+            content_type: "t".into(),
+            body: Some(format!("answer {attempt}")),
+        };
         let (key, attempt, now_ms) = (id::Key(key), id::Attempt(attempt), self.now_ms());
         let effects = self.keepers[keeper].settle(self.now, now_ms, &Self::entry(), key, attempt, Some(stored));
         self.effects(keeper, effects);
--- a/crates/stairvale-control/tests/world/mod.rs
+++ b/crates/stairvale-control/tests/world/mod.rs
@@ -453,7 +453,12 @@
                 }
                 if self.is_life(&name, life) {
                     self.ran.entry(key).or_default().push(attempt);
-                    let stored = Stored { status: 200, content_type: "text/plain".into(), body: Some("done".into()) };
+                    let stored = Stored {
+                        print: id::Print(1),
+                        status: 200,
+                        content_type: "text/plain".into(),
+                        body: Some("done".into()),
+                    };
                     if self.rng.random_bool(self.settles) {
                         self.input_now(&name, Input::Settle { key, attempt, stored: Some(stored) });
                     }
--- a/crates/stairvale-router/src/once.rs
+++ b/crates/stairvale-router/src/once.rs
@@ -22,9 +22,9 @@
     caller::{Ready, with_wait},
     guard::Permit,
     metrics::Outcome,
-    problem::Unknown,
+    problem::{Bad, Unknown},
     shared::Command,
-    upstream::{Client, Failure, pass_on},
+    upstream::{Call, Client, Failure, pass_on},
 };
 
 /// The largest answer to a request that must not be repeated, in bytes.
@@ -104,9 +104,11 @@
         let sent = send(shared, client, &mut ready, &offered, None).await;
         return sent.map(|(response, _)| with_wait(response, ready.waited));
     };
+    let print = print(&ready.call);
     let claim = match Claim::take(shared, key, ready.attempt).await {
         Ok(claim) => claim,
         Err(Answered::Problem(problem)) => return Err(problem),
+        Err(Answered::Stored(stored)) if stored.print != print => return Err(Bad::KeyReused.into()),
         Err(Answered::Stored(stored)) => return replay(stored),
     };
     ready.call.fence = Some(claim.fence);
@@ -139,7 +141,7 @@
             ready.prepare(shared, &grant, false);
             let answer = client.ask_once(&place, &ready.call, || offered.store(true, Ordering::Relaxed)).await;
             match answer {
-                Ok(response) => return collect(response, permit).await,
+                Ok(response) => return collect(response, permit, print(&ready.call)).await,
                 Err(Failure::Unreachable) => {
                     permit.fail(true);
                     ready.avoid.push(grant.upstream);
@@ -178,7 +180,11 @@
 }
 
 /// The whole answer; anything less leaves the request's fate unknown.
-async fn collect(response: Response<Incoming>, mut permit: Permit) -> Result<(Response<Body>, Stored), Problem> {
+async fn collect(
+    response: Response<Incoming>,
+    mut permit: Permit,
+    print: id::Print,
+) -> Result<(Response<Body>, Stored), Problem> {
     let (head, body) = response.into_parts();
     let collected = Limited::new(body, MAX_ANSWER).collect().await;
     let Ok(body) = collected else {
@@ -187,22 +193,36 @@
     };
     permit.succeed();
     let body = body.to_bytes();
-    let stored = stored(head.status, &head.headers, &body);
+    let stored = stored(print, head.status, &head.headers, &body);
     let mut response = Response::new(Body::whole(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = pass_on(&head.headers);
     Ok((response, stored))
 }
 
-fn stored(status: StatusCode, headers: &HeaderMap, body: &Bytes) -> Stored {
+fn stored(print: id::Print, status: StatusCode, headers: &HeaderMap, body: &Bytes) -> Stored {
     let content_type = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
     Stored {
+        print,
         status: status.as_u16(),
         content_type: content_type.unwrap_or("application/octet-stream").to_owned(),
         body: String::from_utf8(body.to_vec()).ok(),
     }
 }
 
+/// What tells a request from another one that has the same key: its method, path and body.
+fn print(call: &Call) -> id::Print {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(call.method.as_str().as_bytes());
+    hasher.update(b" ");
+    hasher.update(call.path.as_bytes());
+    hasher.update(b"\n");
+    hasher.update(&call.body);
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    id::Print(u64::from_be_bytes(bytes))
+}
+
 /// The answer that an earlier request with this key got.
 fn replay(stored: Stored) -> Result<Response<Body>, Problem> {
     let Some(body) = stored.body else {
--- a/crates/stairvale-router/src/problem.rs
+++ b/crates/stairvale-router/src/problem.rs
@@ -49,6 +49,9 @@
     /// `idempotency-key` is empty, too long or has control characters.
     #[error("idempotency-key must have 1 to 256 printable characters")]
     IdempotencyKey,
+    /// The idempotency key was used for a request with another method, path or body, which ran.
+    #[error("this idempotency key was used for another request; a key is for one request only")]
+    KeyReused,
 }
 
 /// What may have run.
@@ -184,6 +187,7 @@
             Self::Priority => "bad-priority",
             Self::Chat => "bad-chat",
             Self::IdempotencyKey => "bad-idempotency-key",
+            Self::KeyReused => "key-reused",
         }
     }
 
@@ -192,6 +196,7 @@
             Self::Key => StatusCode::UNAUTHORIZED,
             Self::Service => StatusCode::NOT_FOUND,
             Self::Body => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::BodyBroken | Self::Deadline | Self::Priority | Self::Chat | Self::IdempotencyKey => {
                 StatusCode::BAD_REQUEST
             }
--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -249,6 +249,25 @@
     assert_eq!(runs("r-1").await, 1);
 }
 
+#[tokio::test]
+async fn a_key_of_another_request_gets_nobody_elses_answer() {
+    std::thread::spawn(fleet).join().unwrap();
+    let fleet = fleet();
+    let key = format!("Bearer {CUSTOMER}");
+    let headers = [("authorization", key.as_str()), ("idempotency-key", "twice"), ("x-request-id", "twice")];
+    let mut answers = Vec::new();
+    for (router, body) in [(0, "{\"redeem\":1}"), (1, "{\"redeem\":2}"), (0, "{\"redeem\":1}")] {
+        let uri = format!("http://{}/points/redeem", fleet.callers[router]);
+        answers.push(call(Method::POST, uri, &headers, body.into()).await.unwrap());
+    }
+    assert_eq!(answers[0].status, StatusCode::OK, "{}", answers[0].body);
+    assert_eq!(answers[1].status, StatusCode::UNPROCESSABLE_ENTITY, "{}", answers[1].body);
+    assert_eq!(answers[1].json()["outcome"], "not-run");
+    assert_eq!(answers[1].json()["reason"], "key-reused");
+    assert_eq!(answers[2].body, answers[0].body);
+    assert_eq!(runs("twice").await, 1);
+}
+
 #[tokio::test]
 async fn what_an_upstream_refuses_by_its_own_word_goes_to_another_and_runs_once() {
     std::thread::spawn(fleet).join().unwrap();
--- a/crates/stairvale-types/src/id.rs
+++ b/crates/stairvale-types/src/id.rs
@@ -162,6 +162,10 @@
     /// An idempotency key, by the hash of its customer, service and text.
     Key, u128, "{:032x}"
 }
+number! {
+    /// What tells a request from another one with the same idempotency key, by the hash of its method, path and body.
+    Print, u64, "{:016x}"
+}
 
 impl Chat {
     /// The chat that a customer knows by `name`. Two customers never share a chat.
--- a/crates/stairvale-wire/src/frame.rs
+++ b/crates/stairvale-wire/src/frame.rs
@@ -310,6 +310,8 @@
 /// The answer to a request that ran, as far as it is kept.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Stored {
+    /// The request that it answers.
+    pub print: id::Print,
     /// The HTTP status.
     pub status: u16,
     /// The content type.
--- a/crates/stairvale-wire/tests/codec.rs
+++ b/crates/stairvale-wire/tests/codec.rs
@@ -28,7 +28,8 @@
     };
     let refusal = Refusal::new(Reason::Deadline, Duration::from_millis(1_500));
     let answer = |verdict| Frame::Answer { upstream: upstream.clone(), attempt, verdict };
-    let stored = Stored { status: 200, content_type: "text/plain".into(), body: Some("yes".into()) };
+    let stored =
+        Stored { print: id::Print(1), status: 200, content_type: "text/plain".into(), body: Some("yes".into()) };
     vec![
         Frame::Ask(ask),
         answer(Verdict::Granted { outstanding: 4, over_share: true }),
