An attempt in a fleet without homes comes to its end

Where an engine has no home that this router knows and no room without one, the attempt went to the next engine, and at the last resort to the same one again, for ever: only asks that were sent were counted. It happens at the last live router of a fleet while it stops (a leaving router is no home, its own included): the process would have died with all its streams.

Change: each step counts, whether there is a home to ask or not.

--- a/crates/stairvale-permit/src/entry.rs
+++ b/crates/stairvale-permit/src/entry.rs
@@ -248,11 +248,12 @@
         let Some(asking) = self.asking.get_mut(&attempt) else {
             return Vec::new();
         };
+        // Counted also if there is nobody to ask, so that an attempt comes to its end in a fleet without homes.
+        asking.asks += 1;
         let Some(home) = directory.home(&asking.upstream, asking.home_rank) else {
             return self.degrade(now, directory, attempt);
         };
         asking.home = home.clone();
-        asking.asks += 1;
         let ask = asking.to_ask(now);
         asking.answer_by = now + ask.patience + ASK_TIMEOUT;
         let upstream = asking.upstream.clone();
--- a/crates/stairvale-permit/tests/entry.rs
+++ b/crates/stairvale-permit/tests/entry.rs
@@ -253,3 +253,13 @@
     };
     assert_eq!(held[0].attempts.len(), 5);
 }
+
+#[test]
+fn where_no_home_and_no_room_is_left_the_request_is_refused_at_once() {
+    // As at the last router of a fleet, while it stops: every engine is usable, and none has a home.
+    let mut bench = Bench::new();
+    bench.fleet.homes.clear();
+    let effects = bench.want(true);
+    assert!(matches!(effects[..], [Effect::Refused { .. }]), "{effects:?}");
+    assert_eq!(bench.entry.asking(), 0);
+}
