--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -3,7 +3,7 @@
 #
 #   scripts/measure.sh SCENARIO [--seed N] [--policy P] [--json FILE] [--seconds N] [--rate N] [--document FILE]
 #
-# Scenarios: steady sliver churn surge router-kill router-freeze zone-cut platform-outage operator-race engine-leave stop
+# Scenarios: steady sliver churn surge router-kill router-freeze zone-cut platform-outage operator-race engine-leave stop orders
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -183,6 +183,33 @@
   stop_planned "${SERVICES[0]}" || bad "the service did not stop with 0"
 }
 
+# The router of the first zone that holds the orders.
+order_holder() {
+  local name
+  for name in "${ROUTERS[@]}"; do
+    case $name in "${ZONES[0]}"-*) ;; *) continue ;; esac
+    curl -s -m 2 -H "authorization: Bearer $OPERATOR_KEY" "http://${ADDRESS[$name-operators]}/v1/audit" |
+      grep -q '"ordered"' && echo "$name" && return
+  done
+}
+
+# Engines start with an old version; who orders them in the first zone dies in between.
+orders_events() {
+  local holder name version
+  sleep 5
+  holder=$(order_holder)
+  [ -n "$holder" ] || { bad "nobody gave an order in the first zone"; return; }
+  stop_now "$holder"
+  sleep 3
+  run_router "$holder"
+  sleep "$((seconds - 4))"
+  for name in "${ENGINES[@]}"; do
+    version=$(curl -s -m 2 "http://${ADDRESS[$name]}/v1/status" | grep -o '"version":"[^"]*"')
+    [ "$version" = '"version":"1"' ] || bad "$name has $version"
+  done
+}
+
+[ "$scenario" = orders ] && ENGINE_ARGS="--version 0"
 start_fleet 2 4 3
 apply_first
 case $scenario in
@@ -201,6 +228,7 @@
     ;;
   engine-leave) with_load leave_events ;;
   stop) with_load stop_events ;;
+  orders) with_load orders_events ;;
   *) say "no scenario $scenario"; exit 2 ;;
 esac
 [ -n "${KINDS:-}" ] && control_kinds
