A request isn't sent back to the engine that refused it

After three tries it gave up, and since an upstream had been offered the request it said "unknown". Ruled out: requests cut by an engine's or service's exit (no such break in the logs).

Change: a hint to an engine that is no candidate any more isn't followed; the first choice is asked for itself.

Seen failing first: a_hint_to_an_engine_that_failed_the_request_is_not_followed (asked h0 for e0).

--- a/crates/stairvale-permit/src/entry.rs
+++ b/crates/stairvale-permit/src/entry.rs
@@ -348,7 +348,9 @@
             return Vec::new();
         };
         asking.prefix_at = Some(upstream.clone());
-        if !directory.usable(&upstream) {
+        // One that failed this request is no candidate any more.
+        let is_candidate = asking.want.candidates.contains(&upstream);
+        if !is_candidate || !directory.usable(&upstream) {
             // The first choice is asked again, now for itself.
             asking.next = 0;
             return self.advance(now, directory, attempt);
--- a/crates/stairvale-permit/tests/entry.rs
+++ b/crates/stairvale-permit/tests/entry.rs
@@ -263,3 +263,16 @@
     assert!(matches!(effects[..], [Effect::Refused { .. }]), "{effects:?}");
     assert_eq!(bench.entry.asking(), 0);
 }
+
+#[test]
+fn a_hint_to_an_engine_that_failed_the_request_is_not_followed() {
+    let mut bench = Bench::new();
+    let mut retry = want(1, true);
+    retry.candidates.retain(|engine| engine.as_str() != "e0");
+    bench.entry.want(NOW, &bench.fleet, retry);
+    // The first choice's home remembers that the prefix is at the engine that refused just now.
+    let effects = bench.answer("h1", "e1", Verdict::Elsewhere { upstream: "e0".parse().unwrap() });
+    let (home, ask) = asked(&effects).unwrap();
+    assert_eq!((home.as_str(), ask.upstream.as_str()), ("h1", "e1"));
+    assert!(!ask.profile.returning, "the home must not send it there again");
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -66,4 +66,6 @@
   's/Answer::Conflict\) if self\.is_in_force\(index\) =>/Answer::Conflict) if index < usize::MAX =>/' stairvale-control sweep
 mutant "a chunk that came back is deleted" crates/stairvale-control/src/sweep.rs \
   's/self\.batch\.retain\(\|found\| !manifest\.chunks\.contains\(&found\.chunk\)\);/drop(manifest.chunks.len());/' stairvale-control sweep
+mutant "a failed engine is tried again on a hint" crates/stairvale-permit/src/entry.rs \
+  's/if !is_candidate \|\| !directory/if !directory/' stairvale-permit entry
 exit $missed
