A small rate doesn't refuse what comes together by chance

Cause: the account limited as soon as the asks of about a second passed what may pass, though the burst was in hand, and the burst was four requests. At the size to design for most customers ask that little. The limiter at one router had a burst of one request there.

Change: with half of the burst in hand nothing is limited, and the burst is two seconds of the rate, at least 20 requests, at the router's own limiter, too.

--- a/crates/stairvale-admission/src/limit.rs
+++ b/crates/stairvale-admission/src/limit.rs
@@ -13,8 +13,8 @@
 const FOLLOW: Duration = Duration::from_secs(1);
 /// Requests that an account lets through beyond its rate at once, as seconds of the rate.
 const BURST: Duration = Duration::from_secs(2);
-/// The least burst in requests, so that a small rate doesn't refuse two requests that come together.
-const MIN_BURST: f64 = 4.0;
+/// The least burst in requests, so that a small rate doesn't refuse a few requests that come together by chance.
+const MIN_BURST: f64 = 20.0;
 /// What was let through too much, or is left of the burst, is evened out over this time.
 const EVEN_OUT: Duration = Duration::from_secs(5);
 /// A new account doesn't know yet what is asked, so for this long routers keep the share that they were told before.
@@ -110,7 +110,9 @@
     #[must_use]
     pub fn fraction(&self) -> Fraction {
         let may_pass = (self.rate + self.tokens / EVEN_OUT.as_secs_f64()).max(0.0);
-        if self.asked <= may_pass { Fraction::ALL } else { Fraction(may_pass / self.asked) }
+        // With half of the burst in hand, many asks in a short time are chance.
+        let is_within = self.asked <= may_pass || self.tokens >= burst(self.rate) / 2.0;
+        if is_within { Fraction::ALL } else { Fraction(may_pass / self.asked) }
     }
 
     // ------------------------------------------------------------------------
@@ -139,7 +141,9 @@
     }
 }
 
-fn burst(rate: f64) -> f64 {
+/// Requests that may pass at once, beyond a rate in requests a second.
+#[must_use]
+pub fn burst(rate: f64) -> f64 {
     (rate * BURST.as_secs_f64()).max(MIN_BURST)
 }
 
--- a/crates/stairvale-router/src/limit.rs
+++ b/crates/stairvale-router/src/limit.rs
@@ -10,7 +10,7 @@
     DefaultDirectRateLimiter, Quota, RateLimiter,
     clock::{Clock, DefaultClock},
 };
-use stairvale_admission::limit::{Fraction, Share};
+use stairvale_admission::limit::{self, Fraction, Share};
 use stairvale_types::{Moment, unit};
 
 /// The whole rate at this one router, and of that the share which the keeper of the customer's account told.
@@ -49,10 +49,10 @@
     }
 }
 
-/// A rate with a burst of one second of it, at least one request.
+/// A rate with the burst that its account allows, too.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn quota(rate: unit::Rate) -> Quota {
-    let burst = NonZeroU32::new(rate.per_second().ceil() as u32).unwrap_or(NonZeroU32::MIN);
+    let burst = NonZeroU32::new(limit::burst(rate.per_second()).ceil() as u32).unwrap_or(NonZeroU32::MIN);
     let period = Duration::from_secs_f64(1.0 / rate.per_second());
     Quota::with_period(period).unwrap_or(Quota::per_second(burst)).allow_burst(burst)
 }
