--- a/crates/stairvale-admission/tests/limit.rs
+++ b/crates/stairvale-admission/tests/limit.rs
@@ -91,6 +91,15 @@
     assert_eq!(Crowd::new(shape).run(LONG).shares, 0);
 }
 
+#[test]
+fn a_new_account_leaves_a_share_that_was_told_before_for_a_while() {
+    let start = Moment::from_millis(10_000);
+    let mut account = Account::new(start, rate(10.0));
+    let usage = Usage { asked: 1, passed: 0, fraction: Fraction::from_millionths(100_000) };
+    assert_eq!(account.hear(start + Duration::from_millis(500), usage), None, "its predecessor knew more");
+    assert_eq!(account.hear(start + Duration::from_millis(1_500), usage), Some(Fraction::ALL));
+}
+
 #[test]
 fn a_share_that_is_not_told_again_is_forgotten() {
     let now = Moment::from_millis(1_000);
