The test world split by job; the walks through specifications stand once

The random walk and the reading of a specification's marks stood in three crates' tests.

No check is changed: same seeds, depths and numbers of walks.

Ruled out: a crate for the walk (twenty lines that only tests need).

--- a/crates/stairvale-claim/tests/spec.rs
+++ b/crates/stairvale-claim/tests/spec.rs
@@ -5,6 +5,9 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+#[path = "../../../spec/walk.rs"]
+mod walk;
+
 use std::{
     collections::{BTreeSet, VecDeque},
     time::Duration,
@@ -16,6 +19,7 @@
 };
 use stairvale_types::{Moment, id};
 use stairvale_wire::ClaimVerdict;
+use walk::{Walk, spec_moves};
 
 const KEY: id::Key = id::Key(5);
 const ATTEMPTS: usize = 2;
@@ -207,12 +211,11 @@
     let mut made = BTreeSet::new();
     let mut ran = 0;
     for walk in 1..=WALKS {
-        let mut state = walk;
+        let mut walk = Walk::new(walk);
         let mut model = Model::new();
         for _ in 0..DEPTH {
             let moves = model.enabled();
-            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            let pick = usize::try_from(state >> 33).unwrap() % moves.len();
+            let pick = walk.pick(moves.len());
             model.make(moves[pick]);
         }
         ran += u64::from(model.runs);
@@ -220,12 +223,5 @@
     }
     assert!(ran > WALKS / 20, "only {ran} walks ran anything");
     let made: BTreeSet<String> = made.into_iter().map(str::to_owned).collect();
-    assert_eq!(made, spec_moves(), "the code makes exactly the spec's moves");
-}
-
-fn spec_moves() -> BTreeSet<String> {
-    let spec = concat!(env!("CARGO_MANIFEST_DIR"), "/../../spec/claims.pml");
-    let text = std::fs::read_to_string(spec).unwrap();
-    let labels = text.split("/* move: ").skip(1);
-    labels.map(|rest| rest.split([' ', ';']).next().unwrap().to_owned()).collect()
+    assert_eq!(made, spec_moves("claims.pml"), "the code makes exactly the spec's moves");
 }
--- a/crates/stairvale-control/tests/spec.rs
+++ b/crates/stairvale-control/tests/spec.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+#[path = "../../../spec/walk.rs"]
+mod walk;
+
 use std::collections::BTreeSet;
 
 use stairvale_config::{Generation, Manifest};
@@ -11,6 +14,7 @@
     io::{Action, Answer},
 };
 use stairvale_types::{Moment, id};
+use walk::{Walk, spec_moves};
 
 const OPERATORS: usize = 2;
 const ROUTERS: usize = 2;
@@ -193,24 +197,16 @@
 fn in_every_order_generations_rise_and_operators_hear_the_truth() {
     let mut made = BTreeSet::new();
     for walk in 1..=WALKS {
-        let mut state = walk;
+        let mut walk = Walk::new(walk);
         let mut model = Model::new();
         for _ in 0..DEPTH {
             let moves = model.enabled();
-            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            let pick = usize::try_from(state >> 33).unwrap() % moves.len();
+            let pick = walk.pick(moves.len());
             model.make(moves[pick]);
         }
         assert!(model.history.len() <= 2, "both of two racing operators were accepted");
         made.extend(model.made);
     }
     let made: BTreeSet<String> = made.into_iter().map(str::to_owned).collect();
-    assert_eq!(made, spec_moves(), "the code makes exactly the spec's moves");
-}
-
-fn spec_moves() -> BTreeSet<String> {
-    let spec = concat!(env!("CARGO_MANIFEST_DIR"), "/../../spec/generations.pml");
-    let text = std::fs::read_to_string(spec).unwrap();
-    let labels = text.split("/* move: ").skip(1);
-    labels.map(|rest| rest.split([' ', ';']).next().unwrap().to_owned()).collect()
+    assert_eq!(made, spec_moves("generations.pml"), "the code makes exactly the spec's moves");
 }
--- a/crates/stairvale-control/tests/world/mod.rs
+++ b/crates/stairvale-control/tests/world/mod.rs
@@ -5,7 +5,9 @@
 
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
+mod callers;
 mod holds;
+mod network;
 mod parts;
 pub mod store;
 mod upstreams;
@@ -284,112 +286,6 @@
         world
     }
 
-    // ------------------------------------------------------------------------
-    // What callers and operators do.
-
-    /// A request comes in at a router.
-    pub fn request(&mut self, router: &str, service: &str, chat: Option<u64>, deadline: Duration) -> id::Attempt {
-        let attempt = id::Attempt(self.number());
-        let customer = format!("customer-{}", self.rng.random_range(0..4));
-        let request = Request {
-            attempt,
-            profile: Profile {
-                service: service.parse().unwrap(),
-                customer: customer.parse().unwrap(),
-                weight: 1,
-                class: Class::ALL[self.rng.random_range(0..3)],
-                chat: chat.map(id::Chat),
-                returning: chat.is_some(),
-            },
-            prompt: unit::Tokens(2_000),
-            deadline,
-            retry: false,
-            avoid: Vec::new(),
-        };
-        self.fates.insert(attempt, Fate::Asking);
-        self.entries.insert(attempt, router.to_owned());
-        self.input_now(router, Input::Request(request));
-        attempt
-    }
-
-    /// A request of the customer that has a rate comes in at a router, which lets it pass by what it was told.
-    pub fn ask_limited(&mut self, router: &str) -> bool {
-        let customer: id::Customer = "limited".parse().unwrap();
-        let fraction = self.shares.get(&(router.to_owned(), customer.clone())).copied().unwrap_or(Fraction::ALL);
-        let passed = self.rng.random_ratio(fraction.millionths(), 1_000_000);
-        self.input_now(router, Input::Asked { customer, passed });
-        passed
-    }
-
-    /// A caller gives up.
-    pub fn give_up(&mut self, router: &str, attempt: id::Attempt) {
-        self.finish(router, attempt);
-    }
-
-    /// A request with an idempotency key comes in at a router.
-    pub fn claim(&mut self, router: &str, key: u128) -> id::Attempt {
-        let attempt = id::Attempt(self.number());
-        // Spread over shards as real keys are.
-        let key = id::Key(key.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835));
-        self.claim_keys.insert(attempt, key);
-        self.input_now(router, Input::Claim { key, attempt });
-        attempt
-    }
-
-    /// A frame comes in once more, as if the network had kept a copy.
-    pub fn frame(&mut self, router: &str, from: &str, frame: stairvale_wire::Frame) {
-        self.input_now(router, Input::Frame { from: from.parse().unwrap(), frame });
-    }
-
-    /// A router is told to stop as planned.
-    pub fn leave(&mut self, router: &str) {
-        self.routers.get_mut(router).unwrap().leaving = true;
-        self.input_now(router, Input::Leave);
-    }
-
-    /// An operator submits a document at a router and waits for the end.
-    pub fn apply(&mut self, router: &str, text: &str, base: u64, submission: &str) -> Outcome {
-        let mut machine = self.submission(text, base, submission);
-        let mut step = machine.start();
-        loop {
-            match step {
-                Step::Done(outcome) => {
-                    self.accepted(router, &machine, &outcome);
-                    return outcome;
-                }
-                Step::Call(key, action) => {
-                    let answer = self.store_call(&key, action);
-                    step = machine.answer(answer);
-                }
-            }
-        }
-    }
-
-    pub fn submission(&self, text: &str, base: u64, submission: &str) -> Machine {
-        Machine::new(Submission {
-            id: submission.to_owned(),
-            operator: "op".parse().unwrap(),
-            text: text.to_owned(),
-            base: Generation(base),
-            at_ms: self.now / 1_000,
-        })
-    }
-
-    pub fn accepted(&mut self, router: &str, machine: &Machine, outcome: &Outcome) {
-        if let Outcome::Accepted(manifest) = outcome {
-            let chunks = machine.chunks().to_vec();
-            self.input_now(router, Input::Accepted { manifest: manifest.clone(), chunks });
-        }
-    }
-
-    pub fn store_call(&mut self, key: &str, action: Action) -> Answer {
-        if self.faults.store_down {
-            return Answer::Lost;
-        }
-        let answer = self.store.call(self.now, key, action);
-        if self.rng.random_bool(self.faults.lost_answers) { Answer::Lost } else { answer }
-    }
-
     // ------------------------------------------------------------------------
     // Time.
 
@@ -560,52 +456,6 @@
         });
         routers.chain(engines).collect()
     }
-
-    fn is_cut(&self, from: &str, to: &str) -> bool {
-        let (from, to) = (&self.routers[from].zone, &self.routers[to].zone);
-        self.faults.cuts.contains(&(from.clone(), to.clone()))
-    }
-
-    /// Frames of a stream keep their order. A dead peer is noticed soon, a cut one after the connection's time limit.
-    fn send_frame(&mut self, from: &str, to: &str, frame: stairvale_wire::Frame) {
-        let life = self.routers[from].life;
-        if self.is_cut(from, to) || !self.routers[to].alive {
-            let wait = if self.is_cut(from, to) { 400_000 } else { 2_000 };
-            let input = Input::PeerUnreachable(to.parse().unwrap());
-            self.push(self.now + wait, Event::Input(from.to_owned(), life, input));
-            return;
-        }
-        let delay = self.delay();
-        let link = self.links.entry((from.to_owned(), to.to_owned())).or_default();
-        let at = (self.now + delay).max(*link + 1);
-        *link = at;
-        let there = self.routers[to].life;
-        let input = Input::Frame { from: from.parse().unwrap(), frame };
-        if self.rng.random_bool(self.faults.doubled) {
-            self.push(at + 1, Event::Input(to.to_owned(), there, input.clone()));
-        }
-        self.push(at, Event::Input(to.to_owned(), there, input));
-    }
-
-    fn send_datagram(&mut self, from: &str, to: SocketAddr, mut packet: stairvale_wire::Packet) {
-        if self.faults.no_news {
-            packet.updates.retain(|update| matches!(update, stairvale_wire::Update::Member(_)));
-        }
-        let Some((name, slot)) = self.routers.iter().find(|(_, slot)| slot.address == to) else {
-            return;
-        };
-        let (name, life, alive) = (name.clone(), slot.life, slot.alive);
-        if !alive || self.is_cut(from, &name) || self.rng.random_bool(self.faults.loss) {
-            return;
-        }
-        let source = self.routers[from].address;
-        let input = Input::Datagram { from: source, packet };
-        let delay = self.delay();
-        if self.rng.random_bool(self.faults.doubled) {
-            self.push(self.now + 2 * delay, Event::Input(name.clone(), life, input.clone()));
-        }
-        self.push(self.now + delay, Event::Input(name, life, input));
-    }
 }
 
 fn micros(span: Duration) -> u64 {
--- a/crates/stairvale-permit/tests/spec.rs
+++ b/crates/stairvale-permit/tests/spec.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+#[path = "../../../spec/walk.rs"]
+mod walk;
+
 use std::{
     collections::{BTreeSet, VecDeque},
     time::Duration,
@@ -16,6 +19,7 @@
 use stairvale_placement::choice::Estimate;
 use stairvale_types::{Class, Moment, id};
 use stairvale_wire::{Ask, Held, Profile, Verdict};
+use walk::{Walk, spec_moves};
 
 const ENTRIES: usize = 2;
 const BOUND: u32 = 1;
@@ -346,7 +350,7 @@
         }
         complete = longer;
     }
-    let mut state = 7_u64;
+    let mut walk = Walk::new(7);
     for start in complete.iter().cycle().take(60_000) {
         let mut path = start.clone();
         while path.len() < DEPTH {
@@ -354,14 +358,14 @@
             if choices == 0 {
                 break;
             }
-            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            path.push(usize::try_from(state >> 33).unwrap() % choices);
+            path.push(walk.pick(choices));
         }
         replay(&path, &mut made);
         paths += 1;
     }
     assert!(paths > 60_000);
-    let missing: Vec<_> = spec_moves().into_iter().filter(|label| !made.contains(label.as_str())).collect();
+    let missing: Vec<_> =
+        spec_moves("permits.pml").into_iter().filter(|label| !made.contains(label.as_str())).collect();
     assert!(missing.is_empty(), "the code never made the spec's moves {missing:?}");
 }
 
@@ -369,15 +373,8 @@
     replay(path, &mut BTreeSet::new())
 }
 
-fn spec_moves() -> BTreeSet<String> {
-    let spec = concat!(env!("CARGO_MANIFEST_DIR"), "/../../spec/permits.pml");
-    let text = std::fs::read_to_string(spec).unwrap();
-    let labels = text.split("/* move: ").skip(1);
-    labels.map(|rest| rest.split([' ', ';']).next().unwrap().to_owned()).collect()
-}
-
 #[test]
 fn the_spec_and_this_test_name_the_same_moves() {
     let here: BTreeSet<_> = MOVES.iter().filter(|name| **name != "none").map(|name| (*name).to_owned()).collect();
-    assert_eq!(spec_moves(), here);
+    assert_eq!(spec_moves("permits.pml"), here);
 }
