A home's counters are shown as they are; the sample request stands once

Cause: a home's seven counters stood again in the node's Stats, copied one by one, so a new counter had to be written in three places. The same sample profile stood in three tests and a benchmark, and three closures in one test file built the same ask.

Change: Stats holds the home's Counts and flattens them, so JSON and metrics keep their names (the home's violations are left out, since the node's sum has them); tests/sample holds the profile. A test now checks that each of three counters is shown exactly once.

Ruled out: one type for a home's, an entry's and a shard's counters (their words differ).

--- a/crates/stairvale-control/src/node.rs
+++ b/crates/stairvale-control/src/node.rs
@@ -328,13 +328,7 @@
         let home = self.home.counts();
         let entry = self.entry.counts();
         let mut stats = Stats {
-            granted: home.granted,
-            over_bound: home.over_bound,
-            overflowed: home.overflowed,
-            queued: home.queued,
-            refused: home.refused,
-            aged: home.aged,
-            distrusted: home.distrusted,
+            home,
             degraded: entry.degraded,
             late: entry.late,
             unanswered: entry.unanswered,
--- a/crates/stairvale-control/src/stats.rs
+++ b/crates/stairvale-control/src/stats.rs
@@ -1,24 +1,14 @@
 //! Counters of a node, for metrics and tests.
 
 use serde::Serialize;
+use stairvale_permit::rules::Counts;
 
 /// What a node counted since its start, and what it holds now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Stats {
-    /// Permits granted as a home.
-    pub granted: u64,
-    /// Grants above the bound by the latest mean.
-    pub over_bound: u64,
-    /// Asks sent on to another engine.
-    pub overflowed: u64,
-    /// Asks that had to wait.
-    pub queued: u64,
-    /// Asks refused by this home.
-    pub refused: u64,
-    /// Permits dropped because nobody renewed them.
-    pub aged: u64,
-    /// Times that this router found itself paused.
-    pub distrusted: u64,
+    /// What its home counted.
+    #[serde(flatten)]
+    pub home: Counts,
     /// Permits taken without a home.
     pub degraded: u64,
     /// Grants that came too late and were given back.
--- a/crates/stairvale-control/tests/fleet.rs
+++ b/crates/stairvale-control/tests/fleet.rs
@@ -55,7 +55,7 @@
 fn load_stays_within_the_bound_and_nothing_leaks() {
     let mut world = World::settled(3, 2, 3);
     load(&mut world, 5, 100);
-    let over: u64 = world.routers.values().map(|slot| slot.node.stats().over_bound).sum();
+    let over: u64 = world.routers.values().map(|slot| slot.node.stats().home.over_bound).sum();
     assert_eq!(over, 0);
     world.run(Duration::from_secs(3));
     world.assert_all_told();
@@ -114,7 +114,7 @@
         world.freeze("a-router-0", SECOND);
         world.run(SECOND);
         world.run(SETTLE);
-        assert_eq!(world.routers["a-router-0"].node.stats().distrusted, 1);
+        assert_eq!(world.routers["a-router-0"].node.stats().home.distrusted, 1);
         world.assert_no_leaks();
     }
 }
@@ -126,7 +126,7 @@
     world.freeze("a-router-0", Duration::from_secs(4));
     load(&mut world, 4, 50);
     load(&mut world, 4, 50);
-    assert_eq!(world.routers["a-router-0"].node.stats().distrusted, 1);
+    assert_eq!(world.routers["a-router-0"].node.stats().home.distrusted, 1);
     world.run(Duration::from_secs(6));
     world.assert_all_told();
     world.assert_no_leaks();
--- a/crates/stairvale-permit/benches/grant.rs
+++ b/crates/stairvale-permit/benches/grant.rs
@@ -2,10 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "../tests/sample/mod.rs"]
+mod sample;
+
 use std::time::Duration;
 
+use sample::profile;
 use stairvale_permit::{Home, rules::Rules};
-use stairvale_types::{Class, Moment, id};
+use stairvale_types::{Moment, id};
 use stairvale_wire::{Ask, Profile};
 
 fn main() {
@@ -15,14 +19,7 @@
 fn ask(attempt: u128, engine: usize) -> Ask {
     Ask {
         attempt: id::Attempt(attempt),
-        profile: Profile {
-            service: "chat".parse().unwrap(),
-            customer: "c".parse().unwrap(),
-            weight: 1,
-            class: Class::Normal,
-            chat: Some(id::Chat(7)),
-            returning: false,
-        },
+        profile: Profile { returning: false, ..profile() },
         upstream: format!("engine-{engine}").parse().unwrap(),
         first: true,
         patience: Duration::ZERO,
--- a/crates/stairvale-permit/src/rules.rs
+++ b/crates/stairvale-permit/src/rules.rs
@@ -1,5 +1,6 @@
 //! How engines are granted, and what a home answers and counts.
 
+use serde::Serialize;
 use stairvale_types::{id, unit};
 use stairvale_wire::Verdict;
 
@@ -59,7 +60,7 @@
 }
 
 /// What a home counted since its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
     /// Permits granted.
     pub granted: u64,
@@ -75,6 +76,7 @@
     pub aged: u64,
     /// Times that this home found itself paused and started its accounts anew.
     pub distrusted: u64,
-    /// Broken invariants: any but zero is a fault of the program.
+    /// Broken invariants: any but zero is a fault of the program. A node shows them together with its other parts'.
+    #[serde(skip)]
     pub violations: u64,
 }
--- a/crates/stairvale-permit/tests/entry.rs
+++ b/crates/stairvale-permit/tests/entry.rs
@@ -2,18 +2,21 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod sample;
+
 use std::{
     collections::{HashMap, HashSet},
     time::Duration,
 };
 
+use sample::profile;
 use stairvale_permit::{
     Entry,
     entry::{ASK_TIMEOUT, RENEW_EVERY},
     request::{Directory, Effect, Share, Want},
 };
 use stairvale_placement::choice::Estimate;
-use stairvale_types::{Class, Moment, Reason, Refusal, id};
+use stairvale_types::{Moment, Reason, Refusal, id};
 use stairvale_wire::{Ask, Profile, Verdict};
 
 /// Three engines with a home each, and who takes over.
@@ -48,14 +51,7 @@
 fn want(attempt: u128, returning: bool) -> Want {
     Want {
         attempt: id::Attempt(attempt),
-        profile: Profile {
-            service: "chat".parse().unwrap(),
-            customer: "c".parse().unwrap(),
-            weight: 1,
-            class: Class::Normal,
-            chat: Some(id::Chat(5)),
-            returning,
-        },
+        profile: Profile { returning, ..profile() },
         estimate: Estimate {
             rebuild: Duration::from_millis(200),
             transfer: Some(Duration::from_millis(30)),
--- a/crates/stairvale-permit/tests/home.rs
+++ b/crates/stairvale-permit/tests/home.rs
@@ -2,16 +2,19 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod sample;
+
 use std::time::Duration;
 
 use quickcheck::quickcheck;
+use sample::profile;
 use stairvale_permit::{
     Home, Mean,
     account::{PERMIT_TTL, SETTLE},
     mean::Sum,
     rules::{Answer, Rules},
 };
-use stairvale_types::{Class, Moment, Reason, id, unit};
+use stairvale_types::{Moment, Reason, id, unit};
 use stairvale_wire::{Ask, Held, Profile, Verdict};
 
 const SETTLED: Moment = Moment::from_millis(10_000);
@@ -46,14 +49,7 @@
 fn ask(attempt: u128, engine: &str, patience_ms: u64) -> Ask {
     Ask {
         attempt: id::Attempt(attempt),
-        profile: Profile {
-            service: "chat".parse().unwrap(),
-            customer: "c".parse().unwrap(),
-            weight: 1,
-            class: Class::Normal,
-            chat: Some(id::Chat(7)),
-            returning: true,
-        },
+        profile: profile(),
         upstream: upstream(engine),
         first: true,
         patience: Duration::from_millis(patience_ms),
@@ -61,6 +57,12 @@
     }
 }
 
+/// An ask of a customer for the first engine.
+fn ask_of(attempt: u128, customer: &str, patience_ms: u64) -> Ask {
+    let profile = Profile { customer: customer.parse().unwrap(), ..profile() };
+    Ask { profile, ..ask(attempt, "e0", patience_ms) }
+}
+
 fn sum(outstanding: u64, engines: u32, waiting: u32) -> Sum {
     Sum { outstanding, engines, waiting }
 }
@@ -252,11 +254,7 @@
 #[test]
 fn a_surge_shows_before_it_fills_its_share_of_the_slots() {
     let mut home = lone(32);
-    let of = |attempt, customer: &str| {
-        let ask = ask(attempt, "e0", 0);
-        let profile = Profile { customer: customer.parse().unwrap(), ..ask.profile };
-        Ask { profile, ..ask }
-    };
+    let of = |attempt, customer| ask_of(attempt, customer, 0);
     for (attempt, customer) in [(100, "a"), (101, "b"), (102, "c")] {
         home.ask(SETTLED, &router("r"), of(attempt, customer));
     }
@@ -271,17 +269,12 @@
 #[test]
 fn what_is_left_to_others_is_theirs_at_once_though_a_surge_waits() {
     let mut home = lone(8);
-    let of = |attempt, customer: &str, patience_ms| {
-        let ask = ask(attempt, "e0", patience_ms);
-        let profile = Profile { customer: customer.parse().unwrap(), ..ask.profile };
-        Ask { profile, ..ask }
-    };
-    assert!(is_granted(&home.ask(SETTLED, &router("r"), of(100, "other", 0))));
+    assert!(is_granted(&home.ask(SETTLED, &router("r"), ask_of(100, "other", 0))));
     for attempt in 0..10 {
-        home.ask(SETTLED, &router("r"), of(attempt, "surge", 10_000));
+        home.ask(SETTLED, &router("r"), ask_of(attempt, "surge", 10_000));
     }
     assert!(home.waiting() > 0, "the surge waits");
-    let answers = home.ask(SETTLED, &router("r"), of(101, "other", 0));
+    let answers = home.ask(SETTLED, &router("r"), ask_of(101, "other", 0));
     assert!(is_granted(&answers), "slots are left to others, but {answers:?}");
 }
 
@@ -290,10 +283,7 @@
     let mut home = Home::new(router("home"));
     let unbounded = Rules { multiple: None, ..rules() };
     home.adopt(Moment::ZERO, upstream("e0"), unbounded, Some(0));
-    let of = |attempt, name: &str| {
-        let ask = ask(attempt, "e0", 0);
-        Ask { profile: Profile { customer: name.parse().unwrap(), ..ask.profile.clone() }, ..ask }
-    };
+    let of = |attempt, customer| ask_of(attempt, customer, 0);
     assert!(is_granted(&home.ask(SETTLED, &router("r"), of(1, "other"))));
     let granted = (10..30).filter(|n| is_granted(&home.ask(SETTLED, &router("r"), of(*n, "surge")))).count();
     assert_eq!(granted, 5, "of eight slots one is taken and two are reserved");
--- a/crates/stairvale-permit/tests/spec.rs
+++ b/crates/stairvale-permit/tests/spec.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod sample;
+
 #[path = "../../../spec/walk.rs"]
 mod walk;
 
@@ -10,6 +12,7 @@
     time::Duration,
 };
 
+use sample::profile;
 use stairvale_permit::{
     Entry, Home,
     account::SETTLE,
@@ -17,7 +20,7 @@
     rules::{Answer, Rules},
 };
 use stairvale_placement::choice::Estimate;
-use stairvale_types::{Class, Moment, id};
+use stairvale_types::{Moment, id};
 use stairvale_wire::{Ask, Held, Profile, Verdict};
 use walk::{Walk, spec_moves};
 
@@ -216,14 +219,7 @@
         side.attempt = Some(attempt);
         let want = Want {
             attempt,
-            profile: Profile {
-                service: "chat".parse().unwrap(),
-                customer: "c".parse().unwrap(),
-                weight: 1,
-                class: Class::Normal,
-                chat: None,
-                returning: false,
-            },
+            profile: Profile { chat: None, returning: false, ..profile() },
             estimate: Estimate { deadline: Duration::from_secs(60), ..Estimate::default() },
             candidates: vec![engine()],
         };
--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -376,6 +376,9 @@
     assert_eq!(settled.status, StatusCode::OK, "the same submission again is the same acceptance: {}", settled.body);
     let metrics = call(Method::GET, format!("http://{operators}/metrics"), &headers, String::new()).await.unwrap();
     assert!(metrics.body.contains("stairvale_generation 1"));
+    for counter in ["stairvale_granted ", "stairvale_over_bound ", "stairvale_violations "] {
+        assert_eq!(metrics.body.lines().filter(|line| line.starts_with(counter)).count(), 1, "{counter}");
+    }
     assert!(metrics.body.ends_with("# EOF\n"));
 }
 
