--- /dev/null
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -0,0 +1,91 @@
+//! What entries and homes say to each other of a request.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use stairvale_types::{Refusal, id};
+
+/// A part of a prompt. Prompts share parts from their beginning on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// The same for the same text.
+    pub id: u64,
+    /// Its size.
+    pub tokens: u32,
+}
+
+/// "Which upstream may this request go to?"
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The attempt, which no other ask shares.
+    pub attempt: id::Attempt,
+    /// The router that asks.
+    pub entry: id::Router,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// The request's rank: 0 is the most urgent.
+    pub priority: u8,
+    /// The parts of its prompt, in order; empty for a plain service.
+    pub parts: Vec<Part>,
+    /// Tokens that it may make.
+    pub output: u32,
+    /// How long it may wait for a place.
+    pub patience: Duration,
+    /// Upstreams that failed or refused this request, or that the entry can't reach.
+    pub avoid: Vec<id::Upstream>,
+}
+
+/// What the home decided.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The request may go there.
+    Granted {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// Tokens of its prompt that the upstream will have to read.
+        read: u32,
+    },
+    /// It may go nowhere now.
+    Refused(Refusal),
+}
+
+/// A decision for an entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// The entry.
+    pub entry: id::Router,
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// The decision.
+    pub verdict: Verdict,
+}
+
+/// What became of a granted request, as far as it says something of the upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The upstream answered as it should.
+    Served,
+    /// It answered with an error, broke off or answered something else.
+    Failed,
+    /// It was full and said that it didn't run the request.
+    Shed,
+    /// Nothing came in time.
+    Silent,
+    /// No connection could be made.
+    Unreachable,
+    /// The address belongs to another upstream by now.
+    Gone,
+    /// The entry stopped it for reasons of its own.
+    Abandoned,
+}
+
+/// A granted request that an entry still runs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// Where it runs.
+    pub upstream: id::Upstream,
+    /// Tokens that the upstream still has to read; zero after the first event.
+    pub read: u32,
+}
--- /dev/null
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -0,0 +1,396 @@
+//! The home's account of a service's upstreams, and its decisions.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use stairvale_placement::{Engine, rank};
+use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
+
+use crate::{Answer, Ask, Held, Member, Outcome, Part, Verdict, cache, member::Hold};
+
+/// A hold that its entry hasn't named for this long is dropped; entries name theirs several times in it.
+const HOLD_TTL: Duration = Duration::from_secs(4);
+/// A hold younger than this may be missing from what its entry named before the grant came in.
+const YOUNG: Duration = Duration::from_millis(1_000);
+/// Tokens that an engine reads in a millisecond, until answers have shown it.
+const FIRST_GUESS: f64 = 20.0;
+/// A plain answer's time in ms, until answers have shown it.
+const FIRST_TIME: f64 = 50.0;
+/// Prompts below this say little of the rate of reading.
+const TELLING: f64 = 800.0;
+/// How much one answer counts in a mean.
+const WEIGHT: f64 = 0.1;
+/// What each running request costs the next one, in ms; it spreads work that would be as well anywhere.
+const CROWD: f64 = 1.5;
+/// What an upstream of another availability zone costs, in ms.
+const FAR: f64 = 3.0;
+/// What the next one in the order of a prompt's home costs, in ms, so that routers choose alike.
+const STEP: f64 = 0.4;
+/// Reading shared parts again costs later requests, too: they count this many times.
+const AGAIN: f64 = 2.0;
+/// What a failing upstream costs, in ms at a failure rate of 1.
+const FAILING: f64 = 400.0;
+/// The share of an engine's memory that requests may fill beside shared parts.
+const FILL: f64 = 0.85;
+/// The longest time that is told to come back after.
+const LONGEST_RETURN: Duration = Duration::from_secs(2);
+/// The shortest.
+const SHORTEST_RETURN: Duration = Duration::from_millis(100);
+
+/// How a service is dealt out.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Rules {
+    /// Tokens that fit into an engine; `None` for a plain service.
+    pub engine: Option<unit::Tokens>,
+    /// The set multiple of the mean load that no upstream may exceed; zero if there is none.
+    pub multiple: f64,
+    /// What is allowed beyond that multiple, in requests.
+    pub slack: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ask: Ask,
+    since: Moment,
+    until: Moment,
+    number: u64,
+}
+
+/// A service at its home.
+#[derive(Debug)]
+pub struct Pool {
+    rules: Rules,
+    members: BTreeMap<id::Upstream, Member>,
+    /// Where each attempt runs.
+    places: HashMap<id::Attempt, id::Upstream>,
+    waiting: Vec<Waiting>,
+    number: u64,
+    /// Tokens read in a ms, over all engines.
+    rate: f64,
+    /// The mean time of a plain answer, or of an engine's request from grant to end, in ms.
+    time: f64,
+}
+
+impl Pool {
+    /// A pool without upstreams.
+    #[must_use]
+    pub fn new(rules: Rules) -> Self {
+        Self {
+            rules,
+            members: BTreeMap::new(),
+            places: HashMap::new(),
+            waiting: Vec::new(),
+            number: 0,
+            rate: FIRST_GUESS,
+            time: FIRST_TIME,
+        }
+    }
+
+    /// The configuration changed.
+    pub fn set_rules(&mut self, rules: Rules) {
+        self.rules = rules;
+    }
+
+    // ------------------------------------------------------------------------
+    // Queries.
+
+    /// Requests that run at an upstream.
+    #[must_use]
+    pub fn running(&self, upstream: &id::Upstream) -> u32 {
+        self.members.get(upstream).map_or(0, Member::running)
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Its upstreams.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    // ------------------------------------------------------------------------
+    // Changes.
+
+    /// Sets the upstreams that exist: id, zone, slots and whether they may be given new work.
+    pub fn set_members(&mut self, now: Moment, known: &[(id::Upstream, id::Zone, u32, bool)]) -> Vec<Answer> {
+        let memory = self.rules.engine.map_or(0, |memory| u64::from(memory.0));
+        for (id, zone, slots, usable) in known {
+            let member = self.members.entry(id.clone());
+            let member = member.or_insert_with(|| Member::new(id.clone(), zone.clone(), *slots, memory));
+            member.usable = *usable;
+        }
+        let named = |id: &id::Upstream| known.iter().any(|(name, ..)| name == id);
+        // One that is gone is kept as long as something runs there.
+        self.members.retain(|id, member| named(id) || !member.held.is_empty());
+        for member in self.members.values_mut().filter(|member| !named(&member.id)) {
+            member.usable = false;
+        }
+        self.serve(now)
+    }
+
+    /// An entry asks for an upstream; no answer means that the request waits.
+    pub fn ask(&mut self, now: Moment, ask: Ask) -> Vec<Answer> {
+        if self.waiting.is_empty()
+            && let Some(answer) = self.grant(now, &ask)
+        {
+            return vec![answer];
+        }
+        let Some(wait) = self.predict(now, &ask) else {
+            return vec![refuse(&ask, Reason::NoUpstream, SHORTEST_RETURN * 5)];
+        };
+        if wait > ask.patience {
+            return vec![refuse(&ask, Reason::Busy, wait)];
+        }
+        self.number += 1;
+        let until = now + ask.patience;
+        self.waiting.push(Waiting { ask, since: now, until, number: self.number });
+        self.waiting.sort_by_key(|waiting| (waiting.ask.priority, waiting.number));
+        self.serve(now)
+    }
+
+    /// An entry no longer waits for an answer.
+    pub fn forget(&mut self, now: Moment, attempt: id::Attempt) -> Vec<Answer> {
+        self.waiting.retain(|waiting| waiting.ask.attempt != attempt);
+        self.release(now, attempt, Outcome::Abandoned, None)
+    }
+
+    /// The first event of an attempt came, this long after it was sent.
+    pub fn begun(&mut self, attempt: id::Attempt, took: Duration) {
+        let Some(member) = self.places.get(&attempt).and_then(|place| self.members.get_mut(place)) else {
+            return;
+        };
+        let Some(hold) = member.held.get_mut(&attempt) else {
+            return;
+        };
+        let took = took.as_secs_f64() * 1e3;
+        let read = f64::from(hold.read);
+        hold.read = 0;
+        let expected = hold.expected;
+        // Only what was read while nothing else was tells the rate.
+        let alone = member.held.values().all(|other| other.read == 0);
+        if self.rules.engine.is_some() && alone && read >= TELLING && took > 1.0 {
+            self.rate += ((read / took).clamp(1.0, 1e3) - self.rate) * WEIGHT;
+        }
+        if expected > 0.0 {
+            member.health.took((took + 20.0) / (expected + 20.0));
+        }
+    }
+
+    /// An attempt ended; `took` is the time of a plain answer.
+    pub fn release(
+        &mut self,
+        now: Moment,
+        attempt: id::Attempt,
+        outcome: Outcome,
+        took: Option<Duration>,
+    ) -> Vec<Answer> {
+        let Some(place) = self.places.remove(&attempt) else {
+            return Vec::new();
+        };
+        let usual = self.usual(&place);
+        if let Some(member) = self.members.get_mut(&place) {
+            let hold = member.held.remove(&attempt);
+            if let Some(took) = took {
+                let took = took.as_secs_f64() * 1e3;
+                self.time += (took - self.time) * WEIGHT;
+                if hold.is_some_and(|hold| hold.expected > 0.0) {
+                    member.health.took((took + 5.0) / (self.time + 5.0));
+                }
+            }
+            member.health.observe(now, outcome, usual);
+        }
+        self.serve(now)
+    }
+
+    /// An entry names all that it holds here.
+    pub fn renew(&mut self, now: Moment, entry: &id::Router, held: &[Held]) -> Vec<Answer> {
+        for item in held {
+            if let Some(place) = self.places.get(&item.attempt) {
+                if let Some(hold) = self.members.get_mut(place).and_then(|m| m.held.get_mut(&item.attempt)) {
+                    hold.named = now;
+                }
+                continue;
+            }
+            let Some(member) = self.members.get_mut(&item.upstream) else {
+                continue;
+            };
+            let hold =
+                Hold { entry: entry.clone(), since: now, named: now, read: item.read, tokens: item.read, expected: 0.0 };
+            member.held.insert(item.attempt, hold);
+            self.places.insert(item.attempt, item.upstream.clone());
+        }
+        self.drop_holds(|hold| &hold.entry == entry && hold.named < now && now.since(hold.since) >= YOUNG);
+        self.serve(now)
+    }
+
+    /// Lets time pass: waits end, holds that nobody names are dropped.
+    pub fn tick(&mut self, now: Moment) -> Vec<Answer> {
+        self.drop_holds(|hold| now.since(hold.named) >= HOLD_TTL);
+        let mut answers = self.serve(now);
+        let expired: Vec<_> = self.waiting.extract_if(.., |waiting| waiting.until <= now).collect();
+        for waiting in expired {
+            let again = self.predict(now, &waiting.ask).unwrap_or(SHORTEST_RETURN);
+            answers.push(refuse(&waiting.ask, Reason::Busy, again));
+        }
+        answers
+    }
+
+    fn drop_holds(&mut self, gone: impl Fn(&Hold) -> bool) {
+        for member in self.members.values_mut() {
+            member.held.retain(|attempt, hold| {
+                let gone = gone(hold);
+                if gone {
+                    self.places.remove(attempt);
+                }
+                !gone
+            });
+        }
+    }
+
+    // ------------------------------------------------------------------------
+    // Decisions.
+
+    /// Grants what waits, the most urgent first, as far as there is room.
+    fn serve(&mut self, now: Moment) -> Vec<Answer> {
+        let mut answers = Vec::new();
+        let mut index = 0;
+        while index < self.waiting.len() {
+            let ask = self.waiting[index].ask.clone();
+            match self.grant(now, &ask) {
+                Some(answer) => {
+                    self.waiting.remove(index);
+                    answers.push(answer);
+                }
+                // A less urgent one with the same choice would find no room either.
+                None if ask.avoid.is_empty() => break,
+                None => index += 1,
+            }
+        }
+        answers
+    }
+
+    /// The share of bad outcomes among the other upstreams: the median.
+    fn usual(&self, except: &id::Upstream) -> f64 {
+        let others = self.members.values().filter(|member| &member.id != except && member.usable);
+        let mut shares: Vec<_> = others.map(|member| member.health.failing()).collect();
+        shares.sort_by(f64::total_cmp);
+        shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    /// The most that one upstream may run, by the set multiple of the mean.
+    #[allow(clippy::cast_precision_loss)]
+    fn bound(&self) -> f64 {
+        if self.rules.multiple <= 0.0 {
+            return f64::MAX;
+        }
+        let usable = self.members.values().filter(|member| member.usable).count().max(1);
+        let running: u32 = self.members.values().map(Member::running).sum();
+        let mean = f64::from(running) / usable as f64;
+        // One less than allowed: what is on its way isn't seen by everybody at once.
+        (mean * self.rules.multiple + self.rules.slack - 1.0).max(1.0)
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn has_room(&self, member: &Member, ask: &Ask, bound: f64) -> bool {
+        if member.running() >= member.slots || f64::from(member.running()) >= bound {
+            return false;
+        }
+        if member.memory == 0 || member.held.is_empty() {
+            return true;
+        }
+        let own = ask.parts.last().map_or(0, |part| part.tokens) + ask.output;
+        (member.taken() + u64::from(own)) as f64 <= member.memory as f64 * FILL
+    }
+
+    /// Members that may be asked for at all: usable, and not failed for this request, unless there are no others.
+    fn grant(&mut self, now: Moment, ask: &Ask) -> Option<Answer> {
+        let bound = self.bound();
+        let order = self.order(&ask.parts);
+        let mut best: Option<(f64, id::Upstream, u32)> = None;
+        for (index, id) in order.iter().enumerate() {
+            let member = &self.members[id];
+            let open = member.usable && member.health.is_open(now) && !ask.avoid.contains(id);
+            if !open || !self.has_room(member, ask, bound) {
+                continue;
+            }
+            let (cost, read) = self.cost(member, ask, index);
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, id.clone(), read));
+            }
+        }
+        let (cost, upstream, read) = best?;
+        self.hold(now, ask, &upstream, read, cost);
+        let verdict = Verdict::Granted { upstream, read };
+        Some(Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict })
+    }
+
+    fn hold(&mut self, now: Moment, ask: &Ask, upstream: &id::Upstream, read: u32, cost: f64) {
+        let expected = if self.rules.engine.is_some() { cost } else { self.time };
+        let own = ask.parts.last().map_or(0, |part| part.tokens);
+        let Some(member) = self.members.get_mut(upstream) else {
+            return;
+        };
+        member.cache.read(&ask.parts);
+        member.health.given();
+        let tokens = own + ask.output;
+        let hold = Hold { entry: ask.entry.clone(), since: now, named: now, read, tokens, expected };
+        member.held.insert(ask.attempt, hold);
+        self.places.insert(ask.attempt, upstream.clone());
+    }
+
+    /// The members in the order in which any router would try them for a prompt, by the last part that others share.
+    fn order(&self, parts: &[Part]) -> Vec<id::Upstream> {
+        let shared = if parts.len() > 1 { &parts[..parts.len() - 1] } else { parts };
+        let engines: Vec<_> = self.members.keys().map(|id| Engine::new(id.clone(), 1)).collect();
+        rank(cache::name(shared), &engines)
+    }
+
+    /// What serving a request at a member costs, in ms to the first event and what comes near it, and the tokens to read.
+    #[allow(clippy::cast_precision_loss)]
+    fn cost(&self, member: &Member, ask: &Ask, index: usize) -> (f64, u32) {
+        let prompt: u32 = ask.parts.iter().map(|part| part.tokens).sum();
+        let own = ask.parts.last().map_or(0, |part| part.tokens);
+        let covered = member.cache.covers(&ask.parts);
+        let read = prompt - covered;
+        let shared = f64::from(read.saturating_sub(own));
+        let work = if self.rules.engine.is_some() {
+            (member.ahead() as f64 + f64::from(read) + shared * (AGAIN - 1.0)) / self.rate
+        } else {
+            let over = f64::from(member.running()) / f64::from(member.slots);
+            self.time * (1.0 + over * over)
+        };
+        let far = if member.zone == ask.zone { 0.0 } else { FAR };
+        let crowd = f64::from(member.running()) * CROWD;
+        let step = (index as f64 * STEP).min(FAR);
+        let pace = member.health.pace().max(0.5);
+        ((work + crowd) * pace + far + step + member.health.failing() * FAILING, read)
+    }
+
+    /// How long a request would wait for a place; `None` if there is no upstream that could ever serve it.
+    #[allow(clippy::cast_precision_loss)]
+    fn predict(&self, now: Moment, ask: &Ask) -> Option<Duration> {
+        let able = |member: &&Member| member.usable && !ask.avoid.contains(&member.id);
+        let able: Vec<_> = self.members.values().filter(able).collect();
+        if able.is_empty() {
+            return None;
+        }
+        let open = able.iter().filter(|member| member.health.is_open(now));
+        let slots: u32 = open.map(|member| member.slots).sum();
+        let ahead = self.waiting.iter().filter(|waiting| waiting.ask.priority <= ask.priority).count() + 1;
+        let held = self.waiting.first().map_or(Duration::ZERO, |first| now.since(first.since));
+        let each = self.time / f64::from(slots.max(1));
+        let wait = Duration::from_secs_f64(ahead as f64 * each / 1e3);
+        // Something that already waits long tells that places come free more slowly than the mean says.
+        Some(wait.max(held / 2))
+    }
+}
+
+fn refuse(ask: &Ask, reason: Reason, wait: Duration) -> Answer {
+    let refusal = Refusal::new(reason, wait.clamp(SHORTEST_RETURN, LONGEST_RETURN));
+    Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict: Verdict::Refused(refusal) }
+}
--- /dev/null
+++ b/crates/stairvale-link/src/links.rs
@@ -0,0 +1,166 @@
+//! Streams to peers.
+
+use std::{
+    collections::HashMap,
+    future::poll_fn,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use h2::SendStream;
+use http::{Request, StatusCode};
+use serde::Serialize;
+use stairvale_types::id;
+use stairvale_wire::codec;
+use tokio::net::TcpStream;
+
+use crate::{SENDER, Sink, VERSION};
+
+/// A peer that doesn't take a connection by then is unreachable.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// After a failure a peer is left alone for this long.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Bytes that may wait for a peer; more are dropped.
+const WAITING: usize = 1 << 20;
+
+enum State {
+    /// Frames wait for the stream.
+    Opening(Vec<Bytes>),
+    Open(SendStream<Bytes>),
+    Broken(Instant),
+}
+
+struct Link {
+    address: SocketAddr,
+    state: State,
+    /// Tells a later stream to the same peer from this one.
+    number: u64,
+}
+
+/// All streams to peers. Clones share them.
+pub struct Links<F, S> {
+    me: id::Router,
+    sink: S,
+    links: Arc<Mutex<HashMap<id::Router, Link>>>,
+    frame: std::marker::PhantomData<fn(F)>,
+}
+
+impl<F, S: Clone> Clone for Links<F, S> {
+    fn clone(&self) -> Self {
+        let (me, sink, links) = (self.me.clone(), self.sink.clone(), self.links.clone());
+        Self { me, sink, links, frame: std::marker::PhantomData }
+    }
+}
+
+impl<F: Serialize + Send + 'static, S: Sink<F>> Links<F, S> {
+    /// No streams yet.
+    #[must_use]
+    pub fn new(me: id::Router, sink: S) -> Self {
+        Self { me, sink, links: Arc::default(), frame: std::marker::PhantomData }
+    }
+
+    /// Streams that are open or opening.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lock().values().filter(|link| !matches!(link.state, State::Broken(_))).count()
+    }
+
+    /// Whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Sends a frame; `false` if the peer can't be reached now.
+    pub fn send(&self, to: &id::Router, address: SocketAddr, frame: &F) -> bool {
+        let Ok(bytes) = codec::encode(frame) else {
+            return false;
+        };
+        let mut links = self.lock();
+        if let Some(link) = links.get_mut(to).filter(|link| link.address == address) {
+            match &mut link.state {
+                State::Opening(waiting) => {
+                    waiting.push(bytes);
+                    return true;
+                }
+                State::Open(stream) => {
+                    if stream.send_data(bytes.clone(), false).is_ok() {
+                        return true;
+                    }
+                }
+                State::Broken(since) if since.elapsed() < PAUSE => return false,
+                State::Broken(_) => {}
+            }
+        }
+        let number = links.get(to).map_or(0, |link| link.number + 1);
+        links.insert(to.clone(), Link { address, state: State::Opening(vec![bytes]), number });
+        drop(links);
+        tokio::spawn(self.clone().run(to.clone(), address, number));
+        true
+    }
+
+    /// Ends the stream to a peer that is known to be gone.
+    pub fn close(&self, to: &id::Router) {
+        self.lock().remove(to);
+    }
+
+    async fn run(self, to: id::Router, address: SocketAddr, number: u64) {
+        let opening = tokio::time::timeout(CONNECT_TIMEOUT, connect(&self.me, address));
+        if let Some((stream, mut answer)) = opening.await.ok().flatten()
+            && self.opened(&to, number, stream)
+        {
+            // The peer never sends data, so this ends with the stream.
+            let _ = poll_fn(|context| answer.poll_data(context)).await;
+        }
+        let mut links = self.lock();
+        if let Some(link) = links.get_mut(&to).filter(|link| link.number == number) {
+            link.state = State::Broken(Instant::now());
+            drop(links);
+            self.sink.broken(&to);
+        }
+    }
+
+    /// Hands over what waited; `false` if another stream took this one's place.
+    fn opened(&self, to: &id::Router, number: u64, mut stream: SendStream<Bytes>) -> bool {
+        let mut links = self.lock();
+        let Some(link) = links.get_mut(to).filter(|link| link.number == number) else {
+            return false;
+        };
+        if let State::Opening(waiting) = &mut link.state {
+            let mut left = WAITING;
+            for bytes in waiting.drain(..).take_while(|bytes| {
+                left = left.saturating_sub(bytes.len());
+                left > 0
+            }) {
+                if stream.send_data(bytes, false).is_err() {
+                    return false;
+                }
+            }
+        }
+        link.state = State::Open(stream);
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<id::Router, Link>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn connect(me: &id::Router, address: SocketAddr) -> Option<(SendStream<Bytes>, h2::RecvStream)> {
+    let tcp = TcpStream::connect(address).await.ok()?;
+    tcp.set_nodelay(true).ok()?;
+    let (client, connection) = h2::client::handshake(tcp).await.ok()?;
+    tokio::spawn(connection);
+    let mut client = client.ready().await.ok()?;
+    let request = Request::post(format!("http://{address}/peer")).header(SENDER, me.as_str());
+    let request = request.header(VERSION, stairvale_wire::VERSION).body(()).ok()?;
+    let (response, stream) = client.send_request(request, false).ok()?;
+    let response = response.await.ok()?;
+    if response.status() != StatusCode::OK {
+        tracing::warn!(%address, status = %response.status(), "a peer refused this router");
+        return None;
+    }
+    Some((stream, response.into_body()))
+}
--- /dev/null
+++ b/crates/stairvale-replica/src/item.rs
@@ -0,0 +1,77 @@
+//! What the store says of one thing.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use stairvale_table::Document;
+use stairvale_types::id;
+
+/// What an item is about.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub enum Subject {
+    /// The configuration.
+    Configuration,
+    /// A life of an upstream.
+    Upstream(id::Upstream),
+    /// A router.
+    Router(id::Router),
+}
+
+/// Something that the store holds, or that it no longer does.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    /// What it is about.
+    pub subject: Subject,
+    /// The store's revision of this change; later ones win.
+    pub revision: u64,
+    /// What is said; `None` if it is gone.
+    pub value: Option<Value>,
+}
+
+/// What is said of a subject.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Value {
+    /// The configuration.
+    Configuration(Arc<Document>),
+    /// An upstream.
+    Upstream(Upstream),
+    /// A router.
+    Router(Router),
+}
+
+/// One life of an upstream.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Upstream {
+    /// Its id, which no other life has.
+    pub id: id::Upstream,
+    /// The service it belongs to.
+    pub service: id::Service,
+    /// Where it is reached. The address may belong to another upstream later.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes work.
+    pub state: State,
+}
+
+/// Whether an upstream takes work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+}
+
+/// A router that lives, or did a moment ago.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Router {
+    /// Its name.
+    pub id: id::Router,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Where peers reach it.
+    pub address: SocketAddr,
+}
--- /dev/null
+++ b/crates/stairvale-replica/src/lib.rs
@@ -0,0 +1,19 @@
+//! A router's copy of what the store says, with its revision and its age.
+//!
+//! The store is read by a few routers; the others take their copy from peers. A [`View`] takes what was read or told,
+//! in any order and more than once, and never goes back. It knows as of when it is known to be the newest, which decides
+//! whether keys that may have been taken away still count.
+//!
+//! ```
+//! use stairvale_replica::View;
+//! use stairvale_types::Moment;
+//!
+//! let view = View::default();
+//! assert_eq!(view.age(Moment::from_millis(5)), None);
+//! ```
+
+pub mod item;
+pub mod view;
+
+pub use item::{Item, Router, State, Subject, Upstream, Value};
+pub use view::{News, View};
--- /dev/null
+++ b/crates/stairvale-replica/src/view.rs
@@ -0,0 +1,232 @@
+//! The copy itself.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use stairvale_types::{Moment, id};
+
+use crate::{
+    Item, Subject, Value,
+    item::{State, Upstream},
+};
+
+/// Changes that are kept to tell peers that lag a little; who lags more gets everything.
+const KEPT: usize = 512;
+/// A store that failed this recently may have let leases run out that it shouldn't have.
+const DISTURBED: Duration = Duration::from_millis(3_500);
+/// Upstreams that lapsed with the store are back this long after its return, or they are gone.
+const RETURN: Duration = Duration::from_millis(2_600);
+
+/// Changes for a peer's copy.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// All changes after a revision, up to another.
+    Changes {
+        /// The revision that they follow on.
+        after: u64,
+        /// The revision that they lead to.
+        to: u64,
+        /// The changes, in order.
+        items: Vec<Item>,
+    },
+    /// Everything as of a revision; what isn't named isn't there.
+    Everything {
+        /// The revision.
+        to: u64,
+        /// All items.
+        items: Vec<Item>,
+    },
+}
+
+/// A router's copy of what the store says.
+#[derive(Debug, Default)]
+pub struct View {
+    revision: u64,
+    items: BTreeMap<Subject, Item>,
+    log: VecDeque<Item>,
+    /// Changes up to this revision are no longer in the log.
+    forgotten: u64,
+    /// The moment at which this copy is known to have been the newest.
+    fresh: Option<Moment>,
+    /// When the store failed somebody last.
+    disturbed: Option<Moment>,
+    /// Upstreams whose entry vanished while the store was disturbed.
+    lapsed: BTreeMap<id::Upstream, Upstream>,
+}
+
+impl View {
+    // ------------------------------------------------------------------------
+    // Queries.
+
+    /// The store's revision that this copy shows.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// How long ago this copy is known to have been the newest; `None` if it never was.
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.fresh.map(|fresh| now.since(fresh))
+    }
+
+    /// How long the store has failed nobody that this router heard of.
+    #[must_use]
+    pub fn calm(&self, now: Moment) -> Option<Duration> {
+        self.disturbed.map(|disturbed| now.since(disturbed))
+    }
+
+    /// The configuration, if one is known.
+    #[must_use]
+    pub fn document(&self) -> Option<&std::sync::Arc<stairvale_table::Document>> {
+        match self.items.get(&Subject::Configuration)?.value.as_ref()? {
+            Value::Configuration(document) => Some(document),
+            Value::Upstream(_) | Value::Router(_) => None,
+        }
+    }
+
+    /// Upstreams that the store names, and those whose entry lapsed with the store.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        let named = self.items.values().filter_map(|item| match item.value.as_ref()? {
+            Value::Upstream(upstream) => Some(upstream),
+            Value::Configuration(_) | Value::Router(_) => None,
+        });
+        named.chain(self.lapsed.values())
+    }
+
+    /// Routers that the store names.
+    pub fn routers(&self) -> impl Iterator<Item = &crate::Router> {
+        self.items.values().filter_map(|item| match item.value.as_ref()? {
+            Value::Router(router) => Some(router),
+            Value::Configuration(_) | Value::Upstream(_) => None,
+        })
+    }
+
+    /// Whether an upstream may be sent new work.
+    #[must_use]
+    pub fn is_usable(&self, upstream: &id::Upstream) -> bool {
+        if self.lapsed.contains_key(upstream) {
+            return true;
+        }
+        let item = self.items.get(&Subject::Upstream(upstream.clone()));
+        let value = item.and_then(|item| item.value.as_ref());
+        matches!(value, Some(Value::Upstream(upstream)) if upstream.state == State::Ready)
+    }
+
+    /// What a peer needs whose copy shows `revision`; `None` if it lacks nothing.
+    #[must_use]
+    pub fn since(&self, revision: u64) -> Option<News> {
+        if revision >= self.revision {
+            return None;
+        }
+        if revision < self.forgotten || revision == 0 {
+            return Some(self.everything());
+        }
+        let items = self.log.iter().filter(|item| item.revision > revision).cloned().collect();
+        Some(News::Changes { after: revision, to: self.revision, items })
+    }
+
+    fn everything(&self) -> News {
+        let items = self.items.values().filter(|item| item.value.is_some()).cloned().collect();
+        News::Everything { to: self.revision, items }
+    }
+
+    // ------------------------------------------------------------------------
+    // Changes.
+
+    /// Takes news; `false` if they don't follow on what is known, so that everything is needed.
+    pub fn take(&mut self, now: Moment, news: News) -> bool {
+        match news {
+            News::Changes { after, to, items } => {
+                if after > self.revision {
+                    return false;
+                }
+                for item in items {
+                    self.put(now, item);
+                }
+                self.revision = self.revision.max(to);
+            }
+            News::Everything { to, items } => self.replace(now, to, items),
+        }
+        true
+    }
+
+    /// This copy is known to have been the newest at `moment`.
+    pub fn confirm(&mut self, moment: Moment) {
+        self.fresh = self.fresh.max(Some(moment));
+    }
+
+    /// The store failed somebody at `moment`.
+    pub fn disturb(&mut self, moment: Moment) {
+        self.disturbed = self.disturbed.max(Some(moment));
+    }
+
+    /// Lets time pass: upstreams that didn't come back after the store did are gone. Tells whether any went.
+    pub fn tick(&mut self, now: Moment) -> bool {
+        if self.lapsed.is_empty() || self.calm(now).is_some_and(|calm| calm < RETURN) {
+            return false;
+        }
+        self.lapsed.clear();
+        true
+    }
+
+    fn replace(&mut self, now: Moment, to: u64, items: Vec<Item>) {
+        let named: std::collections::BTreeSet<_> = items.iter().map(|item| item.subject.clone()).collect();
+        let known = self.items.values().filter(|item| item.value.is_some() && item.revision <= to);
+        let missing: Vec<_> = known.map(|item| item.subject.clone()).filter(|s| !named.contains(s)).collect();
+        for item in items {
+            self.put(now, item);
+        }
+        for subject in missing {
+            // The configuration is never taken away, so a list without it is incomplete.
+            if subject != Subject::Configuration {
+                self.put(now, Item { subject, revision: to, value: None });
+            }
+        }
+        if to > self.revision {
+            self.revision = to;
+            self.forgotten = to;
+            self.log.clear();
+        }
+    }
+
+    fn put(&mut self, now: Moment, item: Item) {
+        let old = self.items.get(&item.subject);
+        if old.is_some_and(|old| old.revision >= item.revision) {
+            return;
+        }
+        if let Some(Value::Configuration(document)) = &item.value
+            && self.document().is_some_and(|known| known.version >= document.version)
+        {
+            return;
+        }
+        if let Subject::Upstream(id) = &item.subject {
+            self.lapse(now, id, old.and_then(|old| old.value.clone()), item.value.is_some());
+        }
+        self.log.push_back(item.clone());
+        while self.log.len() > KEPT {
+            if let Some(dropped) = self.log.pop_front() {
+                self.forgotten = self.forgotten.max(dropped.revision);
+            }
+        }
+        self.items.insert(item.subject.clone(), item);
+    }
+
+    /// An entry that vanishes while the store is disturbed says nothing yet; one that was leaving stays so.
+    fn lapse(&mut self, now: Moment, id: &id::Upstream, old: Option<Value>, named: bool) {
+        if named {
+            self.lapsed.remove(id);
+            return;
+        }
+        let disturbed = self.calm(now).is_some_and(|calm| calm < DISTURBED);
+        if let Some(Value::Upstream(upstream)) = old
+            && upstream.state == State::Ready
+            && disturbed
+        {
+            self.lapsed.insert(id.clone(), upstream);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairvale-serve/src/control.rs
@@ -0,0 +1,44 @@
+//! The loop that lets time pass and takes datagrams.
+
+use std::{sync::Arc, time::Duration};
+
+use stairvale_wire::codec;
+use tokio::net::UdpSocket;
+
+use crate::Shared;
+
+/// How often time is told to the core.
+const TICK: Duration = Duration::from_millis(50);
+/// And while something waits for a place.
+const BUSY_TICK: Duration = Duration::from_millis(20);
+/// How often idle connections are looked through.
+const SWEEP: u32 = 20;
+
+/// Runs until the task is dropped.
+pub async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; codec::MAX_PACKET * 2];
+    let mut ticks = 0_u32;
+    let mut next = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep_until(next) => {
+                shared.with(|core, now| core.tick(now));
+                ticks = ticks.wrapping_add(1);
+                if ticks.is_multiple_of(SWEEP) {
+                    shared.upstreams.sweep(|upstream| shared.look(|core, _| core.place(upstream).is_some()));
+                }
+                let busy = shared.look(|core, _| core.is_busy());
+                next = tokio::time::Instant::now() + if busy { BUSY_TICK } else { TICK };
+            }
+            received = socket.recv_from(&mut buffer) => {
+                let Ok((length, from)) = received else {
+                    continue;
+                };
+                match codec::unpack(&buffer[..length]) {
+                    Ok(packet) => shared.with(|core, now| core.datagram(now, from, packet)),
+                    Err(_) => shared.metrics.count("datagram-nonsense"),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -0,0 +1,421 @@
+//! One request on its way: placed, sent, and where that is allowed sent again elsewhere.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, header, request, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use stairvale_dispatch::{Ask, Outcome};
+use stairvale_table::{Kind, Route};
+use stairvale_types::{Refusal, id, outcome::Reason};
+
+use crate::{
+    Dialect, Shared,
+    body::Body,
+    dialect::{Head, Mark, Order},
+    permit::{self, Permit, Want},
+    problem::Problem,
+    relay,
+    upstream::{Connection, Fault},
+};
+
+/// The share of the objective within which a request that can't be placed is refused.
+const REFUSE_WITHIN: u32 = 5;
+/// Upstreams that say they are full or gone are left for others this often.
+const TURNED_AWAY: u32 = 3;
+/// An answer that may be asked for again elsewhere is waited for this many times the objective.
+const SILENCE: u32 = 2;
+/// Larger answers aren't held back until they are whole.
+const HELD_BACK: u64 = 1 << 20;
+/// When to come back after a request that couldn't be sent in its time.
+const COME_BACK: Duration = Duration::from_millis(300);
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [&str; 8] =
+    ["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "proxy-authenticate"];
+
+/// A request that is being served.
+pub struct Exchange<D> {
+    /// What the process's tasks share.
+    pub shared: Arc<Shared>,
+    /// How the installation speaks.
+    pub dialect: D,
+    /// Its route.
+    pub route: Route,
+    /// Its service.
+    pub service: id::Service,
+    /// What its head says.
+    pub head: Head,
+    /// The head itself.
+    pub parts: request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Whose it is.
+    pub customer: Option<id::Customer>,
+    /// Its rank, 0 to 9.
+    pub priority: u8,
+    /// When it came.
+    pub came: Instant,
+    /// When nobody waits for it any longer.
+    pub until: Instant,
+    tries: Tries,
+}
+
+/// What was tried.
+#[derive(Debug, Default)]
+struct Tries {
+    /// Upstreams that it may have run at.
+    runs: u32,
+    /// Upstreams that said they don't run it.
+    turned_away: u32,
+    avoid: Vec<id::Upstream>,
+}
+
+/// An upstream's answer, with its head read.
+#[derive(Debug)]
+pub struct Reply {
+    /// The head.
+    pub head: response::Parts,
+    /// The body, still coming.
+    pub body: Incoming,
+    /// The connection that it comes on.
+    pub connection: Connection,
+    /// The place at the upstream.
+    pub permit: Permit,
+}
+
+/// Why there is no reply.
+enum Missed {
+    /// Nothing may have run: another upstream may be tried, at no cost.
+    NotRun,
+    /// It may have run, and this is what the caller is told.
+    MayHaveRun(Problem),
+}
+
+impl<D: Dialect> Exchange<D> {
+    /// A request that came at `came`.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        shared: Arc<Shared>,
+        dialect: D,
+        route: Route,
+        service: id::Service,
+        head: Head,
+        parts: request::Parts,
+        came: Instant,
+    ) -> Self {
+        let limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        let until = came + limit;
+        let (body, customer, priority, tries) = (Bytes::new(), None, route.priority, Tries::default());
+        Self { shared, dialect, route, service, head, parts, body, customer, priority, came, until, tries }
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn with_body(mut self, body: Bytes) -> Self {
+        self.body = body;
+        self
+    }
+
+    /// Sets whose request it is; the customer's rank goes before the route's.
+    #[must_use]
+    pub fn with_customer(mut self, customer: &stairvale_table::Customer) -> Self {
+        /// Ranks of routes that are told apart within a customer's.
+        const ROUTES: u8 = 3;
+        self.customer = Some(customer.name.clone());
+        let rank = customer.priority.saturating_mul(ROUTES).saturating_add(self.route.priority.min(ROUTES - 1));
+        self.priority = rank.min(9);
+        self
+    }
+
+    /// Serves it.
+    pub async fn run(mut self) -> Response<Body> {
+        self.shared.change(|core, now| core.count(now, &self.service));
+        match self.serve().await {
+            Ok(Served::Whole(answer)) => answer,
+            Ok(Served::Stream(reply, first)) => relay::start(self, reply, first),
+            Err(problem) => {
+                self.log_problem(problem);
+                problem.answer(&self.dialect, &self.head.id)
+            }
+        }
+    }
+
+    async fn serve(&mut self) -> Result<Served, Problem> {
+        loop {
+            let reply = self.reply(None).await?;
+            if self.route.kind == Kind::Stream && reply.head.status.is_success() || is_large(&reply.head) {
+                match self.first_piece(reply).await {
+                    Ok((reply, first)) => return Ok(Served::Stream(reply, first)),
+                    Err(problem) => self.again(problem)?,
+                }
+                continue;
+            }
+            let failed = reply.head.status.is_server_error();
+            match self.whole(reply).await {
+                Ok(answer) if failed && self.may_repeat() => drop(answer),
+                Ok(answer) => return Ok(Served::Whole(answer)),
+                Err(problem) => self.again(problem)?,
+            }
+        }
+    }
+
+    /// Waits for a stream's first piece, so that a failure before it can be told as one.
+    async fn first_piece(&mut self, mut reply: Reply) -> Result<(Reply, Option<Bytes>), Problem> {
+        let limit = self.try_limit();
+        let piece = tokio::time::timeout(limit, relay::next(&mut reply.body)).await;
+        match piece {
+            Ok(Ok(piece)) => {
+                reply.permit.begun();
+                self.shared.metrics.answered(self.came.elapsed());
+                Ok((reply, piece))
+            }
+            Ok(Err(_)) => {
+                reply.permit.end(Outcome::Failed);
+                Err(Problem::Broken)
+            }
+            Err(_) => {
+                reply.permit.end(Outcome::Silent);
+                Err(Problem::Late)
+            }
+        }
+    }
+
+    /// Reads a plain answer to its end before any of it goes back.
+    async fn whole(&mut self, reply: Reply) -> Result<Response<Body>, Problem> {
+        let Reply { mut head, body, connection, permit } = reply;
+        let collected = tokio::time::timeout(self.try_limit(), body.collect()).await;
+        let Ok(collected) = collected else {
+            permit.end(Outcome::Silent);
+            return Err(Problem::Late);
+        };
+        let Ok(collected) = collected else {
+            permit.end(Outcome::Failed);
+            return Err(Problem::Broken);
+        };
+        self.shared.upstreams.keep(connection, &head.headers);
+        tracing::info!(
+            id = self.head.id, route = self.route.name, upstream = %permit.upstream.id, status = head.status.as_u16(),
+            tries = self.tries.runs, ms = millis(self.came.elapsed()), "answered"
+        );
+        self.shared.metrics.answered(self.came.elapsed());
+        if head.status.is_server_error() {
+            permit.end(Outcome::Failed);
+        } else {
+            permit.served();
+        }
+        strip(&mut head.headers);
+        head.headers.remove(header::CONTENT_LENGTH);
+        Ok(Response::from_parts(head, Body::whole(collected.to_bytes())))
+    }
+
+    // ------------------------------------------------------------------------
+    // Tries.
+
+    /// Places and sends it until an upstream answers. `last_event` asks for what comes after that event.
+    pub(crate) async fn reply(&mut self, last_event: Option<&str>) -> Result<Reply, Problem> {
+        loop {
+            if self.left().is_zero() {
+                return Err(self.unsent(Reason::Deadline));
+            }
+            let permit = self.place().await?;
+            let upstream = permit.upstream.id.clone();
+            match self.send(permit, last_event).await {
+                Ok(reply) => return Ok(reply),
+                Err(missed) => {
+                    self.tries.avoid.push(upstream);
+                    match missed {
+                        Missed::NotRun => self.turn_away()?,
+                        Missed::MayHaveRun(problem) => self.again(problem)?,
+                    }
+                }
+            }
+        }
+    }
+
+    async fn place(&mut self) -> Result<Permit, Problem> {
+        let patience = self.route.objective / REFUSE_WITHIN;
+        let patience = patience.saturating_sub(self.came.elapsed()).max(patience / 4).min(self.left());
+        let ask = Ask {
+            attempt: id::Attempt(0),
+            entry: self.shared.settings.router.clone(),
+            zone: self.shared.settings.zone.clone(),
+            priority: self.priority,
+            parts: self.head.parts.clone(),
+            output: self.head.output,
+            patience,
+            avoid: self.tries.avoid.clone(),
+        };
+        let want = Want { service: &self.service, ask, objective: self.route.objective };
+        let asked = Instant::now();
+        let permit = permit::get(&self.shared, want).await;
+        self.shared.metrics.placed(asked.elapsed());
+        permit.map_err(|refusal| {
+            if self.tries.runs > 0 { Problem::Broken } else { Problem::Refused(refusal) }
+        })
+    }
+
+    async fn send(&mut self, permit: Permit, last_event: Option<&str>) -> Result<Reply, Missed> {
+        let request = self.request(&permit, last_event);
+        let (id, address) = (permit.upstream.id.clone(), permit.upstream.address);
+        let sending = self.shared.upstreams.send(&id, address, request);
+        let Ok(sent) = tokio::time::timeout(self.try_limit(), sending).await else {
+            self.tries.runs += 1;
+            permit.end(Outcome::Silent);
+            return Err(Missed::MayHaveRun(Problem::Late));
+        };
+        let (answer, connection) = match sent {
+            Ok(sent) => sent,
+            Err(Fault::Unreachable | Fault::Unsent) => {
+                permit.end(Outcome::Unreachable);
+                return Err(Missed::NotRun);
+            }
+            Err(Fault::Broken) => {
+                self.tries.runs += 1;
+                permit.end(Outcome::Failed);
+                return Err(Missed::MayHaveRun(Problem::Broken));
+            }
+        };
+        let (head, body) = answer.into_parts();
+        match self.dialect.judge(&self.head.id, &head) {
+            Mark::Answer | Mark::Unfit => {
+                self.tries.runs += 1;
+                Ok(Reply { head, body, connection, permit })
+            }
+            Mark::Full => {
+                permit.end(Outcome::Shed);
+                self.read_away(head.headers, body, connection);
+                Err(Missed::NotRun)
+            }
+            Mark::Gone => {
+                permit.end(Outcome::Gone);
+                Err(Missed::NotRun)
+            }
+            Mark::Foreign => {
+                self.tries.runs += 1;
+                permit.end(Outcome::Failed);
+                Err(Missed::MayHaveRun(Problem::Broken))
+            }
+        }
+    }
+
+    /// Reads a refusal to its end, so that its connection can be used again.
+    fn read_away(&self, headers: HeaderMap, body: Incoming, connection: Connection) {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            let limit = Duration::from_millis(200);
+            if let Ok(Ok(_)) = tokio::time::timeout(limit, body.collect()).await {
+                shared.upstreams.keep(connection, &headers);
+            }
+        });
+    }
+
+    fn request(&self, permit: &Permit, last_event: Option<&str>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = self.parts.uri.clone();
+        let headers = request.headers_mut();
+        headers.clone_from(&self.parts.headers);
+        strip(headers);
+        if !self.body.is_empty() {
+            headers.insert(header::CONTENT_LENGTH, self.body.len().into());
+        }
+        let order = Order {
+            upstream: &permit.upstream.id,
+            customer: self.customer.as_ref(),
+            deadline: self.left(),
+            priority: self.priority,
+            last_event: last_event.or(self.head.last_event.as_deref()),
+        };
+        self.dialect.write(headers, order);
+        request
+    }
+
+    /// An upstream said that it doesn't run it.
+    fn turn_away(&mut self) -> Result<(), Problem> {
+        self.tries.turned_away += 1;
+        let paid = self.shared.change(|core, now| core.spend(now, &self.service));
+        if self.tries.turned_away <= TURNED_AWAY && paid {
+            return Ok(());
+        }
+        if self.tries.runs > 0 {
+            return Err(Problem::Broken);
+        }
+        Err(Problem::Refused(Refusal::new(Reason::Busy, COME_BACK)))
+    }
+
+    /// An upstream may have run it, and didn't answer well.
+    fn again(&mut self, problem: Problem) -> Result<(), Problem> {
+        if self.may_repeat() { Ok(()) } else { Err(problem) }
+    }
+
+    /// Whether it may go to another upstream after it may have run; takes that from the budget.
+    pub(crate) fn may_repeat(&mut self) -> bool {
+        let allowed = self.route.is_repeatable() && self.tries.runs < self.route.attempts && !self.left().is_zero();
+        let allowed = allowed && self.shared.change(|core, now| core.spend(now, &self.service));
+        if allowed {
+            self.shared.metrics.count("retry");
+            tracing::info!(id = self.head.id, route = self.route.name, tries = self.tries.runs, "tried again elsewhere");
+        }
+        allowed
+    }
+
+    /// Another try shall not go where this one was.
+    pub(crate) fn avoid(&mut self, upstream: &id::Upstream) {
+        self.tries.avoid.push(upstream.clone());
+    }
+
+    // ------------------------------------------------------------------------
+
+    /// What is left of its time.
+    pub(crate) fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// How long one upstream is waited for.
+    fn try_limit(&self) -> Duration {
+        let left = self.left();
+        let others = self.route.is_repeatable() && self.tries.runs + 1 < self.route.attempts;
+        if others { left.min(self.route.objective * SILENCE) } else { left }
+    }
+
+    fn unsent(&self, reason: Reason) -> Problem {
+        if self.tries.runs > 0 { Problem::Late } else { Problem::Refused(Refusal::new(reason, COME_BACK)) }
+    }
+
+    fn log_problem(&self, problem: Problem) {
+        self.shared.metrics.count(problem.word());
+        let (version, age) = self.shared.look(|core, now| (core.table().version(), core.view().age(now)));
+        tracing::info!(
+            id = self.head.id, route = self.route.name, service = %self.service, version, age_ms = age.map(millis),
+            runs = self.tries.runs, turned_away = self.tries.turned_away, avoided = ?self.tries.avoid,
+            ms = millis(self.came.elapsed()), status = problem.status().as_u16(), reason = problem.word(), "not served"
+        );
+    }
+}
+
+enum Served {
+    Whole(Response<Body>),
+    Stream(Reply, Option<Bytes>),
+}
+
+fn is_large(head: &response::Parts) -> bool {
+    let length = head.headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    length.is_some_and(|length| length > HELD_BACK)
+}
+
+/// Removes headers that concern one connection only, those that `Connection` names included.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let named = headers.get_all(header::CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
+    let named: Vec<String> = named.flat_map(|value| value.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect();
+    for name in named.iter().map(String::as_str).chain(HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/stairvale-serve/src/frame.rs
@@ -0,0 +1,88 @@
+//! What routers say to each other.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use stairvale_dispatch::{Ask, Held, Outcome, Verdict};
+use stairvale_replica::News;
+use stairvale_types::id;
+
+/// A frame on a stream between two routers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// To a service's home: a request wants an upstream.
+    Ask {
+        /// The service.
+        service: id::Service,
+        /// The request.
+        ask: Ask,
+    },
+    /// From the home: the decision; `None` if it can't decide, being no home or not ready.
+    Decided {
+        /// The attempt.
+        attempt: id::Attempt,
+        /// The decision.
+        verdict: Option<Verdict>,
+    },
+    /// From the home: the request waits.
+    Waits {
+        /// The attempt.
+        attempt: id::Attempt,
+    },
+    /// To the home: the request no longer wants an upstream, or got this one too late.
+    Forget {
+        /// The service.
+        service: id::Service,
+        /// The attempt.
+        attempt: id::Attempt,
+    },
+    /// To the home: the first event came.
+    Begun {
+        /// The service.
+        service: id::Service,
+        /// The attempt.
+        attempt: id::Attempt,
+        /// How long after it was sent.
+        took: Duration,
+    },
+    /// To the home: the request ended.
+    Release {
+        /// The service.
+        service: id::Service,
+        /// The attempt.
+        attempt: id::Attempt,
+        /// What became of it.
+        outcome: Outcome,
+        /// The time of a plain answer.
+        took: Option<Duration>,
+    },
+    /// To the home: all that this router runs of the service.
+    Renew {
+        /// The service.
+        service: id::Service,
+        /// What it runs.
+        held: Vec<Held>,
+    },
+    /// "What do you know after this revision, and how fresh is it?"
+    Sync {
+        /// Comes back in the answer.
+        number: u64,
+        /// The revision that is known.
+        after: u64,
+    },
+    /// The answer to a [`Frame::Sync`].
+    Synced {
+        /// From the question.
+        number: u64,
+        /// How long ago the sender's copy was known to be the newest.
+        age: Option<Duration>,
+        /// The revision of the sender's copy.
+        revision: u64,
+        /// How long the store has failed nobody.
+        calm: Option<Duration>,
+        /// What the asker lacks.
+        news: Option<News>,
+    },
+    /// Changes, as soon as the sender read them.
+    News(News),
+}
--- /dev/null
+++ b/crates/stairvale-serve/src/lib.rs
@@ -0,0 +1,36 @@
+//! The serving process: requests come in, are placed by the home of their service, and their upstream's answer goes back.
+//!
+//! What an installation speaks is given by two small traits: a [`Dialect`] (headers and marks of HTTP messages) and a
+//! [`Source`] (the store that keeps configuration, upstreams and routers). Everything else is here, the same for each
+//! installation. [`run::run`] starts a process and ends when it has stopped.
+//!
+//! ```
+//! let text = "router: r1\nzone: a\ncallers: 127.0.0.1:8080\nready: 127.0.0.1:8081\npeers: 127.0.0.1:8082\n\
+//!             store: 127.0.0.1:9000\n";
+//! let settings = stairvale_serve::Settings::parse(text).unwrap();
+//! assert_eq!(settings.router.to_string(), "r1");
+//! ```
+
+pub mod body;
+pub mod caller;
+pub mod control;
+pub mod core;
+pub mod dialect;
+pub mod exchange;
+pub mod frame;
+pub mod metrics;
+pub mod permit;
+pub mod problem;
+pub mod ready;
+pub mod relay;
+pub mod run;
+pub mod settings;
+pub mod shared;
+pub mod source;
+pub mod upstream;
+pub mod watch;
+
+pub use dialect::Dialect;
+pub use settings::Settings;
+pub use shared::Shared;
+pub use source::Source;
--- /dev/null
+++ b/crates/stairvale-serve/src/metrics.rs
@@ -0,0 +1,100 @@
+//! What a process counts and measures.
+
+use std::{
+    fmt::Write,
+    sync::{Mutex, PoisonError, atomic::{AtomicU64, Ordering}},
+    time::Duration,
+};
+
+use hdrhistogram::Histogram;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family},
+    registry::Registry,
+};
+
+/// What a counter is about.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Label {
+    /// The event.
+    pub event: &'static str,
+}
+
+/// A latency in microseconds, up to a minute, to two digits.
+#[derive(Debug)]
+struct Latency {
+    name: &'static str,
+    histogram: Mutex<Histogram<u32>>,
+}
+
+impl Latency {
+    fn new(name: &'static str) -> Self {
+        let histogram = Histogram::new_with_bounds(100, 60_000_000, 2);
+        // The bounds are constants within the library's range; an empty histogram that grows is as good.
+        let histogram = histogram.unwrap_or_else(|_| Histogram::new(2).unwrap_or_else(|_| unreachable!()));
+        Self { name, histogram: Mutex::new(histogram) }
+    }
+
+    fn record(&self, span: Duration) {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        self.histogram.lock().unwrap_or_else(PoisonError::into_inner).saturating_record(micros);
+    }
+
+    fn write(&self, text: &mut String) {
+        let histogram = self.histogram.lock().unwrap_or_else(PoisonError::into_inner);
+        for quantile in [0.5, 0.95, 0.99] {
+            let micros = histogram.value_at_quantile(quantile);
+            let _ = writeln!(text, "stairvale_{}_microseconds{{quantile=\"{quantile}\"}} {micros}", self.name);
+        }
+        let _ = writeln!(text, "stairvale_{}_microseconds_count {}", self.name, histogram.len());
+    }
+}
+
+/// A process's metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    events: Family<Label, Counter>,
+    first: Latency,
+    placing: Latency,
+    /// Requests that are being served.
+    pub in_flight: AtomicU64,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let (first, placing) = (Latency::new("first_byte"), Latency::new("placing"));
+        Self { events: Family::default(), first, placing, in_flight: AtomicU64::new(0) }
+    }
+}
+
+impl Metrics {
+    /// Counts an event.
+    pub fn count(&self, event: &'static str) {
+        self.events.get_or_create(&Label { event }).inc();
+    }
+
+    /// A request's answer, or a stream's first event, came this long after the request.
+    pub fn answered(&self, after: Duration) {
+        self.first.record(after);
+    }
+
+    /// A request was placed this long after it asked.
+    pub fn placed(&self, after: Duration) {
+        self.placing.record(after);
+    }
+
+    /// All of it in the Prometheus text format; latencies in microseconds.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut registry = Registry::with_prefix("stairvale");
+        registry.register("events", "What happened", self.events.clone());
+        let mut text = String::new();
+        for latency in [&self.first, &self.placing] {
+            latency.write(&mut text);
+        }
+        let _ = writeln!(text, "stairvale_in_flight {}", self.in_flight.load(Ordering::Relaxed));
+        // Writing into a string doesn't fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/stairvale-serve/src/permit.rs
@@ -0,0 +1,158 @@
+//! A place at an upstream, from the ask to its end.
+
+use std::{sync::Arc, time::Duration};
+
+use stairvale_dispatch::{Ask, Held, Outcome, Verdict};
+use stairvale_replica::Upstream;
+use stairvale_types::{Moment, Refusal, id, outcome::Reason};
+
+use crate::{
+    Shared,
+    core::Reply,
+};
+
+/// The share of the objective that a home may take to say anything.
+const ANSWER_SHARE: u32 = 8;
+/// A home is given at least this long.
+const ANSWER_LEAST: Duration = Duration::from_millis(25);
+/// A home is given at most this long.
+const ANSWER_MOST: Duration = Duration::from_millis(60);
+/// Homes that are asked before this router decides by itself.
+const HOMES: usize = 2;
+/// When to come back if nobody can decide.
+const COME_BACK: Duration = Duration::from_millis(500);
+
+/// A place at an upstream. It is given back when the guard is dropped, however the request ended.
+#[derive(Debug)]
+pub struct Permit {
+    shared: Arc<Shared>,
+    attempt: id::Attempt,
+    /// The upstream, as it was when the place was granted.
+    pub upstream: Upstream,
+    /// Tokens that it has to read.
+    pub read: u32,
+    since: Moment,
+    outcome: Outcome,
+    took: Option<Duration>,
+}
+
+impl Permit {
+    /// The first event came.
+    pub fn begun(&self) {
+        let took = self.shared.now().since(self.since);
+        self.shared.with(|core, _| core.begun(self.attempt, took));
+    }
+
+    /// Says how it ended.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Says that a plain answer came.
+    pub fn served(mut self) {
+        self.outcome = Outcome::Served;
+        self.took = Some(self.shared.now().since(self.since));
+    }
+
+    /// How long ago it was granted.
+    #[must_use]
+    pub fn held(&self) -> Duration {
+        self.shared.now().since(self.since)
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.shared.with(|core, now| core.end(now, self.attempt, self.outcome, self.took));
+    }
+}
+
+/// A request that wants a place.
+#[derive(Clone, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a id::Service,
+    /// The ask, but for the attempt, which is new for each home.
+    pub ask: Ask,
+    /// The time to the answer that is aimed at.
+    pub objective: Duration,
+}
+
+/// An ask that is taken back unless it is answered, also when the caller leaves.
+struct Asking<'a> {
+    shared: &'a Arc<Shared>,
+    service: &'a id::Service,
+    attempt: id::Attempt,
+    home: id::Router,
+    open: bool,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.shared.expect_no_more(self.attempt);
+        if self.open {
+            self.shared.with(|core, now| core.forget(now, self.service, self.attempt, &self.home));
+        }
+    }
+}
+
+/// Gets a place from the service's home; where no home answers, this router decides by what it knows itself.
+///
+/// # Errors
+/// A [`Refusal`] if there is no place now.
+pub async fn get(shared: &Arc<Shared>, want: Want<'_>) -> Result<Permit, Refusal> {
+    let patience = (want.objective / ANSWER_SHARE).clamp(ANSWER_LEAST, ANSWER_MOST);
+    for round in 0..=HOMES {
+        let attempt = id::Attempt(uuid::Uuid::new_v4().as_u128());
+        let ask = Ask { attempt, ..want.ask.clone() };
+        let wait = ask.patience;
+        let mut replies = shared.expect(attempt);
+        let me = shared.settings.router.clone();
+        let mut home = me.clone();
+        shared.with(|core, now| {
+            if round == HOMES {
+                return core.ask_self(now, want.service, ask);
+            }
+            let (asked, effects) = core.ask(now, want.service, ask);
+            home = asked;
+            effects
+        });
+        let mut asking = Asking { shared, service: want.service, attempt, home, open: true };
+        let mut limit = if asking.home == me { wait + patience } else { patience };
+        let verdict = loop {
+            match tokio::time::timeout(limit, replies.recv()).await {
+                Ok(Some(Reply::Waits)) => limit = wait + patience,
+                Ok(Some(Reply::Decided(verdict))) => break verdict,
+                Ok(None) | Err(_) => {
+                    shared.metrics.count("home-silent");
+                    tracing::info!(service = %want.service, home = %asking.home, "a home did not answer");
+                    break None;
+                }
+            }
+        };
+        match verdict {
+            Some(Verdict::Granted { upstream, read }) => {
+                let place = shared.look(|core, _| core.place(&upstream));
+                let Some(place) = place else {
+                    // It began to leave in between, by what this router knows.
+                    shared.metrics.count("granted-gone");
+                    continue;
+                };
+                asking.open = false;
+                let held = Held { attempt, upstream, read };
+                let since = shared.change(|core, now| {
+                    core.start(want.service, held, &asking.home);
+                    now
+                });
+                let shared = shared.clone();
+                return Ok(Permit { shared, attempt, upstream: place, read, since, outcome: Outcome::Abandoned, took: None });
+            }
+            Some(Verdict::Refused(refusal)) => {
+                asking.open = false;
+                return Err(refusal);
+            }
+            None => shared.change(|core, now| core.distrust(now, &asking.home)),
+        }
+    }
+    Err(Refusal::new(Reason::NoUpstream, COME_BACK))
+}
--- /dev/null
+++ b/crates/stairvale-serve/src/run.rs
@@ -0,0 +1,173 @@
+//! A process from its start to its planned end.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use error_stack::{Report, ResultExt};
+use stairvale_types::id;
+use stairvale_wire::{Member, Status};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    runtime,
+    signal::unix::{SignalKind, signal},
+};
+
+use crate::{Dialect, Settings, Shared, Source, caller, control, core::Core, ready, watch};
+
+/// The balancer asks each second and takes a router out after two misses: by then it sends nobody new.
+const NOTICE: Duration = Duration::from_millis(2_300);
+/// How often a stopping process looks whether all is done.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// A stopping process ends this long before it would be killed.
+const MARGIN: Duration = Duration::from_millis(400);
+/// How often the settings file is looked at.
+const LOOK: Duration = Duration::from_secs(5);
+
+/// Why a process couldn't run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// No runtime could be made.
+    #[error("the runtime could not be started")]
+    Runtime,
+    /// An address can't be listened at.
+    #[error("{0}: {1} can't be listened at")]
+    Listen(&'static str, SocketAddr),
+    /// Signals can't be received.
+    #[error("signals can't be received")]
+    Signal,
+}
+
+/// Runs a process until it is told to stop and all in flight has ended. `file` is where its settings came from.
+///
+/// One thread does all: it has a small share of one processor, where a second thread would only cost wake-ups.
+///
+/// # Errors
+/// An [`Error`] if it can't start.
+pub fn run<D: Dialect, S: Source>(
+    settings: Settings,
+    file: PathBuf,
+    dialect: D,
+    source: S,
+) -> Result<(), Report<Error>> {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().change_context(Error::Runtime)?;
+    let result = runtime.block_on(serve(settings, file, dialect, source));
+    runtime.shutdown_background();
+    result
+}
+
+async fn bind(name: &'static str, address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+    TcpListener::bind(address).await.change_context(Error::Listen(name, address))
+}
+
+async fn serve<D: Dialect, S: Source>(
+    settings: Settings,
+    file: PathBuf,
+    dialect: D,
+    source: S,
+) -> Result<(), Report<Error>> {
+    let mut terminate = signal(SignalKind::terminate()).change_context(Error::Signal)?;
+    let mut reload = signal(SignalKind::hangup()).change_context(Error::Signal)?;
+    let callers = bind("callers", settings.callers).await?;
+    let readiness = bind("ready", settings.ready).await?;
+    let peers = bind("peers", settings.peers).await?;
+    let socket = UdpSocket::bind(settings.peers).await.change_context(Error::Listen("peers", settings.peers))?;
+    let socket = Arc::new(socket);
+    let metrics = match settings.metrics {
+        Some(address) => Some(bind("metrics", address).await?),
+        None => None,
+    };
+    let source = Arc::new(source);
+    let shared = share(settings, socket.clone());
+    let lease = Arc::new(Mutex::new(None));
+    tokio::spawn(control::run(shared.clone(), socket));
+    tokio::spawn(stairvale_link::listen(peers, shared.inbox()));
+    tokio::spawn(watch::read(shared.clone(), source.clone()));
+    let announcing = tokio::spawn(watch::announce(shared.clone(), source.clone(), lease.clone()));
+    tokio::spawn(ready::listen(shared.clone(), readiness, dialect.ready_path()));
+    if let Some(metrics) = metrics {
+        tokio::spawn(ready::listen(shared.clone(), metrics, dialect.ready_path()));
+    }
+    tokio::spawn(caller::listen(shared.clone(), dialect, callers));
+    tracing::info!(router = %shared.settings.router, zone = %shared.settings.zone, "started");
+    let mut looks = tokio::time::interval(LOOK);
+    let mut known = std::fs::read_to_string(&file).unwrap_or_default();
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => known = look(&shared, &file, known, true),
+            _ = looks.tick() => known = look(&shared, &file, known, false),
+        }
+    }
+    announcing.abort();
+    let lease = lease.lock().unwrap_or_else(PoisonError::into_inner).take();
+    if let Some(lease) = lease {
+        tokio::spawn(async move { source.withdraw(&lease).await });
+    }
+    stop(&shared).await;
+    Ok(())
+}
+
+/// Takes the settings anew, if the file changed. A bad file changes nothing.
+fn look(shared: &Shared, file: &PathBuf, known: String, told: bool) -> String {
+    let Ok(text) = std::fs::read_to_string(file) else {
+        tracing::warn!(file = %file.display(), "the settings can't be read; the old ones stay");
+        return known;
+    };
+    if text == known {
+        if told {
+            tracing::info!("the settings are as they were");
+        }
+        return known;
+    }
+    match Settings::parse(&text) {
+        Ok(settings) => {
+            tracing::info!(seeds = ?settings.seeds, "new settings");
+            shared.change(|core, _| core.introduce(&settings.seeds));
+        }
+        Err(fault) => tracing::warn!(fault = %fault.current_context(), "the new settings are wrong; the old ones stay"),
+    }
+    text
+}
+
+fn share(settings: Settings, socket: Arc<UdpSocket>) -> Arc<Shared> {
+    let seed = uuid::Uuid::new_v4().as_u64_pair().0;
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    // A later start of the same name has a later life, as far as clocks go; one that is refuted raises its own.
+    let incarnation = id::Incarnation(u64::try_from(now.as_millis()).unwrap_or(1));
+    let me = Member {
+        router: settings.router.clone(),
+        zone: settings.zone.clone(),
+        address: settings.peers,
+        incarnation,
+        status: Status::Alive,
+    };
+    let core = Core::new(me, settings.seeds.clone(), settings.bounds, seed);
+    Shared::new(settings, core, socket)
+}
+
+/// A planned stop: not ready to the balancer, homes handed over, no new callers after a while, all in flight finishes.
+async fn stop(shared: &Shared) {
+    tracing::info!("stopping");
+    let began = Instant::now();
+    shared.stopping.store(true, Ordering::Relaxed);
+    shared.with(|core, now| core.leave(now));
+    let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s);
+    let last = grace.saturating_sub(MARGIN);
+    tokio::time::sleep(NOTICE.min(last)).await;
+    shared.closing.send_replace(true);
+    let mut idle = 0;
+    loop {
+        tokio::time::sleep(STOP_POLL).await;
+        let in_flight = shared.metrics.in_flight.load(Ordering::Relaxed);
+        idle = if in_flight == 0 { idle + 1 } else { 0 };
+        // The last answer may still be on its way out.
+        if idle >= 2 || began.elapsed() >= last {
+            tracing::info!(in_flight, "stopped");
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairvale-serve/src/settings.rs
@@ -0,0 +1,145 @@
+//! What a process is told at its start.
+
+use std::{net::SocketAddr, time::Duration};
+
+use error_stack::Report;
+use serde::Deserialize;
+use stairvale_dispatch::budget::Budget;
+use stairvale_types::id;
+
+/// Why settings can't be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Fault {
+    /// Not the YAML that is expected; says where.
+    #[error("{0}")]
+    Syntax(String),
+    /// A number is out of its range.
+    #[error("{0}: {1}")]
+    Range(&'static str, &'static str),
+}
+
+/// A process's settings. Unknown fields are passed over, since newer ones may come with a newer platform.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// The router's name.
+    pub router: id::Router,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub ready: SocketAddr,
+    /// Where peers connect, by TCP and UDP.
+    pub peers: SocketAddr,
+    /// Where metrics are told, if anywhere.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// Addresses of peers to begin with; they may be old.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Where the store is.
+    pub store: SocketAddr,
+    /// What must hold.
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+/// What must hold, in the units of the field's name.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// A key that was taken away counts for this long at most, in ms.
+    pub revoke_ms: u64,
+    /// Whether that holds without exception, also for a router that is cut off.
+    pub strict_revoke: bool,
+    /// A configuration is in force everywhere after this many ms.
+    pub configuration_ms: u64,
+    /// A process that is told to stop is killed after this many seconds.
+    pub grace_s: f64,
+    /// Retries for each request, at most.
+    pub retry_ratio: f64,
+    /// Retries that are free in each window, over the whole fleet.
+    pub retry_free: f64,
+    /// The window's length in seconds.
+    pub retry_window_s: f64,
+    /// No upstream runs more than this multiple of its service's mean, and [`Bounds::load_slack`]; 0 for no such bound.
+    pub load_multiple: f64,
+    /// Requests beyond the multiple.
+    pub load_slack: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            revoke_ms: 5_000,
+            strict_revoke: true,
+            configuration_ms: 2_000,
+            grace_s: 8.0,
+            retry_ratio: 0.1,
+            retry_free: 10.0,
+            retry_window_s: 10.0,
+            load_multiple: 2.0,
+            load_slack: 3.0,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads settings.
+    ///
+    /// # Errors
+    /// A [`Fault`] that names the field and what was expected.
+    pub fn parse(text: &str) -> Result<Self, Report<Fault>> {
+        let settings: Self = serde_norway::from_str(text).map_err(|error| Fault::Syntax(error.to_string()))?;
+        settings.bounds.check()?;
+        Ok(settings)
+    }
+}
+
+/// The share of the retry budget that is used: what is on its way isn't counted yet.
+const USED: f64 = 0.8;
+
+impl Bounds {
+    fn check(&self) -> Result<(), Report<Fault>> {
+        let positive = [
+            ("bounds.grace_s", self.grace_s),
+            ("bounds.retry_window_s", self.retry_window_s),
+        ];
+        for (name, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(Fault::Range(name, "a number of seconds above 0 is expected").into());
+            }
+        }
+        let natural = [
+            ("bounds.retry_ratio", self.retry_ratio),
+            ("bounds.retry_free", self.retry_free),
+            ("bounds.load_multiple", self.load_multiple),
+            ("bounds.load_slack", self.load_slack),
+        ];
+        for (name, value) in natural {
+            if !value.is_finite() || value < 0.0 {
+                return Err(Fault::Range(name, "a number of 0 or more is expected").into());
+            }
+        }
+        Ok(())
+    }
+
+    /// How old a router's copy of the configuration may be while keys count; `None` for any age.
+    #[must_use]
+    pub fn trust(&self) -> Option<Duration> {
+        self.strict_revoke.then(|| Duration::from_millis(self.revoke_ms) * 19 / 20)
+    }
+
+    /// How long a watch of the store waits: each answer says that nothing newer was there when it was asked for.
+    #[must_use]
+    pub fn watch(&self) -> Duration {
+        Duration::from_millis(self.revoke_ms) / 7
+    }
+
+    /// What the fleet may send beyond first tries.
+    #[must_use]
+    pub fn budget(&self) -> Budget {
+        let window = Duration::from_secs_f64(self.retry_window_s);
+        Budget { ratio: self.retry_ratio * USED, free: self.retry_free * USED, window }
+    }
+}
--- /dev/null
+++ b/crates/stairvale-serve/src/shared.rs
@@ -0,0 +1,186 @@
+//! What a process's tasks share, and how the core's effects are carried out.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
+};
+
+use arc_swap::ArcSwap;
+use stairvale_link::{Links, Sink};
+use stairvale_table::Table;
+use stairvale_types::{Moment, id};
+use stairvale_wire::codec;
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+};
+
+use crate::{
+    Settings,
+    core::{Core, Effect, Reply},
+    frame::Frame,
+    metrics::Metrics,
+    upstream::Connections,
+};
+
+/// Hands what links bring to the core.
+#[derive(Clone, Debug)]
+pub struct Inbox(Weak<Shared>);
+
+impl Sink<Frame> for Inbox {
+    fn frame(&self, from: &id::Router, frame: Frame) {
+        if let Some(shared) = self.0.upgrade() {
+            shared.with(|core, now| core.frame(now, from, frame));
+        }
+    }
+
+    fn broken(&self, to: &id::Router) {
+        if let Some(shared) = self.0.upgrade() {
+            tracing::info!(peer = %to, "the stream to a peer broke");
+            shared.with(|core, now| {
+                core.broken(now, to);
+                Vec::new()
+            });
+        }
+    }
+}
+
+/// What all tasks of a process share.
+pub struct Shared {
+    /// The settings it started with.
+    pub settings: Settings,
+    /// The configuration in force.
+    pub table: ArcSwap<Table>,
+    /// What is counted.
+    pub metrics: Metrics,
+    /// Connections to upstreams.
+    pub upstreams: Connections,
+    /// Whether the process stops.
+    pub stopping: AtomicBool,
+    /// Tells callers' connections to end as soon as they rest.
+    pub closing: watch::Sender<bool>,
+    core: Mutex<Core>,
+    links: Links<Frame, Inbox>,
+    socket: Arc<UdpSocket>,
+    waiting: Mutex<HashMap<id::Attempt, mpsc::UnboundedSender<Reply>>>,
+    started: Instant,
+}
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Shared").field("router", &self.settings.router).finish_non_exhaustive()
+    }
+}
+
+impl Shared {
+    /// What a process starts with.
+    #[must_use]
+    pub fn new(settings: Settings, core: Core, socket: Arc<UdpSocket>) -> Arc<Self> {
+        Arc::new_cyclic(|weak| Self {
+            links: Links::new(settings.router.clone(), Inbox(weak.clone())),
+            settings,
+            table: ArcSwap::default(),
+            metrics: Metrics::default(),
+            upstreams: Connections::default(),
+            stopping: AtomicBool::new(false),
+            closing: watch::Sender::new(false),
+            core: Mutex::new(core),
+            socket,
+            waiting: Mutex::default(),
+            started: Instant::now(),
+        })
+    }
+
+    /// The sink for streams from peers.
+    #[must_use]
+    pub fn inbox(self: &Arc<Self>) -> Inbox {
+        Inbox(Arc::downgrade(self))
+    }
+
+    /// Now, on this process's steady clock.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        Moment(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Whether the process stops.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Asks the core.
+    pub fn look<T>(&self, ask: impl FnOnce(&Core, Moment) -> T) -> T {
+        let now = self.now();
+        ask(&self.core(), now)
+    }
+
+    /// Lets the core decide, and does what it says.
+    pub fn with(&self, decide: impl FnOnce(&mut Core, Moment) -> Vec<Effect>) {
+        let now = self.now();
+        let effects = decide(&mut self.core(), now);
+        self.perform(effects);
+    }
+
+    /// Changes the core where nothing is to be done after it.
+    pub fn change<T>(&self, change: impl FnOnce(&mut Core, Moment) -> T) -> T {
+        let now = self.now();
+        change(&mut self.core(), now)
+    }
+
+    /// Opens a way for a home's replies to a request.
+    pub fn expect(&self, attempt: id::Attempt) -> mpsc::UnboundedReceiver<Reply> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.waiting().insert(attempt, sender);
+        receiver
+    }
+
+    /// Closes that way.
+    pub fn expect_no_more(&self, attempt: id::Attempt) {
+        self.waiting().remove(&attempt);
+    }
+
+    /// Does what the core says.
+    pub fn perform(&self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Frame { to, address, frame } => {
+                    if !self.links.send(&to, address, &frame) {
+                        self.metrics.count("frame-dropped");
+                    }
+                }
+                Effect::Datagram { to, packet } => {
+                    if let Ok(bytes) = codec::pack(&packet) {
+                        // Datagrams may be lost; the next probe says the same.
+                        let _ = self.socket.try_send_to(&bytes, to);
+                    }
+                }
+                Effect::Reply { attempt, reply } => {
+                    if let Some(waiter) = self.waiting().get(&attempt) {
+                        let _ = waiter.send(reply);
+                    }
+                }
+                Effect::Configured(table) => {
+                    tracing::info!(version = table.version(), "a configuration is in force");
+                    self.table.store(table);
+                }
+                Effect::Lost(router) => {
+                    tracing::info!(peer = %router, "a router is gone");
+                    self.links.close(&router);
+                }
+            }
+        }
+    }
+
+    fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, HashMap<id::Attempt, mpsc::UnboundedSender<Reply>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
