--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -155,6 +155,7 @@
                 continue;
             }
             let failed = reply.head.status.is_server_error();
+            self.tries.avoid.push(reply.permit.upstream.id.clone());
             match self.whole(reply).await {
                 Ok(answer) if failed && self.may_repeat() => drop(answer),
                 Ok(answer) => return Ok(Served::Whole(answer)),
