Watchers that fail are passed over; a stopping router takes no callers; shared parts are copied, not read again

Now a copy goes stale at 0.7 of the shorter of the bounds for configuration and leaving upstreams (1.4 s), the router then reads the store itself and passes that watcher over for 3 s. A home names an engine that holds more of the prompt, and the chosen one copies it; entries tell a home that took over where a prefix was last seen.

--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -33,6 +33,8 @@
     pub patience: Duration,
     /// Upstreams that failed or refused this request, or that the entry can't reach.
     pub avoid: Vec<id::Upstream>,
+    /// How many of the parts the entry last saw read together, and where; a home that took over learns from it.
+    pub seen: Option<(usize, id::Upstream)>,
 }
 
 /// What the home decided.
@@ -44,6 +46,8 @@
         upstream: id::Upstream,
         /// Tokens of its prompt that the upstream will have to read.
         read: u32,
+        /// Another upstream that holds more of the prompt's shared parts, if that is worth copying.
+        source: Option<id::Upstream>,
     },
     /// It may go nowhere now.
     Refused(Refusal),
--- a/crates/stairvale-dispatch/src/lib.rs
+++ b/crates/stairvale-dispatch/src/lib.rs
@@ -20,9 +20,11 @@
 pub mod health;
 pub mod member;
 pub mod pool;
+pub mod seen;
 
 pub use ask::{Answer, Ask, Held, Outcome, Part, Verdict};
 pub use budget::Window;
 pub use cache::Cache;
 pub use member::Member;
 pub use pool::Pool;
+pub use seen::Seen;
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -30,6 +30,10 @@
 const STEP: f64 = 0.4;
 /// Reading shared parts again costs later requests, too: they count this many times.
 const AGAIN: f64 = 2.0;
+/// What copying a token from another engine costs, beside reading it.
+const COPY: f64 = 0.3;
+/// Fewer tokens aren't worth copying.
+const COPY_LEAST: u32 = 96;
 /// What a failing upstream costs, in ms at a failure rate of 1.
 const FAILING: f64 = 400.0;
 /// The share of an engine's memory that requests may fill beside shared parts.
@@ -44,6 +48,8 @@
 pub struct Rules {
     /// Tokens that fit into an engine; `None` for a plain service.
     pub engine: Option<unit::Tokens>,
+    /// Whether an engine can copy what another one holds of a prompt.
+    pub copies: bool,
     /// The set multiple of the mean load that no upstream may exceed; zero if there is none.
     pub multiple: f64,
     /// What is allowed beyond that multiple, in requests.
@@ -58,6 +64,18 @@
     number: u64,
 }
 
+/// What serving a request at one member comes to.
+#[derive(Clone, Debug)]
+struct Bid {
+    /// In ms to the first event and what comes near it.
+    cost: f64,
+    upstream: id::Upstream,
+    /// Tokens that it has to read.
+    read: u32,
+    /// From where it copies what it doesn't hold.
+    source: Option<id::Upstream>,
+}
+
 /// A service at its home.
 #[derive(Debug)]
 pub struct Pool {
@@ -135,6 +153,7 @@
 
     /// An entry asks for an upstream; no answer means that the request waits.
     pub fn ask(&mut self, now: Moment, ask: Ask) -> Vec<Answer> {
+        self.learn(&ask);
         if self.waiting.is_empty()
             && let Some(answer) = self.grant(now, &ask)
         {
@@ -240,6 +259,21 @@
         answers
     }
 
+    /// What an entry saw go to an upstream is believed to be there, if nothing is known of it here.
+    fn learn(&mut self, ask: &Ask) {
+        let Some((depth, upstream)) = &ask.seen else {
+            return;
+        };
+        let parts = &ask.parts[..(*depth).min(ask.parts.len())];
+        let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
+        if self.members.values().any(|member| member.cache.covers(parts) >= tokens) {
+            return;
+        }
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.cache.read(parts);
+        }
+    }
+
     fn drop_holds(&mut self, gone: impl Fn(&Hold) -> bool) {
         for member in self.members.values_mut() {
             member.held.retain(|attempt, hold| {
@@ -307,40 +341,54 @@
         (member.taken() + u64::from(own)) as f64 <= member.memory as f64 * FILL
     }
 
-    /// Members that may be asked for at all: usable, and not failed for this request, unless there are no others.
+    /// Gives the request to the member that serves it soonest, if any has room.
     fn grant(&mut self, now: Moment, ask: &Ask) -> Option<Answer> {
         let bound = self.bound();
-        let order = self.order(&ask.parts);
-        let mut best: Option<(f64, id::Upstream, u32)> = None;
-        for (index, id) in order.iter().enumerate() {
+        let covers = self.covers(ask);
+        let mut best: Option<Bid> = None;
+        for (index, id) in self.order(&ask.parts).iter().enumerate() {
             let member = &self.members[id];
             let open = member.usable && member.health.is_open(now) && !ask.avoid.contains(id);
             if !open || !self.has_room(member, ask, bound) {
                 continue;
             }
-            let (cost, read) = self.cost(member, ask, index);
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, id.clone(), read));
+            let bid = self.bid(member, ask, &covers, index);
+            if best.as_ref().is_none_or(|best| bid.cost < best.cost) {
+                best = Some(bid);
             }
         }
-        let (cost, upstream, read) = best?;
-        self.hold(now, ask, &upstream, read, cost);
-        let verdict = Verdict::Granted { upstream, read };
+        let bid = best?;
+        self.hold(now, ask, &bid);
+        let Bid { upstream, read, source, .. } = bid;
+        let verdict = Verdict::Granted { upstream, read, source };
         Some(Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict })
     }
 
-    fn hold(&mut self, now: Moment, ask: &Ask, upstream: &id::Upstream, read: u32, cost: f64) {
-        let expected = if self.rules.engine.is_some() { cost } else { self.time };
+    fn hold(&mut self, now: Moment, ask: &Ask, bid: &Bid) {
+        let expected = if self.rules.engine.is_some() { bid.cost } else { self.time };
         let own = ask.parts.last().map_or(0, |part| part.tokens);
-        let Some(member) = self.members.get_mut(upstream) else {
+        let Some(member) = self.members.get_mut(&bid.upstream) else {
             return;
         };
         member.cache.read(&ask.parts);
         member.health.given();
         let tokens = own + ask.output;
-        let hold = Hold { entry: ask.entry.clone(), since: now, named: now, read, tokens, expected };
+        let hold = Hold { entry: ask.entry.clone(), since: now, named: now, read: bid.read, tokens, expected };
         member.held.insert(ask.attempt, hold);
-        self.places.insert(ask.attempt, upstream.clone());
+        self.places.insert(ask.attempt, bid.upstream.clone());
+    }
+
+    /// The two members that hold most of a prompt's shared parts, the one with most first.
+    fn covers(&self, ask: &Ask) -> Vec<(u32, id::Upstream)> {
+        if !self.rules.copies {
+            return Vec::new();
+        }
+        let shared = &ask.parts[..ask.parts.len().saturating_sub(1)];
+        let covers = self.members.values().map(|member| (member.cache.covers(shared), member.id.clone()));
+        let mut covers: Vec<_> = covers.filter(|(tokens, _)| *tokens >= COPY_LEAST).collect();
+        covers.sort_by(|a, b| b.cmp(a));
+        covers.truncate(2);
+        covers
     }
 
     /// The members in the order in which any router would try them for a prompt, by the last part that others share.
@@ -350,16 +398,22 @@
         rank(cache::name(shared), &engines)
     }
 
-    /// What serving a request at a member costs, in ms to the first event and what comes near it, and the tokens to read.
+    /// What serving a request at a member costs.
     #[allow(clippy::cast_precision_loss)]
-    fn cost(&self, member: &Member, ask: &Ask, index: usize) -> (f64, u32) {
+    fn bid(&self, member: &Member, ask: &Ask, covers: &[(u32, id::Upstream)], index: usize) -> Bid {
         let prompt: u32 = ask.parts.iter().map(|part| part.tokens).sum();
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let covered = member.cache.covers(&ask.parts);
-        let read = prompt - covered;
+        let mut source = covers.iter().find(|(_, id)| id != &member.id);
+        let mut copied = source.map_or(0, |(tokens, _)| tokens.saturating_sub(covered));
+        if copied < COPY_LEAST {
+            (source, copied) = (None, 0);
+        }
+        let read = (prompt - covered).saturating_sub(copied);
         let shared = f64::from(read.saturating_sub(own));
         let work = if self.rules.engine.is_some() {
-            (member.ahead() as f64 + f64::from(read) + shared * (AGAIN - 1.0)) / self.rate
+            let tokens = member.ahead() as f64 + f64::from(read) + shared * (AGAIN - 1.0) + f64::from(copied) * COPY;
+            tokens / self.rate
         } else {
             let over = f64::from(member.running()) / f64::from(member.slots);
             self.time * (1.0 + over * over)
@@ -368,7 +422,8 @@
         let crowd = f64::from(member.running()) * CROWD;
         let step = (index as f64 * STEP).min(FAR);
         let pace = member.health.pace().max(0.5);
-        ((work + crowd) * pace + far + step + member.health.failing() * FAILING, read)
+        let cost = (work + crowd) * pace + far + step + member.health.failing() * FAILING;
+        Bid { cost, upstream: member.id.clone(), read, source: source.map(|(_, id)| id.clone()) }
     }
 
     /// How long a request would wait for a place; `None` if there is no upstream that could ever serve it.
--- a/crates/stairvale-serve/src/core.rs
+++ b/crates/stairvale-serve/src/core.rs
@@ -9,7 +9,7 @@
 };
 
 use stairvale_dispatch::{
-    Answer, Ask, Held, Outcome, Pool, Verdict, Window, pool::Rules,
+    Answer, Ask, Held, Outcome, Part, Pool, Seen, Verdict, Window, pool::Rules,
 };
 use stairvale_membership::{Swim, swim};
 use stairvale_placement::pick;
@@ -24,14 +24,14 @@
 const DISTRUST: Duration = Duration::from_millis(1_000);
 /// How often entries name what they hold.
 const RENEW: Duration = Duration::from_millis(500);
-/// How often a router asks a watcher what is new, and how fresh it is.
-const SYNC: Duration = Duration::from_millis(400);
+/// A router asks a watcher what is new, and how fresh it is, this many times while its copy goes stale.
+const SYNCS: u32 = 6;
+/// A router whose word on the store was too old isn't relied upon as a watcher for this long.
+const BLIND: Duration = Duration::from_secs(3);
 /// A process that didn't run for this long distrusts what it was about to do.
 const PAUSE: Duration = Duration::from_millis(900);
 /// A question about freshness is remembered this long.
 const ASKED: Duration = Duration::from_secs(5);
-/// The share of the time that a key may be trusted after which a router reads the store itself.
-const FALLBACK: u32 = 2;
 
 /// Something to do.
 #[derive(Clone, Debug)]
@@ -96,12 +96,15 @@
     windows: HashMap<id::Service, Window>,
     running: HashMap<id::Attempt, Running>,
     distrusted: HashMap<id::Router, Moment>,
+    seen: Seen,
     syncs: HashMap<u64, Moment>,
     number: u64,
     next_renew: Moment,
     next_sync: Moment,
     last_tick: Moment,
     dark: BTreeSet<id::Zone>,
+    /// Routers that didn't keep this one up to date, and until when they aren't relied upon for that.
+    blind: HashMap<id::Router, Moment>,
     leaving: bool,
 }
 
@@ -121,12 +124,14 @@
             windows: HashMap::new(),
             running: HashMap::new(),
             distrusted: HashMap::new(),
+            seen: Seen::default(),
             syncs: HashMap::new(),
             number: seed,
             next_renew: Moment::ZERO,
             next_sync: Moment::ZERO,
             last_tick: Moment::ZERO,
             dark: BTreeSet::new(),
+            blind: HashMap::new(),
             leaving: false,
         }
     }
@@ -188,8 +193,7 @@
         if self.watcher().as_ref() == Some(&self.me) {
             return true;
         }
-        let limit = Duration::from_millis(self.bounds.revoke_ms) / FALLBACK;
-        self.view.age(now).is_none_or(|age| age > limit)
+        self.is_stale(now)
     }
 
     /// The service's home, and whether it is this router.
@@ -199,9 +203,14 @@
         pick(service.hash64(), live).cloned().unwrap_or_else(|| self.me.clone())
     }
 
+    fn is_stale(&self, now: Moment) -> bool {
+        self.view.age(now).is_none_or(|age| age > self.bounds.stale())
+    }
+
     /// The router of this zone that reads the store.
     fn watcher(&self) -> Option<id::Router> {
-        let live = self.swim.live().filter(|member| member.zone == self.zone);
+        let sees = |member: &&Member| member.zone == self.zone && !self.blind.contains_key(&member.router);
+        let live = self.swim.live().filter(|member| member.status == Status::Alive).filter(sees);
         pick(self.zone.hash64(), live.map(|member| (member.router.hash64(), &member.router))).cloned()
     }
 
@@ -254,8 +263,21 @@
         self.answers(answers.unwrap_or_default())
     }
 
+    /// Where the longest chain of a prompt's shared parts was last seen to go.
+    #[must_use]
+    pub fn seen(&self, parts: &[Part]) -> Option<(usize, id::Upstream)> {
+        self.seen.find(parts)
+    }
+
+    /// Where an upstream is reached, whether it takes new work or not.
+    #[must_use]
+    pub fn address(&self, upstream: &id::Upstream) -> Option<SocketAddr> {
+        self.view.upstreams().find(|known| &known.id == upstream).map(|known| known.address)
+    }
+
     /// A granted request goes to its upstream.
-    pub fn start(&mut self, service: &id::Service, held: Held, home: &id::Router) {
+    pub fn start(&mut self, service: &id::Service, held: Held, home: &id::Router, parts: &[Part]) {
+        self.seen.remember(parts, &held.upstream);
         let running = Running { service: service.clone(), held, home: home.clone() };
         self.running.insert(running.held.attempt, running);
     }
@@ -391,7 +413,7 @@
             effects.extend(self.renew(now));
         }
         if now >= self.next_sync {
-            self.next_sync = now + SYNC;
+            self.next_sync = now + self.bounds.stale() / SYNCS;
             effects.extend(self.sync(now));
         }
         effects
@@ -531,8 +553,12 @@
                 }
             }
             let memory = service.engine.map(|engine| unit::Tokens(u32::try_from(engine.memory).unwrap_or(u32::MAX)));
-            let rules =
-                Rules { engine: memory, multiple: self.bounds.load_multiple, slack: self.bounds.load_slack };
+            let rules = Rules {
+                engine: memory,
+                copies: service.engine.is_some_and(|engine| engine.copies),
+                multiple: self.bounds.load_multiple,
+                slack: self.bounds.load_slack,
+            };
             let pool = self.pools.entry(service.name.clone()).or_insert_with(|| Pool::new(rules));
             pool.set_rules(rules);
             let answers = pool.set_members(now, &known);
@@ -577,10 +603,16 @@
     /// Asks those who read the store; who knows nothing yet asks anybody.
     fn sync(&mut self, now: Moment) -> Vec<Effect> {
         self.syncs.retain(|_, asked| now.since(*asked) < ASKED);
+        self.blind.retain(|_, until| *until > now);
+        if self.is_stale(now)
+            && let Some(watcher) = self.watcher()
+        {
+            self.blind.insert(watcher, now + BLIND);
+        }
         let after = self.view.revision();
         let mut to = Vec::new();
         to.extend(self.watcher().filter(|watcher| watcher != &self.me));
-        let old = Duration::from_millis(self.bounds.revoke_ms) / 4;
+        let old = self.bounds.stale() * 3 / 4;
         if self.view.age(now).is_none_or(|age| age > old) {
             to.extend(self.any_peer());
         }
--- a/crates/stairvale-serve/src/dialect.rs
+++ b/crates/stairvale-serve/src/dialect.rs
@@ -1,6 +1,6 @@
 //! How an installation speaks HTTP: the seam between its headers and what they mean.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::{HeaderMap, HeaderValue, request, response};
 use stairvale_dispatch::Part;
@@ -51,6 +51,8 @@
     pub deadline: Duration,
     /// Its rank, 0 to 9.
     pub priority: u8,
+    /// Another upstream from which it may copy what it lacks of the prompt.
+    pub source: Option<SocketAddr>,
     /// Events up to this one are there already.
     pub last_event: Option<&'a str>,
 }
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -249,6 +249,7 @@
             output: self.head.output,
             patience,
             avoid: self.tries.avoid.clone(),
+            seen: self.shared.look(|core, _| core.seen(&self.head.parts)),
         };
         let want = Want { service: &self.service, ask, objective: self.route.objective };
         let asked = Instant::now();
@@ -329,6 +330,7 @@
             customer: self.customer.as_ref(),
             deadline: self.left(),
             priority: self.priority,
+            source: permit.source,
             last_event: last_event.or(self.head.last_event.as_deref()),
         };
         self.dialect.write(headers, order);
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -1,6 +1,6 @@
 //! A place at an upstream, from the ask to its end.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use stairvale_dispatch::{Ask, Held, Outcome, Verdict};
 use stairvale_replica::Upstream;
@@ -31,6 +31,8 @@
     pub upstream: Upstream,
     /// Tokens that it has to read.
     pub read: u32,
+    /// Where it may copy what it lacks of the prompt's shared parts.
+    pub source: Option<SocketAddr>,
     since: Moment,
     outcome: Outcome,
     took: Option<Duration>,
@@ -131,7 +133,7 @@
             }
         };
         match verdict {
-            Some(Verdict::Granted { upstream, read }) => {
+            Some(Verdict::Granted { upstream, read, source }) => {
                 let place = shared.look(|core, _| core.place(&upstream));
                 let Some(place) = place else {
                     // It began to leave in between, by what this router knows.
@@ -140,12 +142,12 @@
                 };
                 asking.open = false;
                 let held = Held { attempt, upstream, read };
-                let since = shared.change(|core, now| {
-                    core.start(want.service, held, &asking.home);
-                    now
+                let (since, source) = shared.change(|core, now| {
+                    core.start(want.service, held, &asking.home, &want.ask.parts);
+                    (now, source.and_then(|source| core.address(&source)))
                 });
-                let shared = shared.clone();
-                return Ok(Permit { shared, attempt, upstream: place, read, since, outcome: Outcome::Abandoned, took: None });
+                let (shared, outcome) = (shared.clone(), Outcome::Abandoned);
+                return Ok(Permit { shared, attempt, upstream: place, read, source, since, outcome, took: None });
             }
             Some(Verdict::Refused(refusal)) => {
                 asking.open = false;
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -91,7 +91,7 @@
     if let Some(metrics) = metrics {
         tokio::spawn(ready::listen(shared.clone(), metrics, dialect.ready_path()));
     }
-    tokio::spawn(caller::listen(shared.clone(), dialect, callers));
+    let accepting = tokio::spawn(caller::listen(shared.clone(), dialect, callers));
     tracing::info!(router = %shared.settings.router, zone = %shared.settings.zone, "started");
     let mut looks = tokio::time::interval(LOOK);
     let mut known = std::fs::read_to_string(&file).unwrap_or_default();
@@ -107,7 +107,7 @@
     if let Some(lease) = lease {
         tokio::spawn(async move { source.withdraw(&lease).await });
     }
-    stop(&shared).await;
+    stop(&shared, || accepting.abort()).await;
     Ok(())
 }
 
@@ -150,7 +150,7 @@
 }
 
 /// A planned stop: not ready to the balancer, homes handed over, no new callers after a while, all in flight finishes.
-async fn stop(shared: &Shared) {
+async fn stop(shared: &Shared, refuse_callers: impl FnOnce()) {
     tracing::info!("stopping");
     let began = Instant::now();
     shared.stopping.store(true, Ordering::Relaxed);
@@ -158,6 +158,7 @@
     let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s);
     let last = grace.saturating_sub(MARGIN);
     tokio::time::sleep(NOTICE.min(last)).await;
+    refuse_callers();
     shared.closing.send_replace(true);
     let mut idle = 0;
     loop {
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -54,6 +54,8 @@
     pub strict_revoke: bool,
     /// A configuration is in force everywhere after this many ms.
     pub configuration_ms: u64,
+    /// An upstream that leaves gets no new work after this many ms.
+    pub leave_ms: u64,
     /// A process that is told to stop is killed after this many seconds.
     pub grace_s: f64,
     /// Retries for each request, at most.
@@ -74,6 +76,7 @@
             revoke_ms: 5_000,
             strict_revoke: true,
             configuration_ms: 2_000,
+            leave_ms: 2_000,
             grace_s: 8.0,
             retry_ratio: 0.1,
             retry_free: 10.0,
@@ -130,10 +133,22 @@
         self.strict_revoke.then(|| Duration::from_millis(self.revoke_ms) * 19 / 20)
     }
 
+    /// How soon a change in the store must be known here.
+    #[must_use]
+    pub fn notice(&self) -> Duration {
+        Duration::from_millis(self.configuration_ms.min(self.leave_ms))
+    }
+
     /// How long a watch of the store waits: each answer says that nothing newer was there when it was asked for.
     #[must_use]
     pub fn watch(&self) -> Duration {
-        Duration::from_millis(self.revoke_ms) / 7
+        self.notice() / 4
+    }
+
+    /// A copy that may be older than this is no longer left to others: this router reads the store itself.
+    #[must_use]
+    pub fn stale(&self) -> Duration {
+        self.notice() * 7 / 10
     }
 
     /// What the fleet may send beyond first tries.
--- a/crates/stairvale-table/src/document.rs
+++ b/crates/stairvale-table/src/document.rs
@@ -105,6 +105,8 @@
     pub slots: u32,
     /// Tokens that fit into its cache.
     pub memory: u64,
+    /// Whether it can copy from another engine what that holds of a prompt.
+    pub copies: bool,
 }
 
 /// Who pays for requests.
