--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -25,6 +25,8 @@
     pub zone: id::Zone,
     /// The request's rank: 0 is the most urgent.
     pub priority: u8,
+    /// Whether it may run a second time.
+    pub repeatable: bool,
     /// The parts of its prompt, in order; empty for a plain service.
     pub parts: Vec<Part>,
     /// Tokens that it may make.
--- a/crates/stairvale-dispatch/src/health.rs
+++ b/crates/stairvale-dispatch/src/health.rs
@@ -6,18 +6,22 @@
 
 use crate::Outcome;
 
-/// Outcomes lose half of their weight in this time.
+/// What was seen loses half of its weight in this time, so that an upstream that was left alone is thought of again.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Bad outcomes that a judgement needs at least.
 const ENOUGH: f64 = 2.5;
 /// How much more often than the others an upstream must fail to be left alone.
 const EXCESS: f64 = 0.25;
+/// An upstream that fails more often than this is in doubt.
+const DOUBT: f64 = 0.05;
 /// The first pause of an upstream that is left alone; it doubles up to [`LONGEST`].
 const FIRST: Duration = Duration::from_millis(1_000);
 /// The longest pause.
 const LONGEST: Duration = Duration::from_secs(4);
 /// A full upstream is left alone for this long.
 const FULL: Duration = Duration::from_millis(50);
+/// Good outcomes in a row, one at a time, that show an upstream that failed to be well again.
+const TRIALS: u8 = 3;
 /// How much one answer's time counts in the mean.
 const WEIGHT: f64 = 0.2;
 
@@ -26,14 +30,16 @@
 pub struct Health {
     good: f64,
     bad: f64,
+    /// The mean of answers' times over what was expected, less one.
+    excess: f64,
+    /// When the three above were brought up to date.
     at: Moment,
-    /// The mean of answers' times over what was expected.
-    pace: f64,
     closed_until: Moment,
     pause: Duration,
-    /// One request is let through to see whether it is well again.
-    trial: bool,
+    /// Good outcomes that are still needed, one at a time.
+    trials: u8,
     trying: bool,
+    given: Moment,
 }
 
 impl Default for Health {
@@ -41,12 +47,13 @@
         Self {
             good: 0.0,
             bad: 0.0,
+            excess: 0.0,
             at: Moment::ZERO,
-            pace: 1.0,
             closed_until: Moment::ZERO,
             pause: FIRST,
-            trial: false,
+            trials: 0,
             trying: false,
+            given: Moment::ZERO,
         }
     }
 }
@@ -55,36 +62,45 @@
     /// Whether it may be given a request now.
     #[must_use]
     pub fn is_open(&self, now: Moment) -> bool {
-        now >= self.closed_until && !(self.trial && self.trying)
+        now >= self.closed_until && !(self.is_trial() && self.trying)
     }
 
-    /// Whether it is only being tried.
+    /// Whether it is only being tried, one request at a time.
     #[must_use]
     pub fn is_trial(&self) -> bool {
-        self.trial
+        self.trials > 0
+    }
+
+    /// Whether it is worth a request that may run twice, to see how it does: it failed, and hasn't been asked lately.
+    #[must_use]
+    pub fn is_due(&self, now: Moment) -> bool {
+        self.is_trial() || (self.failing(now) > DOUBT && now.since(self.given) >= FIRST)
     }
 
     /// How much longer than expected it takes; 1 is as expected.
     #[must_use]
-    pub fn pace(&self) -> f64 {
-        self.pace
+    pub fn pace(&self, now: Moment) -> f64 {
+        1.0 + self.excess * self.left(now)
     }
 
     /// The share of its outcomes that were bad.
     #[must_use]
-    pub fn failing(&self) -> f64 {
+    pub fn failing(&self, now: Moment) -> f64 {
+        let left = self.left(now);
         // Two good outcomes are assumed, so that one bad one says little.
-        self.bad / (self.good + self.bad + 2.0)
+        self.bad * left / ((self.good + self.bad) * left + 2.0)
     }
 
     /// It is given a request.
-    pub fn given(&mut self) {
+    pub fn given(&mut self, now: Moment) {
         self.trying = true;
+        self.given = now;
     }
 
     /// An answer took `ratio` times what was expected.
-    pub fn took(&mut self, ratio: f64) {
-        self.pace += (ratio.clamp(0.2, 20.0) - self.pace) * WEIGHT;
+    pub fn took(&mut self, now: Moment, ratio: f64) {
+        self.fade(now);
+        self.excess += (ratio.clamp(0.2, 20.0) - 1.0 - self.excess) * WEIGHT;
     }
 
     /// A request ended; `usual` is the share of bad outcomes among the others.
@@ -97,7 +113,7 @@
                 self.bad += 1.0;
                 self.failed(now, usual);
             }
-            Outcome::Unreachable | Outcome::Gone => self.close(now),
+            Outcome::Unreachable | Outcome::Gone => self.close(now, 1),
             Outcome::Shed => {
                 self.trying = false;
                 self.closed_until = self.closed_until.max(now + FULL);
@@ -109,37 +125,42 @@
     fn served(&mut self) {
         self.good += 1.0;
         self.trying = false;
-        if self.trial {
-            self.trial = false;
-            self.pause = FIRST;
+        if self.trials == 1 {
+            self.pause = (self.pause / 2).max(FIRST);
             self.bad = 0.0;
         }
+        self.trials = self.trials.saturating_sub(1);
     }
 
     fn failed(&mut self, now: Moment, usual: f64) {
         self.bad += 1.0;
         self.trying = false;
-        let clearly = self.bad >= ENOUGH && self.failing() > usual + EXCESS;
-        if self.trial || clearly {
-            self.close(now);
+        let clearly = self.bad >= ENOUGH && self.failing(now) > usual + EXCESS;
+        if self.is_trial() || clearly {
+            self.close(now, TRIALS);
         }
     }
 
-    fn close(&mut self, now: Moment) {
+    fn close(&mut self, now: Moment, trials: u8) {
         self.trying = false;
         if now < self.closed_until {
             return;
         }
-        self.trial = true;
+        self.trials = self.trials.max(trials);
         self.closed_until = now + self.pause;
         self.pause = (self.pause * 2).min(LONGEST);
     }
 
+    /// The weight that is left of what was seen when it was last brought up to date.
+    fn left(&self, now: Moment) -> f64 {
+        0.5_f64.powf(now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64())
+    }
+
     fn fade(&mut self, now: Moment) {
-        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let left = 0.5_f64.powf(halves);
+        let left = self.left(now);
         self.good *= left;
         self.bad *= left;
+        self.excess *= left;
         self.at = now;
     }
 }
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -36,6 +36,8 @@
 const COPY_LEAST: u32 = 96;
 /// What a failing upstream costs, in ms at a failure rate of 1.
 const FAILING: f64 = 400.0;
+/// What it is worth to try an upstream that failed, in ms.
+const TRIAL: f64 = 20.0;
 /// The share of an engine's memory that requests may fill beside shared parts.
 const FILL: f64 = 0.85;
 /// The longest time that is told to come back after.
@@ -179,7 +181,7 @@
     }
 
     /// The first event of an attempt came, this long after it was sent.
-    pub fn begun(&mut self, attempt: id::Attempt, took: Duration) {
+    pub fn begun(&mut self, now: Moment, attempt: id::Attempt, took: Duration) {
         let Some(member) = self.places.get(&attempt).and_then(|place| self.members.get_mut(place)) else {
             return;
         };
@@ -196,7 +198,7 @@
             self.rate += ((read / took).clamp(1.0, 1e3) - self.rate) * WEIGHT;
         }
         if expected > 0.0 {
-            member.health.took((took + 20.0) / (expected + 20.0));
+            member.health.took(now, (took + 20.0) / (expected + 20.0));
         }
     }
 
@@ -211,14 +213,14 @@
         let Some(place) = self.places.remove(&attempt) else {
             return Vec::new();
         };
-        let usual = self.usual(&place);
+        let usual = self.usual(now, &place);
         if let Some(member) = self.members.get_mut(&place) {
             let hold = member.held.remove(&attempt);
             if let Some(took) = took {
                 let took = took.as_secs_f64() * 1e3;
                 self.time += (took - self.time) * WEIGHT;
                 if hold.is_some_and(|hold| hold.expected > 0.0) {
-                    member.health.took((took + 5.0) / (self.time + 5.0));
+                    member.health.took(now, (took + 5.0) / (self.time + 5.0));
                 }
             }
             member.health.observe(now, outcome, usual);
@@ -238,8 +240,14 @@
             let Some(member) = self.members.get_mut(&item.upstream) else {
                 continue;
             };
-            let hold =
-                Hold { entry: entry.clone(), since: now, named: now, read: item.read, tokens: item.read, expected: 0.0 };
+            let hold = Hold {
+                entry: entry.clone(),
+                since: now,
+                named: now,
+                read: item.read,
+                tokens: item.read,
+                expected: 0.0,
+            };
             member.held.insert(item.attempt, hold);
             self.places.insert(item.attempt, item.upstream.clone());
         }
@@ -309,9 +317,9 @@
     }
 
     /// The share of bad outcomes among the other upstreams: the median.
-    fn usual(&self, except: &id::Upstream) -> f64 {
+    fn usual(&self, now: Moment, except: &id::Upstream) -> f64 {
         let others = self.members.values().filter(|member| &member.id != except && member.usable);
-        let mut shares: Vec<_> = others.map(|member| member.health.failing()).collect();
+        let mut shares: Vec<_> = others.map(|member| member.health.failing(now)).collect();
         shares.sort_by(f64::total_cmp);
         shares.get(shares.len() / 2).copied().unwrap_or(0.0)
     }
@@ -352,7 +360,7 @@
             if !open || !self.has_room(member, ask, bound) {
                 continue;
             }
-            let bid = self.bid(member, ask, &covers, index);
+            let bid = self.bid(now, member, ask, &covers, index);
             if best.as_ref().is_none_or(|best| bid.cost < best.cost) {
                 best = Some(bid);
             }
@@ -371,7 +379,7 @@
             return;
         };
         member.cache.read(&ask.parts);
-        member.health.given();
+        member.health.given(now);
         let tokens = own + ask.output;
         let hold = Hold { entry: ask.entry.clone(), since: now, named: now, read: bid.read, tokens, expected };
         member.held.insert(ask.attempt, hold);
@@ -400,7 +408,7 @@
 
     /// What serving a request at a member costs.
     #[allow(clippy::cast_precision_loss)]
-    fn bid(&self, member: &Member, ask: &Ask, covers: &[(u32, id::Upstream)], index: usize) -> Bid {
+    fn bid(&self, now: Moment, member: &Member, ask: &Ask, covers: &[(u32, id::Upstream)], index: usize) -> Bid {
         let prompt: u32 = ask.parts.iter().map(|part| part.tokens).sum();
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let covered = member.cache.covers(&ask.parts);
@@ -421,8 +429,11 @@
         let far = if member.zone == ask.zone { 0.0 } else { FAR };
         let crowd = f64::from(member.running()) * CROWD;
         let step = (index as f64 * STEP).min(FAR);
-        let pace = member.health.pace().max(0.5);
-        let cost = (work + crowd) * pace + far + step + member.health.failing() * FAILING;
+        let pace = member.health.pace(now).max(0.5);
+        // What may run twice shows whether an upstream that failed is well again.
+        let tries = ask.repeatable && member.health.is_due(now);
+        let failing = if tries { -TRIAL } else { member.health.failing(now) * FAILING };
+        let cost = (work + crowd) * pace + far + step + failing;
         Bid { cost, upstream: member.id.clone(), read, source: source.map(|(_, id)| id.clone()) }
     }
 
--- /dev/null
+++ b/crates/stairvale-dispatch/tests/parts.rs
@@ -0,0 +1,106 @@
+//! The smaller parts: the retry window, the cache model, what entries remember.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use stairvale_dispatch::{Cache, Part, Seen, Window, budget::Budget};
+use stairvale_types::{Moment, id};
+
+fn budget() -> Budget {
+    Budget { ratio: 0.2, free: 10.0, window: Duration::from_secs(10) }
+}
+
+fn parts(parts: &[(u64, u32)]) -> Vec<Part> {
+    parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect()
+}
+
+#[test]
+fn free_retries_are_shared_among_routers() {
+    let mut window = Window::default();
+    let now = Moment::from_millis(5);
+    let spent = (0..20).filter(|_| window.spend(now, budget(), 5)).count();
+    assert_eq!(spent, 2);
+}
+
+#[test]
+fn retries_come_back_after_the_window() {
+    let mut window = Window::default();
+    assert!(window.spend(Moment::from_millis(0), budget(), 10));
+    assert!(!window.spend(Moment::from_millis(9_000), budget(), 10));
+    assert!(window.spend(Moment::from_millis(11_000), budget(), 10));
+}
+
+#[test]
+fn the_oldest_part_gives_way() {
+    let mut cache = Cache::new(1_000);
+    cache.read(&parts(&[(1, 400)]));
+    cache.read(&parts(&[(2, 400)]));
+    cache.read(&parts(&[(1, 400)]));
+    cache.read(&parts(&[(3, 400)]));
+    assert_eq!(cache.covers(&parts(&[(1, 400)])), 400);
+    assert_eq!(cache.covers(&parts(&[(2, 400)])), 0);
+}
+
+#[test]
+fn a_part_counts_only_behind_the_same_beginning() {
+    let mut cache = Cache::new(1_000);
+    cache.read(&parts(&[(1, 100), (2, 100)]));
+    assert_eq!(cache.covers(&parts(&[(1, 100), (2, 100), (3, 100)])), 200);
+    assert_eq!(cache.covers(&parts(&[(2, 100)])), 0);
+    assert_eq!(cache.covers(&parts(&[(3, 100), (2, 100)])), 0);
+}
+
+#[test]
+fn entries_remember_the_longest_chain() {
+    let mut seen = Seen::default();
+    let (e1, e2): (id::Upstream, id::Upstream) = ("e1".parse().unwrap(), "e2".parse().unwrap());
+    seen.remember(&parts(&[(1, 10), (2, 10), (9, 10)]), &e1);
+    seen.remember(&parts(&[(1, 10), (3, 10), (8, 10)]), &e2);
+    assert_eq!(seen.find(&parts(&[(1, 10), (2, 10), (7, 10)])), Some((2, e1)));
+    assert_eq!(seen.find(&parts(&[(1, 10), (4, 10), (7, 10)])), Some((1, e2)));
+    assert_eq!(seen.find(&parts(&[(1, 10)])), None, "the last part is the request's own");
+}
+
+quickcheck! {
+    /// Whenever one is spent, the retries of the window that ends there stay within the ratio and an equal part of what is free.
+    fn the_budget_holds(events: Vec<(u16, bool)>) -> bool {
+        let mut window = Window::default();
+        let mut now = 0_u64;
+        let mut all: Vec<(u64, bool)> = Vec::new();
+        for (gap, retry) in events {
+            now += u64::from(gap % 400);
+            let moment = Moment::from_millis(now);
+            if retry {
+                if !window.spend(moment, budget(), 5) {
+                    continue;
+                }
+                all.push((now, true));
+            } else {
+                window.request(moment, budget());
+                all.push((now, false));
+                continue;
+            }
+            let inside = |from: u64| all.iter().filter(move |(at, _)| *at + from > now);
+            let retries = inside(10_000).filter(|(_, retry)| *retry).count() as f64;
+            let requests = inside(10_500).filter(|(_, retry)| !*retry).count() as f64;
+            if retries > requests * 0.2 + 2.0 {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// A cache never says that it holds more of a prompt than the prompt has.
+    fn covers_are_within_the_prompt(prompts: Vec<Vec<(u64, u16)>>) -> bool {
+        let mut cache = Cache::new(50_000);
+        prompts.iter().all(|prompt| {
+            let prompt: Vec<_> = prompt.iter().map(|(id, tokens)| Part { id: id % 8, tokens: u32::from(*tokens) }).collect();
+            let whole: u32 = prompt.iter().map(|part| part.tokens).sum();
+            let covered = cache.covers(&prompt);
+            cache.read(&prompt);
+            covered <= whole
+        })
+    }
+}
--- /dev/null
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -0,0 +1,258 @@
+//! What a service's home decides.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Verdict, pool::Rules};
+use stairvale_types::{Moment, id, outcome::Reason, unit};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn engines() -> Rules {
+    Rules { engine: Some(unit::Tokens(100_000)), copies: true, multiple: 2.0, slack: 3.0 }
+}
+
+fn pool(rules: Rules, count: usize, slots: u32) -> Pool {
+    let mut pool = Pool::new(rules);
+    pool.set_members(at(0), &members(count, slots));
+    pool
+}
+
+fn members(count: usize, slots: u32) -> Vec<(id::Upstream, id::Zone, u32, bool)> {
+    (0..count).map(|i| (format!("e{i}").parse().unwrap(), "a".parse().unwrap(), slots, true)).collect()
+}
+
+fn ask(number: u128, parts: &[(u64, u32)]) -> Ask {
+    Ask {
+        attempt: id::Attempt(number),
+        entry: "r1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        priority: 1,
+        repeatable: true,
+        parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
+        output: 50,
+        patience: Duration::from_millis(100),
+        avoid: Vec::new(),
+        seen: None,
+    }
+}
+
+fn granted(answers: &[Answer]) -> Option<id::Upstream> {
+    answers.iter().find_map(|answer| match &answer.verdict {
+        Verdict::Granted { upstream, .. } => Some(upstream.clone()),
+        Verdict::Refused(_) => None,
+    })
+}
+
+fn refused(answers: &[Answer]) -> Option<Reason> {
+    answers.iter().find_map(|answer| match &answer.verdict {
+        Verdict::Granted { .. } => None,
+        Verdict::Refused(refusal) => Some(refusal.reason),
+    })
+}
+
+#[test]
+fn a_prompt_goes_where_its_beginning_is() {
+    let mut pool = pool(engines(), 8, 16);
+    let first = granted(&pool.ask(at(0), ask(1, &[(7, 2_000), (8, 6_000), (100, 500)]))).unwrap();
+    pool.release(at(50), id::Attempt(1), Outcome::Served, None);
+    for number in 2..20 {
+        let again = ask(number, &[(7, 2_000), (8, 6_000), (100 + u64::try_from(number).unwrap(), 500)]);
+        assert_eq!(granted(&pool.ask(at(100), again)), Some(first.clone()));
+        pool.release(at(120), id::Attempt(number), Outcome::Served, None);
+    }
+}
+
+#[test]
+fn what_another_engine_holds_is_copied() {
+    let mut pool = pool(engines(), 2, 1);
+    let parts = [(7, 2_000), (8, 6_000), (100, 500)];
+    let first = granted(&pool.ask(at(0), ask(1, &parts))).unwrap();
+    // The first engine's only slot is taken.
+    let answers = pool.ask(at(1), ask(2, &[(7, 2_000), (8, 6_000), (101, 500)]));
+    let Verdict::Granted { upstream, read, source } = &answers[0].verdict else {
+        panic!("there is room at the second engine");
+    };
+    assert_ne!(upstream, &first);
+    assert_eq!(source.as_ref(), Some(&first));
+    assert_eq!(*read, 500);
+}
+
+#[test]
+fn a_home_that_took_over_learns_where_prefixes_are() {
+    let mut pool = pool(engines(), 6, 16);
+    for target in 0..6 {
+        let place: id::Upstream = format!("e{target}").parse().unwrap();
+        let parts = [(1_000 + target, 9_000), (target, 300)];
+        let want = Ask { seen: Some((1, place.clone())), ..ask(u128::from(target) + 1, &parts) };
+        assert_eq!(granted(&pool.ask(at(0), want)), Some(place));
+    }
+}
+
+#[test]
+fn no_upstream_runs_more_than_its_slots() {
+    let mut pool = pool(Rules::default(), 2, 3);
+    let granted = (0..6).filter(|n| granted(&pool.ask(at(0), ask(*n, &[]))).is_some()).count();
+    assert_eq!(granted, 6);
+    assert!(pool.ask(at(0), ask(7, &[])).is_empty(), "it waits");
+    assert!(pool.members().all(|member| member.running() <= 3));
+}
+
+#[test]
+fn what_waits_is_served_by_urgency_when_a_place_comes_free() {
+    let mut pool = pool(Rules::default(), 1, 1);
+    pool.ask(at(0), ask(1, &[]));
+    assert!(pool.ask(at(1), Ask { priority: 2, ..ask(2, &[]) }).is_empty());
+    assert!(pool.ask(at(2), Ask { priority: 0, ..ask(3, &[]) }).is_empty());
+    let answers = pool.release(at(10), id::Attempt(1), Outcome::Served, Some(Duration::from_millis(10)));
+    assert_eq!(answers.len(), 1);
+    assert_eq!(answers[0].attempt, id::Attempt(3));
+}
+
+#[test]
+fn who_can_not_be_served_in_time_is_refused_at_once() {
+    let mut pool = pool(Rules::default(), 1, 1);
+    pool.ask(at(0), ask(1, &[]));
+    let impatient = Ask { patience: Duration::from_millis(1), ..ask(2, &[]) };
+    assert_eq!(refused(&pool.ask(at(1), impatient)), Some(Reason::Busy));
+    // Who waits is refused as soon as its patience ends, not later.
+    assert!(pool.ask(at(2), ask(3, &[])).is_empty());
+    assert!(pool.tick(at(50)).is_empty());
+    assert_eq!(refused(&pool.tick(at(102))), Some(Reason::Busy));
+}
+
+#[test]
+fn a_service_without_upstreams_refuses() {
+    let mut pool = Pool::new(Rules::default());
+    assert_eq!(refused(&pool.ask(at(0), ask(1, &[]))), Some(Reason::NoUpstream));
+}
+
+#[test]
+fn a_leaving_upstream_gets_nothing_new() {
+    let mut pool = pool(Rules::default(), 2, 8);
+    let mut list = members(2, 8);
+    list[0].3 = false;
+    pool.set_members(at(1), &list);
+    for number in 0..6 {
+        assert_eq!(granted(&pool.ask(at(2), ask(number, &[]))).unwrap().as_str(), "e1");
+    }
+}
+
+#[test]
+fn an_upstream_that_fails_more_than_the_others_is_left_alone_and_tried_again() {
+    let mut pool = pool(Rules::default(), 3, 8);
+    let mut number = 0;
+    let mut served_by_bad = 0;
+    for round in 0..200 {
+        number += 1;
+        let now = at(round * 10);
+        let place = granted(&pool.ask(now, ask(number, &[]))).unwrap();
+        let bad = place.as_str() == "e0";
+        served_by_bad += u32::from(bad && round > 50);
+        let outcome = if bad { Outcome::Failed } else { Outcome::Served };
+        pool.release(at(round * 10 + 5), id::Attempt(number), outcome, Some(Duration::from_millis(5)));
+    }
+    assert!(served_by_bad <= 4, "{served_by_bad} requests of 150 went to the failing one");
+    let mut back = 0;
+    for round in 0..600 {
+        number += 1;
+        let now = at(10_000 + round * 10);
+        let place = granted(&pool.ask(now, ask(number, &[]))).unwrap();
+        back += u32::from(place.as_str() == "e0");
+        pool.release(now, id::Attempt(number), Outcome::Served, Some(Duration::from_millis(5)));
+    }
+    assert!(back > 20, "it is well again and got {back}");
+}
+
+#[test]
+fn an_upstream_that_can_not_be_reached_is_left_at_once() {
+    let mut pool = pool(Rules::default(), 2, 8);
+    let place = granted(&pool.ask(at(0), ask(1, &[]))).unwrap();
+    pool.release(at(1), id::Attempt(1), Outcome::Unreachable, None);
+    for number in 2..8 {
+        assert_ne!(granted(&pool.ask(at(2), ask(number, &[]))), Some(place.clone()));
+    }
+}
+
+#[test]
+fn a_hold_that_nobody_names_is_dropped() {
+    let mut pool = pool(Rules::default(), 1, 1);
+    pool.ask(at(0), ask(1, &[]));
+    let entry = "r1".parse().unwrap();
+    let held = vec![Held { attempt: id::Attempt(1), upstream: "e0".parse().unwrap(), read: 0 }];
+    pool.renew(at(3_000), &entry, &held);
+    pool.tick(at(5_000));
+    assert_eq!(pool.running(&"e0".parse().unwrap()), 1);
+    pool.tick(at(8_000));
+    assert_eq!(pool.running(&"e0".parse().unwrap()), 0);
+}
+
+#[test]
+fn a_new_home_counts_what_entries_name() {
+    let mut pool = pool(Rules::default(), 1, 1);
+    let held = vec![Held { attempt: id::Attempt(9), upstream: "e0".parse().unwrap(), read: 0 }];
+    pool.renew(at(1), &"r2".parse().unwrap(), &held);
+    assert!(pool.ask(at(2), ask(1, &[])).is_empty(), "the only slot is taken");
+    assert_eq!(granted(&pool.release(at(3), id::Attempt(9), Outcome::Served, None)).unwrap().as_str(), "e0");
+}
+
+quickcheck! {
+    /// However asks and ends come, no engine runs more than the multiple of the mean and the slack allow.
+    fn the_bound_holds(steps: Vec<(u8, bool)>) -> bool {
+        let mut pool = pool(engines(), 5, 64);
+        let mut running = Vec::new();
+        for (number, (key, ends)) in steps.into_iter().enumerate() {
+            let now = at(number as u64);
+            if ends && !running.is_empty() {
+                let attempt = running.remove(usize::from(key) % running.len());
+                pool.release(now, attempt, Outcome::Served, None);
+                continue;
+            }
+            let attempt = id::Attempt(number as u128);
+            let want = Ask { attempt, ..ask(0, &[(u64::from(key % 3), 5_000), (number as u64 + 1_000, 100)]) };
+            let before: u32 = pool.members().map(stairvale_dispatch::Member::running).sum();
+            if let Some(place) = granted(&pool.ask(now, want)) {
+                running.push(attempt);
+                let held = f64::from(pool.running(&place) - 1);
+                if held > 2.0 * f64::from(before) / 5.0 + 3.0 {
+                    return false;
+                }
+            } else {
+                pool.forget(now, attempt);
+            }
+        }
+        true
+    }
+
+    /// Each ask gets one answer at most, and one that was given up gets none.
+    fn one_answer_each(steps: Vec<(u8, u8)>) -> bool {
+        let mut pool = pool(Rules::default(), 2, 2);
+        let mut answered = std::collections::HashMap::new();
+        let mut forgotten = std::collections::HashSet::new();
+        for (time, (number, what)) in steps.into_iter().enumerate() {
+            let now = at(time as u64 * 20);
+            let attempt = id::Attempt(u128::from(number) + 1_000 * (time as u128));
+            let answers = match what % 4 {
+                0 | 1 => pool.ask(now, Ask { attempt, ..ask(0, &[]) }),
+                2 => match answered.keys().next().copied() {
+                    Some(attempt) => pool.release(now, attempt, Outcome::Served, None),
+                    None => pool.tick(now),
+                },
+                _ => {
+                    forgotten.insert(attempt);
+                    pool.forget(now, attempt)
+                }
+            };
+            for answer in answers {
+                if forgotten.contains(&answer.attempt) || answered.insert(answer.attempt, ()).is_some() {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/stairvale-replica/tests/view.rs
@@ -0,0 +1,175 @@
+//! A copy never goes back, knows its age, and tells a lapse from a leave.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{sync::Arc, time::Duration};
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use stairvale_replica::{Item, News, State, Subject, Upstream, Value, View};
+use stairvale_table::Document;
+use stairvale_types::{Moment, id};
+
+fn upstream(name: &str, state: State) -> Value {
+    Value::Upstream(Upstream {
+        id: name.parse().unwrap(),
+        service: "chat".parse().unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        slots: 4,
+        state,
+    })
+}
+
+fn item(name: &str, revision: u64, state: Option<State>) -> Item {
+    let id: id::Upstream = name.parse().unwrap();
+    Item { subject: Subject::Upstream(id), revision, value: state.map(|state| upstream(name, state)) }
+}
+
+fn configuration(version: u64, revision: u64) -> Item {
+    let document = Document { version, ..Document::default() };
+    Item { subject: Subject::Configuration, revision, value: Some(Value::Configuration(Arc::new(document))) }
+}
+
+fn changes(after: u64, items: Vec<Item>) -> News {
+    let to = items.iter().map(|item| item.revision).max().unwrap_or(after);
+    News::Changes { after, to, items }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn usable(view: &View, name: &str) -> bool {
+    view.is_usable(&name.parse().unwrap())
+}
+
+#[test]
+fn a_lower_version_never_replaces_a_higher_one() {
+    let mut view = View::default();
+    assert!(view.take(at(0), News::Everything { to: 5, items: vec![configuration(7, 5)] }));
+    assert!(view.take(at(1), changes(5, vec![configuration(3, 6)])));
+    assert_eq!(view.document().unwrap().version, 7);
+    // A list without it is incomplete rather than a removal.
+    assert!(view.take(at(2), News::Everything { to: 9, items: Vec::new() }));
+    assert_eq!(view.document().unwrap().version, 7);
+}
+
+#[test]
+fn changes_that_skip_something_are_refused() {
+    let mut view = View::default();
+    assert!(view.take(at(0), changes(0, vec![item("e1", 3, Some(State::Ready))])));
+    assert!(!view.take(at(0), changes(4, vec![item("e2", 5, Some(State::Ready))])));
+    assert_eq!(view.revision(), 3);
+}
+
+#[test]
+fn an_entry_that_goes_in_calm_times_is_gone() {
+    let mut view = View::default();
+    view.take(at(0), changes(0, vec![item("e1", 1, Some(State::Ready))]));
+    view.take(at(10), changes(1, vec![item("e1", 2, None)]));
+    assert!(!usable(&view, "e1"));
+}
+
+#[test]
+fn an_entry_that_lapses_with_the_store_is_back_or_gone_soon_after() {
+    let mut view = View::default();
+    view.take(at(0), changes(0, vec![item("e1", 1, Some(State::Ready)), item("e2", 2, Some(State::Draining))]));
+    view.disturb(at(1_000));
+    let both = vec![item("e1", 3, None), item("e2", 4, None)];
+    view.take(at(1_100), changes(2, both));
+    assert!(usable(&view, "e1"), "the store was disturbed, so its absence says nothing yet");
+    assert!(!usable(&view, "e2"), "it was leaving before");
+    assert!(!view.tick(at(2_000)));
+    assert!(view.tick(at(4_000)), "the store has been back long enough");
+    assert!(!usable(&view, "e1"));
+}
+
+#[test]
+fn an_entry_that_comes_back_takes_the_place_of_its_lapse() {
+    let mut view = View::default();
+    view.take(at(0), changes(0, vec![item("e1", 1, Some(State::Ready))]));
+    view.disturb(at(100));
+    view.take(at(200), changes(1, vec![item("e1", 2, None)]));
+    view.take(at(900), changes(2, vec![item("e1", 3, Some(State::Ready))]));
+    view.tick(at(9_000));
+    assert!(usable(&view, "e1"));
+    assert_eq!(view.upstreams().count(), 1);
+}
+
+#[test]
+fn a_list_removes_what_it_does_not_name() {
+    let mut view = View::default();
+    view.take(at(0), changes(0, vec![item("e1", 1, Some(State::Ready)), item("e2", 2, Some(State::Ready))]));
+    view.take(at(1), News::Everything { to: 9, items: vec![item("e2", 2, Some(State::Ready))] });
+    assert!(!usable(&view, "e1"));
+    assert!(usable(&view, "e2"));
+    // An older list, late: it takes nothing back.
+    view.take(at(2), News::Everything { to: 1, items: vec![item("e1", 1, Some(State::Ready))] });
+    assert!(!usable(&view, "e1"));
+}
+
+#[test]
+fn age_counts_from_the_latest_proof() {
+    let mut view = View::default();
+    assert_eq!(view.age(at(5)), None);
+    view.confirm(at(100));
+    view.confirm(at(50));
+    assert_eq!(view.age(at(130)), Some(Duration::from_millis(30)));
+}
+
+/// What happens to a few upstreams, in the store's order.
+#[derive(Clone, Debug)]
+struct History(Vec<(u8, Option<State>)>);
+
+impl Arbitrary for History {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let states = [None, Some(State::Ready), Some(State::Draining)];
+        let changes = Vec::<u8>::arbitrary(g).into_iter();
+        Self(changes.map(|which| (which % 4, *g.choose(&states).unwrap_or(&None))).collect())
+    }
+}
+
+impl History {
+    fn items(&self) -> Vec<Item> {
+        let numbered = self.0.iter().zip(1..);
+        numbered.map(|((which, state), revision)| item(&format!("e{which}"), revision, *state)).collect()
+    }
+}
+
+quickcheck! {
+    /// Two copies, one of which lagged anywhere, agree after one exchange.
+    fn a_copy_that_lags_catches_up(history: History, lag: usize) -> bool {
+        let items = history.items();
+        let lag = if items.is_empty() { 0 } else { lag % items.len() };
+        let (mut ahead, mut behind) = (View::default(), View::default());
+        for (after, one) in items.iter().enumerate() {
+            ahead.take(at(0), changes(after as u64, vec![one.clone()]));
+        }
+        behind.take(at(0), changes(0, items[..lag].to_vec()));
+        if let Some(news) = ahead.since(behind.revision()) && !behind.take(at(0), news) {
+            return false;
+        }
+        let names = ["e0", "e1", "e2", "e3"];
+        names.iter().all(|name| usable(&ahead, name) == usable(&behind, name)) && ahead.revision() == behind.revision()
+    }
+
+    /// News that come twice, late and out of order leave what the store said last.
+    fn order_does_not_matter(history: History, shuffle: Vec<u8>) -> bool {
+        let items = history.items();
+        let mut view = View::default();
+        for index in shuffle {
+            if !items.is_empty() {
+                view.take(at(0), changes(0, vec![items[usize::from(index) % items.len()].clone()]));
+            }
+        }
+        for one in items.iter().rev() {
+            view.take(at(0), changes(0, vec![one.clone()]));
+        }
+        (0..4).all(|which| {
+            let name = format!("e{which}");
+            let last = items.iter().rev().find(|item| item.subject == Subject::Upstream(name.parse().unwrap()));
+            let ready = last.is_some_and(|last| matches!(&last.value, Some(Value::Upstream(u)) if u.state == State::Ready));
+            usable(&view, &name) == ready
+        })
+    }
+}
--- a/crates/stairvale-serve/src/body.rs
+++ b/crates/stairvale-serve/src/body.rs
@@ -42,10 +42,7 @@
     type Data = Bytes;
     type Error = Broken;
 
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match self.get_mut() {
             Self::Whole(bytes) => {
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -144,8 +144,7 @@
     let draw = rapidhash::v3::rapidhash_v3(head.id.as_bytes());
     let service = route.service(draw).ok_or(Problem::Route)?.clone();
     let limits = table.document().limits;
-    let exchange =
-        Exchange::new(shared.clone(), dialect.clone(), route.clone(), service, head, parts, came);
+    let exchange = Exchange::new(shared.clone(), dialect.clone(), route.clone(), service, head, parts, came);
     let reading = read(body, limits.body_bytes);
     let body = tokio::time::timeout(exchange.left(), reading).await.unwrap_or(Err(Problem::Body))?;
     let exchange = exchange.with_body(body);
--- a/crates/stairvale-serve/src/control.rs
+++ b/crates/stairvale-serve/src/control.rs
@@ -5,7 +5,7 @@
 use stairvale_wire::codec;
 use tokio::net::UdpSocket;
 
-use crate::Shared;
+use crate::{Shared, core::Core};
 
 /// How often time is told to the core.
 const TICK: Duration = Duration::from_millis(50);
@@ -22,7 +22,7 @@
     loop {
         tokio::select! {
             () = tokio::time::sleep_until(next) => {
-                shared.with(|core, now| core.tick(now));
+                shared.with(Core::tick);
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(SWEEP) {
                     shared.upstreams.sweep(|upstream| shared.look(|core, _| core.place(upstream).is_some()));
--- a/crates/stairvale-serve/src/core.rs
+++ b/crates/stairvale-serve/src/core.rs
@@ -8,9 +8,7 @@
     time::Duration,
 };
 
-use stairvale_dispatch::{
-    Answer, Ask, Held, Outcome, Part, Pool, Seen, Verdict, Window, pool::Rules,
-};
+use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Seen, Verdict, Window, pool::Rules};
 use stairvale_membership::{Swim, swim};
 use stairvale_placement::pick;
 use stairvale_replica::{News, Upstream, View};
@@ -255,7 +253,13 @@
     }
 
     /// A request no longer waits for a home's answer.
-    pub fn forget(&mut self, now: Moment, service: &id::Service, attempt: id::Attempt, home: &id::Router) -> Vec<Effect> {
+    pub fn forget(
+        &mut self,
+        now: Moment,
+        service: &id::Service,
+        attempt: id::Attempt,
+        home: &id::Router,
+    ) -> Vec<Effect> {
         if home != &self.me {
             return self.send(home, Frame::Forget { service: service.clone(), attempt });
         }
@@ -283,7 +287,7 @@
     }
 
     /// The first event of a request came, this long after it was sent.
-    pub fn begun(&mut self, attempt: id::Attempt, took: Duration) -> Vec<Effect> {
+    pub fn begun(&mut self, now: Moment, attempt: id::Attempt, took: Duration) -> Vec<Effect> {
         let Some(running) = self.running.get_mut(&attempt) else {
             return Vec::new();
         };
@@ -293,7 +297,7 @@
             return self.send(&home, Frame::Begun { service, attempt, took });
         }
         if let Some(pool) = self.pools.get_mut(&service) {
-            pool.begun(attempt, took);
+            pool.begun(now, attempt, took);
         }
         Vec::new()
     }
@@ -361,7 +365,7 @@
             }
             Frame::Begun { service, attempt, took } => {
                 if let Some(pool) = self.pools.get_mut(&service) {
-                    pool.begun(attempt, took);
+                    pool.begun(now, attempt, took);
                 }
                 Vec::new()
             }
@@ -380,9 +384,7 @@
                 };
                 self.send(from, frame)
             }
-            Frame::Synced { number, age, revision, calm, news } => {
-                self.synced(now, number, age, revision, calm, news)
-            }
+            Frame::Synced { number, age, revision, calm, news } => self.synced(now, number, age, revision, calm, news),
             Frame::News(news) => {
                 let after = self.view.revision();
                 if !self.view.take(now, news) {
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -34,8 +34,16 @@
 /// When to come back after a request that couldn't be sent in its time.
 const COME_BACK: Duration = Duration::from_millis(300);
 /// Headers that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [&str; 8] =
-    ["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "proxy-authenticate"];
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "proxy-authenticate",
+];
 
 /// A request that is being served.
 pub struct Exchange<D> {
@@ -136,7 +144,7 @@
         self.shared.change(|core, now| core.count(now, &self.service));
         match self.serve().await {
             Ok(Served::Whole(answer)) => answer,
-            Ok(Served::Stream(reply, first)) => relay::start(self, reply, first),
+            Ok(Served::Stream(reply, first)) => relay::start(self, *reply, first),
             Err(problem) => {
                 self.log_problem(problem);
                 problem.answer(&self.dialect, &self.head.id)
@@ -149,7 +157,7 @@
             let reply = self.reply(None).await?;
             if self.route.kind == Kind::Stream && reply.head.status.is_success() || is_large(&reply.head) {
                 match self.first_piece(reply).await {
-                    Ok((reply, first)) => return Ok(Served::Stream(reply, first)),
+                    Ok((reply, first)) => return Ok(Served::Stream(Box::new(reply), first)),
                     Err(problem) => self.again(problem)?,
                 }
                 continue;
@@ -245,6 +253,7 @@
             entry: self.shared.settings.router.clone(),
             zone: self.shared.settings.zone.clone(),
             priority: self.priority,
+            repeatable: self.route.is_repeatable(),
             parts: self.head.parts.clone(),
             output: self.head.output,
             patience,
@@ -255,9 +264,7 @@
         let asked = Instant::now();
         let permit = permit::get(&self.shared, want).await;
         self.shared.metrics.placed(asked.elapsed());
-        permit.map_err(|refusal| {
-            if self.tries.runs > 0 { Problem::Broken } else { Problem::Refused(refusal) }
-        })
+        permit.map_err(|refusal| if self.tries.runs > 0 { Problem::Broken } else { Problem::Refused(refusal) })
     }
 
     async fn send(&mut self, permit: Permit, last_event: Option<&str>) -> Result<Reply, Missed> {
@@ -361,7 +368,12 @@
         let allowed = allowed && self.shared.change(|core, now| core.spend(now, &self.service));
         if allowed {
             self.shared.metrics.count("retry");
-            tracing::info!(id = self.head.id, route = self.route.name, tries = self.tries.runs, "tried again elsewhere");
+            tracing::info!(
+                id = self.head.id,
+                route = self.route.name,
+                tries = self.tries.runs,
+                "tried again elsewhere"
+            );
         }
         allowed
     }
@@ -402,7 +414,7 @@
 
 enum Served {
     Whole(Response<Body>),
-    Stream(Reply, Option<Bytes>),
+    Stream(Box<Reply>, Option<Bytes>),
 }
 
 fn is_large(head: &response::Parts) -> bool {
@@ -413,7 +425,8 @@
 /// Removes headers that concern one connection only, those that `Connection` names included.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let named = headers.get_all(header::CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
-    let named: Vec<String> = named.flat_map(|value| value.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect();
+    let named: Vec<String> =
+        named.flat_map(|value| value.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect();
     for name in named.iter().map(String::as_str).chain(HOP_BY_HOP) {
         headers.remove(name);
     }
--- a/crates/stairvale-serve/src/metrics.rs
+++ b/crates/stairvale-serve/src/metrics.rs
@@ -2,7 +2,10 @@
 
 use std::{
     fmt::Write,
-    sync::{Mutex, PoisonError, atomic::{AtomicU64, Ordering}},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -6,10 +6,7 @@
 use stairvale_replica::Upstream;
 use stairvale_types::{Moment, Refusal, id, outcome::Reason};
 
-use crate::{
-    Shared,
-    core::Reply,
-};
+use crate::{Shared, core::Reply};
 
 /// The share of the objective that a home may take to say anything.
 const ANSWER_SHARE: u32 = 8;
@@ -42,7 +39,7 @@
     /// The first event came.
     pub fn begun(&self) {
         let took = self.shared.now().since(self.since);
-        self.shared.with(|core, _| core.begun(self.attempt, took));
+        self.shared.with(|core, now| core.begun(now, self.attempt, took));
     }
 
     /// Says how it ended.
--- a/crates/stairvale-serve/src/ready.rs
+++ b/crates/stairvale-serve/src/ready.rs
@@ -7,7 +7,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::{Shared, body::Body};
+use crate::{Shared, body::Body, core::Core};
 
 /// Where metrics are told.
 const METRICS: &str = "/metrics";
@@ -35,7 +35,7 @@
     if request.uri().path() == METRICS {
         return Response::new(Body::whole(shared.metrics.text()));
     }
-    let ready = !shared.is_stopping() && shared.look(|core, now| core.is_ready(now));
+    let ready = !shared.is_stopping() && shared.look(Core::is_ready);
     let status = match (request.uri().path() == path, ready) {
         (false, _) => StatusCode::NOT_FOUND,
         (true, true) => StatusCode::OK,
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -54,8 +54,8 @@
             return Bytes::new();
         };
         let whole = self.held.split_to(end + 2).freeze();
-        let ids = whole.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
-        if let Some(id) = ids.last().and_then(|id| std::str::from_utf8(id).ok()) {
+        let mut ids = whole.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
+        if let Some(id) = ids.next_back().and_then(|id| std::str::from_utf8(id).ok()) {
             self.last = Some(id.trim().to_owned());
         }
         whole
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -154,7 +154,7 @@
     tracing::info!("stopping");
     let began = Instant::now();
     shared.stopping.store(true, Ordering::Relaxed);
-    shared.with(|core, now| core.leave(now));
+    shared.with(Core::leave);
     let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s);
     let last = grace.saturating_sub(MARGIN);
     tokio::time::sleep(NOTICE.min(last)).await;
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -104,10 +104,7 @@
 
 impl Bounds {
     fn check(&self) -> Result<(), Report<Fault>> {
-        let positive = [
-            ("bounds.grace_s", self.grace_s),
-            ("bounds.retry_window_s", self.retry_window_s),
-        ];
+        let positive = [("bounds.grace_s", self.grace_s), ("bounds.retry_window_s", self.retry_window_s)];
         for (name, value) in positive {
             if !value.is_finite() || value <= 0.0 {
                 return Err(Fault::Range(name, "a number of seconds above 0 is expected").into());
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -4,7 +4,7 @@
 
 use stairvale_replica::Router;
 
-use crate::{Shared, Source, source::Fault};
+use crate::{Shared, Source, core::Core, source::Fault};
 
 /// How often a router that needn't read the store looks whether it has to.
 const LOOK: Duration = Duration::from_millis(100);
@@ -51,7 +51,7 @@
                 if pause == FIRST {
                     tracing::info!(%fault, "the store fails");
                 }
-                shared.change(|core, now| core.disturbed(now));
+                shared.change(Core::disturbed);
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(LONGEST);
             }
@@ -87,7 +87,9 @@
         match source.renew(lease).await {
             Ok(()) => pause = KEEP / RENEWALS,
             Err(Fault::Lapsed) => return,
-            Err(Fault::Forgotten | Fault::Refused | Fault::Cut | Fault::Silent | Fault::Nonsense) => pause = LONGEST * 2,
+            Err(Fault::Forgotten | Fault::Refused | Fault::Cut | Fault::Silent | Fault::Nonsense) => {
+                pause = LONGEST * 2;
+            }
         }
     }
 }
