Whether an entry lapsed with the store is judged by who reads it

Ruled out: an old copy (its age was 1.1 s and its version the newest by the log). Change: an item that is gone says whether its reader was in calm; a router whose reader was is sure, and a peer that reads in calm ends a lapse. Test: a_reader_whom_the_store_does_not_fail_decides (failed before).

--- a/crates/stairvale-dispatch/src/health.rs
+++ b/crates/stairvale-dispatch/src/health.rs
@@ -74,7 +74,7 @@
     /// Whether it is worth a request that may run twice, to see how it does: it failed, and hasn't been asked lately.
     #[must_use]
     pub fn is_due(&self, now: Moment) -> bool {
-        self.is_trial() || (self.failing(now) > DOUBT && now.since(self.given) >= FIRST)
+        self.is_trial() || (self.doubt(now) > 0.0 && now.since(self.given) >= FIRST)
     }
 
     /// How much longer than expected it takes; 1 is as expected.
@@ -83,6 +83,12 @@
         1.0 + self.excess * self.left(now)
     }
 
+    /// How much more often it fails than one that isn't in doubt.
+    #[must_use]
+    pub fn doubt(&self, now: Moment) -> f64 {
+        (self.failing(now) - DOUBT).max(0.0)
+    }
+
     /// The share of its outcomes that were bad.
     #[must_use]
     pub fn failing(&self, now: Moment) -> f64 {
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -432,7 +432,7 @@
         let pace = member.health.pace(now).max(0.5);
         // What may run twice shows whether an upstream that failed is well again.
         let tries = ask.repeatable && member.health.is_due(now);
-        let failing = if tries { -TRIAL } else { member.health.failing(now) * FAILING };
+        let failing = if tries { -TRIAL } else { member.health.doubt(now) * FAILING };
         let cost = (work + crowd) * pace + far + step + failing;
         Bid { cost, upstream: member.id.clone(), read, source: source.map(|(_, id)| id.clone()) }
     }
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -145,15 +145,17 @@
 #[test]
 fn an_upstream_that_fails_more_than_the_others_is_left_alone_and_tried_again() {
     let mut pool = pool(Rules::default(), 3, 8);
-    let mut number = 0;
+    let mut number = 1_000;
     let mut served_by_bad = 0;
+    // The one that would be taken first.
+    let bad = granted(&pool.ask(at(0), ask(number, &[]))).unwrap();
+    pool.release(at(0), id::Attempt(number), Outcome::Served, None);
     for round in 0..200 {
         number += 1;
         let now = at(round * 10);
         let place = granted(&pool.ask(now, ask(number, &[]))).unwrap();
-        let bad = place.as_str() == "e0";
-        served_by_bad += u32::from(bad && round > 50);
-        let outcome = if bad { Outcome::Failed } else { Outcome::Served };
+        served_by_bad += u32::from(place == bad && round > 50);
+        let outcome = if place == bad { Outcome::Failed } else { Outcome::Served };
         pool.release(at(round * 10 + 5), id::Attempt(number), outcome, Some(Duration::from_millis(5)));
     }
     assert!(served_by_bad <= 4, "{served_by_bad} requests of 150 went to the failing one");
@@ -162,7 +164,7 @@
         number += 1;
         let now = at(10_000 + round * 10);
         let place = granted(&pool.ask(now, ask(number, &[]))).unwrap();
-        back += u32::from(place.as_str() == "e0");
+        back += u32::from(place == bad);
         pool.release(now, id::Attempt(number), Outcome::Served, Some(Duration::from_millis(5)));
     }
     assert!(back > 20, "it is well again and got {back}");
--- a/crates/stairvale-replica/src/item.rs
+++ b/crates/stairvale-replica/src/item.rs
@@ -26,6 +26,16 @@
     pub revision: u64,
     /// What is said; `None` if it is gone.
     pub value: Option<Value>,
+    /// Whether that can be relied upon: what went while the store failed its reader may be back soon.
+    pub sure: bool,
+}
+
+impl Item {
+    /// What the store says.
+    #[must_use]
+    pub fn new(subject: Subject, revision: u64, value: Option<Value>) -> Self {
+        Self { subject, revision, value, sure: true }
+    }
 }
 
 /// What is said of a subject.
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -15,6 +15,8 @@
 
 /// Changes that are kept to tell peers that lag a little; who lags more gets everything.
 const KEPT: usize = 512;
+/// Who read the store this recently reads it now.
+const READING: Duration = Duration::from_secs(2);
 /// A store that failed this recently may have let leases run out that it shouldn't have.
 const DISTURBED: Duration = Duration::from_millis(3_500);
 /// Upstreams that lapsed with the store are back this long after its return, or they are gone.
@@ -51,8 +53,10 @@
     forgotten: u64,
     /// The moment at which this copy is known to have been the newest.
     fresh: Option<Moment>,
-    /// When the store failed somebody last.
+    /// When the store failed this router last.
     disturbed: Option<Moment>,
+    /// When this router read the store last.
+    read: Option<Moment>,
     /// Upstreams whose entry vanished while the store was disturbed.
     lapsed: BTreeMap<id::Upstream, Upstream>,
 }
@@ -73,10 +77,11 @@
         self.fresh.map(|fresh| now.since(fresh))
     }
 
-    /// How long the store has failed nobody that this router heard of.
+    /// How long the store has not failed this router, if it reads the store itself.
     #[must_use]
     pub fn calm(&self, now: Moment) -> Option<Duration> {
-        self.disturbed.map(|disturbed| now.since(disturbed))
+        self.read.filter(|read| now.since(*read) < READING)?;
+        Some(now.since(self.disturbed.unwrap_or(Moment::ZERO)))
     }
 
     /// The configuration, if one is known.
@@ -137,19 +142,40 @@
     // ------------------------------------------------------------------------
     // Changes.
 
-    /// Takes news; `false` if they don't follow on what is known, so that everything is needed.
-    pub fn take(&mut self, now: Moment, news: News) -> bool {
+    /// Takes what this router read itself, by a call made at `asked`; `false` as [`View::take`].
+    pub fn read(&mut self, now: Moment, asked: Moment, mut news: News) -> bool {
+        let sure = self.disturbed.is_none_or(|disturbed| now.since(disturbed) >= DISTURBED);
+        let (News::Changes { items, .. } | News::Everything { items, .. }) = &mut news;
+        for item in items.iter_mut().filter(|item| item.value.is_none()) {
+            item.sure = sure;
+        }
+        self.read = Some(now);
+        let taken = match news {
+            News::Everything { to, items } => {
+                self.replace(to, items, sure);
+                true
+            }
+            News::Changes { .. } => self.take(news),
+        };
+        if taken {
+            self.confirm(asked);
+        }
+        taken
+    }
+
+    /// Takes news from a peer; `false` if they don't follow on what is known, so that everything is needed.
+    pub fn take(&mut self, news: News) -> bool {
         match news {
             News::Changes { after, to, items } => {
                 if after > self.revision {
                     return false;
                 }
                 for item in items {
-                    self.put(now, item);
+                    self.put(item);
                 }
                 self.revision = self.revision.max(to);
             }
-            News::Everything { to, items } => self.replace(now, to, items),
+            News::Everything { to, items } => self.replace(to, items, true),
         }
         true
     }
@@ -159,31 +185,36 @@
         self.fresh = self.fresh.max(Some(moment));
     }
 
-    /// The store failed somebody at `moment`.
+    /// The store failed this router at `moment`.
     pub fn disturb(&mut self, moment: Moment) {
         self.disturbed = self.disturbed.max(Some(moment));
     }
 
     /// Lets time pass: upstreams that didn't come back after the store did are gone. Tells whether any went.
     pub fn tick(&mut self, now: Moment) -> bool {
-        if self.lapsed.is_empty() || self.calm(now).is_some_and(|calm| calm < RETURN) {
+        self.vouched(self.calm(now))
+    }
+
+    /// A reader of the store hasn't been failed by it for this long; `None` says nothing. Tells whether upstreams went.
+    pub fn vouched(&mut self, calm: Option<Duration>) -> bool {
+        if self.lapsed.is_empty() || calm.is_none_or(|calm| calm < RETURN) {
             return false;
         }
         self.lapsed.clear();
         true
     }
 
-    fn replace(&mut self, now: Moment, to: u64, items: Vec<Item>) {
+    fn replace(&mut self, to: u64, items: Vec<Item>, sure: bool) {
         let named: std::collections::BTreeSet<_> = items.iter().map(|item| item.subject.clone()).collect();
         let known = self.items.values().filter(|item| item.value.is_some() && item.revision <= to);
         let missing: Vec<_> = known.map(|item| item.subject.clone()).filter(|s| !named.contains(s)).collect();
         for item in items {
-            self.put(now, item);
+            self.put(item);
         }
         for subject in missing {
             // The configuration is never taken away, so a list without it is incomplete.
             if subject != Subject::Configuration {
-                self.put(now, Item { subject, revision: to, value: None });
+                self.put(Item { subject, revision: to, value: None, sure });
             }
         }
         if to > self.revision {
@@ -193,9 +224,10 @@
         }
     }
 
-    fn put(&mut self, now: Moment, item: Item) {
+    fn put(&mut self, item: Item) {
         let old = self.items.get(&item.subject);
         if old.is_some_and(|old| old.revision >= item.revision) {
+            self.make_sure(&item);
             return;
         }
         if let Some(Value::Configuration(document)) = &item.value
@@ -204,7 +236,8 @@
             return;
         }
         if let Subject::Upstream(id) = &item.subject {
-            self.lapse(now, id, old.and_then(|old| old.value.clone()), item.value.is_some());
+            let old = old.and_then(|old| old.value.clone());
+            self.lapse(id, old, &item);
         }
         self.log.push_back(item.clone());
         while self.log.len() > KEPT {
@@ -216,17 +249,26 @@
     }
 
     /// An entry that vanishes while the store is disturbed says nothing yet; one that was leaving stays so.
-    fn lapse(&mut self, now: Moment, id: &id::Upstream, old: Option<Value>, named: bool) {
-        if named {
+    fn lapse(&mut self, id: &id::Upstream, old: Option<Value>, item: &Item) {
+        if item.value.is_some() || item.sure {
             self.lapsed.remove(id);
             return;
         }
-        let disturbed = self.calm(now).is_some_and(|calm| calm < DISTURBED);
         if let Some(Value::Upstream(upstream)) = old
             && upstream.state == State::Ready
-            && disturbed
         {
             self.lapsed.insert(id.clone(), upstream);
         }
     }
+
+    /// Somebody whom the store didn't fail says the same of an entry that went.
+    fn make_sure(&mut self, item: &Item) {
+        if let Subject::Upstream(id) = &item.subject
+            && item.value.is_none()
+            && item.sure
+            && self.items.get(&item.subject).is_some_and(|known| known.revision == item.revision)
+        {
+            self.lapsed.remove(id);
+        }
+    }
 }
--- a/crates/stairvale-replica/tests/view.rs
+++ b/crates/stairvale-replica/tests/view.rs
@@ -22,12 +22,12 @@
 
 fn item(name: &str, revision: u64, state: Option<State>) -> Item {
     let id: id::Upstream = name.parse().unwrap();
-    Item { subject: Subject::Upstream(id), revision, value: state.map(|state| upstream(name, state)) }
+    Item::new(Subject::Upstream(id), revision, state.map(|state| upstream(name, state)))
 }
 
 fn configuration(version: u64, revision: u64) -> Item {
     let document = Document { version, ..Document::default() };
-    Item { subject: Subject::Configuration, revision, value: Some(Value::Configuration(Arc::new(document))) }
+    Item::new(Subject::Configuration, revision, Some(Value::Configuration(Arc::new(document))))
 }
 
 fn changes(after: u64, items: Vec<Item>) -> News {
@@ -46,51 +46,81 @@
 #[test]
 fn a_lower_version_never_replaces_a_higher_one() {
     let mut view = View::default();
-    assert!(view.take(at(0), News::Everything { to: 5, items: vec![configuration(7, 5)] }));
-    assert!(view.take(at(1), changes(5, vec![configuration(3, 6)])));
+    assert!(view.take(News::Everything { to: 5, items: vec![configuration(7, 5)] }));
+    assert!(view.take(changes(5, vec![configuration(3, 6)])));
     assert_eq!(view.document().unwrap().version, 7);
     // A list without it is incomplete rather than a removal.
-    assert!(view.take(at(2), News::Everything { to: 9, items: Vec::new() }));
+    assert!(view.take(News::Everything { to: 9, items: Vec::new() }));
     assert_eq!(view.document().unwrap().version, 7);
 }
 
 #[test]
 fn changes_that_skip_something_are_refused() {
     let mut view = View::default();
-    assert!(view.take(at(0), changes(0, vec![item("e1", 3, Some(State::Ready))])));
-    assert!(!view.take(at(0), changes(4, vec![item("e2", 5, Some(State::Ready))])));
+    assert!(view.take(changes(0, vec![item("e1", 3, Some(State::Ready))])));
+    assert!(!view.take(changes(4, vec![item("e2", 5, Some(State::Ready))])));
     assert_eq!(view.revision(), 3);
 }
 
 #[test]
 fn an_entry_that_goes_in_calm_times_is_gone() {
     let mut view = View::default();
-    view.take(at(0), changes(0, vec![item("e1", 1, Some(State::Ready))]));
-    view.take(at(10), changes(1, vec![item("e1", 2, None)]));
+    view.take(changes(0, vec![item("e1", 1, Some(State::Ready))]));
+    view.take(changes(1, vec![item("e1", 2, None)]));
     assert!(!usable(&view, "e1"));
 }
 
 #[test]
 fn an_entry_that_lapses_with_the_store_is_back_or_gone_soon_after() {
     let mut view = View::default();
-    view.take(at(0), changes(0, vec![item("e1", 1, Some(State::Ready)), item("e2", 2, Some(State::Draining))]));
+    let first = changes(0, vec![item("e1", 1, Some(State::Ready)), item("e2", 2, Some(State::Draining))]);
+    view.read(at(0), at(0), first);
     view.disturb(at(1_000));
-    let both = vec![item("e1", 3, None), item("e2", 4, None)];
-    view.take(at(1_100), changes(2, both));
+    view.read(at(1_100), at(1_100), changes(2, vec![item("e1", 3, None), item("e2", 4, None)]));
     assert!(usable(&view, "e1"), "the store was disturbed, so its absence says nothing yet");
     assert!(!usable(&view, "e2"), "it was leaving before");
+    view.read(at(2_000), at(2_000), changes(4, Vec::new()));
     assert!(!view.tick(at(2_000)));
+    view.read(at(4_000), at(4_000), changes(4, Vec::new()));
     assert!(view.tick(at(4_000)), "the store has been back long enough");
     assert!(!usable(&view, "e1"));
 }
 
+#[test]
+fn a_reader_whom_the_store_does_not_fail_decides() {
+    let (mut cut, mut sound) = (View::default(), View::default());
+    for view in [&mut cut, &mut sound] {
+        view.read(at(0), at(0), changes(0, vec![item("e1", 1, Some(State::Ready))]));
+    }
+    cut.disturb(at(5_000));
+    sound.read(at(5_100), at(5_100), changes(1, vec![item("e1", 2, None)]));
+    assert!(!usable(&sound, "e1"), "another router's trouble is not the store's");
+    // What the sound one tells is relied upon, also where the store failed.
+    assert!(cut.take(sound.since(1).unwrap()));
+    assert!(!usable(&cut, "e1"));
+}
+
+#[test]
+fn a_peer_that_reads_in_calm_ends_a_lapse() {
+    let mut view = View::default();
+    view.read(at(0), at(0), changes(0, vec![item("e1", 1, Some(State::Ready))]));
+    view.disturb(at(100));
+    view.read(at(200), at(200), changes(1, vec![item("e1", 2, None)]));
+    assert!(!view.vouched(None), "who doesn't read can't tell");
+    assert!(!view.vouched(Some(Duration::from_millis(500))));
+    assert!(usable(&view, "e1"));
+    assert!(view.vouched(Some(Duration::from_secs(9))));
+    assert!(!usable(&view, "e1"));
+}
+
 #[test]
 fn an_entry_that_comes_back_takes_the_place_of_its_lapse() {
     let mut view = View::default();
-    view.take(at(0), changes(0, vec![item("e1", 1, Some(State::Ready))]));
+    view.read(at(0), at(0), changes(0, vec![item("e1", 1, Some(State::Ready))]));
     view.disturb(at(100));
-    view.take(at(200), changes(1, vec![item("e1", 2, None)]));
-    view.take(at(900), changes(2, vec![item("e1", 3, Some(State::Ready))]));
+    view.read(at(200), at(200), changes(1, vec![item("e1", 2, None)]));
+    view.read(at(900), at(900), changes(2, vec![item("e1", 3, Some(State::Ready))]));
+    view.read(at(9_000), at(9_000), changes(3, Vec::new()));
     view.tick(at(9_000));
     assert!(usable(&view, "e1"));
     assert_eq!(view.upstreams().count(), 1);
@@ -99,12 +129,12 @@
 #[test]
 fn a_list_removes_what_it_does_not_name() {
     let mut view = View::default();
-    view.take(at(0), changes(0, vec![item("e1", 1, Some(State::Ready)), item("e2", 2, Some(State::Ready))]));
-    view.take(at(1), News::Everything { to: 9, items: vec![item("e2", 2, Some(State::Ready))] });
+    view.take(changes(0, vec![item("e1", 1, Some(State::Ready)), item("e2", 2, Some(State::Ready))]));
+    view.take(News::Everything { to: 9, items: vec![item("e2", 2, Some(State::Ready))] });
     assert!(!usable(&view, "e1"));
     assert!(usable(&view, "e2"));
     // An older list, late: it takes nothing back.
-    view.take(at(2), News::Everything { to: 1, items: vec![item("e1", 1, Some(State::Ready))] });
+    view.take(News::Everything { to: 1, items: vec![item("e1", 1, Some(State::Ready))] });
     assert!(!usable(&view, "e1"));
 }
 
@@ -143,10 +173,10 @@
         let lag = if items.is_empty() { 0 } else { lag % items.len() };
         let (mut ahead, mut behind) = (View::default(), View::default());
         for (after, one) in items.iter().enumerate() {
-            ahead.take(at(0), changes(after as u64, vec![one.clone()]));
+            ahead.take(changes(after as u64, vec![one.clone()]));
         }
-        behind.take(at(0), changes(0, items[..lag].to_vec()));
-        if let Some(news) = ahead.since(behind.revision()) && !behind.take(at(0), news) {
+        behind.take(changes(0, items[..lag].to_vec()));
+        if let Some(news) = ahead.since(behind.revision()) && !behind.take(news) {
             return false;
         }
         let names = ["e0", "e1", "e2", "e3"];
@@ -159,11 +189,11 @@
         let mut view = View::default();
         for index in shuffle {
             if !items.is_empty() {
-                view.take(at(0), changes(0, vec![items[usize::from(index) % items.len()].clone()]));
+                view.take(changes(0, vec![items[usize::from(index) % items.len()].clone()]));
             }
         }
         for one in items.iter().rev() {
-            view.take(at(0), changes(0, vec![one.clone()]));
+            view.take(changes(0, vec![one.clone()]));
         }
         (0..4).all(|which| {
             let name = format!("e{which}");
--- a/crates/stairvale-serve/src/core.rs
+++ b/crates/stairvale-serve/src/core.rs
@@ -319,10 +319,9 @@
     /// The store was read: `news` came to a call that was made at `asked`.
     pub fn read(&mut self, now: Moment, asked: Moment, news: News) -> Vec<Effect> {
         let before = self.view.revision();
-        if !self.view.take(now, news) {
+        if !self.view.read(now, asked, news) {
             return Vec::new();
         }
-        self.view.confirm(asked);
         let mut effects = self.refresh(now);
         if let Some(news) = self.view.since(before) {
             let zone = self.zone.clone();
@@ -387,7 +386,7 @@
             Frame::Synced { number, age, revision, calm, news } => self.synced(now, number, age, revision, calm, news),
             Frame::News(news) => {
                 let after = self.view.revision();
-                if !self.view.take(now, news) {
+                if !self.view.take(news) {
                     return self.sync_with(now, from, after);
                 }
                 self.refresh(now)
@@ -641,16 +640,14 @@
         let Some(asked) = self.syncs.remove(&number) else {
             return Vec::new();
         };
-        if let Some(calm) = calm {
-            self.view.disturb(Moment(now.0.saturating_sub(micros(calm))));
-        }
-        let mut effects = Vec::new();
+        let mut changed = false;
         if let Some(news) = news {
-            if !self.view.take(now, news) {
+            if !self.view.take(news) {
                 return Vec::new();
             }
-            effects = self.refresh(now);
+            changed = true;
         }
+        changed |= revision >= self.view.revision() && self.view.vouched(calm);
         // A peer that is behind says nothing about this copy, unless this copy is as old as the peer's.
         if let Some(age) = age
             && revision >= self.view.revision()
@@ -658,7 +655,7 @@
         {
             self.view.confirm(Moment(asked.0 - micros(age)));
         }
-        effects
+        if changed { self.refresh(now) } else { Vec::new() }
     }
 
     fn any_peer(&mut self) -> Option<id::Router> {
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -78,7 +78,7 @@
         age: Option<Duration>,
         /// The revision of the sender's copy.
         revision: u64,
-        /// How long the store has failed nobody.
+        /// How long the store hasn't failed the sender, if it reads the store itself.
         calm: Option<Duration>,
         /// What the asker lacks.
         news: Option<News>,
