A home tells its heir what engines hold; a router is unready before keys no longer count at it

The home now sends all it knows to the router that would be home next, and each prompt it places. Cause: clients of a zone that is cut from the store were refused for two seconds after their keys no longer counted, because the balancer notices late; a router says it is unready at half of that time.

--- a/crates/stairvale-dispatch/src/cache.rs
+++ b/crates/stairvale-dispatch/src/cache.rs
@@ -2,12 +2,25 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use serde::{Deserialize, Serialize};
+
 use crate::Part;
 
 #[derive(Clone, Copy, Debug)]
 struct Kept {
     tokens: u32,
     used: u64,
+    /// Whether other prompts may have it, too.
+    shared: bool,
+}
+
+/// A chain of parts that an engine holds, by its name.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Chain {
+    /// See [`name`].
+    pub name: u64,
+    /// The tokens of its last part.
+    pub tokens: u32,
 }
 
 /// A model of one engine's prefix cache.
@@ -56,16 +69,42 @@
     /// The engine reads a prompt.
     pub fn read(&mut self, parts: &[Part]) {
         let mut before = 0;
-        for part in parts {
+        for (index, part) in parts.iter().enumerate() {
             before = chain(before, *part);
-            self.clock += 1;
-            if let Some(old) = self.kept.insert(before, Kept { tokens: part.tokens, used: self.clock }) {
-                self.held -= u64::from(old.tokens);
-                self.order.remove(&old.used);
+            self.put(Chain { name: before, tokens: part.tokens }, index + 1 < parts.len());
+        }
+        self.shrink();
+    }
+
+    /// The chains that other prompts may share, the least lately used first.
+    #[must_use]
+    pub fn chains(&self) -> Vec<Chain> {
+        let kept = self.order.values().filter_map(|name| Some((*name, self.kept.get(name)?)));
+        kept.filter(|(_, kept)| kept.shared).map(|(name, kept)| Chain { name, tokens: kept.tokens }).collect()
+    }
+
+    /// Takes over what another router believes, as far as it isn't known here.
+    pub fn learn(&mut self, chains: &[Chain]) {
+        for chain in chains {
+            if !self.kept.contains_key(&chain.name) {
+                self.put(*chain, true);
             }
-            self.held += u64::from(part.tokens);
-            self.order.insert(self.clock, before);
         }
+        self.shrink();
+    }
+
+    fn put(&mut self, chain: Chain, shared: bool) {
+        self.clock += 1;
+        let kept = Kept { tokens: chain.tokens, used: self.clock, shared };
+        if let Some(old) = self.kept.insert(chain.name, kept) {
+            self.held -= u64::from(old.tokens);
+            self.order.remove(&old.used);
+        }
+        self.held += u64::from(chain.tokens);
+        self.order.insert(self.clock, chain.name);
+    }
+
+    fn shrink(&mut self) {
         while self.held > self.capacity {
             let Some((_, oldest)) = self.order.pop_first() else {
                 break;
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -8,7 +8,7 @@
 use stairvale_placement::{Engine, rank};
 use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
 
-use crate::{Answer, Ask, Held, Member, Outcome, Part, Verdict, cache, member::Hold};
+use crate::{Answer, Ask, Chain, Held, Member, Outcome, Part, Verdict, cache, member::Hold};
 
 /// A hold that its entry hasn't named for this long is dropped; entries name theirs several times in it.
 const HOLD_TTL: Duration = Duration::from_secs(4);
@@ -122,6 +122,12 @@
         self.members.get(upstream).map_or(0, Member::running)
     }
 
+    /// Whether it matters what its upstreams hold of prompts.
+    #[must_use]
+    pub fn has_engines(&self) -> bool {
+        self.rules.engine.is_some()
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -153,6 +159,26 @@
         self.serve(now)
     }
 
+    /// What the members hold of shared parts, as far as is known here.
+    pub fn prefixes(&self) -> impl Iterator<Item = (&id::Upstream, Vec<Chain>)> {
+        let all = self.members.values().map(|member| (&member.id, member.cache.chains()));
+        all.filter(|(_, chains)| !chains.is_empty())
+    }
+
+    /// Another router was or is the home, and says what a member holds.
+    pub fn learn_prefixes(&mut self, upstream: &id::Upstream, chains: &[Chain]) {
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.cache.learn(chains);
+        }
+    }
+
+    /// The home granted a prompt elsewhere; this router may be the home next.
+    pub fn learn_read(&mut self, upstream: &id::Upstream, parts: &[Part]) {
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.cache.read(parts);
+        }
+    }
+
     /// An entry asks for an upstream; no answer means that the request waits.
     pub fn ask(&mut self, now: Moment, ask: Ask) -> Vec<Answer> {
         self.learn(&ask);
--- a/crates/stairvale-serve/src/core.rs
+++ b/crates/stairvale-serve/src/core.rs
@@ -95,6 +95,8 @@
     running: HashMap<id::Attempt, Running>,
     distrusted: HashMap<id::Router, Moment>,
     seen: Seen,
+    /// Who was told, by this router as a service's home, what the service's upstreams hold.
+    heirs: HashMap<id::Service, id::Router>,
     syncs: HashMap<u64, Moment>,
     number: u64,
     next_renew: Moment,
@@ -123,6 +125,7 @@
             running: HashMap::new(),
             distrusted: HashMap::new(),
             seen: Seen::default(),
+            heirs: HashMap::new(),
             syncs: HashMap::new(),
             number: seed,
             next_renew: Moment::ZERO,
@@ -173,7 +176,10 @@
     #[must_use]
     pub fn is_ready(&self, now: Moment) -> bool {
         let known = self.view.document().is_some() && self.view.upstreams().next().is_some();
-        known && !self.leaving && self.trusts_keys(now)
+        // The balancer needs a while to notice: callers are to be elsewhere before their keys no longer count here.
+        let trust = self.bounds.trust().map(|trust| trust / 2);
+        let fresh = trust.is_none_or(|limit| self.view.age(now).is_some_and(|age| age < limit));
+        known && !self.leaving && fresh
     }
 
     /// Where an upstream is, if it may still be sent new work.
@@ -373,6 +379,18 @@
                 let answers = self.pools.get_mut(&service).map(|pool| pool.renew(now, from, &held));
                 self.answers(answers.unwrap_or_default())
             }
+            Frame::Prefixes { service, upstream, chains } => {
+                if let Some(pool) = self.pools.get_mut(&service) {
+                    pool.learn_prefixes(&upstream, &chains);
+                }
+                Vec::new()
+            }
+            Frame::Read { service, upstream, parts } => {
+                if let Some(pool) = self.pools.get_mut(&service) {
+                    pool.learn_read(&upstream, &parts);
+                }
+                Vec::new()
+            }
             Frame::Sync { number, after } => {
                 let frame = Frame::Synced {
                     number,
@@ -412,6 +430,7 @@
         if now >= self.next_renew {
             self.next_renew = now + RENEW;
             effects.extend(self.renew(now));
+            effects.extend(self.inherit());
         }
         if now >= self.next_sync {
             self.next_sync = now + self.bounds.stale() / SYNCS;
@@ -437,7 +456,9 @@
     pub fn leave(&mut self, now: Moment) -> Vec<Effect> {
         self.leaving = true;
         let effects = self.swim.leave();
-        self.members(now, effects)
+        let mut effects = self.members(now, effects);
+        effects.extend(self.inherit());
+        effects
     }
 
     // ------------------------------------------------------------------------
@@ -464,8 +485,50 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return vec![Effect::Reply { attempt, reply: Reply::Decided(None) }];
         };
+        let parts = ask.parts.clone();
         let answers = pool.ask(now, ask);
-        self.answers(answers)
+        let place = answers.iter().find_map(|answer| match &answer.verdict {
+            Verdict::Granted { upstream, .. } if answer.attempt == attempt => Some(upstream.clone()),
+            Verdict::Granted { .. } | Verdict::Refused(_) => None,
+        });
+        let mut effects = self.answers(answers);
+        if let Some(upstream) = place.filter(|_| parts.len() > 1)
+            && let Some(heir) = self.heirs.get(service).cloned()
+        {
+            effects.extend(self.send(&heir, Frame::Read { service: service.clone(), upstream, parts }));
+        }
+        effects
+    }
+
+    /// Tells the next home of each service what this router knows of it as the home: all of it to a new one.
+    fn inherit(&mut self) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (service, pool) in self.pools.iter().filter(|(_, pool)| pool.has_engines()) {
+            let mut order: Vec<_> = self.swim.live().map(|member| (member.router.hash64(), &member.router)).collect();
+            let Some(home) = pick(service.hash64(), order.iter().copied()).cloned() else {
+                continue;
+            };
+            let heir = if home == self.me {
+                order.retain(|(_, router)| **router != home);
+                pick(service.hash64(), order.iter().copied()).cloned()
+            } else {
+                // Only who was the home has something to tell.
+                Some(home).filter(|_| self.heirs.contains_key(service))
+            };
+            let Some(heir) = heir else {
+                self.heirs.remove(service);
+                continue;
+            };
+            if self.heirs.get(service) == Some(&heir) {
+                continue;
+            }
+            for (upstream, chains) in pool.prefixes() {
+                let frame = Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), chains };
+                effects.extend(self.send(&heir, frame));
+            }
+            self.heirs.insert(service.clone(), heir);
+        }
+        effects
     }
 
     fn release(
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairvale_dispatch::{Ask, Held, Outcome, Verdict};
+use stairvale_dispatch::{Ask, Chain, Held, Outcome, Part, Verdict};
 use stairvale_replica::News;
 use stairvale_types::id;
 
@@ -63,6 +63,24 @@
         /// What it runs.
         held: Vec<Held>,
     },
+    /// To a service's next home: what an upstream holds of shared parts.
+    Prefixes {
+        /// The service.
+        service: id::Service,
+        /// The upstream.
+        upstream: id::Upstream,
+        /// What it holds.
+        chains: Vec<Chain>,
+    },
+    /// To a service's next home: a prompt went to an upstream.
+    Read {
+        /// The service.
+        service: id::Service,
+        /// The upstream.
+        upstream: id::Upstream,
+        /// The prompt's parts.
+        parts: Vec<Part>,
+    },
     /// "What do you know after this revision, and how fresh is it?"
     Sync {
         /// Comes back in the answer.
