A home that nobody told asks engines what they hold

Cause: after all routers lost power at once nothing is known of the engines' caches, though the engines kept them. Parts are now named by their own id, as engines name them.

--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use stairvale_types::{Refusal, id};
 
-/// A part of a prompt. Prompts share parts from their beginning on.
+/// A part of a prompt. Prompts share parts from their beginning on; the same part always stands behind the same ones.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     /// The same for the same text.
--- a/crates/stairvale-dispatch/src/cache.rs
+++ b/crates/stairvale-dispatch/src/cache.rs
@@ -2,8 +2,6 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use serde::{Deserialize, Serialize};
-
 use crate::Part;
 
 #[derive(Clone, Copy, Debug)]
@@ -14,16 +12,7 @@
     shared: bool,
 }
 
-/// A chain of parts that an engine holds, by its name.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Chain {
-    /// See [`name`].
-    pub name: u64,
-    /// The tokens of its last part.
-    pub tokens: u32,
-}
-
-/// A model of one engine's prefix cache.
+/// A model of one engine's prefix cache. A part has its id from all that stands before it, so its id alone tells it.
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
     capacity: u64,
@@ -33,15 +22,12 @@
     order: BTreeMap<u64, u64>,
 }
 
-/// Names a part by all that stands before it, since it is kept only behind the same beginning.
-fn chain(before: u64, part: Part) -> u64 {
-    rapidhash::v3::rapidhash_v3(&[before.to_le_bytes(), part.id.to_le_bytes()].concat())
-}
-
-/// The name of a chain of parts.
+/// A name for a chain of parts.
 #[must_use]
 pub fn name(parts: &[Part]) -> u64 {
-    parts.iter().fold(0, |before, part| chain(before, *part))
+    let add =
+        |before: u64, part: &Part| rapidhash::v3::rapidhash_v3(&[before.to_le_bytes(), part.id.to_le_bytes()].concat());
+    parts.iter().fold(0, add)
 }
 
 impl Cache {
@@ -54,54 +40,43 @@
     /// Tokens of a prompt, from its beginning, that needn't be read again.
     #[must_use]
     pub fn covers(&self, parts: &[Part]) -> u32 {
-        let mut before = 0;
-        let mut covered = 0_u32;
-        for part in parts {
-            before = chain(before, *part);
-            if !self.kept.contains_key(&before) {
-                break;
-            }
-            covered = covered.saturating_add(part.tokens);
-        }
-        covered
+        parts.iter().take_while(|part| self.kept.contains_key(&part.id)).map(|part| part.tokens).sum()
     }
 
     /// The engine reads a prompt.
     pub fn read(&mut self, parts: &[Part]) {
-        let mut before = 0;
         for (index, part) in parts.iter().enumerate() {
-            before = chain(before, *part);
-            self.put(Chain { name: before, tokens: part.tokens }, index + 1 < parts.len());
+            self.put(*part, index + 1 < parts.len());
         }
         self.shrink();
     }
 
-    /// The chains that other prompts may share, the least lately used first.
+    /// The parts that other prompts may share, the least lately used first.
     #[must_use]
-    pub fn chains(&self) -> Vec<Chain> {
-        let kept = self.order.values().filter_map(|name| Some((*name, self.kept.get(name)?)));
-        kept.filter(|(_, kept)| kept.shared).map(|(name, kept)| Chain { name, tokens: kept.tokens }).collect()
+    pub fn shared(&self) -> Vec<Part> {
+        let kept = self.order.values().filter_map(|id| Some((*id, self.kept.get(id)?)));
+        kept.filter(|(_, kept)| kept.shared).map(|(id, kept)| Part { id, tokens: kept.tokens }).collect()
     }
 
-    /// Takes over what another router believes, as far as it isn't known here.
-    pub fn learn(&mut self, chains: &[Chain]) {
-        for chain in chains {
-            if !self.kept.contains_key(&chain.name) {
-                self.put(*chain, true);
+    /// Takes over what another router believes, or what the engine says, as far as it isn't known here.
+    pub fn learn(&mut self, parts: &[Part]) {
+        for part in parts {
+            if !self.kept.contains_key(&part.id) {
+                self.put(*part, true);
             }
         }
         self.shrink();
     }
 
-    fn put(&mut self, chain: Chain, shared: bool) {
+    fn put(&mut self, part: Part, shared: bool) {
         self.clock += 1;
-        let kept = Kept { tokens: chain.tokens, used: self.clock, shared };
-        if let Some(old) = self.kept.insert(chain.name, kept) {
+        let kept = Kept { tokens: part.tokens, used: self.clock, shared };
+        if let Some(old) = self.kept.insert(part.id, kept) {
             self.held -= u64::from(old.tokens);
             self.order.remove(&old.used);
         }
-        self.held += u64::from(chain.tokens);
-        self.order.insert(self.clock, chain.name);
+        self.held += u64::from(part.tokens);
+        self.order.insert(self.clock, part.id);
     }
 
     fn shrink(&mut self) {
--- a/crates/stairvale-dispatch/src/lib.rs
+++ b/crates/stairvale-dispatch/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use ask::{Answer, Ask, Held, Outcome, Part, Verdict};
 pub use budget::Window;
-pub use cache::{Cache, Chain};
+pub use cache::Cache;
 pub use member::Member;
 pub use pool::Pool;
 pub use seen::Seen;
--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -38,6 +38,8 @@
     pub held: HashMap<id::Attempt, Hold>,
     /// What it holds of prompts.
     pub cache: Cache,
+    /// Whether that is more than what was placed there by this router.
+    pub known: bool,
     /// Tokens that fit; zero if it is no engine.
     pub memory: u64,
     /// How it does.
@@ -55,6 +57,7 @@
             usable: true,
             held: HashMap::new(),
             cache: Cache::new(memory),
+            known: false,
             memory,
             health: Health::default(),
         }
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -8,7 +8,7 @@
 use stairvale_placement::{Engine, rank};
 use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
 
-use crate::{Answer, Ask, Chain, Held, Member, Outcome, Part, Verdict, cache, member::Hold};
+use crate::{Answer, Ask, Held, Member, Outcome, Part, Verdict, cache, member::Hold};
 
 /// A hold that its entry hasn't named for this long is dropped; entries name theirs several times in it.
 const HOLD_TTL: Duration = Duration::from_secs(4);
@@ -145,10 +145,13 @@
     /// Sets the upstreams that exist: id, zone, slots and whether they may be given new work.
     pub fn set_members(&mut self, now: Moment, known: &[(id::Upstream, id::Zone, u32, bool)]) -> Vec<Answer> {
         let memory = self.rules.engine.map_or(0, |memory| u64::from(memory.0));
+        let first = self.members.is_empty();
         for (id, zone, slots, usable) in known {
             let member = self.members.entry(id.clone());
             let member = member.or_insert_with(|| Member::new(id.clone(), zone.clone(), *slots, memory));
             member.usable = *usable;
+            // One that comes later has just begun, and holds nothing yet.
+            member.known |= !first;
         }
         let named = |id: &id::Upstream| known.iter().any(|(name, ..)| name == id);
         // One that is gone is kept as long as something runs there.
@@ -160,18 +163,29 @@
     }
 
     /// What the members hold of shared parts, as far as is known here.
-    pub fn prefixes(&self) -> impl Iterator<Item = (&id::Upstream, Vec<Chain>)> {
-        let all = self.members.values().map(|member| (&member.id, member.cache.chains()));
-        all.filter(|(_, chains)| !chains.is_empty())
+    pub fn prefixes(&self) -> impl Iterator<Item = (&id::Upstream, Vec<Part>)> {
+        let all = self.members.values().map(|member| (&member.id, member.cache.shared()));
+        all.filter(|(_, parts)| !parts.is_empty())
     }
 
-    /// Another router was or is the home, and says what a member holds.
-    pub fn learn_prefixes(&mut self, upstream: &id::Upstream, chains: &[Chain]) {
+    /// Another router that was the home, or the engine itself, says what it holds.
+    pub fn learn_prefixes(&mut self, upstream: &id::Upstream, parts: &[Part]) {
         if let Some(member) = self.members.get_mut(upstream) {
-            member.cache.learn(chains);
+            member.cache.learn(parts);
+            member.known = true;
         }
     }
 
+    /// Engines of which nobody has told what they hold. Each is named once.
+    pub fn unknown(&mut self) -> Vec<id::Upstream> {
+        let unknown = self.members.values_mut().filter(|member| member.memory > 0 && !member.known);
+        let unknown = unknown.map(|member| {
+            member.known = true;
+            member.id.clone()
+        });
+        unknown.collect()
+    }
+
     /// The home granted a prompt elsewhere; this router may be the home next.
     pub fn learn_read(&mut self, upstream: &id::Upstream, parts: &[Part]) {
         if let Some(member) = self.members.get_mut(upstream) {
--- a/crates/stairvale-serve/src/core.rs
+++ b/crates/stairvale-serve/src/core.rs
@@ -26,6 +26,8 @@
 const SYNCS: u32 = 6;
 /// A router whose word on the store was too old isn't relied upon as a watcher for this long.
 const BLIND: Duration = Duration::from_secs(3);
+/// A home that nobody told what its engines hold asks them after this long.
+const INSPECT: Duration = Duration::from_millis(300);
 /// A process that didn't run for this long distrusts what it was about to do.
 const PAUSE: Duration = Duration::from_millis(900);
 /// A question about freshness is remembered this long.
@@ -57,6 +59,15 @@
         /// What was said.
         reply: Reply,
     },
+    /// Ask an engine what it holds of prompts.
+    Inspect {
+        /// Its service.
+        service: id::Service,
+        /// The engine.
+        upstream: id::Upstream,
+        /// Where it is.
+        address: SocketAddr,
+    },
     /// Another configuration is in force.
     Configured(Arc<Table>),
     /// A peer is gone, so its stream can be closed.
@@ -97,6 +108,8 @@
     seen: Seen,
     /// Who was told, by this router as a service's home, what the service's upstreams hold.
     heirs: HashMap<id::Service, id::Router>,
+    /// Services that this router decides for, and since when.
+    acting: HashMap<id::Service, Moment>,
     syncs: HashMap<u64, Moment>,
     number: u64,
     next_renew: Moment,
@@ -126,6 +139,7 @@
             distrusted: HashMap::new(),
             seen: Seen::default(),
             heirs: HashMap::new(),
+            acting: HashMap::new(),
             syncs: HashMap::new(),
             number: seed,
             next_renew: Moment::ZERO,
@@ -379,9 +393,9 @@
                 let answers = self.pools.get_mut(&service).map(|pool| pool.renew(now, from, &held));
                 self.answers(answers.unwrap_or_default())
             }
-            Frame::Prefixes { service, upstream, chains } => {
+            Frame::Prefixes { service, upstream, parts } => {
                 if let Some(pool) = self.pools.get_mut(&service) {
-                    pool.learn_prefixes(&upstream, &chains);
+                    pool.learn_prefixes(&upstream, &parts);
                 }
                 Vec::new()
             }
@@ -431,6 +445,7 @@
             self.next_renew = now + RENEW;
             effects.extend(self.renew(now));
             effects.extend(self.inherit());
+            effects.extend(self.inspect(now));
         }
         if now >= self.next_sync {
             self.next_sync = now + self.bounds.stale() / SYNCS;
@@ -472,7 +487,11 @@
         let mut effects = self.decide(now, service, ask);
         let decided = effects.iter().any(|effect| match effect {
             Effect::Frame { frame, .. } => matches!(&**frame, Frame::Decided { attempt: a, .. } if *a == attempt),
-            Effect::Datagram { .. } | Effect::Reply { .. } | Effect::Configured(_) | Effect::Lost(_) => false,
+            Effect::Datagram { .. }
+            | Effect::Reply { .. }
+            | Effect::Inspect { .. }
+            | Effect::Configured(_)
+            | Effect::Lost(_) => false,
         });
         if !decided {
             effects.extend(self.send(from, Frame::Waits { attempt }));
@@ -485,6 +504,7 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return vec![Effect::Reply { attempt, reply: Reply::Decided(None) }];
         };
+        self.acting.entry(service.clone()).or_insert(now);
         let parts = ask.parts.clone();
         let answers = pool.ask(now, ask);
         let place = answers.iter().find_map(|answer| match &answer.verdict {
@@ -500,6 +520,30 @@
         effects
     }
 
+    /// An engine said what it holds.
+    pub fn inspected(&mut self, service: &id::Service, upstream: &id::Upstream, parts: &[Part]) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.learn_prefixes(upstream, parts);
+        }
+    }
+
+    /// Asks engines what they hold, as a home that nobody told.
+    fn inspect(&mut self, now: Moment) -> Vec<Effect> {
+        self.acting.retain(|service, since| self.pools.contains_key(service) && now.since(*since) < ASKED);
+        let due: Vec<_> = self.acting.iter().filter(|(_, since)| now.since(**since) >= INSPECT).collect();
+        let due: Vec<_> = due.into_iter().map(|(service, _)| service.clone()).collect();
+        let mut effects = Vec::new();
+        for service in due {
+            let unknown = self.pools.get_mut(&service).map(Pool::unknown).unwrap_or_default();
+            for upstream in unknown {
+                if let Some(address) = self.address(&upstream) {
+                    effects.push(Effect::Inspect { service: service.clone(), upstream, address });
+                }
+            }
+        }
+        effects
+    }
+
     /// Tells the next home of each service what this router knows of it as the home: all of it to a new one.
     fn inherit(&mut self) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -522,8 +566,8 @@
             if self.heirs.get(service) == Some(&heir) {
                 continue;
             }
-            for (upstream, chains) in pool.prefixes() {
-                let frame = Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), chains };
+            for (upstream, parts) in pool.prefixes() {
+                let frame = Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), parts };
                 effects.extend(self.send(&heir, frame));
             }
             self.heirs.insert(service.clone(), heir);
@@ -643,16 +687,21 @@
 
     fn members(&mut self, now: Moment, effects: Vec<swim::Effect>) -> Vec<Effect> {
         let mut out = Vec::new();
+        let mut joined = false;
         for effect in effects {
             match effect {
                 swim::Effect::Send { to, packet } => out.push(Effect::Datagram { to, packet }),
                 swim::Effect::Died(router) => out.push(Effect::Lost(router)),
                 swim::Effect::Joined(router) => {
                     self.distrusted.remove(&router);
+                    joined = true;
                 }
                 swim::Effect::Leaves(_) | swim::Effect::Upstream(_) | swim::Effect::Versions { .. } => {}
             }
         }
+        if joined {
+            out.extend(self.inherit());
+        }
         let dark = self.find_dark();
         if dark != self.dark {
             self.dark = dark;
--- a/crates/stairvale-serve/src/dialect.rs
+++ b/crates/stairvale-serve/src/dialect.rs
@@ -87,6 +87,10 @@
     fn name(&self, headers: &mut HeaderMap, id: &str);
     /// When to come back, as a header's value.
     fn come_back(&self, after: Duration) -> HeaderValue;
+    /// The path at which an engine says what it holds of prompts, if it does.
+    fn inventory_path(&self) -> Option<&'static str>;
+    /// Reads what it says.
+    fn inventory(&self, body: &[u8]) -> Option<Vec<Part>>;
     /// The path at which the balancer asks whether a router is ready.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairvale_dispatch::{Ask, Chain, Held, Outcome, Part, Verdict};
+use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
 use stairvale_replica::News;
 use stairvale_types::id;
 
@@ -70,7 +70,7 @@
         /// The upstream.
         upstream: id::Upstream,
         /// What it holds.
-        chains: Vec<Chain>,
+        parts: Vec<Part>,
     },
     /// To a service's next home: a prompt went to an upstream.
     Read {
--- /dev/null
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -0,0 +1,59 @@
+//! Asking engines what they hold of prompts: a home that nobody told begins with that.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
+use stairvale_dispatch::Part;
+use stairvale_types::id;
+use tokio::sync::mpsc;
+
+use crate::{Dialect, Shared};
+
+/// An engine that doesn't say by then isn't asked again.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// More than this isn't read.
+const LARGEST: usize = 4 << 20;
+
+/// An engine to ask.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Inspection {
+    /// Its service.
+    pub service: id::Service,
+    /// The engine.
+    pub upstream: id::Upstream,
+    /// Where it is.
+    pub address: SocketAddr,
+}
+
+/// Asks engines one after the other, until the task is dropped.
+pub async fn run<D: Dialect>(shared: Arc<Shared>, dialect: D, mut due: mpsc::UnboundedReceiver<Inspection>) {
+    while let Some(Inspection { service, upstream, address }) = due.recv().await {
+        let asked = tokio::time::timeout(TIMEOUT, ask(&shared, &dialect, &upstream, address)).await;
+        let parts = asked.ok().flatten();
+        tracing::info!(%upstream, parts = parts.as_ref().map(Vec::len), "asked an engine what it holds");
+        if let Some(parts) = parts {
+            shared.change(|core, _| core.inspected(&service, &upstream, &parts));
+        }
+    }
+}
+
+async fn ask<D: Dialect>(
+    shared: &Shared,
+    dialect: &D,
+    upstream: &id::Upstream,
+    address: SocketAddr,
+) -> Option<Vec<Part>> {
+    let path = dialect.inventory_path()?;
+    let request =
+        Request::get(path).header(http::header::HOST, address.to_string()).body(Full::new(Bytes::new())).ok()?;
+    let (answer, connection) = shared.upstreams.send(upstream, address, request).await.ok()?;
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
+    if !head.status.is_success() {
+        return None;
+    }
+    shared.upstreams.keep(connection, &head.headers);
+    dialect.inventory(&body)
+}
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -14,9 +14,10 @@
     net::{TcpListener, UdpSocket},
     runtime,
     signal::unix::{SignalKind, signal},
+    sync::mpsc,
 };
 
-use crate::{Dialect, Settings, Shared, Source, caller, control, core::Core, ready, watch};
+use crate::{Dialect, Settings, Shared, Source, caller, control, core::Core, inspect, ready, watch};
 
 /// The balancer asks each second and takes a router out after two misses: by then it sends nobody new.
 const NOTICE: Duration = Duration::from_millis(2_300);
@@ -81,7 +82,9 @@
         None => None,
     };
     let source = Arc::new(source);
-    let shared = share(settings, socket.clone());
+    let (inspections, due) = mpsc::unbounded_channel();
+    let shared = share(settings, socket.clone(), inspections);
+    tokio::spawn(inspect::run(shared.clone(), dialect.clone(), due));
     let lease = Arc::new(Mutex::new(None));
     tokio::spawn(control::run(shared.clone(), socket));
     tokio::spawn(stairvale_link::listen(peers, shared.inbox()));
@@ -133,7 +136,11 @@
     text
 }
 
-fn share(settings: Settings, socket: Arc<UdpSocket>) -> Arc<Shared> {
+fn share(
+    settings: Settings,
+    socket: Arc<UdpSocket>,
+    inspections: mpsc::UnboundedSender<inspect::Inspection>,
+) -> Arc<Shared> {
     let seed = uuid::Uuid::new_v4().as_u64_pair().0;
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     // A later start of the same name has a later life, as far as clocks go; one that is refuted raises its own.
@@ -146,7 +153,7 @@
         status: Status::Alive,
     };
     let core = Core::new(me, settings.seeds.clone(), settings.bounds, seed);
-    Shared::new(settings, core, socket)
+    Shared::new(settings, core, socket, inspections)
 }
 
 /// A planned stop: not ready to the balancer, homes handed over, no new callers after a while, all in flight finishes.
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -23,6 +23,7 @@
     Settings,
     core::{Core, Effect, Reply},
     frame::Frame,
+    inspect::Inspection,
     metrics::Metrics,
     upstream::Connections,
 };
@@ -63,6 +64,7 @@
     pub stopping: AtomicBool,
     /// Tells callers' connections to end as soon as they rest.
     pub closing: watch::Sender<bool>,
+    inspections: mpsc::UnboundedSender<Inspection>,
     core: Mutex<Core>,
     links: Links<Frame, Inbox>,
     socket: Arc<UdpSocket>,
@@ -79,7 +81,12 @@
 impl Shared {
     /// What a process starts with.
     #[must_use]
-    pub fn new(settings: Settings, core: Core, socket: Arc<UdpSocket>) -> Arc<Self> {
+    pub fn new(
+        settings: Settings,
+        core: Core,
+        socket: Arc<UdpSocket>,
+        inspections: mpsc::UnboundedSender<Inspection>,
+    ) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             links: Links::new(settings.router.clone(), Inbox(weak.clone())),
             settings,
@@ -88,6 +95,7 @@
             upstreams: Connections::default(),
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(false),
+            inspections,
             core: Mutex::new(core),
             socket,
             waiting: Mutex::default(),
@@ -164,6 +172,10 @@
                         let _ = waiter.send(reply);
                     }
                 }
+                Effect::Inspect { service, upstream, address } => {
+                    // Nobody listens any more only when the process ends.
+                    let _ = self.inspections.send(Inspection { service, upstream, address });
+                }
                 Effect::Configured(table) => {
                     tracing::info!(version = table.version(), "a configuration is in force");
                     self.table.store(table);
