--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -25,7 +25,7 @@
 /// What each running request costs the next one, in ms; it spreads work that would be as well anywhere.
 const CROWD: f64 = 1.5;
 /// What an upstream of another availability zone costs, in ms.
-const FAR: f64 = 3.0;
+const FAR: f64 = 10.0;
 /// What the next one in the order of a prompt's home costs, in ms, so that routers choose alike.
 const STEP: f64 = 0.4;
 /// Reading shared parts again costs later requests, too: they count this many times.
--- a/crates/stairvale-serve/src/core.rs
+++ b/crates/stairvale-serve/src/core.rs
@@ -26,8 +26,6 @@
 const SYNCS: u32 = 6;
 /// A router whose word on the store was too old isn't relied upon as a watcher for this long.
 const BLIND: Duration = Duration::from_secs(3);
-/// A home that nobody told what its engines hold asks them after this long.
-const INSPECT: Duration = Duration::from_millis(300);
 /// A process that didn't run for this long distrusts what it was about to do.
 const PAUSE: Duration = Duration::from_millis(900);
 /// A question about freshness is remembered this long.
@@ -108,8 +106,6 @@
     seen: Seen,
     /// Who was told, by this router as a service's home, what the service's upstreams hold.
     heirs: HashMap<id::Service, id::Router>,
-    /// Services that this router decides for, and since when.
-    acting: HashMap<id::Service, Moment>,
     syncs: HashMap<u64, Moment>,
     number: u64,
     next_renew: Moment,
@@ -139,7 +135,6 @@
             distrusted: HashMap::new(),
             seen: Seen::default(),
             heirs: HashMap::new(),
-            acting: HashMap::new(),
             syncs: HashMap::new(),
             number: seed,
             next_renew: Moment::ZERO,
@@ -445,7 +440,6 @@
             self.next_renew = now + RENEW;
             effects.extend(self.renew(now));
             effects.extend(self.inherit());
-            effects.extend(self.inspect(now));
         }
         if now >= self.next_sync {
             self.next_sync = now + self.bounds.stale() / SYNCS;
@@ -504,14 +498,15 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return vec![Effect::Reply { attempt, reply: Reply::Decided(None) }];
         };
-        self.acting.entry(service.clone()).or_insert(now);
         let parts = ask.parts.clone();
         let answers = pool.ask(now, ask);
         let place = answers.iter().find_map(|answer| match &answer.verdict {
             Verdict::Granted { upstream, .. } if answer.attempt == attempt => Some(upstream.clone()),
             Verdict::Granted { .. } | Verdict::Refused(_) => None,
         });
+        let unknown = pool.unknown();
         let mut effects = self.answers(answers);
+        effects.extend(self.inspect(service, unknown));
         if let Some(upstream) = place.filter(|_| parts.len() > 1)
             && let Some(heir) = self.heirs.get(service).cloned()
         {
@@ -528,20 +523,12 @@
     }
 
     /// Asks engines what they hold, as a home that nobody told.
-    fn inspect(&mut self, now: Moment) -> Vec<Effect> {
-        self.acting.retain(|service, since| self.pools.contains_key(service) && now.since(*since) < ASKED);
-        let due: Vec<_> = self.acting.iter().filter(|(_, since)| now.since(**since) >= INSPECT).collect();
-        let due: Vec<_> = due.into_iter().map(|(service, _)| service.clone()).collect();
-        let mut effects = Vec::new();
-        for service in due {
-            let unknown = self.pools.get_mut(&service).map(Pool::unknown).unwrap_or_default();
-            for upstream in unknown {
-                if let Some(address) = self.address(&upstream) {
-                    effects.push(Effect::Inspect { service: service.clone(), upstream, address });
-                }
-            }
-        }
-        effects
+    fn inspect(&self, service: &id::Service, unknown: Vec<id::Upstream>) -> Vec<Effect> {
+        let asked = unknown.into_iter().filter_map(|upstream| {
+            let address = self.address(&upstream)?;
+            Some(Effect::Inspect { service: service.clone(), upstream, address })
+        });
+        asked.collect()
     }
 
     /// Tells the next home of each service what this router knows of it as the home: all of it to a new one.
--- a/crates/stairvale-serve/src/inspect.rs
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures::StreamExt;
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
 use stairvale_dispatch::Part;
@@ -13,6 +14,8 @@
 
 /// An engine that doesn't say by then isn't asked again.
 const TIMEOUT: Duration = Duration::from_millis(600);
+/// Engines that are asked at once.
+const AT_ONCE: usize = 16;
 /// More than this isn't read.
 const LARGEST: usize = 4 << 20;
 
@@ -27,15 +30,19 @@
     pub address: SocketAddr,
 }
 
-/// Asks engines one after the other, until the task is dropped.
-pub async fn run<D: Dialect>(shared: Arc<Shared>, dialect: D, mut due: mpsc::UnboundedReceiver<Inspection>) {
-    while let Some(Inspection { service, upstream, address }) = due.recv().await {
-        let asked = tokio::time::timeout(TIMEOUT, ask(&shared, &dialect, &upstream, address)).await;
-        let parts = asked.ok().flatten();
-        tracing::info!(%upstream, parts = parts.as_ref().map(Vec::len), "asked an engine what it holds");
-        if let Some(parts) = parts {
-            shared.change(|core, _| core.inspected(&service, &upstream, &parts));
-        }
+/// Asks engines, a few at a time, until the task is dropped.
+pub async fn run<D: Dialect>(shared: Arc<Shared>, dialect: D, due: mpsc::UnboundedReceiver<Inspection>) {
+    let due = futures::stream::unfold(due, |mut due| async move { Some((due.recv().await?, due)) });
+    due.for_each_concurrent(AT_ONCE, |inspection| inspect(&shared, &dialect, inspection)).await;
+}
+
+async fn inspect<D: Dialect>(shared: &Shared, dialect: &D, inspection: Inspection) {
+    let Inspection { service, upstream, address } = inspection;
+    let asked = tokio::time::timeout(TIMEOUT, ask(shared, dialect, &upstream, address)).await;
+    let parts = asked.ok().flatten();
+    tracing::info!(%upstream, parts = parts.as_ref().map(Vec::len), "asked an engine what it holds");
+    if let Some(parts) = parts {
+        shared.change(|core, _| core.inspected(&service, &upstream, &parts));
     }
 }
 
