Tests of the core in a world of its own; an engine isn't thought better for answering sooner than expected

Two faults found by the new tests, each seen failing: 'a home that nobody told inspects each engine once' (0 of 4: any change of the list marked engines that were there from the start as known), and work that all went to one engine, because an answer sooner than expected made it cheaper than others ('work is spread though answers come sooner than expected').

--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -147,11 +147,13 @@
         let memory = self.rules.engine.map_or(0, |memory| u64::from(memory.0));
         let first = self.members.is_empty();
         for (id, zone, slots, usable) in known {
-            let member = self.members.entry(id.clone());
-            let member = member.or_insert_with(|| Member::new(id.clone(), zone.clone(), *slots, memory));
+            let member = self.members.entry(id.clone()).or_insert_with(|| {
+                let mut member = Member::new(id.clone(), zone.clone(), *slots, memory);
+                // One that comes later has just begun, and holds nothing yet.
+                member.known = !first;
+                member
+            });
             member.usable = *usable;
-            // One that comes later has just begun, and holds nothing yet.
-            member.known |= !first;
         }
         let named = |id: &id::Upstream| known.iter().any(|(name, ..)| name == id);
         // One that is gone is kept as long as something runs there.
@@ -469,7 +471,8 @@
         let far = if member.zone == ask.zone { 0.0 } else { FAR };
         let crowd = f64::from(member.running()) * CROWD;
         let step = (index as f64 * STEP).min(FAR);
-        let pace = member.health.pace(now).max(0.5);
+        // One that was asked more isn't thought better for it: only what is slow is told apart.
+        let pace = member.health.pace(now).max(1.0);
         // What may run twice shows whether an upstream that failed is well again.
         let tries = ask.repeatable && member.health.is_due(now);
         let failing = if tries { -TRIAL } else { member.health.doubt(now) * FAILING };
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -202,6 +202,20 @@
     assert_eq!(granted(&pool.release(at(3), id::Attempt(9), Outcome::Served, None)).unwrap().as_str(), "e0");
 }
 
+#[test]
+fn work_is_spread_though_answers_come_sooner_than_expected() {
+    let mut pool = pool(engines(), 4, 16);
+    let mut places = std::collections::HashSet::new();
+    for number in 0..40 {
+        let key = u64::try_from(number).unwrap();
+        let place = granted(&pool.ask(at(key * 10), ask(number, &[(key, 3_000), (1_000 + key, 20)]))).unwrap();
+        pool.begun(at(key * 10 + 1), id::Attempt(number), Duration::from_millis(1));
+        pool.release(at(key * 10 + 2), id::Attempt(number), Outcome::Served, None);
+        places.insert(place);
+    }
+    assert_eq!(places.len(), 4);
+}
+
 quickcheck! {
     /// However asks and ends come, no engine runs more than the multiple of the mean and the slack allow.
     fn the_bound_holds(steps: Vec<(u8, bool)>) -> bool {
--- /dev/null
+++ b/crates/stairvale-serve/tests/core.rs
@@ -0,0 +1,236 @@
+//! Several routers and a store, through cuts, kills and stops: what each believes, and how soon.
+
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use stairvale_replica::State;
+use world::World;
+
+/// Time for routers to find each other, in ms.
+const SETTLE: u64 = 3_000;
+
+fn settled(routers: usize, zones: usize, engines: usize) -> World {
+    let mut world = World::new(routers, zones, engines);
+    world.run(SETTLE);
+    world
+}
+
+fn notice(world: &World) -> u64 {
+    u64::try_from(world.bounds.notice().as_millis()).unwrap()
+}
+
+/// Routers that read the store when nothing is wrong.
+fn readers(world: &World) -> Vec<usize> {
+    let now = world::moment(world.now);
+    (0..world.nodes.len()).filter(|index| world.nodes[*index].core.watches(now)).collect()
+}
+
+#[test]
+fn in_calm_times_one_router_of_each_zone_reads_the_store() {
+    let mut world = settled(9, 3, 6);
+    world.run(5_000);
+    assert_eq!(readers(&world).len(), 3);
+}
+
+#[test]
+fn a_change_is_known_everywhere_at_once() {
+    let mut world = settled(9, 3, 6);
+    world.configure();
+    world.put_engine(0, 0, Some(State::Draining));
+    world.run(100);
+    let version = world.versions.last().unwrap().0;
+    for index in 0..9 {
+        assert_eq!(world.version(index), version);
+        assert!(!world.usable(index, 0));
+    }
+}
+
+#[test]
+fn routers_whose_watcher_is_cut_from_the_store_learn_in_time() {
+    let mut world = settled(9, 3, 6);
+    for reader in readers(&world) {
+        world.set_store_cut(reader, true);
+    }
+    world.run(50);
+    world.put_engine(0, 0, Some(State::Draining));
+    let bound = notice(&world);
+    world.run(bound - 100);
+    for index in 0..9 {
+        assert!(!world.usable(index, 0), "router {index}");
+    }
+}
+
+#[test]
+fn an_entry_that_goes_is_gone_in_time_though_other_routers_are_cut_off() {
+    let mut world = settled(9, 3, 6);
+    let cut = readers(&world)[0];
+    world.set_store_cut(cut, true);
+    world.run(2_500);
+    world.put_engine(0, 0, None);
+    let bound = notice(&world);
+    world.run(bound - 100);
+    for index in (0..9).filter(|index| *index != cut) {
+        assert!(!world.usable(index, 0), "router {index}");
+    }
+}
+
+#[test]
+fn a_router_without_any_way_to_the_store_stops_trusting_keys_and_comes_back() {
+    let mut world = settled(4, 2, 2);
+    world.set_store_cut(0, true);
+    for other in 1..4 {
+        world.set_cut(0, other, true);
+    }
+    world.run(world.bounds.revoke_ms);
+    assert!(!world.trusts(0));
+    assert!(!world.nodes[0].core.is_ready(world::moment(world.now)));
+    assert!((1..4).all(|index| world.trusts(index)));
+    world.set_store_cut(0, false);
+    world.run(2_500);
+    assert!(world.trusts(0));
+}
+
+#[test]
+fn a_router_that_only_the_store_turned_away_hears_from_its_peers() {
+    let mut world = settled(4, 2, 2);
+    world.set_store_cut(0, true);
+    world.run(2 * world.bounds.revoke_ms);
+    world.configure();
+    world.run(1_000);
+    assert!(world.trusts(0));
+    assert_eq!(world.version(0), world.versions.last().unwrap().0);
+}
+
+#[test]
+fn when_the_home_is_killed_requests_are_placed_elsewhere() {
+    let mut world = settled(5, 1, 3);
+    let home = world.ask(1, 1, &[(1, 100), (2, 10)]);
+    world.run(50);
+    assert!(world.granted(1, 1).is_some());
+    let home = world.index(&home);
+    let entry = (home + 1) % 5;
+    world.kill(home);
+    world.run(3_000);
+    let next = world.ask(entry, 2, &[(1, 100), (3, 10)]);
+    assert_ne!(world.index(&next), home);
+    world.run(50);
+    assert!(world.granted(entry, 2).is_some());
+}
+
+#[test]
+fn the_next_home_knows_what_engines_hold() {
+    for stops in [true, false] {
+        let mut world = settled(5, 1, 4);
+        let prompts: Vec<[(u64, u32); 2]> = (0..20).map(|n| [(100 + n, 3_000), (1_000 + n, 20)]).collect();
+        let home = world.ask(0, 0, &[]);
+        let home = world.index(&home);
+        let entry = (home + 1) % 5;
+        let places: Vec<_> =
+            (1..).zip(&prompts).map(|(number, prompt)| world.serve(entry, number, prompt).unwrap()).collect();
+        world.run(1_000);
+        if stops {
+            let effects = world.nodes[home].core.leave(world::moment(world.now));
+            world.perform(home, effects);
+        } else {
+            world.kill(home);
+        }
+        world.run(3_000);
+        for ((number, prompt), place) in (100..).zip(&prompts).zip(&places) {
+            let again = [prompt[0], (9_000 + u64::try_from(number).unwrap(), 20)];
+            assert_eq!(world.serve(entry, number, &again).as_ref(), Some(place), "stops: {stops}");
+        }
+    }
+}
+
+#[test]
+fn a_home_that_nobody_told_inspects_each_engine_once() {
+    let mut world = settled(1, 1, 4);
+    for number in 0..5 {
+        world.ask(0, number, &[(1, 100), (2, 10)]);
+        world.run(50);
+    }
+    assert_eq!(world.nodes[0].inspected.len(), 4);
+}
+
+#[test]
+fn a_router_that_stops_is_nobodys_home() {
+    let mut world = settled(3, 1, 2);
+    let home = world.ask(0, 1, &[]);
+    let index = world.index(&home);
+    let effects = world.nodes[index].core.leave(world::moment(world.now));
+    world.perform(index, effects);
+    world.run(500);
+    let entry = (index + 1) % 3;
+    assert_ne!(world.ask(entry, 2, &[]), home);
+}
+
+/// Trouble that comes and goes.
+#[derive(Clone, Debug)]
+enum Trouble {
+    Cut(u8, u8, bool),
+    StoreCut(u8, bool),
+    Kill(u8),
+    Start(u8),
+    Configure,
+    Wait(u16),
+}
+
+impl Arbitrary for Trouble {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (a, b, on) = (u8::arbitrary(g) % 5, u8::arbitrary(g) % 5, bool::arbitrary(g));
+        match u8::arbitrary(g) % 8 {
+            0 => Self::Cut(a, b, on),
+            1 | 2 => Self::StoreCut(a, on),
+            3 => Self::Kill(a),
+            4 => Self::Start(a),
+            5 => Self::Configure,
+            _ => Self::Wait(u16::arbitrary(g) % 4_000),
+        }
+    }
+}
+
+/// A router whose keys count has every version that was acknowledged longer ago than keys may outlive their end, and
+/// within one life its version only rises.
+fn keys_are_safe(troubles: &[Trouble]) -> bool {
+    let mut world = settled(5, 2, 2);
+    let mut highest = [0; 5];
+    let mut dead = [false; 5];
+    for trouble in troubles {
+        match *trouble {
+            Trouble::Cut(a, b, on) if a != b => world.set_cut(usize::from(a), usize::from(b), on),
+            Trouble::Cut(..) => {}
+            Trouble::StoreCut(a, on) => world.set_store_cut(usize::from(a), on),
+            Trouble::Kill(a) => {
+                world.kill(usize::from(a));
+                dead[usize::from(a)] = true;
+            }
+            Trouble::Start(a) => {
+                if dead[usize::from(a)] {
+                    world.start(usize::from(a), 2);
+                    dead[usize::from(a)] = false;
+                    highest[usize::from(a)] = 0;
+                }
+            }
+            Trouble::Configure => world.configure(),
+            Trouble::Wait(millis) => world.run(u64::from(millis)),
+        }
+        for index in (0..5).filter(|index| !dead[*index]) {
+            let version = world.version(index);
+            let revoke = world.bounds.revoke_ms;
+            let due = world.versions.iter().filter(|(_, at)| at + revoke <= world.now).map(|(version, _)| *version);
+            if world.trusts(index) && due.max().unwrap_or(0) > version || version < highest[index] {
+                return false;
+            }
+            highest[index] = version;
+        }
+    }
+    true
+}
+
+quickcheck! {
+    fn keys_are_safe_through_any_trouble(troubles: Vec<Trouble>) -> bool {
+        keys_are_safe(&troubles)
+    }
+}
--- /dev/null
+++ b/crates/stairvale-serve/tests/parts.rs
@@ -0,0 +1,60 @@
+//! Settings and events.
+
+#![allow(clippy::unwrap_used)]
+
+use quickcheck::quickcheck;
+use stairvale_serve::{Settings, relay::Events, settings::Fault};
+
+const GOOD: &str = "router: r1\nzone: a\ncallers: 127.0.0.1:8080\nready: 127.0.0.1:8081\npeers: 127.0.0.1:8082\n\
+                    store: 127.0.0.1:9000\n";
+
+#[test]
+fn unknown_settings_are_passed_over() {
+    let settings = Settings::parse(&format!("{GOOD}newer: [1, 2]\nbounds:\n  grace_s: 4\n  newest: x\n")).unwrap();
+    assert!((settings.bounds.grace_s - 4.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn a_wrong_setting_is_named() {
+    let text = GOOD.replace("callers: 127.0.0.1:8080", "callers: somewhere");
+    let fault = Settings::parse(&text).unwrap_err();
+    assert!(fault.current_context().to_string().contains("callers"), "{fault}");
+    let fault = Settings::parse(&format!("{GOOD}bounds:\n  grace_s: -1\n")).unwrap_err();
+    assert!(matches!(fault.current_context(), Fault::Range("bounds.grace_s", _)));
+    let fault = Settings::parse("router: r1\n").unwrap_err();
+    assert!(matches!(fault.current_context(), Fault::Syntax(_)));
+}
+
+#[test]
+fn only_whole_events_go_on() {
+    let mut events = Events::default();
+    assert_eq!(&events.take(b"id: 4\ndata: x\n\nid: 5\nda")[..], b"id: 4\ndata: x\n\n");
+    assert_eq!(events.last(), Some("4"));
+    assert!(events.is_partial());
+    assert_eq!(&events.take(b"ta: y\n\n")[..], b"id: 5\ndata: y\n\n");
+    assert_eq!(events.last(), Some("5"));
+    assert!(!events.is_partial());
+}
+
+quickcheck! {
+    /// However a stream is cut into pieces, the same whole events come out.
+    fn pieces_do_not_matter(ids: Vec<u16>, cuts: Vec<u8>) -> bool {
+        let whole: String = ids.iter().map(|id| format!("id: {id}\ndata: {id}\n\n")).collect();
+        let mut events = Events::default();
+        let mut out = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts {
+            let (piece, next) = rest.split_at(usize::from(cut).min(rest.len()));
+            out.extend_from_slice(&events.take(piece));
+            rest = next;
+        }
+        out.extend_from_slice(&events.take(rest));
+        let last = ids.last().map(u16::to_string);
+        out == whole.as_bytes() && events.last() == last.as_deref()
+    }
+
+    /// Settings of any text end in a typed fault, never in a panic.
+    fn any_settings_are_read_or_refused(text: String) -> bool {
+        Settings::parse(&text).is_ok() || Settings::parse(&text).is_err()
+    }
+}
--- /dev/null
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -0,0 +1,366 @@
+//! Routers, a store and the ways between them, in time that only the test moves.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, BinaryHeap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
+use stairvale_replica::{Item, News, State, Subject, Upstream, Value};
+use stairvale_serve::{
+    core::{Core, Effect, Reply},
+    frame::Frame,
+    settings::Bounds,
+};
+use stairvale_table::{Customer, Document, Engine, Service};
+use stairvale_types::{Moment, id};
+use stairvale_wire::{Member, Packet, Status};
+
+/// One step of time, in ms.
+const STEP: u64 = 5;
+/// A way between two routers, in ms.
+const WAY: u64 = 2;
+/// A call to a store that can't be reached is given up after its wait and this, in ms.
+const SILENCE: u64 = 1_200;
+/// Pause after a failed call, in ms.
+const PAUSE: u64 = 200;
+
+#[derive(Clone, Debug)]
+enum Message {
+    Frame(id::Router, Frame),
+    Packet(SocketAddr, Packet),
+}
+
+/// A call to the store that hasn't ended.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    asked: u64,
+    until: u64,
+}
+
+/// One router.
+pub struct Node {
+    /// Its decisions.
+    pub core: Core,
+    /// What homes said to its requests.
+    pub replies: HashMap<id::Attempt, Reply>,
+    /// Engines that it wants inspected.
+    pub inspected: Vec<id::Upstream>,
+    alive: bool,
+    call: Option<Call>,
+    rest_until: u64,
+}
+
+/// The world.
+pub struct World {
+    /// Now, in ms.
+    pub now: u64,
+    /// The routers.
+    pub nodes: Vec<Node>,
+    /// What must hold.
+    pub bounds: Bounds,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    messages: HashMap<u64, Message>,
+    sent: u64,
+    store: Vec<Item>,
+    /// Versions of the configuration, with the time of their acknowledgement.
+    pub versions: Vec<(u64, u64)>,
+    cut: BTreeSet<(usize, usize)>,
+    cut_from_store: BTreeSet<usize>,
+}
+
+fn name(index: usize) -> id::Router {
+    format!("r{index}").parse().unwrap()
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(index + 1).unwrap()], 7000))
+}
+
+impl World {
+    /// Routers spread over zones, and a store with a first configuration and some engines.
+    pub fn new(routers: usize, zones: usize, engines: usize) -> Self {
+        let bounds = Bounds::default();
+        let mut world = Self {
+            now: 0,
+            nodes: Vec::new(),
+            bounds,
+            queue: BinaryHeap::new(),
+            messages: HashMap::new(),
+            sent: 0,
+            store: Vec::new(),
+            versions: Vec::new(),
+            cut: BTreeSet::new(),
+            cut_from_store: BTreeSet::new(),
+        };
+        for index in 0..routers {
+            let core = world.core(index, zones, 1);
+            let (replies, inspected) = (HashMap::new(), Vec::new());
+            world.nodes.push(Node { core, replies, inspected, alive: true, call: None, rest_until: 0 });
+        }
+        world.configure();
+        for engine in 0..engines {
+            world.put_engine(engine, engine % zones, Some(State::Ready));
+        }
+        world
+    }
+
+    fn core(&self, index: usize, zones: usize, life: u64) -> Core {
+        let me = Member {
+            router: name(index),
+            zone: format!("z{}", index % zones).parse().unwrap(),
+            address: address(index),
+            incarnation: id::Incarnation(life),
+            status: Status::Alive,
+        };
+        Core::new(me, vec![address(0), address(1)], self.bounds, index as u64 + 77 * life)
+    }
+
+    // ------------------------------------------------------------------------
+    // The store.
+
+    /// The operator writes a new configuration.
+    pub fn configure(&mut self) {
+        let version = self.versions.last().map_or(0, |(version, _)| *version) + 3;
+        let engine = Engine { slots: 8, memory: 200_000, copies: true };
+        let service = Service { name: "chat".parse().unwrap(), connections: 100, engine: Some(engine) };
+        let customer = Customer { name: "c".parse().unwrap(), keys: vec![format!("key-{version}")], priority: 0 };
+        let document = Document { version, services: vec![service], customers: vec![customer], ..Document::default() };
+        self.versions.push((version, self.now));
+        self.put(Subject::Configuration, Some(Value::Configuration(Arc::new(document))));
+    }
+
+    /// An engine appears, changes its state, or goes.
+    pub fn put_engine(&mut self, engine: usize, zone: usize, state: Option<State>) {
+        let id: id::Upstream = format!("e{engine}").parse().unwrap();
+        let value = state.map(|state| {
+            Value::Upstream(Upstream {
+                id: id.clone(),
+                service: "chat".parse().unwrap(),
+                address: SocketAddr::from(([10, 1, 0, u8::try_from(engine).unwrap()], 80)),
+                zone: format!("z{zone}").parse().unwrap(),
+                slots: 8,
+                state,
+            })
+        });
+        self.put(Subject::Upstream(id), value);
+    }
+
+    fn put(&mut self, subject: Subject, value: Option<Value>) {
+        let revision = self.store.len() as u64 + 1;
+        self.store.push(Item::new(subject, revision, value));
+    }
+
+    fn changes(&self, after: u64) -> News {
+        let items = self.store.iter().filter(|item| item.revision > after).cloned().collect();
+        News::Changes { after, to: self.store.len() as u64, items }
+    }
+
+    fn poll_store(&mut self, index: usize) {
+        let (now, revision) = (self.now, self.store.len() as u64);
+        let wait = u64::try_from(self.bounds.watch().as_millis()).unwrap();
+        let cut = self.cut_from_store.contains(&index);
+        let node = &mut self.nodes[index];
+        let Some(call) = node.call else {
+            if now >= node.rest_until && node.core.watches(moment(now)) {
+                node.call = Some(Call { asked: now, until: now + wait });
+            }
+            return;
+        };
+        if cut {
+            if now >= call.until + SILENCE {
+                node.call = None;
+                node.rest_until = now + PAUSE;
+                node.core.disturbed(moment(now));
+            }
+            return;
+        }
+        let known = node.core.view().revision();
+        if revision > known || now >= call.until {
+            node.call = None;
+            let news = self.changes(known);
+            let effects = self.nodes[index].core.read(moment(now), moment(call.asked), news);
+            self.perform(index, effects);
+        }
+    }
+
+    // ------------------------------------------------------------------------
+    // Trouble.
+
+    /// Cuts the way between two routers, or mends it.
+    pub fn set_cut(&mut self, a: usize, b: usize, cut: bool) {
+        for pair in [(a, b), (b, a)] {
+            if cut {
+                self.cut.insert(pair);
+            } else {
+                self.cut.remove(&pair);
+            }
+        }
+    }
+
+    /// Cuts a router from the store, or mends that.
+    pub fn set_store_cut(&mut self, index: usize, cut: bool) {
+        if cut {
+            self.cut_from_store.insert(index);
+        } else {
+            self.cut_from_store.remove(&index);
+        }
+    }
+
+    /// A router is killed, without a word.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].alive = false;
+    }
+
+    /// A killed router starts again and knows nothing.
+    pub fn start(&mut self, index: usize, zones: usize) {
+        let core = self.core(index, zones, self.now + 2);
+        let (replies, inspected) = (HashMap::new(), Vec::new());
+        self.nodes[index] = Node { core, replies, inspected, alive: true, call: None, rest_until: 0 };
+    }
+
+    // ------------------------------------------------------------------------
+    // Time.
+
+    /// Lets time pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            for index in 0..self.nodes.len() {
+                if !self.nodes[index].alive {
+                    continue;
+                }
+                self.poll_store(index);
+                if self.now.is_multiple_of(50) {
+                    let effects = self.nodes[index].core.tick(moment(self.now));
+                    self.perform(index, effects);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse((at, number, to))) = self.queue.peek().copied() {
+            if at > self.now {
+                return;
+            }
+            self.queue.pop();
+            let Some(message) = self.messages.remove(&number) else {
+                continue;
+            };
+            if !self.nodes[to].alive {
+                continue;
+            }
+            let now = moment(self.now);
+            let effects = match message {
+                Message::Frame(from, frame) => self.nodes[to].core.frame(now, &from, frame),
+                Message::Packet(from, packet) => self.nodes[to].core.datagram(now, from, packet),
+            };
+            self.perform(to, effects);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let Some(to) = (0..self.nodes.len()).find(|index| address(*index) == to) else {
+            return;
+        };
+        if self.cut.contains(&(from, to)) {
+            return;
+        }
+        self.sent += 1;
+        self.messages.insert(self.sent, message);
+        self.queue.push(Reverse((self.now + WAY, self.sent, to)));
+    }
+
+    /// Does what a router decided.
+    pub fn perform(&mut self, index: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Frame { address, frame, .. } => self.send(index, address, Message::Frame(name(index), *frame)),
+                Effect::Datagram { to, packet } => self.send(index, to, Message::Packet(address(index), packet)),
+                Effect::Reply { attempt, reply } => {
+                    self.nodes[index].replies.insert(attempt, reply);
+                }
+                Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
+                Effect::Configured(_) | Effect::Lost(_) => {}
+            }
+        }
+    }
+
+    // ------------------------------------------------------------------------
+    // Requests.
+
+    /// A request at a router; gives the home that was asked.
+    pub fn ask(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> id::Router {
+        let ask = Ask {
+            attempt: id::Attempt(number),
+            entry: name(index),
+            zone: "z0".parse().unwrap(),
+            priority: 0,
+            repeatable: false,
+            parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
+            output: 10,
+            patience: Duration::from_millis(100),
+            avoid: Vec::new(),
+            seen: None,
+        };
+        let service = "chat".parse().unwrap();
+        let (home, effects) = self.nodes[index].core.ask(moment(self.now), &service, ask);
+        self.perform(index, effects);
+        home
+    }
+
+    /// Where a request was granted.
+    pub fn granted(&self, index: usize, number: u128) -> Option<id::Upstream> {
+        match self.nodes[index].replies.get(&id::Attempt(number))? {
+            Reply::Decided(Some(Verdict::Granted { upstream, .. })) => Some(upstream.clone()),
+            Reply::Decided(_) | Reply::Waits => None,
+        }
+    }
+
+    /// A request that is placed, runs and ends; gives its place.
+    pub fn serve(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> Option<id::Upstream> {
+        let home = self.ask(index, number, parts);
+        self.run(50);
+        let upstream = self.granted(index, number)?;
+        let attempt = id::Attempt(number);
+        let held = Held { attempt, upstream: upstream.clone(), read: 0 };
+        let core = &mut self.nodes[index].core;
+        core.start(&"chat".parse().unwrap(), held, &home, &[]);
+        let mut effects = core.begun(moment(self.now), attempt, Duration::from_millis(20));
+        effects.extend(core.end(moment(self.now), attempt, Outcome::Served, None));
+        self.perform(index, effects);
+        self.run(50);
+        Some(upstream)
+    }
+
+    /// Whether a router may send new work to an engine.
+    pub fn usable(&self, index: usize, engine: usize) -> bool {
+        self.nodes[index].core.place(&format!("e{engine}").parse().unwrap()).is_some()
+    }
+
+    /// The version in force at a router.
+    pub fn version(&self, index: usize) -> u64 {
+        self.nodes[index].core.table().version()
+    }
+
+    /// Whether keys count at a router.
+    pub fn trusts(&self, index: usize) -> bool {
+        self.nodes[index].core.trusts_keys(moment(self.now))
+    }
+
+    /// The index of a router.
+    pub fn index(&self, router: &id::Router) -> usize {
+        (0..self.nodes.len()).find(|index| &name(*index) == router).unwrap()
+    }
+}
+
+/// A moment so many ms after the start.
+pub fn moment(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
