--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -155,6 +155,8 @@
     async fn serve(&mut self) -> Result<Served, Problem> {
         loop {
             let reply = self.reply(None).await?;
+            // Wherever it goes next, it doesn't go there again.
+            self.tries.avoid.push(reply.permit.upstream.id.clone());
             if self.route.kind == Kind::Stream && reply.head.status.is_success() || is_large(&reply.head) {
                 match self.first_piece(reply).await {
                     Ok((reply, first)) => return Ok(Served::Stream(Box::new(reply), first)),
@@ -163,7 +165,6 @@
                 continue;
             }
             let failed = reply.head.status.is_server_error();
-            self.tries.avoid.push(reply.permit.upstream.id.clone());
             match self.whole(reply).await {
                 Ok(answer) if failed && self.may_repeat() => drop(answer),
                 Ok(answer) => return Ok(Served::Whole(answer)),
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -15,6 +15,7 @@
     runtime,
     signal::unix::{SignalKind, signal},
     sync::mpsc,
+    task::{JoinHandle, JoinSet},
 };
 
 use crate::{Dialect, Settings, Shared, Source, caller, control, core::Core, inspect, ready, watch};
@@ -72,48 +73,82 @@
 ) -> Result<(), Report<Error>> {
     let mut terminate = signal(SignalKind::terminate()).change_context(Error::Signal)?;
     let mut reload = signal(SignalKind::hangup()).change_context(Error::Signal)?;
-    let callers = bind("callers", settings.callers).await?;
-    let readiness = bind("ready", settings.ready).await?;
-    let peers = bind("peers", settings.peers).await?;
-    let socket = UdpSocket::bind(settings.peers).await.change_context(Error::Listen("peers", settings.peers))?;
-    let socket = Arc::new(socket);
-    let metrics = match settings.metrics {
-        Some(address) => Some(bind("metrics", address).await?),
-        None => None,
-    };
-    let source = Arc::new(source);
-    let (inspections, due) = mpsc::unbounded_channel();
-    let shared = share(settings, socket.clone(), inspections);
-    tokio::spawn(inspect::run(shared.clone(), dialect.clone(), due));
-    let lease = Arc::new(Mutex::new(None));
-    tokio::spawn(control::run(shared.clone(), socket));
-    tokio::spawn(stairvale_link::listen(peers, shared.inbox()));
-    tokio::spawn(watch::read(shared.clone(), source.clone()));
-    let announcing = tokio::spawn(watch::announce(shared.clone(), source.clone(), lease.clone()));
-    tokio::spawn(ready::listen(shared.clone(), readiness, dialect.ready_path()));
-    if let Some(metrics) = metrics {
-        tokio::spawn(ready::listen(shared.clone(), metrics, dialect.ready_path()));
-    }
-    let accepting = tokio::spawn(caller::listen(shared.clone(), dialect, callers));
-    tracing::info!(router = %shared.settings.router, zone = %shared.settings.zone, "started");
+    let process = Process::start(settings, dialect, source).await?;
     let mut looks = tokio::time::interval(LOOK);
     let mut known = std::fs::read_to_string(&file).unwrap_or_default();
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => known = look(&shared, &file, known, true),
-            _ = looks.tick() => known = look(&shared, &file, known, false),
+            _ = reload.recv() => known = look(process.shared(), &file, known, true),
+            _ = looks.tick() => known = look(process.shared(), &file, known, false),
         }
     }
-    announcing.abort();
-    let lease = lease.lock().unwrap_or_else(PoisonError::into_inner).take();
-    if let Some(lease) = lease {
-        tokio::spawn(async move { source.withdraw(&lease).await });
-    }
-    stop(&shared, || accepting.abort()).await;
+    process.stop().await;
     Ok(())
 }
 
+/// A router that runs within a runtime; [`run`] makes a process of it.
+#[derive(Debug)]
+pub struct Process<S: Source> {
+    shared: Arc<Shared>,
+    source: Arc<S>,
+    lease: Arc<Mutex<Option<S::Lease>>>,
+    accepting: JoinHandle<()>,
+    tasks: JoinSet<()>,
+}
+
+impl<S: Source> Process<S> {
+    /// Listens at all addresses of the settings and begins to serve.
+    ///
+    /// # Errors
+    /// [`Error::Listen`] with the first address that can't be listened at.
+    pub async fn start<D: Dialect>(settings: Settings, dialect: D, source: S) -> Result<Self, Report<Error>> {
+        let callers = bind("callers", settings.callers).await?;
+        let readiness = bind("ready", settings.ready).await?;
+        let peers = bind("peers", settings.peers).await?;
+        let socket = UdpSocket::bind(settings.peers).await.change_context(Error::Listen("peers", settings.peers))?;
+        let socket = Arc::new(socket);
+        let metrics = match settings.metrics {
+            Some(address) => Some(bind("metrics", address).await?),
+            None => None,
+        };
+        let source = Arc::new(source);
+        let (inspections, due) = mpsc::unbounded_channel();
+        let shared = share(settings, socket.clone(), inspections);
+        let lease = Arc::new(Mutex::new(None));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(control::run(shared.clone(), socket));
+        tasks.spawn(inspect::run(shared.clone(), dialect.clone(), due));
+        tasks.spawn(stairvale_link::listen(peers, shared.inbox()));
+        tasks.spawn(watch::read(shared.clone(), source.clone()));
+        tasks.spawn(watch::announce(shared.clone(), source.clone(), lease.clone()));
+        for listener in [Some(readiness), metrics].into_iter().flatten() {
+            tasks.spawn(ready::listen(shared.clone(), listener, dialect.ready_path()));
+        }
+        let accepting = tokio::spawn(caller::listen(shared.clone(), dialect, callers));
+        tracing::info!(router = %shared.settings.router, zone = %shared.settings.zone, "started");
+        Ok(Self { shared, source, lease, accepting, tasks })
+    }
+
+    /// What its tasks share.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// A planned stop: not ready to the balancer, homes handed over, no new callers after a while, all in flight ends.
+    pub async fn stop(self) {
+        let Self { shared, source, lease, accepting, tasks } = self;
+        let lease = lease.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(lease) = lease {
+            // The lease ends by itself if this doesn't reach the store.
+            tokio::spawn(async move { source.withdraw(&lease).await });
+        }
+        stop(&shared, || accepting.abort()).await;
+        drop(tasks);
+    }
+}
+
 /// Takes the settings anew, if the file changed. A bad file changes nothing.
 fn look(shared: &Shared, file: &PathBuf, known: String, told: bool) -> String {
     let Ok(text) = std::fs::read_to_string(file) else {
