--- a/crates/stairvale-link/src/lib.rs
+++ b/crates/stairvale-link/src/lib.rs
@@ -1,7 +1,7 @@
 //! Streams of frames between the processes of one fleet.
 //!
 //! Each process opens one `h2` stream to every peer that it has something to say to, and frames go one way on it, coded
-//! as `stairvale-wire`'s codec does. [`Links`] sends, [`listen`] receives; both hand what happens to a [`Sink`].
+//! as `stairvale-wire`'s codec does. [`Links`] sends, [`listen()`] receives; both hand what happens to a [`Sink`].
 //! A frame that can't be sent is dropped, so what it says must be said again by something that repeats.
 //!
 //! ```
