Routers that the store names greet each other at once; an inspection waits until they have

Routers now ping all that the store names as soon as they read it, and only one that sees at least half of them inspects. What an engine answers goes on to the heir. Tests seen failing without the greeting: routers_that_the_store_names_find_each_other_at_once, after_all_were_killed_one_home_inspects_the_engines.

--- a/crates/stairvale-membership/src/swim.rs
+++ b/crates/stairvale-membership/src/swim.rs
@@ -41,6 +41,8 @@
 const REVIVE_EVERY: u64 = 5;
 /// News is passed on this many times the logarithm of the fleet's size.
 const SPREAD: u32 = 4;
+/// Routers that are greeted at once; gossip tells of the others.
+const GREETED: usize = 16;
 /// Peers that are told at once about something important.
 const RUMOUR: usize = 3;
 
@@ -197,6 +199,19 @@
         }
     }
 
+    /// Pings addresses at which there may be routers at once, rather than one with each probe.
+    pub fn greet(&mut self, addresses: &[SocketAddr]) -> Vec<Effect> {
+        for address in addresses {
+            self.introduce(*address);
+        }
+        let unknown = |address: &&SocketAddr| !self.peers.values().any(|peer| peer.member.address == **address);
+        let mut to: Vec<_> = addresses.iter().filter(unknown).copied().collect();
+        to.retain(|address| *address != self.me.address);
+        to.shuffle(&mut self.rng);
+        to.truncate(GREETED);
+        to.into_iter().map(|to| self.packet(to, Body::Ping { probe: 0 })).collect()
+    }
+
     /// Drops addresses that the list of VMs no longer names.
     pub fn retain_seeds(&mut self, keep: impl Fn(&SocketAddr) -> bool) {
         self.seeds.retain(keep);
--- a/crates/stairvale-serve/src/core.rs
+++ b/crates/stairvale-serve/src/core.rs
@@ -114,6 +114,8 @@
     dark: BTreeSet<id::Zone>,
     /// Routers that didn't keep this one up to date, and until when they aren't relied upon for that.
     blind: HashMap<id::Router, Moment>,
+    /// Routers that the store named, each of which was pinged when it was new.
+    greeted: BTreeSet<SocketAddr>,
     leaving: bool,
 }
 
@@ -142,6 +144,7 @@
             last_tick: Moment::ZERO,
             dark: BTreeSet::new(),
             blind: HashMap::new(),
+            greeted: BTreeSet::new(),
             leaving: false,
         }
     }
@@ -504,9 +507,8 @@
             Verdict::Granted { upstream, .. } if answer.attempt == attempt => Some(upstream.clone()),
             Verdict::Granted { .. } | Verdict::Refused(_) => None,
         });
-        let unknown = pool.unknown();
         let mut effects = self.answers(answers);
-        effects.extend(self.inspect(service, unknown));
+        effects.extend(self.inspect(service));
         if let Some(upstream) = place.filter(|_| parts.len() > 1)
             && let Some(heir) = self.heirs.get(service).cloned()
         {
@@ -516,14 +518,22 @@
     }
 
     /// An engine said what it holds.
-    pub fn inspected(&mut self, service: &id::Service, upstream: &id::Upstream, parts: &[Part]) {
+    pub fn inspected(&mut self, service: &id::Service, upstream: &id::Upstream, parts: Vec<Part>) -> Vec<Effect> {
         if let Some(pool) = self.pools.get_mut(service) {
-            pool.learn_prefixes(upstream, parts);
+            pool.learn_prefixes(upstream, &parts);
         }
+        let Some(heir) = self.heirs.get(service).cloned() else {
+            return Vec::new();
+        };
+        self.send(&heir, Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), parts })
     }
 
     /// Asks engines what they hold, as a home that nobody told.
-    fn inspect(&self, service: &id::Service, unknown: Vec<id::Upstream>) -> Vec<Effect> {
+    fn inspect(&mut self, service: &id::Service) -> Vec<Effect> {
+        if !self.has_joined() {
+            return Vec::new();
+        }
+        let unknown = self.pools.get_mut(service).map(Pool::unknown).unwrap_or_default();
         let asked = unknown.into_iter().filter_map(|upstream| {
             let address = self.address(&upstream)?;
             Some(Effect::Inspect { service: service.clone(), upstream, address })
@@ -621,13 +631,25 @@
             self.table = Arc::new(Table::new(Document::clone(document)));
             effects.push(Effect::Configured(self.table.clone()));
         }
-        for router in self.view.routers().map(|router| router.address).collect::<Vec<_>>() {
-            self.swim.introduce(router);
-        }
+        effects.extend(self.greet(now));
         effects.extend(self.regroup(now));
         effects
     }
 
+    /// Pings routers that the store named just now.
+    fn greet(&mut self, now: Moment) -> Vec<Effect> {
+        let named: BTreeSet<_> = self.view.routers().map(|router| router.address).collect();
+        let new: Vec<_> = named.difference(&self.greeted).copied().collect();
+        self.greeted = named;
+        let effects = self.swim.greet(&new);
+        self.members(now, effects)
+    }
+
+    /// Whether most routers that the store names are known to live, so that all agree on homes.
+    fn has_joined(&self) -> bool {
+        self.routers() * 2 >= self.view.routers().count()
+    }
+
     /// Hands each service's upstreams to its pool.
     fn regroup(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
--- a/crates/stairvale-serve/src/inspect.rs
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -42,7 +42,7 @@
     let parts = asked.ok().flatten();
     tracing::info!(%upstream, parts = parts.as_ref().map(Vec::len), "asked an engine what it holds");
     if let Some(parts) = parts {
-        shared.change(|core, _| core.inspected(&service, &upstream, &parts));
+        shared.with(|core, _| core.inspected(&service, &upstream, parts));
     }
 }
 
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -154,6 +154,33 @@
     assert_eq!(world.nodes[0].inspected.len(), 4);
 }
 
+#[test]
+fn routers_that_the_store_names_find_each_other_at_once() {
+    let mut world = World::new(6, 1, 4);
+    for index in 0..6 {
+        world.name_router(index);
+    }
+    world.run(100);
+    assert!(world.nodes.iter().all(|node| node.core.routers() == 6));
+}
+
+#[test]
+fn after_all_were_killed_one_home_inspects_the_engines() {
+    let mut world = World::new(6, 1, 4);
+    for index in 0..6 {
+        world.name_router(index);
+    }
+    world.run(100);
+    for index in 0..6 {
+        for number in 0..3 {
+            world.ask(index, 10 * index as u128 + number, &[(1, 100), (2, 10)]);
+        }
+    }
+    world.run(100);
+    let inspected: usize = world.nodes.iter().map(|node| node.inspected.len()).sum();
+    assert_eq!(inspected, 4);
+}
+
 #[test]
 fn a_router_that_stops_is_nobodys_home() {
     let mut world = settled(3, 1, 2);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -9,7 +9,7 @@
 };
 
 use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
-use stairvale_replica::{Item, News, State, Subject, Upstream, Value};
+use stairvale_replica::{Item, News, Router, State, Subject, Upstream, Value};
 use stairvale_serve::{
     core::{Core, Effect, Reply},
     frame::Frame,
@@ -149,6 +149,12 @@
         self.put(Subject::Upstream(id), value);
     }
 
+    /// A router's entry in the store.
+    pub fn name_router(&mut self, index: usize) {
+        let router = Router { id: name(index), zone: "z0".parse().unwrap(), address: address(index) };
+        self.put(Subject::Router(name(index)), Some(Value::Router(router)));
+    }
+
     fn put(&mut self, subject: Subject, value: Option<Value>) {
         let revision = self.store.len() as u64 + 1;
         self.store.push(Item::new(subject, revision, value));
