--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -18,6 +18,7 @@
 use crate::{
     Dialect, Shared,
     body::Body,
+    core::Core,
     dialect::Head,
     exchange::{Exchange, millis},
     problem::Problem,
@@ -92,7 +93,8 @@
             problem.answer(&dialect, &id)
         }
     };
-    if shared.is_stopping() {
+    // A caller that keeps its connection would stay with a router that the balancer has taken out.
+    if shared.is_stopping() || !shared.look(Core::is_ready) {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     drop(flight);
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -3,6 +3,7 @@
 # Exits non-zero if any answer was lost, doubled or mixed.
 #
 #   scripts/quickstart.sh [--json FILE] [--seconds N]
+#   scripts/quickstart.sh --platform       on a stand-in of the users' platform
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -12,7 +13,8 @@
   case $1 in
     --json) json=$2; shift 2 ;;
     --seconds) seconds=$2; shift 2 ;;
-    *) echo "usage: scripts/quickstart.sh [--json FILE] [--seconds N]" >&2; exit 2 ;;
+    --platform) exec scripts/platform.sh ;;
+    *) echo "usage: scripts/quickstart.sh [--json FILE] [--seconds N] | --platform" >&2; exit 2 ;;
   esac
 done
 
