--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -13,7 +13,7 @@
 /// The longest pause after failures.
 const LONGEST: Duration = Duration::from_millis(1_000);
 /// How long the store names a router that it hears no more of.
-const KEEP: Duration = Duration::from_secs(30);
+const KEEP: Duration = Duration::from_secs(60);
 /// Renewals in that time.
 const RENEWALS: u32 = 3;
 
