A home weighs waits against the objective

Now a ms within 0.35 of the objective costs 0.3, one beyond it 1.5, beside what reading and copying cost others.

--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -31,6 +31,8 @@
     pub parts: Vec<Part>,
     /// Tokens that it may make.
     pub output: u32,
+    /// The time to the first event, or to a plain answer, that is aimed at.
+    pub objective: Duration,
     /// How long it may wait for a place.
     pub patience: Duration,
     /// Upstreams that failed or refused this request, or that the entry can't reach.
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -28,10 +28,18 @@
 const FAR: f64 = 10.0;
 /// What the next one in the order of a prompt's home costs, in ms, so that routers choose alike.
 const STEP: f64 = 0.4;
-/// Reading shared parts again costs later requests, too: they count this many times.
-const AGAIN: f64 = 2.0;
+/// Reading shared parts again holds others up: a token costs this many tokens' time beside its own.
+const AGAIN: f64 = 1.0;
 /// What copying a token from another engine costs, beside reading it.
 const COPY: f64 = 0.3;
+/// The time that copying a token takes, beside reading it.
+const COPY_TIME: f64 = 0.15;
+/// Within this share of the objective it is worth little to be sooner.
+const EASE: f64 = 0.35;
+/// What a ms costs within it.
+const SOONER: f64 = 0.3;
+/// What a ms costs beyond it.
+const LATER: f64 = 1.5;
 /// Fewer tokens aren't worth copying.
 const COPY_LEAST: u32 = 96;
 /// What a failing upstream costs, in ms at a failure rate of 1.
@@ -69,8 +77,10 @@
 /// What serving a request at one member comes to.
 #[derive(Clone, Debug)]
 struct Bid {
-    /// In ms to the first event and what comes near it.
+    /// In ms, by what it is worth to be sooner and what the work costs others.
     cost: f64,
+    /// The time to the first event, in ms.
+    expected: f64,
     upstream: id::Upstream,
     /// Tokens that it has to read.
     read: u32,
@@ -415,7 +425,7 @@
     }
 
     fn hold(&mut self, now: Moment, ask: &Ask, bid: &Bid) {
-        let expected = if self.rules.engine.is_some() { bid.cost } else { self.time };
+        let expected = if self.rules.engine.is_some() { bid.expected } else { self.time };
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let Some(member) = self.members.get_mut(&bid.upstream) else {
             return;
@@ -461,23 +471,25 @@
         }
         let read = (prompt - covered).saturating_sub(copied);
         let shared = f64::from(read.saturating_sub(own));
-        let work = if self.rules.engine.is_some() {
-            let tokens = member.ahead() as f64 + f64::from(read) + shared * (AGAIN - 1.0) + f64::from(copied) * COPY;
-            tokens / self.rate
+        // One that was asked more isn't thought better for it: only what is slow is told apart.
+        let pace = member.health.pace(now).max(1.0);
+        let crowd = f64::from(member.running()) * CROWD;
+        let (time, work) = if self.rules.engine.is_some() {
+            let copying = f64::from(copied) * COPY_TIME;
+            let time = (member.ahead() as f64 + f64::from(read) + copying) / self.rate;
+            (time * pace, (shared * AGAIN + f64::from(copied) * COPY) / self.rate)
         } else {
             let over = f64::from(member.running()) / f64::from(member.slots);
-            self.time * (1.0 + over * over)
+            (self.time * (1.0 + over * over) * pace, 0.0)
         };
         let far = if member.zone == ask.zone { 0.0 } else { FAR };
-        let crowd = f64::from(member.running()) * CROWD;
         let step = (index as f64 * STEP).min(FAR);
-        // One that was asked more isn't thought better for it: only what is slow is told apart.
-        let pace = member.health.pace(now).max(1.0);
         // What may run twice shows whether an upstream that failed is well again.
         let tries = ask.repeatable && member.health.is_due(now);
         let failing = if tries { -TRIAL } else { member.health.doubt(now) * FAILING };
-        let cost = (work + crowd) * pace + far + step + failing;
-        Bid { cost, upstream: member.id.clone(), read, source: source.map(|(_, id)| id.clone()) }
+        let cost = lateness(time, ask.objective) + work + crowd * pace + far + step + failing;
+        let expected = time + crowd * pace + far;
+        Bid { cost, expected, upstream: member.id.clone(), read, source: source.map(|(_, id)| id.clone()) }
     }
 
     /// How long a request would wait for a place; `None` if there is no upstream that could ever serve it.
@@ -499,6 +511,12 @@
     }
 }
 
+/// What a time to the first event costs: little while the objective is far, much when it is near.
+fn lateness(time: f64, objective: Duration) -> f64 {
+    let ease = objective.as_secs_f64() * 1e3 * EASE;
+    time.min(ease) * SOONER + (time - ease).max(0.0) * LATER
+}
+
 fn refuse(ask: &Ask, reason: Reason, wait: Duration) -> Answer {
     let refusal = Refusal::new(reason, wait.clamp(SHORTEST_RETURN, LONGEST_RETURN));
     Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict: Verdict::Refused(refusal) }
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -35,6 +35,7 @@
         repeatable: true,
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
         output: 50,
+        objective: Duration::from_millis(500),
         patience: Duration::from_millis(100),
         avoid: Vec::new(),
         seen: None,
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -257,6 +257,7 @@
             repeatable: self.route.is_repeatable(),
             parts: self.head.parts.clone(),
             output: self.head.output,
+            objective: self.route.objective,
             patience,
             avoid: self.tries.avoid.clone(),
             seen: self.shared.look(|core, _| core.seen(&self.head.parts)),
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -311,6 +311,7 @@
             repeatable: false,
             parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
             output: 10,
+            objective: Duration::from_millis(500),
             patience: Duration::from_millis(100),
             avoid: Vec::new(),
             seen: None,
