The only upstream left is used; a passed deadline isn't its upstream's fault

Ruled out: stuck holds and the bound (six were free by the log). Where none is well any usable one is taken, and an upstream's 504 says nothing of it. Test the_only_upstream_left_is_used_though_it_fails (failed at request 3).

--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -405,11 +405,14 @@
     fn grant(&mut self, now: Moment, ask: &Ask) -> Option<Answer> {
         let bound = self.bound();
         let covers = self.covers(ask);
+        let able = |member: &Member| member.usable && !ask.avoid.contains(&member.id);
+        // Where none is well, any of them is better than a refusal.
+        let none_well = !self.members.values().any(|member| able(member) && member.health.is_open(now));
         let mut best: Option<Bid> = None;
         for (index, id) in self.order(&ask.parts).iter().enumerate() {
             let member = &self.members[id];
-            let open = member.usable && member.health.is_open(now) && !ask.avoid.contains(id);
-            if !open || !self.has_room(member, ask, bound) {
+            let open = none_well || member.health.is_open(now);
+            if !able(member) || !open || !self.has_room(member, ask, bound) {
                 continue;
             }
             let bid = self.bid(now, member, ask, &covers, index);
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -181,6 +181,26 @@
     }
 }
 
+#[test]
+fn the_only_upstream_left_is_used_though_it_fails() {
+    let mut pool = pool(Rules::default(), 3, 8);
+    let mut list = members(3, 8);
+    list[1].3 = false;
+    list[2].3 = false;
+    pool.set_members(at(1), &list);
+    for number in 0..20 {
+        let now = at(10 + u64::try_from(number).unwrap() * 20);
+        assert!(granted(&pool.ask(now, ask(number, &[]))).is_some(), "request {number}");
+        let outcome = if number < 6 { Outcome::Failed } else { Outcome::Served };
+        // Those after the failures run side by side.
+        if number < 6 {
+            pool.release(now, id::Attempt(number), outcome, None);
+        } else if number > 8 {
+            pool.release(now, id::Attempt(number - 2), outcome, None);
+        }
+    }
+}
+
 #[test]
 fn a_hold_that_nobody_names_is_dropped() {
     let mut pool = pool(Rules::default(), 1, 1);
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header, request, response};
+use http::{HeaderMap, Request, Response, StatusCode, header, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use stairvale_dispatch::{Ask, Outcome};
@@ -212,10 +212,11 @@
             tries = self.tries.runs, ms = millis(self.came.elapsed()), "answered"
         );
         self.shared.metrics.answered(self.came.elapsed());
-        if head.status.is_server_error() {
-            permit.end(Outcome::Failed);
-        } else {
-            permit.served();
+        match head.status {
+            // Its time was over, and how short that was is not its fault.
+            StatusCode::GATEWAY_TIMEOUT => permit.end(Outcome::Abandoned),
+            status if status.is_server_error() => permit.end(Outcome::Failed),
+            _ => permit.served(),
         }
         strip(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
