A burst of frames no longer ends a link, and a peer that takes nothing is given up

Cause, found by a new test (frames_arrive_in_order: 135 of 500 frames arrived): the HTTP/2 library ends a connection on which about a hundred small frames wait unread, taking them for an attack. A larger connection window raises that to some 2,000. Test a_peer_that_takes_nothing_is_given_up: a stream whose peer takes nothing for a second is opened anew, so what waits for it stays bounded.

--- a/crates/stairvale-link/src/links.rs
+++ b/crates/stairvale-link/src/links.rs
@@ -22,16 +22,37 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// After a failure a peer is left alone for this long.
 const PAUSE: Duration = Duration::from_millis(200);
-/// Bytes that may wait for a peer; more are dropped.
+/// A peer that takes nothing for this long is as good as gone: its stream is opened anew.
+const STALLED: Duration = Duration::from_secs(1);
+/// Bytes that may wait for a stream to open; more are dropped.
 const WAITING: usize = 1 << 20;
 
 enum State {
     /// Frames wait for the stream.
     Opening(Vec<Bytes>),
-    Open(SendStream<Bytes>),
+    Open(Open),
     Broken(Instant),
 }
 
+/// An open stream, and since when its peer has taken nothing.
+struct Open {
+    stream: SendStream<Bytes>,
+    stalled: Option<Instant>,
+}
+
+impl Open {
+    /// Sends what the peer has room for; `false` if it had none for too long, or the stream is closed.
+    fn send(&mut self, bytes: Bytes) -> bool {
+        self.stream.reserve_capacity(bytes.len());
+        if self.stream.capacity() >= bytes.len() {
+            self.stalled = None;
+        } else if self.stalled.get_or_insert_with(Instant::now).elapsed() > STALLED {
+            return false;
+        }
+        self.stream.send_data(bytes, false).is_ok()
+    }
+}
+
 struct Link {
     address: SocketAddr,
     state: State,
@@ -85,8 +106,8 @@
                     waiting.push(bytes);
                     return true;
                 }
-                State::Open(stream) => {
-                    if stream.send_data(bytes.clone(), false).is_ok() {
+                State::Open(open) => {
+                    if open.send(bytes.clone()) {
                         return true;
                     }
                 }
@@ -139,7 +160,7 @@
                 }
             }
         }
-        link.state = State::Open(stream);
+        link.state = State::Open(Open { stream, stalled: None });
         true
     }
 
--- a/crates/stairvale-link/src/listen.rs
+++ b/crates/stairvale-link/src/listen.rs
@@ -11,6 +11,9 @@
 
 use crate::{SENDER, Sink, VERSION};
 
+/// Bytes that may wait to be read. `h2` ends a connection on which small frames of half of this many bytes, heads counted, wait: with its usual
+/// window a hundred frames at once would be too many.
+const WINDOW: u32 = 1 << 20;
 /// After a failed accept.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -29,7 +32,8 @@
     if tcp.set_nodelay(true).is_err() {
         return;
     }
-    let Ok(mut connection) = h2::server::handshake(tcp).await else {
+    let handshake = h2::server::Builder::new().initial_connection_window_size(WINDOW).handshake(tcp);
+    let Ok(mut connection) = handshake.await else {
         return;
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
