The strongest routers are homes

Routers tell the store their share of a processor; those with less than half of the strongest one's are no homes. Test the_strongest_routers_are_homes (seen failing without).

--- a/crates/stairvale-replica/src/item.rs
+++ b/crates/stairvale-replica/src/item.rs
@@ -84,4 +84,6 @@
     pub zone: id::Zone,
     /// Where peers reach it.
     pub address: SocketAddr,
+    /// Its share of a processor, in hundredths of a core.
+    pub strength: u32,
 }
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -79,7 +79,7 @@
     pub(super) fn inherit(&mut self) -> Vec<Effect> {
         let mut effects = Vec::new();
         for (service, pool) in self.pools.iter().filter(|(_, pool)| pool.has_engines()) {
-            let mut order: Vec<_> = self.swim.live().map(|member| (member.router.hash64(), &member.router)).collect();
+            let mut order = self.strong(self.swim.live().collect());
             let Some(home) = pick(service.hash64(), order.iter().copied()).cloned() else {
                 continue;
             };
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -167,8 +167,18 @@
     /// The service's home, and whether it is this router.
     fn home(&self, now: Moment, service: &id::Service) -> id::Router {
         let trusted = |member: &&Member| self.distrusted.get(&member.router).is_none_or(|until| *until <= now);
-        let live = self.swim.live().filter(trusted).map(|member| (member.router.hash64(), &member.router));
-        pick(service.hash64(), live).cloned().unwrap_or_else(|| self.me.clone())
+        let live = self.strong(self.swim.live().filter(trusted).collect());
+        pick(service.hash64(), live.into_iter()).cloned().unwrap_or_else(|| self.me.clone())
+    }
+
+    /// The routers that may be homes: those with at least half of the strongest one's share of a processor. One that the
+    /// store doesn't name may be one, too.
+    fn strong<'a>(&'a self, live: Vec<&'a Member>) -> Vec<(u64, &'a id::Router)> {
+        let named: HashMap<_, _> = self.view.routers().map(|router| (&router.id, router.strength)).collect();
+        let strength = |member: &Member| named.get(&member.router).copied();
+        let strongest = live.iter().filter_map(|member| strength(member)).max().unwrap_or(0);
+        let strong = |member: &&Member| strength(member).is_none_or(|strength| strength * 2 >= strongest);
+        live.into_iter().filter(strong).map(|member| (member.router.hash64(), &member.router)).collect()
     }
 
     fn is_stale(&self, now: Moment) -> bool {
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -39,11 +39,18 @@
     pub seeds: Vec<SocketAddr>,
     /// Where the store is.
     pub store: SocketAddr,
+    /// The VM's share of a processor, in cores. The strongest routers are homes.
+    #[serde(default = "one")]
+    pub cores: f64,
     /// What must hold.
     #[serde(default)]
     pub bounds: Bounds,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 /// What must hold, in the units of the field's name.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default)]
@@ -94,9 +101,19 @@
     /// A [`Fault`] that names the field and what was expected.
     pub fn parse(text: &str) -> Result<Self, Report<Fault>> {
         let settings: Self = serde_norway::from_str(text).map_err(|error| Fault::Syntax(error.to_string()))?;
+        if !settings.cores.is_finite() || settings.cores <= 0.0 {
+            return Err(Fault::Range("cores", "a number above 0 is expected").into());
+        }
         settings.bounds.check()?;
         Ok(settings)
     }
+
+    /// The VM's share of a processor, in hundredths of a core.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn strength(&self) -> u32 {
+        (self.cores * 100.0).ceil() as u32
+    }
 }
 
 /// The share of the retry budget that is used: what is on its way isn't counted yet.
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -62,7 +62,12 @@
 /// Keeps this router named in the store, until the task is dropped.
 pub async fn announce<S: Source>(shared: Arc<Shared>, source: Arc<S>, kept: Arc<std::sync::Mutex<Option<S::Lease>>>) {
     let settings = &shared.settings;
-    let router = Router { id: settings.router.clone(), zone: settings.zone.clone(), address: settings.peers };
+    let router = Router {
+        id: settings.router.clone(),
+        zone: settings.zone.clone(),
+        address: settings.peers,
+        strength: settings.strength(),
+    };
     let mut pause = FIRST;
     loop {
         match source.announce(&router, KEEP).await {
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -158,7 +158,7 @@
 fn routers_that_the_store_names_find_each_other_at_once() {
     let mut world = World::new(6, 1, 4);
     for index in 0..6 {
-        world.name_router(index);
+        world.name_router(index, 25);
     }
     world.run(100);
     assert!(world.nodes.iter().all(|node| node.core.routers() == 6));
@@ -168,7 +168,7 @@
 fn after_all_were_killed_one_home_inspects_the_engines() {
     let mut world = World::new(6, 1, 4);
     for index in 0..6 {
-        world.name_router(index);
+        world.name_router(index, 25);
     }
     world.run(100);
     for index in 0..6 {
@@ -181,6 +181,25 @@
     assert_eq!(inspected, 4);
 }
 
+#[test]
+fn the_strongest_routers_are_homes() {
+    let mut world = World::new(8, 2, 4);
+    for index in 0..8 {
+        world.name_router(index, if index % 4 == 3 { 50 } else { 12 });
+    }
+    world.run(500);
+    for entry in 0..8 {
+        let home = world.ask(entry, entry as u128, &[]);
+        assert_eq!(world.index(&home) % 4, 3, "asked by {entry}");
+    }
+    // Without them any router will do.
+    world.kill(3);
+    world.kill(7);
+    world.run(3_000);
+    let home = world.ask(0, 100, &[]);
+    assert_ne!(world.index(&home) % 4, 3);
+}
+
 #[test]
 fn a_router_that_stops_is_nobodys_home() {
     let mut world = settled(3, 1, 2);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -150,8 +150,8 @@
     }
 
     /// A router's entry in the store.
-    pub fn name_router(&mut self, index: usize) {
-        let router = Router { id: name(index), zone: "z0".parse().unwrap(), address: address(index) };
+    pub fn name_router(&mut self, index: usize, strength: u32) {
+        let router = Router { id: name(index), zone: "z0".parse().unwrap(), address: address(index), strength };
         self.put(Subject::Router(name(index)), Some(Value::Router(router)));
     }
 
