--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -164,13 +164,18 @@
         self.is_stale(now)
     }
 
-    /// The service's home, and whether it is this router.
+    /// The router that a request of a service is placed by: its home, or who stands in for one that doesn't answer.
     fn home(&self, now: Moment, service: &id::Service) -> id::Router {
         let trusted = |member: &&Member| self.distrusted.get(&member.router).is_none_or(|until| *until <= now);
         let live = self.strong(self.swim.live().filter(trusted).collect());
         pick(service.hash64(), live.into_iter()).cloned().unwrap_or_else(|| self.me.clone())
     }
 
+    /// The service's home, whether it answers or not.
+    fn standing_home(&self, service: &id::Service) -> Option<id::Router> {
+        pick(service.hash64(), self.strong(self.swim.live().collect()).into_iter()).cloned()
+    }
+
     /// The routers that may be homes: those with at least half of the strongest one's share of a processor. One that the
     /// store doesn't name may be one, too.
     fn strong<'a>(&'a self, live: Vec<&'a Member>) -> Vec<(u64, &'a id::Router)> {
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -181,6 +181,23 @@
     assert_eq!(inspected, 4);
 }
 
+#[test]
+fn a_router_that_stands_in_for_a_silent_home_inspects_nothing() {
+    let mut world = settled(5, 1, 4);
+    let home = world.ask(0, 1, &[(1, 100), (2, 10)]);
+    let home = world.index(&home);
+    for index in (0..5).filter(|index| *index != home) {
+        world.ask_self(index, 100 + index as u128, &[(1, 100), (2, 10)]);
+        // Another one passes the home over, and asks the next one.
+        world.distrust(index, home);
+        world.ask(index, 200 + index as u128, &[(1, 100), (2, 10)]);
+        world.run(50);
+    }
+    let inspected: Vec<_> = world.nodes.iter().map(|node| node.inspected.len()).collect();
+    assert_eq!(inspected.iter().sum::<usize>(), 4, "{inspected:?}");
+    assert_eq!(inspected[home], 4);
+}
+
 #[test]
 fn the_strongest_routers_are_homes() {
     let mut world = World::new(8, 2, 4);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -298,30 +298,30 @@
         }
     }
 
+    /// A router got no answer from another one as a home.
+    pub fn distrust(&mut self, index: usize, home: usize) {
+        let now = moment(self.now);
+        self.nodes[index].core.distrust(now, &name(home));
+    }
+
     // ------------------------------------------------------------------------
     // Requests.
 
     /// A request at a router; gives the home that was asked.
     pub fn ask(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> id::Router {
-        let ask = Ask {
-            attempt: id::Attempt(number),
-            entry: name(index),
-            zone: "z0".parse().unwrap(),
-            priority: 0,
-            repeatable: false,
-            parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
-            output: 10,
-            objective: Duration::from_millis(500),
-            patience: Duration::from_millis(100),
-            avoid: Vec::new(),
-            seen: None,
-        };
-        let service = "chat".parse().unwrap();
+        let (service, ask) = request(index, number, parts);
         let (home, effects) = self.nodes[index].core.ask(moment(self.now), &service, ask);
         self.perform(index, effects);
         home
     }
 
+    /// A request at a router that decides by itself, since no home answered.
+    pub fn ask_self(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) {
+        let (service, ask) = request(index, number, parts);
+        let effects = self.nodes[index].core.ask_self(moment(self.now), &service, ask);
+        self.perform(index, effects);
+    }
+
     /// Where a request was granted.
     pub fn granted(&self, index: usize, number: u128) -> Option<id::Upstream> {
         match self.nodes[index].replies.get(&id::Attempt(number))? {
@@ -367,6 +367,23 @@
     }
 }
 
+fn request(index: usize, number: u128, parts: &[(u64, u32)]) -> (id::Service, Ask) {
+    let ask = Ask {
+        attempt: id::Attempt(number),
+        entry: name(index),
+        zone: "z0".parse().unwrap(),
+        priority: 0,
+        repeatable: false,
+        parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
+        output: 10,
+        objective: Duration::from_millis(500),
+        patience: Duration::from_millis(100),
+        avoid: Vec::new(),
+        seen: None,
+    };
+    ("chat".parse().unwrap(), ask)
+}
+
 /// A moment so many ms after the start.
 pub fn moment(millis: u64) -> Moment {
     Moment::from_millis(millis)
