A zone's watcher is one of its strongest routers

Cause: with a configuration of 1,400 routes more (big_config) the watcher sends a quarter of a megabyte to each of some 20 routers of its zone.

Ruled out: the homes' own load (0.06 of a core at most), trouble on routers or links (there is none in these seconds).

Change: the watcher is picked among the zone's routers that have half of the strongest one's share of a processor. Test: the_strongest_routers_of_a_zone_read_the_store_for_it (failed before).

--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -176,8 +176,8 @@
         pick(service.hash64(), self.strong(self.swim.live().collect()).into_iter()).cloned()
     }
 
-    /// The routers that may be homes: those with at least half of the strongest one's share of a processor. One that the
-    /// store doesn't name may be one, too.
+    /// The routers that may do work for others, as homes or watchers: those with at least half of the strongest one's share
+    /// of a processor. One that the store doesn't name may be one, too.
     fn strong<'a>(&'a self, live: Vec<&'a Member>) -> Vec<(u64, &'a id::Router)> {
         let named: HashMap<_, _> = self.view.routers().map(|router| (&router.id, router.strength)).collect();
         let strength = |member: &Member| named.get(&member.router).copied();
@@ -190,11 +190,11 @@
         self.view.age(now).is_none_or(|age| age > self.bounds.stale())
     }
 
-    /// The router of this zone that reads the store.
+    /// The router of this zone that reads the store: it sends what changes to all others, so it is a strong one.
     fn watcher(&self) -> Option<id::Router> {
         let sees = |member: &&Member| member.zone == self.zone && !self.blind.contains_key(&member.router);
         let live = self.swim.live().filter(|member| member.status == Status::Alive).filter(sees);
-        pick(self.zone.hash64(), live.map(|member| (member.router.hash64(), &member.router))).cloned()
+        pick(self.zone.hash64(), self.strong(live.collect()).into_iter()).cloned()
     }
 
     // ------------------------------------------------------------------------
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -231,6 +231,16 @@
     assert_ne!(world.index(&home) % 4, 3);
 }
 
+#[test]
+fn the_strongest_routers_of_a_zone_read_the_store_for_it() {
+    let mut world = World::new(8, 2, 4);
+    for index in 0..8 {
+        world.name_router(index, if index >= 6 { 50 } else { 12 });
+    }
+    world.run(2_000);
+    assert_eq!(readers(&world), [6, 7]);
+}
+
 #[test]
 fn a_router_that_stops_is_nobodys_home() {
     let mut world = settled(3, 1, 2);
