A watcher that only just took over is not blamed for the last one's silence

Cause: when a zone's watcher dies, its routers' copies go stale; each passed over whichever watcher it had at the moment, also one chosen 100 ms ago, for 3 s.

Ruled out: dead routers that stay in the list of strong ones (only live ones are picked from).

Change: a watcher is passed over only if it was relied upon for the whole time in which a copy goes stale. Test: a_zone_agrees_on_its_next_watcher_and_keeps_to_it (4 readers in two zones before, 2 after).

--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -19,11 +19,7 @@
     pub(super) fn sync(&mut self, now: Moment) -> Vec<Effect> {
         self.syncs.retain(|_, asked| now.since(*asked) < ASKED);
         self.blind.retain(|_, until| *until > now);
-        if self.is_stale(now)
-            && let Some(watcher) = self.watcher()
-        {
-            self.blind.insert(watcher, now + BLIND);
-        }
+        self.judge_watcher(now);
         let after = self.view.revision();
         let mut to = Vec::new();
         to.extend(self.watcher().filter(|watcher| watcher != &self.me));
@@ -35,6 +31,21 @@
         to.iter().flat_map(|peer| self.sync_with(now, peer, after)).collect()
     }
 
+    /// A watcher that was relied upon for long enough and let this copy go stale is passed over. One that only just took
+    /// over isn't blamed for what the last one left, or routers would go on choosing different ones.
+    fn judge_watcher(&mut self, now: Moment) {
+        let watcher = self.watcher();
+        if self.relied.as_ref().map(|(relied, _)| relied) != watcher.as_ref() {
+            self.relied = watcher.map(|watcher| (watcher, now));
+        }
+        if let Some((watcher, since)) = &self.relied
+            && self.is_stale(now)
+            && now.since(*since) >= self.bounds.stale()
+        {
+            self.blind.insert(watcher.clone(), now + BLIND);
+        }
+    }
+
     pub(super) fn sync_with(&mut self, now: Moment, peer: &id::Router, after: u64) -> Vec<Effect> {
         self.number = self.number.wrapping_add(1);
         self.syncs.insert(self.number, now);
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -66,6 +66,8 @@
     dark: BTreeSet<id::Zone>,
     /// Routers that didn't keep this one up to date, and until when they aren't relied upon for that.
     blind: HashMap<id::Router, Moment>,
+    /// The zone's watcher, and since when this router relies upon it.
+    relied: Option<(id::Router, Moment)>,
     /// Routers that the store named, each of which was pinged when it was new.
     greeted: BTreeSet<SocketAddr>,
     leaving: bool,
@@ -96,6 +98,7 @@
             last_tick: Moment::ZERO,
             dark: BTreeSet::new(),
             blind: HashMap::new(),
+            relied: None,
             greeted: BTreeSet::new(),
             leaving: false,
         }
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -241,6 +241,22 @@
     assert_eq!(readers(&world), [6, 7]);
 }
 
+#[test]
+fn a_zone_agrees_on_its_next_watcher_and_keeps_to_it() {
+    let mut world = settled(8, 2, 4);
+    let killed = readers(&world)[0];
+    world.kill(killed);
+    world.run(1_500);
+    let mut next = Vec::new();
+    for _ in 0..20 {
+        world.run(300);
+        next.extend(readers(&world).into_iter().filter(|index| *index != killed));
+    }
+    next.sort_unstable();
+    next.dedup();
+    assert_eq!(next.len(), 2, "{next:?}");
+}
+
 #[test]
 fn a_router_that_stops_is_nobodys_home() {
     let mut world = settled(3, 1, 2);
