New homes are told at once what runs

Cause: entries name what they run to a home twice a second. A router that has just become the home so granted for up to half a second without knowing what runs, and the stream to it was only opened by the first request that asked.

Ruled out: shorter renewals (they cost all the time).

Change: when a service's home changes, by what an entry knows, it renews there at once, also if it runs nothing. Test: a_new_home_knows_at_once_what_runs (knew 1 of 5 before).

--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -320,7 +320,7 @@
             let answers = self.pools.get_mut(&service).map(|pool| pool.tick(now));
             effects.extend(self.answers(answers.unwrap_or_default()));
         }
-        //X effects.extend(self.greet_homes(now));
+        effects.extend(self.greet_homes(now));
         if now >= self.next_renew {
             self.next_renew = now + RENEW;
             effects.extend(self.renew(now));
