A strong home asks engines what they hold as soon as strong routers have joined

Cause: after all routers were killed the home asked engines only when half of all routers had joined and the first request had come.

Ruled out: more engines at once (16 are asked side by side; the answers are what costs).

Change: only strong routers, which may be homes, are waited for, and a home that the store names asks before the first request. Test: a_home_inspects_before_weak_routers_have_started (failed before).

--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -64,7 +64,7 @@
 
     /// Asks engines what they hold, as a home that nobody told. Who only stands in for a home that doesn't answer leaves
     /// that: when all routers start at once each would ask all engines, and every list holds an engine's work up.
-    fn inspect(&mut self, service: &id::Service) -> Vec<Effect> {
+    pub(super) fn inspect(&mut self, service: &id::Service) -> Vec<Effect> {
         if !self.has_joined() || self.standing_home(service).as_ref() != Some(&self.me) {
             return Vec::new();
         }
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -37,9 +37,19 @@
         self.members(now, effects)
     }
 
-    /// Whether most routers that the store names are known to live, so that all agree on homes.
+    /// Whether half of the strong routers that the store names are known to live, so that all agree on homes. The others
+    /// may take longer to start, and aren't waited for.
     pub(super) fn has_joined(&self) -> bool {
-        self.routers() * 2 >= self.view.routers().count()
+        let strongest = self.view.routers().map(|router| router.strength).max().unwrap_or(0);
+        let named: BTreeSet<_> =
+            self.view.routers().filter(|router| router.strength * 2 >= strongest).map(|router| &router.id).collect();
+        let live = self.swim.live().filter(|member| named.contains(&member.router)).count();
+        live * 2 >= named.len()
+    }
+
+    /// Whether the store names this router, as it does each one that started a moment ago.
+    pub(super) fn is_named(&self) -> bool {
+        self.view.routers().any(|router| router.id == self.me)
     }
 
     /// Hands each service's upstreams to its pool.
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -319,6 +319,10 @@
         for service in self.pools.keys().cloned().collect::<Vec<_>>() {
             let answers = self.pools.get_mut(&service).map(|pool| pool.tick(now));
             effects.extend(self.answers(answers.unwrap_or_default()));
+            // Before the first requests come, as soon as it is clear who the homes are.
+            if self.is_named() {
+                effects.extend(self.inspect(&service));
+            }
         }
         effects.extend(self.greet_homes(now));
         if now >= self.next_renew {
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -215,6 +215,20 @@
     assert_eq!(inspected, 4);
 }
 
+#[test]
+fn a_home_inspects_before_weak_routers_have_started() {
+    let mut world = World::new(8, 2, 4);
+    for index in 0..8 {
+        world.name_router(index, if index >= 4 { 50 } else { 12 });
+    }
+    for weak in 0..4 {
+        world.kill(weak);
+    }
+    world.run(300);
+    let inspected: Vec<_> = world.nodes.iter().map(|node| node.inspected.len()).collect();
+    assert_eq!(inspected.iter().sum::<usize>(), 4, "{inspected:?}");
+}
+
 #[test]
 fn a_router_that_stands_in_for_a_silent_home_inspects_nothing() {
     let mut world = settled(5, 1, 4);
