--- a/spec/check.sh
+++ b/spec/check.sh
@@ -28,7 +28,7 @@
 failing() { sed -n 's/^ \*   \(\(-D[A-Z_]* *\)*\)  .*/\1/p' "$1"; }
 
 code=0
-for file in claims.pml permits.pml generations.pml; do
+for file in claims.pml permits.pml generations.pml freshness.pml; do
   while read -r defines; do
     verify "$file" "$defines" || { echo "$file $defines does not hold"; code=1; }
   done < <(holding "$file")
