A pool's choice stands in a file of its own

The choice (who has room, what a bid costs) moves to pool/choose.rs unchanged; nothing else changes.

--- /dev/null
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -0,0 +1,177 @@
+//! Which upstream serves a request: who has room under the bound, and what serving it there costs.
+
+use std::time::Duration;
+
+use stairvale_placement::{Engine, rank};
+use stairvale_types::{Moment, id};
+
+use super::Pool;
+use crate::{Answer, Ask, Member, Part, Verdict, cache, member::Hold};
+
+/// What each running request costs the next one, in ms; it spreads work that would be as well anywhere.
+const CROWD: f64 = 1.5;
+/// What an upstream of another availability zone costs, in ms.
+const FAR: f64 = 10.0;
+/// What the next one in the order of a prompt's home costs, in ms, so that routers choose alike.
+const STEP: f64 = 0.4;
+/// Reading shared parts again holds others up: a token costs this many tokens' time beside its own.
+const AGAIN: f64 = 1.0;
+/// What copying a token from another engine costs, beside reading it.
+const COPY: f64 = 0.3;
+/// The time that copying a token takes, beside reading it.
+const COPY_TIME: f64 = 0.15;
+/// Within this share of the objective it is worth little to be sooner.
+const EASE: f64 = 0.35;
+/// What a ms costs within it.
+const SOONER: f64 = 0.3;
+/// What a ms costs beyond it.
+const LATER: f64 = 1.5;
+/// Fewer tokens aren't worth copying.
+const COPY_LEAST: u32 = 96;
+/// What a failing upstream costs, in ms at a failure rate of 1.
+const FAILING: f64 = 400.0;
+/// What it is worth to try an upstream that failed, in ms.
+const TRIAL: f64 = 20.0;
+/// The share of an engine's memory that requests may fill beside shared parts.
+const FILL: f64 = 0.85;
+
+/// What serving a request at one member comes to.
+#[derive(Clone, Debug)]
+struct Bid {
+    /// In ms, by what it is worth to be sooner and what the work costs others.
+    cost: f64,
+    /// The time to the first event, in ms.
+    expected: f64,
+    upstream: id::Upstream,
+    /// Tokens that it has to read.
+    read: u32,
+    /// From where it copies what it doesn't hold.
+    source: Option<id::Upstream>,
+}
+
+impl Pool {
+    /// The most that one upstream may run, by the set multiple of the mean.
+    #[allow(clippy::cast_precision_loss)]
+    fn bound(&self) -> f64 {
+        if self.rules.multiple <= 0.0 {
+            return f64::MAX;
+        }
+        let usable = self.members.values().filter(|member| member.usable).count().max(1);
+        let running: u32 = self.members.values().map(Member::running).sum();
+        let mean = f64::from(running) / usable as f64;
+        // One less than allowed: what is on its way isn't seen by everybody at once.
+        (mean * self.rules.multiple + self.rules.slack - 1.0).max(1.0)
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn has_room(&self, member: &Member, ask: &Ask, bound: f64) -> bool {
+        if member.running() >= member.slots || f64::from(member.running()) >= bound {
+            return false;
+        }
+        if member.memory == 0 || member.held.is_empty() {
+            return true;
+        }
+        let own = ask.parts.last().map_or(0, |part| part.tokens) + ask.output;
+        (member.taken() + u64::from(own)) as f64 <= member.memory as f64 * FILL
+    }
+
+    /// Gives the request to the member that serves it soonest, if any has room.
+    pub(super) fn grant(&mut self, now: Moment, ask: &Ask) -> Option<Answer> {
+        let bound = self.bound();
+        let covers = self.covers(ask);
+        let able = |member: &Member| member.usable && !ask.avoid.contains(&member.id);
+        // Where none is well, any of them is better than a refusal.
+        let none_well = !self.members.values().any(|member| able(member) && member.health.is_open(now));
+        let mut best: Option<Bid> = None;
+        for (index, id) in self.order(&ask.parts).iter().enumerate() {
+            let member = &self.members[id];
+            let open = none_well || member.health.is_open(now);
+            if !able(member) || !open || !self.has_room(member, ask, bound) {
+                continue;
+            }
+            let bid = self.bid(now, member, ask, &covers, index);
+            if best.as_ref().is_none_or(|best| bid.cost < best.cost) {
+                best = Some(bid);
+            }
+        }
+        let bid = best?;
+        self.hold(now, ask, &bid);
+        let Bid { upstream, read, source, .. } = bid;
+        let verdict = Verdict::Granted { upstream, read, source };
+        Some(Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict })
+    }
+
+    fn hold(&mut self, now: Moment, ask: &Ask, bid: &Bid) {
+        let expected = if self.rules.engine.is_some() { bid.expected } else { self.time };
+        let own = ask.parts.last().map_or(0, |part| part.tokens);
+        let Some(member) = self.members.get_mut(&bid.upstream) else {
+            return;
+        };
+        member.cache.read(&ask.parts);
+        member.health.given(now);
+        let tokens = own + ask.output;
+        let hold = Hold { entry: ask.entry.clone(), since: now, named: now, read: bid.read, tokens, expected };
+        member.held.insert(ask.attempt, hold);
+        self.places.insert(ask.attempt, bid.upstream.clone());
+    }
+
+    /// The two members that hold most of a prompt's shared parts, the one with most first.
+    fn covers(&self, ask: &Ask) -> Vec<(u32, id::Upstream)> {
+        if !self.rules.copies {
+            return Vec::new();
+        }
+        let shared = &ask.parts[..ask.parts.len().saturating_sub(1)];
+        let covers = self.members.values().map(|member| (member.cache.covers(shared), member.id.clone()));
+        let mut covers: Vec<_> = covers.filter(|(tokens, _)| *tokens >= COPY_LEAST).collect();
+        covers.sort_by(|a, b| b.cmp(a));
+        covers.truncate(2);
+        covers
+    }
+
+    /// The members in the order in which any router would try them for a prompt, by the last part that others share.
+    fn order(&self, parts: &[Part]) -> Vec<id::Upstream> {
+        let shared = if parts.len() > 1 { &parts[..parts.len() - 1] } else { parts };
+        let engines: Vec<_> = self.members.keys().map(|id| Engine::new(id.clone(), 1)).collect();
+        rank(cache::name(shared), &engines)
+    }
+
+    /// What serving a request at a member costs.
+    #[allow(clippy::cast_precision_loss)]
+    fn bid(&self, now: Moment, member: &Member, ask: &Ask, covers: &[(u32, id::Upstream)], index: usize) -> Bid {
+        let prompt: u32 = ask.parts.iter().map(|part| part.tokens).sum();
+        let own = ask.parts.last().map_or(0, |part| part.tokens);
+        let covered = member.cache.covers(&ask.parts);
+        let mut source = covers.iter().find(|(_, id)| id != &member.id);
+        let mut copied = source.map_or(0, |(tokens, _)| tokens.saturating_sub(covered));
+        if copied < COPY_LEAST {
+            (source, copied) = (None, 0);
+        }
+        let read = (prompt - covered).saturating_sub(copied);
+        let shared = f64::from(read.saturating_sub(own));
+        // One that was asked more isn't thought better for it: only what is slow is told apart.
+        let pace = member.health.pace(now).max(1.0);
+        let crowd = f64::from(member.running()) * CROWD;
+        let (time, work) = if self.rules.engine.is_some() {
+            let copying = f64::from(copied) * COPY_TIME;
+            let time = (member.ahead() as f64 + f64::from(read) + copying) / self.rate;
+            (time * pace, (shared * AGAIN + f64::from(copied) * COPY) / self.rate)
+        } else {
+            let over = f64::from(member.running()) / f64::from(member.slots);
+            (self.time * (1.0 + over * over) * pace, 0.0)
+        };
+        let far = if member.zone == ask.zone { 0.0 } else { FAR };
+        let step = (index as f64 * STEP).min(FAR);
+        // What may run twice shows whether an upstream that failed is well again.
+        let tries = ask.repeatable && member.health.is_due(now);
+        let failing = if tries { -TRIAL } else { member.health.doubt(now) * FAILING };
+        let cost = lateness(time, ask.objective) + work + crowd * pace + far + step + failing;
+        let expected = time + crowd * pace + far;
+        Bid { cost, expected, upstream: member.id.clone(), read, source: source.map(|(_, id)| id.clone()) }
+    }
+}
+
+/// What a time to the first event costs: little while the objective is far, much when it is near.
+fn lateness(time: f64, objective: Duration) -> f64 {
+    let ease = objective.as_secs_f64() * 1e3 * EASE;
+    time.min(ease) * SOONER + (time - ease).max(0.0) * LATER
+}
