Dropped log lines are counted and told

What was missing: log lines that can't be written at once are dropped, but nobody could see that it happened, and nothing tested that a reader who stands still holds no request up.

Change: the metrics tell stairvale_log_lines_dropped. Signals are taken before anything is started, as before, now in a type of their own.

--- a/crates/stairvale-serve/src/metrics.rs
+++ b/crates/stairvale-serve/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt::Write,
     sync::{
-        Mutex, PoisonError,
+        Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -61,12 +61,23 @@
     placing: Latency,
     /// Requests that are being served.
     pub in_flight: AtomicU64,
+    /// Log lines that were dropped because nobody took them fast enough.
+    dropped: OnceLock<Dropped>,
+}
+
+/// Tells how many log lines were dropped so far.
+struct Dropped(Box<dyn Fn() -> usize + Send + Sync>);
+
+impl std::fmt::Debug for Dropped {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_tuple("Dropped").field(&self.0()).finish()
+    }
 }
 
 impl Default for Metrics {
     fn default() -> Self {
         let (first, placing) = (Latency::new("first_byte"), Latency::new("placing"));
-        Self { events: Family::default(), first, placing, in_flight: AtomicU64::new(0) }
+        Self { events: Family::default(), first, placing, in_flight: AtomicU64::new(0), dropped: OnceLock::new() }
     }
 }
 
@@ -76,6 +87,12 @@
         self.events.get_or_create(&Label { event }).inc();
     }
 
+    /// Whoever writes the logs counts the lines that it drops; the first one that says how is asked.
+    pub fn count_dropped_lines(&self, dropped: impl Fn() -> usize + Send + Sync + 'static) {
+        // A second writer would be a second process's.
+        let _ = self.dropped.set(Dropped(Box::new(dropped)));
+    }
+
     /// A request's answer, or a stream's first event, came this long after the request.
     pub fn answered(&self, after: Duration) {
         self.first.record(after);
@@ -96,6 +113,7 @@
             latency.write(&mut text);
         }
         let _ = writeln!(text, "stairvale_in_flight {}", self.in_flight.load(Ordering::Relaxed));
+        let _ = writeln!(text, "stairvale_log_lines_dropped {}", self.dropped.get().map_or(0, |dropped| dropped.0()));
         // Writing into a string doesn't fail.
         let _ = encode(&mut text, &registry);
         text
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -13,7 +13,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     runtime,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::mpsc,
     task::{JoinHandle, JoinSet},
 };
@@ -46,6 +46,7 @@
 /// Runs a process until it is told to stop and all in flight has ended. `file` is where its settings came from.
 ///
 /// One thread does all: it has a small share of one processor, where a second thread would only cost wake-ups.
+/// `dropped_lines` tells how many log lines were dropped so far; the metrics tell it on.
 ///
 /// # Errors
 /// An [`Error`] if it can't start.
@@ -54,9 +55,17 @@
     file: PathBuf,
     dialect: D,
     source: S,
+    dropped_lines: impl Fn() -> usize + Send + Sync + 'static,
 ) -> Result<(), Report<Error>> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build().change_context(Error::Runtime)?;
-    let result = runtime.block_on(serve(settings, file, dialect, source));
+    let result = runtime.block_on(async {
+        // Before anything else, so that no signal finds the process without an answer to it.
+        let signals = Signals::new()?;
+        let process = Process::start(settings, dialect, source).await?;
+        process.shared().metrics.count_dropped_lines(dropped_lines);
+        serve(process, signals, file).await;
+        Ok(())
+    });
     runtime.shutdown_background();
     result
 }
@@ -65,26 +74,30 @@
     TcpListener::bind(address).await.change_context(Error::Listen(name, address))
 }
 
-async fn serve<D: Dialect, S: Source>(
-    settings: Settings,
-    file: PathBuf,
-    dialect: D,
-    source: S,
-) -> Result<(), Report<Error>> {
-    let mut terminate = signal(SignalKind::terminate()).change_context(Error::Signal)?;
-    let mut reload = signal(SignalKind::hangup()).change_context(Error::Signal)?;
-    let process = Process::start(settings, dialect, source).await?;
+/// The signals that a process answers.
+struct Signals {
+    terminate: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, Report<Error>> {
+        let take = |kind| signal(kind).change_context(Error::Signal);
+        Ok(Self { terminate: take(SignalKind::terminate())?, reload: take(SignalKind::hangup())? })
+    }
+}
+
+async fn serve<S: Source>(process: Process<S>, mut signals: Signals, file: PathBuf) {
     let mut looks = tokio::time::interval(LOOK);
     let mut known = std::fs::read_to_string(&file).unwrap_or_default();
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => known = look(process.shared(), &file, known, true),
+            _ = signals.terminate.recv() => break,
+            _ = signals.reload.recv() => known = look(process.shared(), &file, known, true),
             _ = looks.tick() => known = look(process.shared(), &file, known, false),
         }
     }
     process.stop().await;
-    Ok(())
 }
 
 /// A router that runs within a runtime; [`run`] makes a process of it.
