A home is given a fifth of the objective to answer

Cause: a home was given an eighth of the objective, 25 to 60 ms. When streams to it are just being opened, or the entry is a VM with 0.12 of a core, it answers a little later; then the next home is asked as well, which triples the work at the worst moment and lets several homes place one service's requests.

Ruled out: that patience costs much where a home is really gone: it is passed over for a second after the first silence.

Change: a fifth of the objective, 40 to 120 ms.

--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -10,11 +10,11 @@
 use crate::{Shared, core::Reply};
 
 /// The share of the objective that a home may take to say anything.
-const ANSWER_SHARE: u32 = 8;
+const ANSWER_SHARE: u32 = 5;
 /// A home is given at least this long.
-const ANSWER_LEAST: Duration = Duration::from_millis(25);
+const ANSWER_LEAST: Duration = Duration::from_millis(40);
 /// A home is given at most this long.
-const ANSWER_MOST: Duration = Duration::from_millis(60);
+const ANSWER_MOST: Duration = Duration::from_millis(120);
 /// Time to read what came while this process stood still.
 const CATCH_UP: Duration = Duration::from_millis(5);
 /// Homes that are asked before this router decides by itself.
