A connection to an upstream is given up after 120 ms

Ruled out: that 300 ms save anything: an opening packet that is lost is sent again only after a second.

Change: 120 ms.

Conclusion: kept for what callers see at a cut.

--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -19,7 +19,7 @@
 use tokio::{net::TcpStream, task::AbortHandle};
 
 /// A connection that takes longer is given up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// An idle connection is used again this long after its last answer, if the upstream says nothing else.
 const IDLE: Duration = Duration::from_secs(2);
 /// Kept away from the moment at which the upstream closes an idle connection.
