A key is looked at again right before a request is sent

Cause, found while the model of freshness was compared with the code: whether a key counts was looked at when a request was taken and never again, so a request that waited, or was tried a second time a second later, went on with a key that had been taken away in between (the model's variant CHECK_ONCE). The platform's rule counts from the caller's sending and isn't broken by that; the project's own promise is.

Change: before each send the key must still be the customer's in the newest configuration and that copy young enough. A request that has run nowhere is told 401 or 503, one that may have run 502.

--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::{
     Dialect, Shared,
     body::Body,
+    core::Core,
     dialect::{Head, Mark, Order},
     permit::{self, Permit, Want},
     problem::Problem,
@@ -233,6 +234,7 @@
                 return Err(self.unsent(Reason::Deadline));
             }
             let permit = self.place().await?;
+            self.check_key()?;
             let upstream = permit.upstream.id.clone();
             match self.send(permit, last_event).await {
                 Ok(reply) => return Ok(reply),
@@ -247,6 +249,23 @@
         }
     }
 
+    /// Whether the key that it came with still counts: it may have been taken away while the request waited, or this copy of
+    /// the configuration may have grown too old to tell.
+    fn check_key(&self) -> Result<(), Problem> {
+        let Some(customer) = &self.customer else {
+            return Ok(());
+        };
+        let table = self.shared.table.load();
+        let key = self.head.key.as_deref();
+        let known = key.and_then(|key| table.customer(key)).is_some_and(|known| &known.name == customer);
+        let problem = match (known, self.shared.look(Core::trusts_keys)) {
+            (true, true) => return Ok(()),
+            (false, true) => Problem::Key,
+            (_, false) => Problem::Refused(Refusal::new(Reason::NotReady, COME_BACK)),
+        };
+        Err(if self.tries.runs > 0 { Problem::Broken } else { problem })
+    }
+
     async fn place(&mut self) -> Result<Permit, Problem> {
         let patience = self.route.objective / REFUSE_WITHIN;
         let patience = patience.saturating_sub(self.came.elapsed()).max(patience / 4).min(self.left());
