A key that is gone is told so only by a copy that is up to date

The new look at keys before a send told 401 whenever the key wasn't in the copy; everywhere else a router whose copy is older than the bound for configuration says 503 and when to come back. Now it does here, too.

--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -16,7 +16,6 @@
 use crate::{
     Dialect, Shared,
     body::Body,
-    core::Core,
     dialect::{Head, Mark, Order},
     permit::{self, Permit, Want},
     problem::Problem,
@@ -258,11 +257,13 @@
         let table = self.shared.table.load();
         let key = self.head.key.as_deref();
         let known = key.and_then(|key| table.customer(key)).is_some_and(|known| &known.name == customer);
-        let problem = match (known, self.shared.look(Core::trusts_keys)) {
-            (true, true) => return Ok(()),
-            (false, true) => Problem::Key,
-            (_, false) => Problem::Refused(Refusal::new(Reason::NotReady, COME_BACK)),
-        };
+        let (current, trusted) = self.shared.look(|core, now| (core.is_current(now), core.trusts_keys(now)));
+        if known && trusted {
+            return Ok(());
+        }
+        // Who isn't up to date can't tell that something doesn't exist.
+        let unsure = Problem::Refused(Refusal::new(Reason::NotReady, COME_BACK));
+        let problem = if current && !known { Problem::Key } else { unsure };
         Err(if self.tries.runs > 0 { Problem::Broken } else { problem })
     }
 
