An engine that is silent or behind a cut is no source of copies

Ruled out: a home without its predecessor's model (after a loss of all power the engines' lists are known 0.2 s after the first start), sources that are still reading (some 120,000 of 1,184,000 tokens). Change: sources are only engines that gave an answer when they were asked last, in zones that aren't behind a cut. An error is an answer. What can't be copied is counted as read when upstreams are compared. Tests: an_engine_that_is_silent_is_no_source_until_it_answers, an_engine_behind_a_cut_is_no_source (both fail without the rule), an_engine_that_answers_with_errors_can_be_copied_from.

--- a/crates/stairvale-dispatch/src/health.rs
+++ b/crates/stairvale-dispatch/src/health.rs
@@ -40,6 +40,8 @@
     trials: u8,
     trying: bool,
     given: Moment,
+    /// Whether it was silent, or couldn't be reached, when it was last heard of.
+    silent: bool,
 }
 
 impl Default for Health {
@@ -54,6 +56,7 @@
             trials: 0,
             trying: false,
             given: Moment::ZERO,
+            silent: false,
         }
     }
 }
@@ -65,6 +68,12 @@
         now >= self.closed_until && !(self.is_trial() && self.trying)
     }
 
+    /// Whether nothing came from it when something was asked of it last. An error is an answer, too.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
     /// Whether it is only being tried, one request at a time.
     #[must_use]
     pub fn is_trial(&self) -> bool {
@@ -112,6 +121,12 @@
     /// A request ended; `usual` is the share of bad outcomes among the others.
     pub fn observe(&mut self, now: Moment, outcome: Outcome, usual: f64) {
         self.fade(now);
+        match outcome {
+            Outcome::Silent | Outcome::Unreachable | Outcome::Gone => self.silent = true,
+            Outcome::Served | Outcome::Failed | Outcome::Shed => self.silent = false,
+            // It says nothing of the upstream.
+            Outcome::Abandoned => {}
+        }
         match outcome {
             Outcome::Served => self.served(),
             Outcome::Failed => self.failed(now, usual),
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -1,7 +1,7 @@
 //! The home's account of a service's upstreams, and its decisions.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -54,6 +54,7 @@
 pub struct Pool {
     rules: Rules,
     members: BTreeMap<id::Upstream, Member>,
+    dark: BTreeSet<id::Zone>,
     /// Where each attempt runs.
     places: HashMap<id::Attempt, id::Upstream>,
     waiting: Vec<Waiting>,
@@ -71,6 +72,7 @@
         Self {
             rules,
             members: BTreeMap::new(),
+            dark: BTreeSet::new(),
             places: HashMap::new(),
             waiting: Vec::new(),
             number: 0,
@@ -135,6 +137,11 @@
         self.serve(now)
     }
 
+    /// Zones that are behind a cut: no other engine can copy from theirs.
+    pub fn set_dark(&mut self, dark: BTreeSet<id::Zone>) {
+        self.dark = dark;
+    }
+
     /// What the members hold of shared parts, as far as is known here.
     pub fn prefixes(&self) -> impl Iterator<Item = (&id::Upstream, Vec<Part>)> {
         let all = self.members.values().map(|member| (&member.id, member.cache.shared()));
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -115,13 +115,16 @@
         self.places.insert(ask.attempt, bid.upstream.clone());
     }
 
-    /// The two members that hold most of a prompt's shared parts, the one with most first.
+    /// The two members that hold most of a prompt's shared parts and can be copied from, the one with most first. An engine
+    /// that is told to copy from one that says nothing waits in vain, and reads all of it after that.
     fn covers(&self, ask: &Ask) -> Vec<(u32, id::Upstream)> {
         if !self.rules.copies {
             return Vec::new();
         }
         let shared = &ask.parts[..ask.parts.len().saturating_sub(1)];
-        let covers = self.members.values().map(|member| (member.cache.covers(shared), member.id.clone()));
+        let speaks = |member: &&Member| !self.dark.contains(&member.zone) && !member.health.is_silent();
+        let covers =
+            self.members.values().filter(speaks).map(|member| (member.cache.covers(shared), member.id.clone()));
         let mut covers: Vec<_> = covers.filter(|(tokens, _)| *tokens >= COPY_LEAST).collect();
         covers.sort_by(|a, b| b.cmp(a));
         covers.truncate(2);
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -68,6 +68,72 @@
     }
 }
 
+/// Two engines with one slot, the first of which holds a prompt's beginning and runs something.
+fn held_elsewhere() -> (Pool, id::Upstream) {
+    let mut pool = pool(engines(), 2, 1);
+    let first = granted(&pool.ask(at(0), ask(1, &[(7, 2_000), (8, 6_000), (100, 500)]))).unwrap();
+    (pool, first)
+}
+
+fn source(answers: &[Answer]) -> Option<id::Upstream> {
+    answers.iter().find_map(|answer| match &answer.verdict {
+        Verdict::Granted { source, .. } => source.clone(),
+        Verdict::Refused(_) => None,
+    })
+}
+
+#[test]
+fn an_engine_that_is_silent_is_no_source_until_it_answers() {
+    for outcome in [Outcome::Silent, Outcome::Unreachable, Outcome::Gone] {
+        let (mut pool, first) = held_elsewhere();
+        pool.release(at(10), id::Attempt(1), outcome, None);
+        let mut second = ask(2, &[(7, 2_000), (8, 6_000), (101, 500)]);
+        second.avoid.push(first.clone());
+        let answers = pool.ask(at(11), second);
+        assert!(granted(&answers).is_some());
+        assert_eq!(source(&answers), None, "{outcome:?}");
+        // The second engine is full now; the first one is tried, and answers.
+        let third = pool.ask(at(5_000), ask(3, &[(9, 2_000), (102, 500)]));
+        assert_eq!(granted(&third), Some(first.clone()), "{outcome:?}");
+        pool.release(at(5_100), id::Attempt(3), Outcome::Served, None);
+        pool.release(at(5_200), id::Attempt(2), Outcome::Served, None);
+        let mut fourth = ask(4, &[(9, 2_000), (103, 500)]);
+        fourth.avoid.push(first.clone());
+        assert_eq!(source(&pool.ask(at(5_300), fourth)), Some(first), "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_engine_that_answers_with_errors_can_be_copied_from() {
+    let (mut pool, first) = held_elsewhere();
+    pool.release(at(10), id::Attempt(1), Outcome::Failed, None);
+    let mut second = ask(2, &[(7, 2_000), (8, 6_000), (101, 500)]);
+    second.avoid.push(first.clone());
+    assert_eq!(source(&pool.ask(at(11), second)), Some(first));
+}
+
+#[test]
+fn an_engine_behind_a_cut_is_no_source() {
+    let mut pool = Pool::new(engines());
+    let mut known = members(2, 1);
+    known[0].1 = "far".parse().unwrap();
+    known[1].3 = false;
+    pool.set_members(at(0), &known);
+    let parts = [(7, 2_000), (8, 6_000), (100, 500)];
+    assert_eq!(granted(&pool.ask(at(0), ask(1, &parts))), Some(known[0].0.clone()));
+    pool.set_dark([known[0].1.clone()].into());
+    known[0].3 = false;
+    known[1].3 = true;
+    pool.set_members(at(10), &known);
+    let answers = pool.ask(at(11), ask(2, &[(7, 2_000), (8, 6_000), (101, 500)]));
+    assert_eq!((granted(&answers), source(&answers)), (Some(known[1].0.clone()), None));
+    // It holds the prompt itself by now, so the next one reads only its own part.
+    pool.release(at(20), id::Attempt(2), Outcome::Served, None);
+    pool.set_dark([].into());
+    let answers = pool.ask(at(21), ask(3, &[(7, 2_000), (8, 6_000), (102, 500)]));
+    assert_eq!(source(&answers), None);
+}
+
 #[test]
 fn what_another_engine_holds_is_copied() {
     let mut pool = pool(engines(), 2, 1);
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -80,6 +80,7 @@
             };
             let pool = self.pools.entry(service.name.clone()).or_insert_with(|| Pool::new(rules));
             pool.set_rules(rules);
+            pool.set_dark(self.dark.clone());
             let answers = pool.set_members(now, &known);
             effects.extend(self.answers(answers));
         }
