One router of the fleet reads the store

Ruled out: longer waits alone (a copy counts from when its call was sent, so the reader's own is up to two waits old). Change: of the zones' watchers one, by rendezvous, reads for the fleet and tells the others, each of which tells its zone. A watcher that it keeps waiting for 0.55 of the notice bound asks the store once, without waiting, and passes it over for 3 s; other routers do so at 0.7 of it, as before. So a zone that is cut off has one that reads for it sooner than it had (1.1 s instead of 1.4 s). Tests that said one reader a zone say one a fleet now, and check it over ten seconds instead of at one moment; that all watchers are cut from the store is checked in two steps (the reader, then all who took its place). New: a_zone_that_is_cut_off_from_the_reader_learns_in_time, when_the_reader_is_killed_the_next_one_reads.

--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -19,10 +19,10 @@
     pub(super) fn sync(&mut self, now: Moment) -> Vec<Effect> {
         self.syncs.retain(|_, asked| now.since(*asked) < ASKED);
         self.blind.retain(|_, until| *until > now);
-        self.judge_watcher(now);
+        self.judge_informant(now);
         let after = self.view.revision();
         let mut to = Vec::new();
-        to.extend(self.watcher().filter(|watcher| watcher != &self.me));
+        to.extend(self.informant().filter(|informant| informant != &self.me));
         let old = self.bounds.stale() * 3 / 4;
         if self.view.age(now).is_none_or(|age| age > old) {
             to.extend(self.any_peer());
@@ -31,18 +31,18 @@
         to.iter().flat_map(|peer| self.sync_with(now, peer, after)).collect()
     }
 
-    /// A watcher that was relied upon for long enough and let this copy go stale is passed over. One that only just took
-    /// over isn't blamed for what the last one left, or routers would go on choosing different ones.
-    fn judge_watcher(&mut self, now: Moment) {
-        let watcher = self.watcher();
-        if self.relied.as_ref().map(|(relied, _)| relied) != watcher.as_ref() {
-            self.relied = watcher.map(|watcher| (watcher, now));
+    /// One that was relied upon for long enough and let this copy grow old is passed over. One that only just took over
+    /// isn't blamed for what the last one left, or routers would go on choosing different ones.
+    pub(super) fn judge_informant(&mut self, now: Moment) {
+        let (informant, patience) = (self.informant(), self.patience());
+        if self.relied.as_ref().map(|(relied, _)| relied) != informant.as_ref() {
+            self.relied = informant.map(|informant| (informant, now));
         }
-        if let Some((watcher, since)) = &self.relied
-            && self.is_stale(now)
-            && now.since(*since) >= self.bounds.stale()
+        if let Some((informant, since)) = &self.relied
+            && self.is_older(now, patience)
+            && now.since(*since) >= patience
         {
-            self.blind.insert(watcher.clone(), now + BLIND);
+            self.blind.insert(informant.clone(), now + BLIND);
         }
     }
 
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -28,6 +28,8 @@
 
 /// How often entries name what they hold.
 const RENEW: Duration = Duration::from_millis(500);
+/// What the fleet's reader of the store is picked by, among the zones' watchers.
+const LEADER: u64 = 0;
 /// A router asks a watcher what is new, and how fresh it is, this many times while its copy goes stale.
 const SYNCS: u32 = 6;
 /// A process that didn't run for this long distrusts what it was about to do.
@@ -68,7 +70,7 @@
     dark: BTreeSet<id::Zone>,
     /// Routers that didn't keep this one up to date, and until when they aren't relied upon for that.
     blind: HashMap<id::Router, Moment>,
-    /// The zone's watcher, and since when this router relies upon it.
+    /// Whom this router hears of the store from, and since when.
     relied: Option<(id::Router, Moment)>,
     /// Routers that the store named, each of which was pinged when it was new.
     greeted: BTreeSet<SocketAddr>,
@@ -168,13 +170,20 @@
         self.view.upstreams().find(|known| &known.id == upstream).cloned()
     }
 
-    /// Whether this router reads the store: one in each zone does, and others only when they hear too little.
+    /// Whether this router reads the store now, and how long its call may wait for something new. One in the fleet reads all
+    /// the time; a zone's watcher that it keeps waiting, and others that hear too little, ask once and needn't wait.
     #[must_use]
-    pub fn watches(&self, now: Moment) -> bool {
-        if self.watcher().as_ref() == Some(&self.me) {
-            return true;
+    pub fn watch(&self, now: Moment) -> Option<Duration> {
+        if self.leader().as_ref() == Some(&self.me) {
+            return Some(self.bounds.watch());
         }
-        self.is_stale(now)
+        self.is_older(now, self.patience()).then_some(Duration::ZERO)
+    }
+
+    /// How old this router's copy may grow before it reads the store itself.
+    fn patience(&self) -> Duration {
+        let watcher = self.watcher().as_ref() == Some(&self.me);
+        if watcher { self.bounds.late() } else { self.bounds.stale() }
     }
 
     /// The router that a request of a service is placed by: its home, or who stands in for one that doesn't answer.
@@ -199,15 +208,37 @@
         live.into_iter().filter(strong).map(|member| (member.router.hash64(), &member.router)).collect()
     }
 
-    fn is_stale(&self, now: Moment) -> bool {
-        self.view.age(now).is_none_or(|age| age > self.bounds.stale())
+    fn is_older(&self, now: Moment, limit: Duration) -> bool {
+        self.view.age(now).is_none_or(|age| age > limit)
     }
 
-    /// The router of this zone that reads the store: it sends what changes to all others, so it is a strong one.
+    /// The router of this zone that keeps it up to date: it sends what changes to all others, so it is a strong one.
     fn watcher(&self) -> Option<id::Router> {
-        let sees = |member: &&Member| member.zone == self.zone && !self.blind.contains_key(&member.router);
-        let live = self.swim.live().filter(|member| member.status == Status::Alive).filter(sees);
-        pick(self.zone.hash64(), self.strong(live.collect()).into_iter()).cloned()
+        self.watcher_of(&self.zone).map(|watcher| watcher.router.clone())
+    }
+
+    fn watcher_of(&self, zone: &id::Zone) -> Option<&Member> {
+        let sees = |member: &&Member| &member.zone == zone && !self.blind.contains_key(&member.router);
+        let live: Vec<_> = self.swim.live().filter(|member| member.status == Status::Alive).filter(sees).collect();
+        let picked = pick(zone.hash64(), self.strong(live.clone()).into_iter())?;
+        live.into_iter().find(|member| &member.router == picked)
+    }
+
+    /// The zones' watchers.
+    fn watchers(&self) -> Vec<&Member> {
+        let zones: BTreeSet<_> = self.swim.live().map(|member| &member.zone).collect();
+        zones.into_iter().filter_map(|zone| self.watcher_of(zone)).collect()
+    }
+
+    /// The watcher that reads the store for the whole fleet, and tells the others.
+    fn leader(&self) -> Option<id::Router> {
+        pick(LEADER, self.strong(self.watchers()).into_iter()).cloned()
+    }
+
+    /// Whom this router hears of the store from.
+    fn informant(&self) -> Option<id::Router> {
+        let watcher = self.watcher();
+        if watcher.as_ref() == Some(&self.me) { self.leader() } else { watcher }
     }
 
     // ------------------------------------------------------------------------
@@ -215,23 +246,32 @@
 
     /// The store was read: `news` came to a call that was made at `asked`.
     pub fn read(&mut self, now: Moment, asked: Moment, news: News) -> Vec<Effect> {
+        self.judge_informant(now);
         let before = self.view.revision();
         if !self.view.read(now, asked, news) {
             return Vec::new();
         }
         let mut effects = self.refresh(now);
-        // Who reads only for itself, since it heard too little, doesn't tell the others: each of them does the same.
-        let watches = self.watcher().as_ref() == Some(&self.me);
-        if let Some(news) = self.view.since(before).filter(|_| watches) {
-            let zone = self.zone.clone();
-            let peers: Vec<_> = self.live_peers().filter(|peer| peer.zone == zone).map(|p| p.router.clone()).collect();
-            for peer in peers {
-                effects.extend(self.send(&peer, Frame::News(news.clone())));
-            }
-        }
+        effects.extend(self.tell(before));
         effects
     }
 
+    /// Tells what is new since a revision: a zone's watcher to its zone, the fleet's reader to the other watchers, too. Who
+    /// reads only for itself, since it heard too little, tells nobody: each of the others does the same.
+    fn tell(&self, before: u64) -> Vec<Effect> {
+        if self.watcher().as_ref() != Some(&self.me) {
+            return Vec::new();
+        }
+        let Some(news) = self.view.since(before) else {
+            return Vec::new();
+        };
+        let mut to: BTreeSet<_> = self.live_peers().filter(|peer| peer.zone == self.zone).map(|p| &p.router).collect();
+        if self.leader().as_ref() == Some(&self.me) {
+            to.extend(self.watchers().into_iter().map(|watcher| &watcher.router).filter(|router| **router != self.me));
+        }
+        to.into_iter().flat_map(|peer| self.send(peer, Frame::News(news.clone()))).collect()
+    }
+
     /// The store failed this router.
     pub fn disturbed(&mut self, now: Moment) {
         self.view.disturb(now);
@@ -300,7 +340,9 @@
                 if !self.view.take(news) {
                     return self.sync_with(now, from, after);
                 }
-                self.refresh(now)
+                let mut effects = self.refresh(now);
+                effects.extend(self.tell(after));
+                effects
             }
         }
     }
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -153,10 +153,19 @@
         Duration::from_millis(self.configuration_ms.min(self.leave_ms))
     }
 
-    /// How long a watch of the store waits: each answer says that nothing newer was there when it was asked for.
+    /// How long a watch of the store waits: each answer says that nothing newer was there when it was asked for, so the
+    /// reader's own copy is up to twice as old when the next answer comes.
     #[must_use]
     pub fn watch(&self) -> Duration {
-        self.notice() / 4
+        self.notice() / 5
+    }
+
+    /// A zone's watcher whose copy may be older than this reads the store itself: more than twice [`Self::watch`] and the time
+    /// between two questions to the fleet's reader, so in calm times it needn't, and less than [`Self::stale`], so that the zone's other
+    /// routers needn't either.
+    #[must_use]
+    pub fn late(&self) -> Duration {
+        self.notice() * 11 / 20
     }
 
     /// A copy that may be older than this is no longer left to others: this router reads the store itself.
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -19,16 +19,15 @@
 
 /// Reads the store whenever this router is to, until the task is dropped.
 pub async fn read<S: Source>(shared: Arc<Shared>, source: Arc<S>) {
-    let wait = shared.settings.bounds.watch();
     let mut pause = FIRST;
     let mut forgotten = false;
     let mut cut = false;
     loop {
-        let (watches, revision, asked) = shared.look(|core, now| (core.watches(now), core.view().revision(), now));
-        if !watches {
+        let (wait, revision, asked) = shared.look(|core, now| (core.watch(now), core.view().revision(), now));
+        let Some(wait) = wait else {
             tokio::time::sleep(LOOK).await;
             continue;
-        }
+        };
         let whole = revision == 0 || forgotten;
         let news = if whole { source.everything().await } else { source.changes(revision, wait).await };
         let fault = match news {
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -21,17 +21,59 @@
     u64::try_from(world.bounds.notice().as_millis()).unwrap()
 }
 
-/// Routers that read the store when nothing is wrong.
-fn readers(world: &World) -> Vec<usize> {
-    let now = world::moment(world.now);
-    (0..world.nodes.len()).filter(|index| world.nodes[*index].core.watches(now)).collect()
+/// Routers that read the store within some time.
+fn readers(world: &mut World, millis: u64) -> Vec<usize> {
+    let before: Vec<_> = world.nodes.iter().map(|node| node.reads).collect();
+    world.run(millis);
+    (0..world.nodes.len()).filter(|index| world.nodes[*index].reads > before[*index]).collect()
 }
 
+/// Long enough for whoever reads the store to do so.
+const READ: u64 = 450;
+
 #[test]
-fn in_calm_times_one_router_of_each_zone_reads_the_store() {
+fn in_calm_times_one_router_of_the_fleet_reads_the_store() {
     let mut world = settled(9, 3, 6);
-    world.run(5_000);
-    assert_eq!(readers(&world).len(), 3);
+    let reader = readers(&mut world, READ);
+    assert_eq!(reader.len(), 1);
+    assert_eq!(readers(&mut world, 10_000), reader);
+}
+
+#[test]
+fn a_zone_that_is_cut_off_from_the_reader_learns_in_time() {
+    let mut world = settled(9, 3, 6);
+    let reader = readers(&mut world, READ)[0];
+    let ways = (0..9).flat_map(|a| (0..9).map(move |b| (a, b))).filter(|(a, b)| a % 3 != b % 3);
+    for (a, b) in ways {
+        world.set_cut(a, b, true);
+    }
+    world.run(50);
+    world.put_engine(0, 0, Some(State::Draining));
+    world.configure();
+    // One router of each other zone reads, so that the others needn't.
+    let bound = notice(&world);
+    let others = readers(&mut world, bound - 600).into_iter().filter(|index| index % 3 != reader % 3).count();
+    assert_eq!(others, 2);
+    for index in 0..9 {
+        assert!(!world.usable(index, 0), "router {index}");
+        assert_eq!(world.version(index), world.versions.last().unwrap().0, "router {index}");
+    }
+}
+
+#[test]
+fn when_the_reader_is_killed_the_next_one_reads() {
+    let mut world = settled(9, 3, 6);
+    let reader = readers(&mut world, READ)[0];
+    world.kill(reader);
+    world.run(50);
+    world.put_engine(0, 0, Some(State::Draining));
+    let bound = notice(&world);
+    world.run(bound - 100);
+    for index in (0..9).filter(|index| *index != reader) {
+        assert!(!world.usable(index, 0), "router {index}");
+    }
+    world.run(4_000);
+    assert_eq!(readers(&mut world, 5_000).len(), 1);
 }
 
 #[test]
@@ -50,25 +92,28 @@
 #[test]
 fn routers_whose_watcher_is_cut_from_the_store_learn_in_time() {
     let mut world = settled(9, 3, 6);
-    for reader in readers(&world) {
-        world.set_store_cut(reader, true);
-    }
-    world.run(50);
-    world.put_engine(0, 0, Some(State::Draining));
     let bound = notice(&world);
-    world.run(bound - 100);
-    for index in 0..9 {
-        assert!(!world.usable(index, 0), "router {index}");
+    // First the fleet's reader, then those who took its place, too.
+    let mut cut = readers(&mut world, READ);
+    for engine in 0..2 {
+        for reader in &cut {
+            world.set_store_cut(*reader, true);
+        }
+        world.run(50);
+        world.put_engine(engine, 0, Some(State::Draining));
+        cut = readers(&mut world, bound - 100);
+        for index in 0..9 {
+            assert!(!world.usable(index, engine), "router {index}, engine {engine}, cut {cut:?}");
+        }
     }
 }
 
 #[test]
 fn routers_that_read_for_themselves_do_not_tell_all_others() {
     let mut world = settled(12, 1, 6);
-    let reader = readers(&world)[0];
+    let reader = readers(&mut world, READ)[0];
     world.set_store_cut(reader, true);
-    world.run(700);
-    assert!(readers(&world).len() > 6);
+    assert!(readers(&mut world, 1_500).len() > 6);
     world.told = 0;
     world.configure();
     world.run(500);
@@ -79,7 +124,7 @@
 #[test]
 fn an_entry_that_goes_is_gone_in_time_though_other_routers_are_cut_off() {
     let mut world = settled(9, 3, 6);
-    let cut = readers(&world)[0];
+    let cut = readers(&mut world, READ)[0];
     world.set_store_cut(cut, true);
     world.run(2_500);
     world.put_engine(0, 0, None);
@@ -272,23 +317,23 @@
         world.name_router(index, if index >= 6 { 50 } else { 12 });
     }
     world.run(2_000);
-    assert_eq!(readers(&world), [6, 7]);
+    let reader = readers(&mut world, 2_000);
+    assert!(reader == [6] || reader == [7], "{reader:?}");
+    // Each zone's watcher reads when the fleet's reader keeps it waiting.
+    world.kill(reader[0]);
+    let next = readers(&mut world, 1_400);
+    let same = |index: &usize| index % 2 != reader[0] % 2;
+    assert_eq!(next.into_iter().filter(same).collect::<Vec<_>>(), [13 - reader[0]]);
 }
 
 #[test]
-fn a_zone_agrees_on_its_next_watcher_and_keeps_to_it() {
+fn the_fleet_agrees_on_its_next_reader_and_keeps_to_it() {
     let mut world = settled(8, 2, 4);
-    let killed = readers(&world)[0];
+    let killed = readers(&mut world, READ)[0];
     world.kill(killed);
     world.run(1_500);
-    let mut next = Vec::new();
-    for _ in 0..20 {
-        world.run(300);
-        next.extend(readers(&world).into_iter().filter(|index| *index != killed));
-    }
-    next.sort_unstable();
-    next.dedup();
-    assert_eq!(next.len(), 2, "{next:?}");
+    let next = readers(&mut world, 6_000);
+    assert_eq!(next.len(), 1, "{next:?}");
 }
 
 #[test]
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -49,6 +49,8 @@
     pub replies: HashMap<id::Attempt, Reply>,
     /// Engines that it wants inspected.
     pub inspected: Vec<id::Upstream>,
+    /// Calls to the store.
+    pub reads: usize,
     alive: bool,
     call: Option<Call>,
     rest_until: u64,
@@ -102,7 +104,7 @@
         for index in 0..routers {
             let core = world.core(index, zones, 1);
             let (replies, inspected) = (HashMap::new(), Vec::new());
-            world.nodes.push(Node { core, replies, inspected, alive: true, call: None, rest_until: 0 });
+            world.nodes.push(Node { core, replies, inspected, reads: 0, alive: true, call: None, rest_until: 0 });
         }
         world.configure();
         for engine in 0..engines {
@@ -170,12 +172,12 @@
 
     fn poll_store(&mut self, index: usize) {
         let (now, revision) = (self.now, self.store.len() as u64);
-        let wait = u64::try_from(self.bounds.watch().as_millis()).unwrap();
         let cut = self.cut_from_store.contains(&index);
         let node = &mut self.nodes[index];
         let Some(call) = node.call else {
-            if now >= node.rest_until && node.core.watches(moment(now)) {
-                node.call = Some(Call { asked: now, until: now + wait });
+            if let Some(wait) = node.core.watch(moment(now)).filter(|_| now >= node.rest_until) {
+                node.reads += 1;
+                node.call = Some(Call { asked: now, until: now + u64::try_from(wait.as_millis()).unwrap() });
             }
             return;
         };
@@ -228,7 +230,7 @@
     pub fn start(&mut self, index: usize, zones: usize) {
         let core = self.core(index, zones, self.now + 2);
         let (replies, inspected) = (HashMap::new(), Vec::new());
-        self.nodes[index] = Node { core, replies, inspected, alive: true, call: None, rest_until: 0 };
+        self.nodes[index] = Node { core, replies, inspected, reads: 0, alive: true, call: None, rest_until: 0 };
     }
 
     // ------------------------------------------------------------------------
