The time to the first event is a base and a time for each token

Ruled out: weights alone. Change: dispatch::Reading learns a base from short prompts and a time for each token from long ones. First events after a copy don't count for an engine's pace: the copy's source takes part in them.

--- a/crates/stairvale-dispatch/src/lib.rs
+++ b/crates/stairvale-dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod health;
 pub mod member;
 pub mod pool;
+pub mod reading;
 pub mod seen;
 
 pub use ask::{Answer, Ask, Held, Outcome, Part, Verdict};
@@ -27,4 +28,5 @@
 pub use cache::Cache;
 pub use member::Member;
 pub use pool::Pool;
+pub use reading::Reading;
 pub use seen::Seen;
--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -21,6 +21,8 @@
     pub tokens: u32,
     /// The time to the first event that was expected, in ms.
     pub expected: f64,
+    /// Whether it copies from another engine first.
+    pub copies: bool,
 }
 
 /// One upstream.
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -7,7 +7,7 @@
 
 use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
 
-use crate::{Answer, Ask, Held, Member, Outcome, Part, Verdict, member::Hold};
+use crate::{Answer, Ask, Held, Member, Outcome, Part, Reading, Verdict, member::Hold};
 
 mod choose;
 
@@ -15,12 +15,8 @@
 const HOLD_TTL: Duration = Duration::from_secs(4);
 /// A hold younger than this may be missing from what its entry named before the grant came in.
 const YOUNG: Duration = Duration::from_millis(1_000);
-/// Tokens that an engine reads in a millisecond, until answers have shown it.
-const FIRST_GUESS: f64 = 20.0;
 /// A plain answer's time in ms, until answers have shown it.
 const FIRST_TIME: f64 = 50.0;
-/// Prompts below this say little of the rate of reading.
-const TELLING: f64 = 800.0;
 /// How much one answer counts in a mean.
 const WEIGHT: f64 = 0.1;
 /// The longest time that is told to come back after.
@@ -59,8 +55,8 @@
     places: HashMap<id::Attempt, id::Upstream>,
     waiting: Vec<Waiting>,
     number: u64,
-    /// Tokens read in a ms, over all engines.
-    rate: f64,
+    /// How long its engines take to the first event.
+    reading: Reading,
     /// The mean time of a plain answer, or of an engine's request from grant to end, in ms.
     time: f64,
 }
@@ -76,7 +72,7 @@
             places: HashMap::new(),
             waiting: Vec::new(),
             number: 0,
-            rate: FIRST_GUESS,
+            reading: Reading::default(),
             time: FIRST_TIME,
         }
     }
@@ -211,13 +207,14 @@
         let took = took.as_secs_f64() * 1e3;
         let read = f64::from(hold.read);
         hold.read = 0;
-        let expected = hold.expected;
-        // Only what was read while nothing else was tells the rate.
+        let (expected, copies) = (hold.expected, hold.copies);
+        // Only what was read while nothing else was tells how long reading takes.
         let alone = member.held.values().all(|other| other.read == 0);
-        if self.rules.engine.is_some() && alone && read >= TELLING && took > 1.0 {
-            self.rate += ((read / took).clamp(1.0, 1e3) - self.rate) * WEIGHT;
+        if self.rules.engine.is_some() && alone && !copies {
+            self.reading.observe(read, took);
         }
-        if expected > 0.0 {
+        // How long a copy takes is no matter of this engine alone.
+        if expected > 0.0 && !copies {
             member.health.took(now, (took + 20.0) / (expected + 20.0));
         }
     }
@@ -267,6 +264,7 @@
                 read: item.read,
                 tokens: item.read,
                 expected: 0.0,
+                copies: false,
             };
             member.held.insert(item.attempt, hold);
             self.places.insert(item.attempt, item.upstream.clone());
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -14,10 +14,11 @@
 const FAR: f64 = 10.0;
 /// What the next one in the order of a prompt's home costs, in ms, so that routers choose alike.
 const STEP: f64 = 0.4;
-/// Reading shared parts again holds others up: a token costs this many tokens' time beside its own.
-const AGAIN: f64 = 1.0;
-/// What copying a token from another engine costs, beside reading it.
-const COPY: f64 = 0.3;
+/// Reading shared parts again holds others up and takes memory: a token costs the time of reading this many, beside its own
+/// (docs/POLICY.md, "Time as a line").
+const AGAIN: f64 = 16.0;
+/// What copying a token from another engine costs, in the time of reading one (there, too).
+const COPY: f64 = 3.0;
 /// The time that copying a token takes, beside reading it.
 const COPY_TIME: f64 = 0.15;
 /// Within this share of the objective it is worth little to be sooner.
@@ -110,7 +111,15 @@
         member.cache.read(&ask.parts);
         member.health.given(now);
         let tokens = own + ask.output;
-        let hold = Hold { entry: ask.entry.clone(), since: now, named: now, read: bid.read, tokens, expected };
+        let hold = Hold {
+            entry: ask.entry.clone(),
+            since: now,
+            named: now,
+            read: bid.read,
+            tokens,
+            expected,
+            copies: bid.source.is_some(),
+        };
         member.held.insert(ask.attempt, hold);
         self.places.insert(ask.attempt, bid.upstream.clone());
     }
@@ -156,8 +165,8 @@
         let crowd = f64::from(member.running()) * CROWD;
         let (time, work) = if self.rules.engine.is_some() {
             let copying = f64::from(copied) * COPY_TIME;
-            let time = (member.ahead() as f64 + f64::from(read) + copying) / self.rate;
-            (time * pace, (shared * AGAIN + f64::from(copied) * COPY) / self.rate)
+            let time = self.reading.first(member.ahead() as f64 + f64::from(read) + copying);
+            (time * pace, self.reading.time(shared * AGAIN + f64::from(copied) * COPY))
         } else {
             let over = f64::from(member.running()) / f64::from(member.slots);
             (self.time * (1.0 + over * over) * pace, 0.0)
--- a/crates/stairvale-dispatch/tests/parts.rs
+++ b/crates/stairvale-dispatch/tests/parts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use stairvale_dispatch::{Cache, Part, Seen, Window, budget::Budget};
+use stairvale_dispatch::{Cache, Part, Reading, Seen, Window, budget::Budget};
 use stairvale_types::{Moment, id};
 
 fn budget() -> Budget {
@@ -72,6 +72,23 @@
 }
 
 quickcheck! {
+    /// Whatever engines there are, a base and a rate are learned from answers to prompts of all sizes, with some that took far longer.
+    fn the_time_to_the_first_event_is_learned(base: u8, rate: u8, sizes: Vec<u16>) -> bool {
+        let (base, each) = (5.0 + f64::from(base), 1.0 / (10.0 + f64::from(rate)));
+        let mut reading = Reading::default();
+        for round in 0..400_u32 {
+            let size = sizes.get(round as usize % sizes.len().max(1)).copied().unwrap_or(50);
+            let tokens = if round % 2 == 0 { f64::from(size % 200) } else { 800.0 + f64::from(size) };
+            let late = if round % 50 == 7 { 500.0 } else { 0.0 };
+            reading.observe(tokens, base + tokens * each + late);
+        }
+        let expected = |tokens: f64| base + tokens * each;
+        [100.0, 2_000.0, 20_000.0].iter().all(|tokens| {
+            let ratio = reading.first(*tokens) / expected(*tokens);
+            (0.6..1.9).contains(&ratio)
+        })
+    }
+
     /// Whenever one is spent, the retries of the window that ends there stay within the ratio and an equal part of what is free.
     fn the_budget_holds(events: Vec<(u16, bool)>) -> bool {
         let mut window = Window::default();
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -82,6 +82,26 @@
     })
 }
 
+#[test]
+fn engines_alike_are_not_told_apart_by_the_size_of_their_prompts() {
+    let mut pool = pool(engines(), 2, 16);
+    let ids: Vec<_> = members(2, 16).into_iter().map(|(id, ..)| id).collect();
+    for round in 0..60_u32 {
+        for (other, tokens) in [(1, 60), (0, 6_000)] {
+            let number = u128::from(round) * 2 + other as u128;
+            let now = 200 * u64::from(round) + 100 * other as u64;
+            let mut ask = ask(number, &[(1_000 + u64::try_from(number).unwrap(), tokens)]);
+            ask.avoid.push(ids[other].clone());
+            assert!(granted(&pool.ask(at(now), ask)).is_some());
+            let took = Duration::from_millis(55) + Duration::from_micros(10) * tokens;
+            pool.begun(at(now + 80), id::Attempt(number), took);
+            pool.release(at(now + 90), id::Attempt(number), Outcome::Served, None);
+        }
+    }
+    let paces: Vec<_> = pool.members().map(|member| member.health.pace(at(12_000))).collect();
+    assert!((paces[0] - paces[1]).abs() < 0.1, "{paces:?}");
+}
+
 #[test]
 fn an_engine_that_is_silent_is_no_source_until_it_answers() {
     for outcome in [Outcome::Silent, Outcome::Unreachable, Outcome::Gone] {
