A zone is behind a cut where neither its routers nor its upstreams answer

Cause, two faults of one rule. (2) While chinautla was cut off, its router sent each plain request to one after the other of three upstreams beyond the cut, 120 ms each, for four seconds: 61 refusals after 121 to 620 ms, where callers could have been told at once. Ruled out: a full upstream (its zone's own one had been taken away before). Change: the pool judges what can be reached (pool/reach.rs). A zone none of whose routers is heard of is cut off if nothing of it answered within 500 ms and one of its upstreams was silent. Where only upstreams beyond a cut are left, silent ones are tried one request at a time, after the pauses of their health; all else is refused at once, with when to come back. Tests, the first two seen failing: the_engines_of_a_zone_are_used_though_its_only_router_was_killed, what_only_silent_upstreams_behind_a_cut_could_serve_is_refused_at_once (refused NoUpstream; before, granted), a_zone_whose_routers_are_gone_but_whose_engines_answer_is_not_cut_off. an_engine_behind_a_cut_is_no_source now says what tells a cut.

--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -10,6 +10,7 @@
 use crate::{Answer, Ask, Held, Member, Outcome, Part, Reading, Verdict, member::Hold};
 
 mod choose;
+mod reach;
 
 /// A hold that its entry hasn't named for this long is dropped; entries name theirs several times in it.
 const HOLD_TTL: Duration = Duration::from_secs(4);
@@ -50,7 +51,10 @@
 pub struct Pool {
     rules: Rules,
     members: BTreeMap<id::Upstream, Member>,
+    /// Zones none of whose routers is heard of.
     dark: BTreeSet<id::Zone>,
+    /// When an upstream of a zone answered last.
+    answered: BTreeMap<id::Zone, Moment>,
     /// Where each attempt runs.
     places: HashMap<id::Attempt, id::Upstream>,
     waiting: Vec<Waiting>,
@@ -69,6 +73,7 @@
             rules,
             members: BTreeMap::new(),
             dark: BTreeSet::new(),
+            answered: BTreeMap::new(),
             places: HashMap::new(),
             waiting: Vec::new(),
             number: 0,
@@ -133,7 +138,7 @@
         self.serve(now)
     }
 
-    /// Zones that are behind a cut: no other engine can copy from theirs.
+    /// Sets the zones none of whose routers is heard of: where upstreams are silent, too, they are behind a cut.
     pub fn set_dark(&mut self, dark: BTreeSet<id::Zone>) {
         self.dark = dark;
     }
@@ -204,6 +209,7 @@
         let Some(hold) = member.held.get_mut(&attempt) else {
             return;
         };
+        self.answered.insert(member.zone.clone(), now);
         let took = took.as_secs_f64() * 1e3;
         let read = f64::from(hold.read);
         hold.read = 0;
@@ -241,6 +247,9 @@
                 }
             }
             member.health.observe(now, outcome, usual);
+            if matches!(outcome, Outcome::Served | Outcome::Failed | Outcome::Shed) {
+                self.answered.insert(member.zone.clone(), now);
+            }
         }
         self.serve(now)
     }
@@ -336,7 +345,8 @@
 
     /// The share of bad outcomes among the other upstreams: the median.
     fn usual(&self, now: Moment, except: &id::Upstream) -> f64 {
-        let others = self.members.values().filter(|member| &member.id != except && member.usable);
+        let within = self.reach(now);
+        let others = self.members.values().filter(|member| &member.id != except && within.has(member));
         let mut shares: Vec<_> = others.map(|member| member.health.failing(now)).collect();
         shares.sort_by(f64::total_cmp);
         shares.get(shares.len() / 2).copied().unwrap_or(0.0)
@@ -345,7 +355,8 @@
     /// How long a request would wait for a place; `None` if there is no upstream that could ever serve it.
     #[allow(clippy::cast_precision_loss)]
     fn predict(&self, now: Moment, ask: &Ask) -> Option<Duration> {
-        let able = |member: &&Member| member.usable && !ask.avoid.contains(&member.id);
+        let within = self.reach(now);
+        let able = |member: &&Member| within.has(member) && !ask.avoid.contains(&member.id);
         let able: Vec<_> = self.members.values().filter(able).collect();
         if able.is_empty() {
             return None;
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -5,7 +5,7 @@
 use stairvale_placement::{Engine, rank};
 use stairvale_types::{Moment, id};
 
-use super::Pool;
+use super::{Pool, reach::Reach};
 use crate::{Answer, Ask, Member, Part, Verdict, cache, member::Hold};
 
 /// What each running request costs the next one, in ms; it spreads work that would be as well anywhere.
@@ -53,11 +53,11 @@
 impl Pool {
     /// The most that one upstream may run, by the set multiple of the mean.
     #[allow(clippy::cast_precision_loss)]
-    fn bound(&self) -> f64 {
+    fn bound(&self, within: &Reach<'_>) -> f64 {
         if self.rules.multiple <= 0.0 {
             return f64::MAX;
         }
-        let usable = self.members.values().filter(|member| member.usable).count().max(1);
+        let usable = self.members.values().filter(|member| within.has(member)).count().max(1);
         let running: u32 = self.members.values().map(Member::running).sum();
         let mean = f64::from(running) / usable as f64;
         // One less than allowed: what is on its way isn't seen by everybody at once.
@@ -78,9 +78,10 @@
 
     /// Gives the request to the member that serves it soonest, if any has room.
     pub(super) fn grant(&mut self, now: Moment, ask: &Ask) -> Option<Answer> {
-        let bound = self.bound();
-        let covers = self.covers(ask);
-        let able = |member: &Member| member.usable && !ask.avoid.contains(&member.id);
+        let within = self.reach(now);
+        let bound = self.bound(&within);
+        let covers = self.covers(ask, &within);
+        let able = |member: &Member| within.has(member) && !ask.avoid.contains(&member.id);
         // Where none is well, any of them is better than a refusal.
         let none_well = !self.members.values().any(|member| able(member) && member.health.is_open(now));
         let mut best: Option<Bid> = None;
@@ -124,16 +125,14 @@
         self.places.insert(ask.attempt, bid.upstream.clone());
     }
 
-    /// The two members that hold most of a prompt's shared parts and can be copied from, the one with most first. An engine
-    /// that is told to copy from one that says nothing waits in vain, and reads all of it after that.
-    fn covers(&self, ask: &Ask) -> Vec<(u32, id::Upstream)> {
+    /// The two members that hold most of a prompt's shared parts and can be copied from, the one with most first.
+    fn covers(&self, ask: &Ask, within: &Reach<'_>) -> Vec<(u32, id::Upstream)> {
         if !self.rules.copies {
             return Vec::new();
         }
         let shared = &ask.parts[..ask.parts.len().saturating_sub(1)];
-        let speaks = |member: &&Member| !self.dark.contains(&member.zone) && !member.health.is_silent();
-        let covers =
-            self.members.values().filter(speaks).map(|member| (member.cache.covers(shared), member.id.clone()));
+        let sources = self.members.values().filter(|member| within.can_copy(member));
+        let covers = sources.map(|member| (member.cache.covers(shared), member.id.clone()));
         let mut covers: Vec<_> = covers.filter(|(tokens, _)| *tokens >= COPY_LEAST).collect();
         covers.sort_by(|a, b| b.cmp(a));
         covers.truncate(2);
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -132,26 +132,78 @@
     assert_eq!(source(&pool.ask(at(11), second)), Some(first));
 }
 
+/// Engines e0 and e1 of a zone that is far, and e2; a prompt's beginning is at e0, and e1 said nothing.
+fn far_zone() -> (Pool, Vec<id::Upstream>) {
+    let mut pool = Pool::new(engines());
+    let mut known = members(3, 4);
+    for member in &mut known[..2] {
+        member.1 = "far".parse().unwrap();
+    }
+    pool.set_members(at(0), &known);
+    let ids: Vec<_> = known.into_iter().map(|(id, ..)| id).collect();
+    for (number, place, outcome) in [(1, 0, Outcome::Served), (2, 1, Outcome::Silent)] {
+        let mut ask = ask(number, &[(7 * u64::try_from(number).unwrap(), 8_000), (100, 500)]);
+        ask.avoid = ids.iter().filter(|id| **id != ids[place]).cloned().collect();
+        assert_eq!(granted(&pool.ask(at(10), ask)), Some(ids[place].clone()));
+        pool.release(at(100), id::Attempt(number), outcome, None);
+    }
+    (pool, ids)
+}
+
 #[test]
 fn an_engine_behind_a_cut_is_no_source() {
-    let mut pool = Pool::new(engines());
-    let mut known = members(2, 1);
+    let (mut pool, ids) = far_zone();
+    let near = |number| {
+        let mut ask = ask(number, &[(7, 8_000), (100 + u64::try_from(number).unwrap(), 500)]);
+        ask.avoid = ids[..2].to_vec();
+        ask
+    };
+    pool.set_dark(["far".parse().unwrap()].into());
+    let answers = pool.ask(at(300), near(3));
+    assert_eq!(
+        (granted(&answers), source(&answers)),
+        (Some(ids[2].clone()), Some(ids[0].clone())),
+        "it answered lately"
+    );
+    pool.forget(at(310), id::Attempt(3));
+    let mut other = ask(4, &[(7, 8_000), (104, 500)]);
+    assert_eq!(granted(&pool.ask(at(1_000), other.clone())), Some(ids[2].clone()), "nothing is sent beyond the cut");
+    // With the routers of the zone back, the first engine is as good as before.
+    pool.set_dark([].into());
+    other.attempt = id::Attempt(5);
+    other.avoid = vec![ids[2].clone()];
+    assert_eq!(granted(&pool.ask(at(1_100), other)), Some(ids[0].clone()));
+}
+
+#[test]
+fn a_zone_whose_routers_are_gone_but_whose_engines_answer_is_not_cut_off() {
+    let (mut pool, ids) = far_zone();
+    pool.set_dark(["far".parse().unwrap()].into());
+    for number in 3..30 {
+        let now = 100 * u64::try_from(number).unwrap();
+        let again = ask(number, &[(7, 8_000), (100 + u64::try_from(number).unwrap(), 500)]);
+        assert_eq!(granted(&pool.ask(at(now), again)), Some(ids[0].clone()));
+        pool.begun(at(now + 60), id::Attempt(number), Duration::from_millis(60));
+        pool.release(at(now + 90), id::Attempt(number), Outcome::Served, None);
+    }
+}
+
+#[test]
+fn what_only_silent_upstreams_behind_a_cut_could_serve_is_refused_at_once() {
+    let mut pool = Pool::new(Rules::default());
+    let mut known = members(1, 8);
     known[0].1 = "far".parse().unwrap();
-    known[1].3 = false;
     pool.set_members(at(0), &known);
-    let parts = [(7, 2_000), (8, 6_000), (100, 500)];
-    assert_eq!(granted(&pool.ask(at(0), ask(1, &parts))), Some(known[0].0.clone()));
-    pool.set_dark([known[0].1.clone()].into());
-    known[0].3 = false;
-    known[1].3 = true;
-    pool.set_members(at(10), &known);
-    let answers = pool.ask(at(11), ask(2, &[(7, 2_000), (8, 6_000), (101, 500)]));
-    assert_eq!((granted(&answers), source(&answers)), (Some(known[1].0.clone()), None));
-    // It holds the prompt itself by now, so the next one reads only its own part.
-    pool.release(at(20), id::Attempt(2), Outcome::Served, None);
-    pool.set_dark([].into());
-    let answers = pool.ask(at(21), ask(3, &[(7, 2_000), (8, 6_000), (102, 500)]));
-    assert_eq!(source(&answers), None);
+    pool.set_dark(["far".parse().unwrap()].into());
+    // Nothing says that it can't be reached, until a request has tried.
+    assert!(granted(&pool.ask(at(10), ask(1, &[]))).is_some());
+    pool.release(at(130), id::Attempt(1), Outcome::Unreachable, None);
+    assert_eq!(refused(&pool.ask(at(140), ask(2, &[]))), Some(Reason::NoUpstream));
+    // One tries again after a while, and the next ones don't wait for what becomes of it.
+    assert!(granted(&pool.ask(at(1_200), ask(3, &[]))).is_some());
+    assert_eq!(refused(&pool.ask(at(1_210), ask(4, &[]))), Some(Reason::NoUpstream));
+    pool.release(at(1_220), id::Attempt(3), Outcome::Served, Some(Duration::from_millis(20)));
+    assert!(granted(&pool.ask(at(1_230), ask(5, &[]))).is_some());
 }
 
 #[test]
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -58,19 +58,12 @@
         let table = self.table.clone();
         for service in &table.document().services {
             let known = self.view.upstreams().filter(|upstream| upstream.service == service.name);
-            let lit = |zone: &id::Zone| !self.dark.contains(zone);
-            let mut known: Vec<_> = known
+            let known: Vec<_> = known
                 .map(|upstream| {
                     let usable = self.view.is_usable(&upstream.id);
                     (upstream.id.clone(), upstream.zone.clone(), upstream.slots, usable)
                 })
                 .collect();
-            // Behind a cut there may be upstreams that can't be reached; where nothing else is left, they are tried.
-            if known.iter().any(|(_, zone, _, usable)| *usable && lit(zone)) {
-                for (_, zone, _, usable) in &mut known {
-                    *usable &= lit(zone);
-                }
-            }
             let memory = service.engine.map(|engine| unit::Tokens(u32::try_from(engine.memory).unwrap_or(u32::MAX)));
             let rules = Rules {
                 engine: memory,
@@ -88,7 +81,7 @@
         effects
     }
 
-    /// A zone none of whose routers answers is behind a cut, as far as this router can tell.
+    /// The zones none of whose routers answers: they may be behind a cut.
     pub(super) fn find_dark(&self) -> BTreeSet<id::Zone> {
         let mut seen: BTreeMap<id::Zone, bool> = BTreeMap::new();
         for peer in self.swim.peers().filter(|peer| peer.zone != self.zone && peer.status != Status::Leaving) {
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -223,6 +223,22 @@
     }
 }
 
+#[test]
+fn the_engines_of_a_zone_are_used_though_its_only_router_was_killed() {
+    let mut world = settled(4, 3, 0);
+    world.put_engine(1, 1, Some(State::Ready));
+    world.run(200);
+    let prompts: Vec<[(u64, u32); 2]> = (0..20).map(|n| [(100 + n, 3_000), (1_000 + n, 20)]).collect();
+    let places: Vec<_> = (1..).zip(&prompts).map(|(number, prompt)| world.serve(0, number, prompt).unwrap()).collect();
+    world.put_engine(0, 0, Some(State::Ready));
+    world.kill(1);
+    world.run(3_000);
+    for ((number, prompt), place) in (100..).zip(&prompts).zip(&places) {
+        let again = [prompt[0], (9_000 + u64::try_from(number).unwrap(), 20)];
+        assert_eq!(world.serve(0, number, &again).as_ref(), Some(place));
+    }
+}
+
 #[test]
 fn a_home_that_nobody_told_inspects_each_engine_once() {
     let mut world = settled(1, 1, 4);
