A request waits for another one that reads what both share

Change: the home's model marks parts that somebody still reads. A request that would have to read such a part (10 ms or more of reading) waits for that first event, if it is expected within half of the objective, and is then placed like any other. If the reader fails, the first of those that waited reads, and the others wait for it. What a reader that failed hadn't read is forgotten. Who has waited for a reader waits for a place only for what is left of its patience. Tests: a_request_waits_for_another_one_that_reads_what_both_share, when_a_reader_fails_the_next_one_reads_and_the_others_wait_for_it, a_request_waits_for_another_one_no_longer_than_half_of_its_objective, whoever_no_longer_waits_for_another_request_is_forgotten, and as a property whoever_waits_for_another_request_is_answered_once (it found requests that waited 350 ms: a place was waited for with fresh patience). Two tests and the property of the bound tell the pool that a first event came where they took that for granted.

--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -41,6 +41,21 @@
     pub seen: Option<(usize, id::Upstream)>,
 }
 
+impl Ask {
+    /// How long it may wait for another request to read what both share: half of its objective, so that there is time to
+    /// be served elsewhere if that comes to nothing.
+    #[must_use]
+    pub fn follows(&self) -> Duration {
+        self.objective / 2
+    }
+
+    /// The parts of its prompt that other prompts may have, too.
+    #[must_use]
+    pub fn shared(&self) -> &[Part] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+}
+
 /// What the home decided.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Verdict {
--- a/crates/stairvale-dispatch/src/cache.rs
+++ b/crates/stairvale-dispatch/src/cache.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use stairvale_types::id;
+
 use crate::Part;
 
 #[derive(Clone, Copy, Debug)]
@@ -10,6 +12,8 @@
     used: u64,
     /// Whether other prompts may have it, too.
     shared: bool,
+    /// The attempt that is still reading it.
+    reader: Option<id::Attempt>,
 }
 
 /// A model of one engine's prefix cache. A part has its id from all that stands before it, so its id alone tells it.
@@ -43,7 +47,21 @@
         parts.iter().take_while(|part| self.kept.contains_key(&part.id)).map(|part| part.tokens).sum()
     }
 
-    /// The engine reads a prompt.
+    /// Of these, tokens from the beginning that nobody is still reading.
+    #[must_use]
+    pub fn ready(&self, parts: &[Part]) -> u32 {
+        let ready = |part: &&Part| self.kept.get(&part.id).is_some_and(|kept| kept.reader.is_none());
+        parts.iter().take_while(ready).map(|part| part.tokens).sum()
+    }
+
+    /// Who reads the first of a prompt's parts that is still being read.
+    #[must_use]
+    pub fn reader(&self, parts: &[Part]) -> Option<id::Attempt> {
+        let mut kept = parts.iter().map_while(|part| self.kept.get(&part.id));
+        kept.find_map(|kept| kept.reader)
+    }
+
+    /// The engine has read a prompt.
     pub fn read(&mut self, parts: &[Part]) {
         for (index, part) in parts.iter().enumerate() {
             self.put(*part, index + 1 < parts.len());
@@ -51,6 +69,40 @@
         self.shrink();
     }
 
+    /// The engine begins to read a prompt; gives the shared parts that are new to it.
+    pub fn begin(&mut self, parts: &[Part], reader: id::Attempt) -> Vec<u64> {
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        let new: Vec<_> = shared.iter().map(|part| part.id).filter(|id| !self.kept.contains_key(id)).collect();
+        self.read(parts);
+        for id in &new {
+            if let Some(kept) = self.kept.get_mut(id) {
+                kept.reader = Some(reader);
+            }
+        }
+        new
+    }
+
+    /// Parts that somebody was reading are read.
+    pub fn finish(&mut self, parts: &[u64]) {
+        for id in parts {
+            if let Some(kept) = self.kept.get_mut(id) {
+                kept.reader = None;
+            }
+        }
+    }
+
+    /// Parts that somebody was reading won't be read to their end.
+    pub fn lose(&mut self, parts: &[u64], reader: id::Attempt) {
+        for id in parts {
+            if self.kept.get(id).is_some_and(|kept| kept.reader == Some(reader))
+                && let Some(kept) = self.kept.remove(id)
+            {
+                self.held -= u64::from(kept.tokens);
+                self.order.remove(&kept.used);
+            }
+        }
+    }
+
     /// The parts that other prompts may share, the least lately used first.
     #[must_use]
     pub fn shared(&self) -> Vec<Part> {
@@ -70,7 +122,8 @@
 
     fn put(&mut self, part: Part, shared: bool) {
         self.clock += 1;
-        let kept = Kept { tokens: part.tokens, used: self.clock, shared };
+        let reader = self.kept.get(&part.id).and_then(|kept| kept.reader);
+        let kept = Kept { tokens: part.tokens, used: self.clock, shared, reader };
         if let Some(old) = self.kept.insert(part.id, kept) {
             self.held -= u64::from(old.tokens);
             self.order.remove(&old.used);
--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -23,6 +23,8 @@
     pub expected: f64,
     /// Whether it copies from another engine first.
     pub copies: bool,
+    /// The shared parts of its prompt that nobody had read there before; none once its first event has come.
+    pub reads: Vec<u64>,
 }
 
 /// One upstream.
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -10,6 +10,7 @@
 use crate::{Answer, Ask, Held, Member, Outcome, Part, Reading, Verdict, member::Hold};
 
 mod choose;
+mod follow;
 mod reach;
 
 /// A hold that its entry hasn't named for this long is dropped; entries name theirs several times in it.
@@ -58,6 +59,7 @@
     /// Where each attempt runs.
     places: HashMap<id::Attempt, id::Upstream>,
     waiting: Vec<Waiting>,
+    following: Vec<follow::Follower>,
     number: u64,
     /// How long its engines take to the first event.
     reading: Reading,
@@ -76,6 +78,7 @@
             answered: BTreeMap::new(),
             places: HashMap::new(),
             waiting: Vec::new(),
+            following: Vec::new(),
             number: 0,
             reading: Reading::default(),
             time: FIRST_TIME,
@@ -102,10 +105,10 @@
         self.rules.engine.is_some()
     }
 
-    /// Requests that wait.
+    /// Requests that wait, for a place or for what another one reads.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.waiting.len() + self.following.len()
     }
 
     /// Its upstreams.
@@ -177,6 +180,14 @@
     /// An entry asks for an upstream; no answer means that the request waits.
     pub fn ask(&mut self, now: Moment, ask: Ask) -> Vec<Answer> {
         self.learn(&ask);
+        self.enter(now, ask, now)
+    }
+
+    /// Places a request that was asked for some time ago, or lets it wait for what is left of its patience.
+    fn enter(&mut self, now: Moment, ask: Ask, asked: Moment) -> Vec<Answer> {
+        if self.follow(now, &ask, asked) {
+            return Vec::new();
+        }
         if self.waiting.is_empty()
             && let Some(answer) = self.grant(now, &ask)
         {
@@ -185,11 +196,11 @@
         let Some(wait) = self.predict(now, &ask) else {
             return vec![refuse(&ask, Reason::NoUpstream, SHORTEST_RETURN * 5)];
         };
-        if wait > ask.patience {
+        let until = asked + ask.patience;
+        if now + wait > until {
             return vec![refuse(&ask, Reason::Busy, wait)];
         }
         self.number += 1;
-        let until = now + ask.patience;
         self.waiting.push(Waiting { ask, since: now, until, number: self.number });
         self.waiting.sort_by_key(|waiting| (waiting.ask.priority, waiting.number));
         self.serve(now)
@@ -198,17 +209,19 @@
     /// An entry no longer waits for an answer.
     pub fn forget(&mut self, now: Moment, attempt: id::Attempt) -> Vec<Answer> {
         self.waiting.retain(|waiting| waiting.ask.attempt != attempt);
+        self.stop_following(attempt);
         self.release(now, attempt, Outcome::Abandoned, None)
     }
 
     /// The first event of an attempt came, this long after it was sent.
-    pub fn begun(&mut self, now: Moment, attempt: id::Attempt, took: Duration) {
+    pub fn begun(&mut self, now: Moment, attempt: id::Attempt, took: Duration) -> Vec<Answer> {
         let Some(member) = self.places.get(&attempt).and_then(|place| self.members.get_mut(place)) else {
-            return;
+            return Vec::new();
         };
         let Some(hold) = member.held.get_mut(&attempt) else {
-            return;
+            return Vec::new();
         };
+        member.cache.finish(&std::mem::take(&mut hold.reads));
         self.answered.insert(member.zone.clone(), now);
         let took = took.as_secs_f64() * 1e3;
         let read = f64::from(hold.read);
@@ -223,6 +236,7 @@
         if expected > 0.0 && !copies {
             member.health.took(now, (took + 20.0) / (expected + 20.0));
         }
+        self.lead(now, attempt)
     }
 
     /// An attempt ended; `took` is the time of a plain answer.
@@ -239,6 +253,13 @@
         let usual = self.usual(now, &place);
         if let Some(member) = self.members.get_mut(&place) {
             let hold = member.held.remove(&attempt);
+            // Without a first event it isn't certain that anything was read.
+            let reads = hold.as_ref().map(|hold| hold.reads.as_slice()).unwrap_or_default();
+            if outcome == Outcome::Served {
+                member.cache.finish(reads)
+            } else {
+                member.cache.lose(reads, attempt)
+            }
             if let Some(took) = took {
                 let took = took.as_secs_f64() * 1e3;
                 self.time += (took - self.time) * WEIGHT;
@@ -251,7 +272,9 @@
                 self.answered.insert(member.zone.clone(), now);
             }
         }
-        self.serve(now)
+        let mut answers = self.lead(now, attempt);
+        answers.extend(self.serve(now));
+        answers
     }
 
     /// An entry names all that it holds here.
@@ -274,6 +297,7 @@
                 tokens: item.read,
                 expected: 0.0,
                 copies: false,
+                reads: Vec::new(),
             };
             member.held.insert(item.attempt, hold);
             self.places.insert(item.attempt, item.upstream.clone());
@@ -285,7 +309,8 @@
     /// Lets time pass: waits end, holds that nobody names are dropped.
     pub fn tick(&mut self, now: Moment) -> Vec<Answer> {
         self.drop_holds(|hold| now.since(hold.named) >= HOLD_TTL);
-        let mut answers = self.serve(now);
+        let mut answers = self.end_following(now);
+        answers.extend(self.serve(now));
         let expired: Vec<_> = self.waiting.extract_if(.., |waiting| waiting.until <= now).collect();
         for waiting in expired {
             let again = self.predict(now, &waiting.ask).unwrap_or(SHORTEST_RETURN);
@@ -311,10 +336,12 @@
 
     fn drop_holds(&mut self, gone: impl Fn(&Hold) -> bool) {
         for member in self.members.values_mut() {
+            let cache = &mut member.cache;
             member.held.retain(|attempt, hold| {
                 let gone = gone(hold);
                 if gone {
                     self.places.remove(attempt);
+                    cache.lose(&hold.reads, *attempt);
                 }
                 !gone
             });
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -109,7 +109,7 @@
         let Some(member) = self.members.get_mut(&bid.upstream) else {
             return;
         };
-        member.cache.read(&ask.parts);
+        let reads = member.cache.begin(&ask.parts, ask.attempt);
         member.health.given(now);
         let tokens = own + ask.output;
         let hold = Hold {
@@ -120,6 +120,7 @@
             tokens,
             expected,
             copies: bid.source.is_some(),
+            reads,
         };
         member.held.insert(ask.attempt, hold);
         self.places.insert(ask.attempt, bid.upstream.clone());
@@ -130,9 +131,8 @@
         if !self.rules.copies {
             return Vec::new();
         }
-        let shared = &ask.parts[..ask.parts.len().saturating_sub(1)];
         let sources = self.members.values().filter(|member| within.can_copy(member));
-        let covers = sources.map(|member| (member.cache.covers(shared), member.id.clone()));
+        let covers = sources.map(|member| (member.cache.covers(ask.shared()), member.id.clone()));
         let mut covers: Vec<_> = covers.filter(|(tokens, _)| *tokens >= COPY_LEAST).collect();
         covers.sort_by(|a, b| b.cmp(a));
         covers.truncate(2);
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -72,6 +72,7 @@
 fn held_elsewhere() -> (Pool, id::Upstream) {
     let mut pool = pool(engines(), 2, 1);
     let first = granted(&pool.ask(at(0), ask(1, &[(7, 2_000), (8, 6_000), (100, 500)]))).unwrap();
+    pool.begun(at(1), id::Attempt(1), Duration::from_millis(1));
     (pool, first)
 }
 
@@ -208,11 +209,9 @@
 
 #[test]
 fn what_another_engine_holds_is_copied() {
-    let mut pool = pool(engines(), 2, 1);
-    let parts = [(7, 2_000), (8, 6_000), (100, 500)];
-    let first = granted(&pool.ask(at(0), ask(1, &parts))).unwrap();
+    let (mut pool, first) = held_elsewhere();
     // The first engine's only slot is taken.
-    let answers = pool.ask(at(1), ask(2, &[(7, 2_000), (8, 6_000), (101, 500)]));
+    let answers = pool.ask(at(2), ask(2, &[(7, 2_000), (8, 6_000), (101, 500)]));
     let Verdict::Granted { upstream, read, source } = &answers[0].verdict else {
         panic!("there is room at the second engine");
     };
@@ -221,6 +220,71 @@
     assert_eq!(*read, 500);
 }
 
+/// A prompt whose beginning takes 200 ms to read at the rate that is believed at first.
+fn long(number: u128) -> Ask {
+    ask(number, &[(7, 2_000), (8, 6_000), (100 + u64::try_from(number).unwrap(), 100)])
+}
+
+#[test]
+fn a_request_waits_for_another_one_that_reads_what_both_share() {
+    let mut pool = pool(engines(), 4, 16);
+    let first = granted(&pool.ask(at(0), long(1))).unwrap();
+    for number in 2..5 {
+        assert!(pool.ask(at(5), long(number)).is_empty(), "request {number} would read it, too");
+    }
+    assert_eq!(pool.waiting(), 3);
+    // Another beginning has nothing to wait for.
+    assert!(granted(&pool.ask(at(6), ask(20, &[(9, 8_000), (120, 100)]))).is_some());
+    let answers = pool.begun(at(200), id::Attempt(1), Duration::from_millis(200));
+    assert_eq!(answers.len(), 3);
+    for answer in answers {
+        let Verdict::Granted { read, .. } = answer.verdict else { panic!("there is room") };
+        assert_eq!(read, 100);
+    }
+    assert_eq!(pool.running(&first), 4);
+}
+
+#[test]
+fn when_a_reader_fails_the_next_one_reads_and_the_others_wait_for_it() {
+    for outcome in [Outcome::Failed, Outcome::Silent, Outcome::Unreachable, Outcome::Abandoned] {
+        let mut pool = pool(engines(), 4, 16);
+        assert!(granted(&pool.ask(at(0), long(1))).is_some());
+        for number in 2..5 {
+            assert!(pool.ask(at(5), long(number)).is_empty());
+        }
+        let answers = pool.release(at(20), id::Attempt(1), outcome, None);
+        assert_eq!(answers.len(), 1, "{outcome:?}");
+        let Verdict::Granted { read, .. } = answers[0].verdict else { panic!("there is room") };
+        assert_eq!(read, 8_100, "nobody has read it");
+        assert_eq!(pool.waiting(), 2);
+    }
+}
+
+#[test]
+fn a_request_waits_for_another_one_no_longer_than_half_of_its_objective() {
+    let mut pool = pool(engines(), 4, 16);
+    assert!(granted(&pool.ask(at(0), long(1))).is_some());
+    assert!(pool.ask(at(5), long(2)).is_empty());
+    assert!(pool.tick(at(254)).is_empty());
+    let answers = pool.tick(at(255));
+    assert_eq!(answers.len(), 1);
+    assert!(granted(&answers).is_some());
+    // What would take longer isn't waited for at all.
+    let enormous = |number: u128| ask(number, &[(50, 40_000), (200 + u64::try_from(number).unwrap(), 100)]);
+    assert!(granted(&pool.ask(at(300), enormous(3))).is_some());
+    assert!(granted(&pool.ask(at(301), enormous(4))).is_some());
+}
+
+#[test]
+fn whoever_no_longer_waits_for_another_request_is_forgotten() {
+    let mut pool = pool(engines(), 4, 16);
+    assert!(granted(&pool.ask(at(0), long(1))).is_some());
+    assert!(pool.ask(at(5), long(2)).is_empty());
+    assert!(pool.forget(at(10), id::Attempt(2)).is_empty());
+    assert_eq!(pool.waiting(), 0);
+    assert!(pool.begun(at(200), id::Attempt(1), Duration::from_millis(200)).is_empty());
+}
+
 #[test]
 fn a_home_that_took_over_learns_where_prefixes_are() {
     let mut pool = pool(engines(), 6, 16);
@@ -392,6 +456,8 @@
             let before: u32 = pool.members().map(stairvale_dispatch::Member::running).sum();
             if let Some(place) = granted(&pool.ask(now, want)) {
                 running.push(attempt);
+                // Or the next ones would wait for it to read what they share.
+                pool.begun(now, attempt, Duration::from_millis(50));
                 let held = f64::from(pool.running(&place) - 1);
                 if held > 2.0 * f64::from(before) / 5.0 + 3.0 {
                     return false;
@@ -403,6 +469,44 @@
         true
     }
 
+    /// Whatever becomes of those that read, each request that waits for one is answered once, and in time.
+    fn whoever_waits_for_another_request_is_answered_once(steps: Vec<(u8, u8)>) -> bool {
+        let mut pool = pool(engines(), 3, 4);
+        let mut asked = std::collections::HashMap::new();
+        let mut answered = std::collections::HashSet::new();
+        let mut granted = Vec::new();
+        let mut now = at(0);
+        for (number, (key, what)) in steps.into_iter().enumerate() {
+            now = now + Duration::from_millis(u64::from(what));
+            let attempt = id::Attempt(number as u128);
+            let place = usize::from(key).checked_rem(granted.len());
+            let answers = match (what % 5, place) {
+                (0..=2, _) | (_, None) => {
+                    asked.insert(attempt, now);
+                    let parts = [(u64::from(key % 3), 6_000), (number as u64 + 1_000, 100)];
+                    pool.ask(now, Ask { attempt, ..ask(0, &parts) })
+                }
+                (3, Some(place)) => pool.begun(now, granted[place], Duration::from_millis(100)),
+                (_, Some(place)) => pool.release(now, granted.swap_remove(place), Outcome::Failed, None),
+            };
+            let answers: Vec<_> = answers.into_iter().chain(pool.tick(now)).collect();
+            for answer in answers {
+                if !answered.insert(answer.attempt) {
+                    return false;
+                }
+                if matches!(answer.verdict, Verdict::Granted { .. }) {
+                    granted.push(answer.attempt);
+                }
+            }
+            // Half of the objective at most.
+            let due = asked.iter().filter(|(_, at)| now.since(**at) >= Duration::from_millis(250));
+            if due.into_iter().any(|(attempt, _)| !answered.contains(attempt)) {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Each ask gets one answer at most, and one that was given up gets none.
     fn one_answer_each(steps: Vec<(u8, u8)>) -> bool {
         let mut pool = pool(Rules::default(), 2, 2);
--- a/crates/stairvale-serve/src/core/entry.rs
+++ b/crates/stairvale-serve/src/core/entry.rs
@@ -93,10 +93,7 @@
         if home != self.me {
             return self.send(&home, Frame::Begun { service, attempt, took });
         }
-        if let Some(pool) = self.pools.get_mut(&service) {
-            pool.begun(now, attempt, took);
-        }
-        Vec::new()
+        self.began(now, &service, attempt, took)
     }
 
     /// A granted request ended, however it did.
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -107,6 +107,17 @@
         effects
     }
 
+    pub(super) fn began(
+        &mut self,
+        now: Moment,
+        service: &id::Service,
+        attempt: id::Attempt,
+        took: Duration,
+    ) -> Vec<Effect> {
+        let answers = self.pools.get_mut(service).map(|pool| pool.begun(now, attempt, took));
+        self.answers(answers.unwrap_or_default())
+    }
+
     pub(super) fn release(
         &mut self,
         now: Moment,
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -301,12 +301,7 @@
                 let answers = self.pools.get_mut(&service).map(|pool| pool.forget(now, attempt));
                 self.answers(answers.unwrap_or_default())
             }
-            Frame::Begun { service, attempt, took } => {
-                if let Some(pool) = self.pools.get_mut(&service) {
-                    pool.begun(now, attempt, took);
-                }
-                Vec::new()
-            }
+            Frame::Begun { service, attempt, took } => self.began(now, &service, attempt, took),
             Frame::Release { service, attempt, outcome, took } => self.release(now, &service, attempt, outcome, took),
             Frame::Renew { service, held } => {
                 let answers = self.pools.get_mut(&service).map(|pool| pool.renew(now, from, &held));
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -116,7 +116,7 @@
     for round in 0..=HOMES {
         let attempt = id::Attempt(uuid::Uuid::new_v4().as_u128());
         let ask = Ask { attempt, ..want.ask.clone() };
-        let wait = ask.patience;
+        let wait = ask.patience.max(ask.follows());
         let mut replies = shared.expect(attempt);
         let me = shared.settings.router.clone();
         let mut home = me.clone();
