--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -256,9 +256,9 @@
             // Without a first event it isn't certain that anything was read.
             let reads = hold.as_ref().map(|hold| hold.reads.as_slice()).unwrap_or_default();
             if outcome == Outcome::Served {
-                member.cache.finish(reads)
+                member.cache.finish(reads);
             } else {
-                member.cache.lose(reads, attempt)
+                member.cache.lose(reads, attempt);
             }
             if let Some(took) = took {
                 let took = took.as_secs_f64() * 1e3;
