--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -75,11 +75,25 @@
 mutant "who stands in for a home inspects, too" crates/stairvale-serve/src/core/home.rs \
   's/ \|\| self\.standing_home\(service\)\.as_ref\(\) != Some\(&self\.me\)//' stairvale-serve core
 mutant "who reads for itself tells its zone" crates/stairvale-serve/src/core/mod.rs \
-  's/\.filter\(\|_\| watches\)/.filter(|_| watches || before > 0)/' stairvale-serve core
+  's/if self\.watcher\(\)\.as_ref\(\) != Some\(&self\.me\)/if before == u64::MAX/' stairvale-serve core
 mutant "a watcher is picked among all" crates/stairvale-serve/src/core/mod.rs \
   's/strength \* 2 >= strongest/strength * 2 >= strongest || self.leaving != self.table.has_customers()/' stairvale-serve core
 mutant "a watcher that just took over is blamed" crates/stairvale-serve/src/core/freshness.rs \
-  's/now\.since\(\*since\) >= self\.bounds\.stale\(\)/now >= *since/' stairvale-serve core
+  's/now\.since\(\*since\) >= patience/now >= *since/' stairvale-serve core
+mutant "a zone's watcher waits as long as the others" crates/stairvale-serve/src/core/mod.rs \
+  's/if watcher \{ self\.bounds\.late\(\) \}/if watcher { self.bounds.stale() }/' stairvale-serve core
+mutant "each zone's watcher reads the store" crates/stairvale-serve/src/core/mod.rs \
+  's/if self\.leader\(\)\.as_ref\(\) == Some\(&self\.me\) \{/if self.watcher().as_ref() == Some(\&self.me) {/' stairvale-serve core
+mutant "a zone without routers is cut off" crates/stairvale-dispatch/src/pool/reach.rs \
+  's/!answers && self/answers | true \&\& self/' stairvale-dispatch pool
+mutant "a silent engine is a source" crates/stairvale-dispatch/src/pool/reach.rs \
+  's/ && !member\.health\.is_silent\(\)$//' stairvale-dispatch pool
+mutant "a part counts as kept while it is read" crates/stairvale-dispatch/src/cache.rs \
+  's/kept\.reader = Some\(reader\);/kept.reader = None;/' stairvale-dispatch pool
+mutant "what a failed reader hadn't read counts as kept" crates/stairvale-dispatch/src/pool.rs \
+  's/member\.cache\.lose\(reads, attempt\);/member.cache.finish(reads);/' stairvale-dispatch pool
+mutant "who waited for a reader waits anew for a place" crates/stairvale-dispatch/src/pool.rs \
+  's/let until = asked \+ ask\.patience;/let until = now + ask.patience;/' stairvale-dispatch pool
 mutant "a new home isn't told what runs" crates/stairvale-serve/src/core/mod.rs \
   's/effects\.extend\(self\.greet_homes\(now\)\);//' stairvale-serve core
 mutant "a home waits for weak routers" crates/stairvale-serve/src/core/knowledge.rs \
