Starts cost the store next to nothing: stale reads, and a few names that one router writes

The fleet's reader alone names a few routers of each zone (three live ones, the strongest), in one transaction under a lease of ten minutes. Routers that are named are presumed alive, so all agree on homes and watchers before they have heard of each other. A router that starts is told all members by a peer that knows them. Strength travels with membership. An ask that can't be sent, or whose stream breaks, is passed on at once.

Ruled out: naming every router (grows with the fleet), removing names at each planned stop (a call each).

--- a/crates/stairvale-control/src/node.rs
+++ b/crates/stairvale-control/src/node.rs
@@ -227,6 +227,7 @@
             address: settings.address,
             incarnation: settings.incarnation,
             status: Status::Alive,
+            strength: Member::ALIKE,
         };
         let swim = Swim::new(member, settings.swim, settings.seed).with_seeds(settings.seeds);
         Self {
--- a/crates/stairvale-membership/src/swim.rs
+++ b/crates/stairvale-membership/src/swim.rs
@@ -41,8 +41,6 @@
 const REVIVE_EVERY: u64 = 5;
 /// News is passed on this many times the logarithm of the fleet's size.
 const SPREAD: u32 = 4;
-/// Routers that are greeted at once; gossip tells of the others.
-const GREETED: usize = 16;
 /// Peers that are told at once about something important.
 const RUMOUR: usize = 3;
 
@@ -176,6 +174,12 @@
         self.peers.values().map(|peer| &peer.member)
     }
 
+    /// Whether there is nobody to look for: no peer, and no seed but this router itself.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.peers.is_empty() && self.seeds.iter().all(|seed| *seed == self.me.address)
+    }
+
     /// A peer.
     #[must_use]
     pub fn peer(&self, router: &id::Router) -> Option<&Member> {
@@ -199,17 +203,44 @@
         }
     }
 
-    /// Pings addresses at which there may be routers at once, rather than one with each probe.
-    pub fn greet(&mut self, addresses: &[SocketAddr]) -> Vec<Effect> {
-        for address in addresses {
-            self.introduce(*address);
+    /// Takes routers for alive that are named somewhere, until they don't answer, and pings them at once: so all who read
+    /// the same names agree on who does what before they have heard of each other. What is known of a router already stays.
+    pub fn presume(&mut self, now: Moment, named: Vec<Member>) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for member in named {
+            let known = self.peers.get(&member.router).map(|peer| &peer.member);
+            let moved = |known: &Member| !is_live(known.status) && known.address != member.address;
+            if member.router == self.me.router || known.is_some_and(|known| !moved(known)) {
+                continue;
+            }
+            // Any word of the router itself goes before this one, and nobody is told of it.
+            let member = Member { incarnation: id::Incarnation(0), status: Status::Alive, ..member };
+            let (router, to) = (member.router.clone(), member.address);
+            self.peers.insert(router.clone(), Peer { member, since: now });
+            self.round.push(router.clone());
+            effects.push(Effect::Joined(router));
+            effects.push(self.packet(to, Body::Ping { probe: 0 }));
         }
-        let unknown = |address: &&SocketAddr| !self.peers.values().any(|peer| peer.member.address == **address);
-        let mut to: Vec<_> = addresses.iter().filter(unknown).copied().collect();
-        to.retain(|address| *address != self.me.address);
-        to.shuffle(&mut self.rng);
-        to.truncate(GREETED);
-        to.into_iter().map(|to| self.packet(to, Body::Ping { probe: 0 })).collect()
+        effects
+    }
+
+    /// Knocks at the seeds at once, rather than at one with each probe.
+    pub fn knock_at_seeds(&mut self) -> Vec<Effect> {
+        let me = self.me.address;
+        let seeds: Vec<_> = self.seeds.iter().copied().filter(|seed| *seed != me).collect();
+        seeds.into_iter().map(|to| self.packet(to, Body::Ping { probe: 0 })).collect()
+    }
+
+    /// All routers that live, as they are told to one that has just started.
+    #[must_use]
+    pub fn told(&self) -> Vec<Member> {
+        self.live().filter(|member| member.incarnation.0 > 0).cloned().collect()
+    }
+
+    /// A peer told of the routers that it knows to live. They are known elsewhere, so this isn't passed on.
+    pub fn learn_members(&mut self, now: Moment, members: Vec<Member>) -> Vec<Effect> {
+        let others: Vec<_> = members.into_iter().filter(|member| member.router != self.me.router).collect();
+        others.into_iter().filter_map(|member| self.adopt(now, member)).flatten().collect()
     }
 
     /// Drops addresses that the list of VMs no longer names.
@@ -251,7 +282,10 @@
     pub fn doubt(&mut self, now: Moment, router: &id::Router) {
         if self.peers.get(router).is_some_and(|peer| peer.member.status == Status::Alive) {
             self.round.push(router.clone());
-            self.next_probe = self.next_probe.min(now);
+            // A probe that is on its way is given its time first.
+            if self.probe.is_none() {
+                self.next_probe = self.next_probe.min(now);
+            }
         }
     }
 
@@ -297,7 +331,7 @@
         });
         match packet.body {
             Body::Ping { probe } => effects.push(self.packet(from, Body::Ack { probe })),
-            Body::Ack { probe } => effects.extend(self.acked(probe)),
+            Body::Ack { probe } => effects.extend(self.acked(now, probe, from, &packet.from)),
             Body::Indirect { probe, target } => effects.extend(self.favour(now, from, probe, &target)),
             Body::News => {}
         }
@@ -368,12 +402,19 @@
         self.learn(now, Update::Member(member))
     }
 
-    fn acked(&mut self, number: u64) -> Vec<Effect> {
+    fn acked(&mut self, now: Moment, number: u64, from: SocketAddr, name: &id::Router) -> Vec<Effect> {
         if let Some(index) = self.favours.iter().position(|favour| favour.number == number && number != 0) {
             let favour = self.favours.swap_remove(index);
             return vec![self.packet(favour.asker, Body::Ack { probe: favour.theirs })];
         }
-        if self.probe.as_ref().is_some_and(|probe| probe.number == number) {
+        if let Some(target) = self.probe.as_ref().filter(|probe| probe.number == number).map(|probe| &probe.target) {
+            let replaced =
+                self.peers.get(target).filter(|peer| &peer.member.router != name && peer.member.address == from);
+            // Another router has its address: it is gone.
+            if let Some(gone) = replaced.map(|peer| Member { status: Status::Dead, ..peer.member.clone() }) {
+                self.probe = None;
+                return self.learn(now, Update::Member(gone));
+            }
             self.probe = None;
         }
         // A suspect that answers refutes by its own update, which rides on the same packet.
@@ -424,24 +465,32 @@
     }
 
     fn learn_member(&mut self, now: Moment, member: Member) -> Vec<Effect> {
+        let Some(effects) = self.adopt(now, member.clone()) else {
+            return Vec::new();
+        };
+        self.enqueue(Update::Member(member));
+        effects
+    }
+
+    /// Takes what is said of a router; `None` if it is known already.
+    fn adopt(&mut self, now: Moment, member: Member) -> Option<Vec<Effect>> {
         let old = self.peers.get(&member.router).map(|peer| &peer.member);
         if old.is_some_and(|old| !supersedes(&member, old)) {
-            return Vec::new();
+            return None;
         }
         let was = old.map(|old| old.status);
         let reborn = old.is_some_and(|old| old.incarnation < member.incarnation);
         let router = member.router.clone();
         let status = member.status;
-        self.enqueue(Update::Member(member.clone()));
         self.peers.insert(router.clone(), Peer { member, since: now });
-        match status {
+        Some(match status {
             Status::Alive | Status::Suspect if was.is_none_or(|was| !is_live(was)) => vec![Effect::Joined(router)],
             Status::Alive if reborn => vec![Effect::Joined(router)],
             Status::Alive | Status::Suspect => Vec::new(),
             Status::Leaving if was != Some(Status::Leaving) => vec![Effect::Leaves(router)],
             Status::Dead if was != Some(Status::Dead) => vec![Effect::Died(router)],
             Status::Leaving | Status::Dead => Vec::new(),
-        }
+        })
     }
 
     fn enqueue(&mut self, update: Update) {
--- a/crates/stairvale-membership/tests/membership.rs
+++ b/crates/stairvale-membership/tests/membership.rs
@@ -27,6 +27,7 @@
         address: address(number),
         incarnation: id::Incarnation(1),
         status: Status::Alive,
+        strength: Member::ALIKE,
     }
 }
 
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -77,6 +77,12 @@
         self.fresh.map(|fresh| now.since(fresh))
     }
 
+    /// Whether this copy was ever known to be the newest.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.fresh.is_some()
+    }
+
     /// How long the store has not failed this router, if it reads the store itself.
     #[must_use]
     pub fn calm(&self, now: Moment) -> Option<Duration> {
@@ -102,6 +108,25 @@
         named.chain(self.lapsed.values())
     }
 
+    /// An upstream, as [`View::upstreams`] has it.
+    #[must_use]
+    pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
+        let named = match self.items.get(&Subject::Upstream(id.clone())).and_then(|item| item.value.as_ref()) {
+            Some(Value::Upstream(upstream)) => Some(upstream),
+            Some(Value::Configuration(_) | Value::Router(_)) | None => None,
+        };
+        named.or_else(|| self.lapsed.get(id))
+    }
+
+    /// A router that the store names.
+    #[must_use]
+    pub fn router(&self, id: &id::Router) -> Option<&crate::Router> {
+        match self.items.get(&Subject::Router(id.clone()))?.value.as_ref()? {
+            Value::Router(router) => Some(router),
+            Value::Configuration(_) | Value::Upstream(_) => None,
+        }
+    }
+
     /// Routers that the store names.
     pub fn routers(&self) -> impl Iterator<Item = &crate::Router> {
         self.items.values().filter_map(|item| match item.value.as_ref()? {
--- a/crates/stairvale-serve/src/core/entry.rs
+++ b/crates/stairvale-serve/src/core/entry.rs
@@ -21,7 +21,9 @@
     /// Takes a retry from the budget, if there is one.
     #[must_use]
     pub fn spend(&mut self, now: Moment, service: &id::Service) -> bool {
-        let (budget, routers) = (self.bounds.budget(), self.routers());
+        // Who has just started doesn't know yet how many share what is free of it.
+        let routers = if self.knows_fleet(now) { self.routers() } else { usize::MAX };
+        let budget = self.bounds.budget();
         self.windows.entry(service.clone()).or_default().spend(now, budget, routers)
     }
 
@@ -73,7 +75,7 @@
     /// Where an upstream is reached, whether it takes new work or not.
     #[must_use]
     pub fn address(&self, upstream: &id::Upstream) -> Option<SocketAddr> {
-        self.view.upstreams().find(|known| &known.id == upstream).map(|known| known.address)
+        self.view.upstream(upstream).map(|known| known.address)
     }
 
     /// A granted request goes to its upstream.
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -6,7 +6,7 @@
 use stairvale_types::{Moment, id};
 use stairvale_wire::Member;
 
-use super::{Core, Effect};
+use super::{Core, Effect, naming};
 use crate::frame::Frame;
 
 /// A question about freshness is remembered this long.
@@ -14,7 +14,64 @@
 /// A router whose word on the store was too old isn't relied upon as a watcher for this long.
 const BLIND: Duration = Duration::from_secs(3);
 
+/// A zone's watcher that has just started asks the store for what is new if nobody has told it by then: some round trips to
+/// peers and back, so that a start usually costs the store no such call.
+const START_WATCHER: Duration = Duration::from_millis(150);
+/// Any other router asks after this long and up to twice as long, by its name: not all at once, and after its watcher could.
+const START: Duration = Duration::from_millis(350);
+
+/// How this router reads the store now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reading {
+    /// All of it, as it was up to some seconds ago: cheap, and enough to begin with.
+    Stale,
+    /// What is new, waiting for it this long.
+    Changes(Duration),
+}
+
 impl Core {
+    // ------------------------------------------------------------------------
+    // Who reads the store.
+
+    /// Whether and how this router reads the store now. One in the fleet reads all the time; a zone's watcher that it keeps
+    /// waiting, and others that hear too little, ask once and needn't wait.
+    #[must_use]
+    pub fn reading(&self, now: Moment) -> Option<Reading> {
+        if self.view.revision() == 0 {
+            return Some(Reading::Stale);
+        }
+        if self.is_reader(now) {
+            // What was never known to be the newest is made so at once.
+            return Some(Reading::Changes(if self.view.is_confirmed() { self.bounds.watch() } else { Duration::ZERO }));
+        }
+        self.is_older(now, self.patience()).then_some(Reading::Changes(Duration::ZERO))
+    }
+
+    /// Whether this router reads the store for the fleet.
+    #[must_use]
+    pub fn is_reader(&self, now: Moment) -> bool {
+        self.has_met(now) && self.leader().as_ref() == Some(&self.me)
+    }
+
+    /// How old this router's copy may grow before it reads the store itself.
+    fn patience(&self) -> Duration {
+        let watcher = self.watcher().as_ref() == Some(&self.me);
+        if self.view.is_confirmed() {
+            return if watcher { self.bounds.late() } else { self.bounds.stale() };
+        }
+        let meeting = if self.view.routers().next().is_some() { Duration::ZERO } else { naming::JOIN };
+        let share = f64::from(u16::try_from(self.me.hash64() >> 48).unwrap_or(0)) / f64::from(u16::MAX);
+        meeting + if watcher { START_WATCHER } else { START.mul_f64(1.0 + share) }
+    }
+
+    /// Whether this router's copy is older than this; one that was never known to be the newest is as old as the process.
+    pub(super) fn is_older(&self, now: Moment, limit: Duration) -> bool {
+        self.view.age(now).unwrap_or_else(|| self.life(now)) > limit
+    }
+
+    // ------------------------------------------------------------------------
+    // Who is asked how fresh this copy is.
+
     /// Asks those who read the store; who knows nothing yet asks anybody.
     pub(super) fn sync(&mut self, now: Moment) -> Vec<Effect> {
         self.syncs.retain(|_, asked| now.since(*asked) < ASKED);
@@ -49,7 +106,8 @@
     pub(super) fn sync_with(&mut self, now: Moment, peer: &id::Router, after: u64) -> Vec<Effect> {
         self.number = self.number.wrapping_add(1);
         self.syncs.insert(self.number, now);
-        self.send(peer, Frame::Sync { number: self.number, after })
+        let starting = !self.view.is_confirmed();
+        self.send(peer, Frame::Sync { number: self.number, after, starting })
     }
 
     /// The peer's copy was the newest `age` before it answered, which was after it was asked.
@@ -65,6 +123,7 @@
         let Some(asked) = self.syncs.remove(&number) else {
             return Vec::new();
         };
+        let confirmed = self.view.is_confirmed();
         let mut changed = false;
         if let Some(news) = news {
             if !self.view.take(news) {
@@ -80,6 +139,7 @@
         {
             self.view.confirm(Moment(asked.0 - micros(age)));
         }
+        changed |= self.view.is_confirmed() != confirmed;
         if changed { self.refresh(now) } else { Vec::new() }
     }
 
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -42,7 +42,7 @@
             Verdict::Granted { .. } | Verdict::Refused(_) => None,
         });
         let mut effects = self.answers(answers);
-        effects.extend(self.inspect(service));
+        effects.extend(self.inspect(now, service));
         if let Some(upstream) = place.filter(|_| parts.len() > 1)
             && let Some(heir) = self.heirs.get(service).cloned()
         {
@@ -64,8 +64,8 @@
 
     /// Asks engines what they hold, as a home that nobody told. Who only stands in for a home that doesn't answer leaves
     /// that: when all routers start at once each would ask all engines, and every list holds an engine's work up.
-    pub(super) fn inspect(&mut self, service: &id::Service) -> Vec<Effect> {
-        if !self.has_joined() || self.standing_home(service).as_ref() != Some(&self.me) {
+    pub(super) fn inspect(&mut self, now: Moment, service: &id::Service) -> Vec<Effect> {
+        if !self.has_joined(now) || self.standing_home(service).as_ref() != Some(&self.me) {
             return Vec::new();
         }
         let unknown = self.pools.get_mut(service).map(Pool::unknown).unwrap_or_default();
@@ -80,7 +80,7 @@
     pub(super) fn inherit(&mut self) -> Vec<Effect> {
         let mut effects = Vec::new();
         for (service, pool) in self.pools.iter().filter(|(_, pool)| pool.has_engines()) {
-            let mut order = self.strong(self.swim.live().collect());
+            let mut order = self.strong(self.swim.live());
             let Some(home) = pick(service.hash64(), order.iter().copied()).cloned() else {
                 continue;
             };
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use stairvale_dispatch::{Pool, pool::Rules};
@@ -13,45 +14,38 @@
 
 use super::{Core, Effect};
 
+/// Routers of a fleet that nobody is named of know each other this long after they started.
+const SETTLED: Duration = Duration::from_secs(3);
+
 impl Core {
     /// Applies the view to what is decided by it.
     pub(super) fn refresh(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
-        if let Some(document) = self.view.document()
+        // A copy that may be seconds old decides nothing: what it shows may have been changed already.
+        if let Some(document) = self.view.document().filter(|_| self.view.is_confirmed())
             && document.version > self.table.version()
         {
             self.table = Arc::new(Table::new(Document::clone(document)));
             effects.push(Effect::Configured(self.table.clone()));
         }
-        effects.extend(self.greet(now));
+        effects.extend(self.presume(now));
         effects.extend(self.regroup(now));
         effects
     }
 
-    /// Pings routers that the store named just now.
-    pub(super) fn greet(&mut self, now: Moment) -> Vec<Effect> {
-        let named: BTreeSet<_> = self.view.routers().map(|router| router.address).collect();
-        let new: Vec<_> = named.difference(&self.greeted).copied().collect();
-        self.greeted = named;
-        let effects = self.swim.greet(&new);
-        self.members(now, effects)
-    }
-
-    /// Whether half of the strong routers that the store names are known to live, so that all agree on homes. The others
-    /// may take longer to start, and aren't waited for.
-    pub(super) fn has_joined(&self) -> bool {
-        let strongest = self.view.routers().map(|router| router.strength).max().unwrap_or(0);
-        let named: BTreeSet<_> =
-            self.view.routers().filter(|router| router.strength * 2 >= strongest).map(|router| &router.id).collect();
+    /// Whether it is clear who the homes are: half of the strong routers that the store names are taken to live, so that all
+    /// agree. The others may take longer to start, and aren't waited for. Where none is named, some time must have passed.
+    pub(super) fn has_joined(&self, now: Moment) -> bool {
+        let strongest = self.view.routers().map(|router| router.strength).max();
+        let Some(strongest) = strongest else {
+            return self.life(now) >= SETTLED;
+        };
+        let strong = self.view.routers().filter(|router| router.strength * 2 >= strongest);
+        let named: BTreeSet<_> = strong.map(|router| &router.id).collect();
         let live = self.swim.live().filter(|member| named.contains(&member.router)).count();
         live * 2 >= named.len()
     }
 
-    /// Whether the store names this router, as it does each one that started a moment ago.
-    pub(super) fn is_named(&self) -> bool {
-        self.view.routers().any(|router| router.id == self.me)
-    }
-
     /// Hands each service's upstreams to its pool.
     pub(super) fn regroup(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -11,7 +11,7 @@
 use stairvale_dispatch::{Held, Pool, Seen, Window};
 use stairvale_membership::{Swim, swim};
 use stairvale_placement::pick;
-use stairvale_replica::{News, Upstream, View};
+use stairvale_replica::{News, Router, Upstream, View};
 use stairvale_table::Table;
 use stairvale_types::{Moment, id};
 use stairvale_wire::{Member, Packet, Status};
@@ -23,8 +23,10 @@
 mod freshness;
 mod home;
 mod knowledge;
+mod naming;
 
 pub use effect::{Effect, Reply};
+pub use freshness::Reading;
 
 /// How often entries name what they hold.
 const RENEW: Duration = Duration::from_millis(500);
@@ -32,6 +34,8 @@
 const LEADER: u64 = 0;
 /// A router asks a watcher what is new, and how fresh it is, this many times while its copy goes stale.
 const SYNCS: u32 = 6;
+/// And this often until it knows for the first time how fresh its copy is.
+const FIRST_SYNCS: Duration = Duration::from_millis(100);
 /// A process that didn't run for this long distrusts what it was about to do.
 const PAUSE: Duration = Duration::from_millis(900);
 
@@ -72,8 +76,10 @@
     blind: HashMap<id::Router, Moment>,
     /// Whom this router hears of the store from, and since when.
     relied: Option<(id::Router, Moment)>,
-    /// Routers that the store named, each of which was pinged when it was new.
-    greeted: BTreeSet<SocketAddr>,
+    /// When this router first let time pass.
+    born: Option<Moment>,
+    /// Whether a peer told this router of all others.
+    told: bool,
     leaving: bool,
 }
 
@@ -104,7 +110,8 @@
             dark: BTreeSet::new(),
             blind: HashMap::new(),
             relied: None,
-            greeted: BTreeSet::new(),
+            born: None,
+            told: false,
             leaving: false,
         }
     }
@@ -167,49 +174,33 @@
         if !self.view.is_usable(upstream) {
             return None;
         }
-        self.view.upstreams().find(|known| &known.id == upstream).cloned()
-    }
-
-    /// Whether this router reads the store now, and how long its call may wait for something new. One in the fleet reads all
-    /// the time; a zone's watcher that it keeps waiting, and others that hear too little, ask once and needn't wait.
-    #[must_use]
-    pub fn watch(&self, now: Moment) -> Option<Duration> {
-        if self.leader().as_ref() == Some(&self.me) {
-            return Some(self.bounds.watch());
-        }
-        self.is_older(now, self.patience()).then_some(Duration::ZERO)
-    }
-
-    /// How old this router's copy may grow before it reads the store itself.
-    fn patience(&self) -> Duration {
-        let watcher = self.watcher().as_ref() == Some(&self.me);
-        if watcher { self.bounds.late() } else { self.bounds.stale() }
+        self.view.upstream(upstream).cloned()
     }
 
     /// The router that a request of a service is placed by: its home, or who stands in for one that doesn't answer.
     fn home(&self, now: Moment, service: &id::Service) -> id::Router {
         let trusted = |member: &&Member| self.distrusted.get(&member.router).is_none_or(|until| *until <= now);
-        let live = self.strong(self.swim.live().filter(trusted).collect());
+        let live = self.strong(self.swim.live().filter(trusted));
         pick(service.hash64(), live.into_iter()).cloned().unwrap_or_else(|| self.me.clone())
     }
 
     /// The service's home, whether it answers or not.
     fn standing_home(&self, service: &id::Service) -> Option<id::Router> {
-        pick(service.hash64(), self.strong(self.swim.live().collect()).into_iter()).cloned()
+        pick(service.hash64(), self.strong(self.swim.live()).into_iter()).cloned()
     }
 
-    /// The routers that may do work for others, as homes or watchers: those with at least half of the strongest one's share
-    /// of a processor. One that the store doesn't name may be one, too.
-    fn strong<'a>(&'a self, live: Vec<&'a Member>) -> Vec<(u64, &'a id::Router)> {
-        let named: HashMap<_, _> = self.view.routers().map(|router| (&router.id, router.strength)).collect();
-        let strength = |member: &Member| named.get(&member.router).copied();
-        let strongest = live.iter().filter_map(|member| strength(member)).max().unwrap_or(0);
-        let strong = |member: &&Member| strength(member).is_none_or(|strength| strength * 2 >= strongest);
-        live.into_iter().filter(strong).map(|member| (member.router.hash64(), &member.router)).collect()
-    }
-
-    fn is_older(&self, now: Moment, limit: Duration) -> bool {
-        self.view.age(now).is_none_or(|age| age > limit)
+    /// The routers that may do work for others, as homes or watchers: of those that the store names, or of all where it names
+    /// none that lives, the ones with at least half of the strongest one's share of a processor. Everybody knows the names,
+    /// also who has just started and has heard of few others; so all agree on who does what.
+    fn strong<'a>(&self, live: impl Iterator<Item = &'a Member>) -> Vec<(u64, &'a id::Router)> {
+        let live: Vec<_> = live.map(|member| (member, self.view.router(&member.router))).collect();
+        let any_named = live.iter().any(|(_, named)| named.is_some());
+        let candidates = live.into_iter().filter(|(_, named)| named.is_some() || !any_named);
+        let strength = |member: &Member, named: Option<&Router>| named.map_or(member.strength, |named| named.strength);
+        let candidates: Vec<_> = candidates.map(|(member, named)| (member, strength(member, named))).collect();
+        let strongest = candidates.iter().map(|(_, strength)| *strength).max().unwrap_or(0);
+        let strong = candidates.into_iter().filter(|(_, strength)| strength * 2 >= strongest);
+        strong.map(|(member, _)| (member.router.hash64(), &member.router)).collect()
     }
 
     /// The router of this zone that keeps it up to date: it sends what changes to all others, so it is a strong one.
@@ -220,7 +211,7 @@
     fn watcher_of(&self, zone: &id::Zone) -> Option<&Member> {
         let sees = |member: &&Member| &member.zone == zone && !self.blind.contains_key(&member.router);
         let live: Vec<_> = self.swim.live().filter(|member| member.status == Status::Alive).filter(sees).collect();
-        let picked = pick(zone.hash64(), self.strong(live.clone()).into_iter())?;
+        let picked = pick(zone.hash64(), self.strong(live.iter().copied()).into_iter())?;
         live.into_iter().find(|member| &member.router == picked)
     }
 
@@ -232,7 +223,7 @@
 
     /// The watcher that reads the store for the whole fleet, and tells the others.
     fn leader(&self) -> Option<id::Router> {
-        pick(LEADER, self.strong(self.watchers()).into_iter()).cloned()
+        pick(LEADER, self.strong(self.watchers().into_iter()).into_iter()).cloned()
     }
 
     /// Whom this router hears of the store from.
@@ -272,6 +263,16 @@
         to.into_iter().flat_map(|peer| self.send(peer, Frame::News(news.clone()))).collect()
     }
 
+    /// The store was read as it was a while ago: enough to begin with, and to be made the newest by others or by a later call.
+    pub fn read_stale(&mut self, now: Moment, news: News) -> Vec<Effect> {
+        if !self.view.take(news) {
+            return Vec::new();
+        }
+        let mut effects = self.refresh(now);
+        effects.extend(self.sync(now));
+        effects
+    }
+
     /// The store failed this router.
     pub fn disturbed(&mut self, now: Moment) {
         self.view.disturb(now);
@@ -319,17 +320,24 @@
                 }
                 Vec::new()
             }
-            Frame::Sync { number, after } => {
+            Frame::Sync { number, after, starting } => {
                 let frame = Frame::Synced {
                     number,
                     age: self.view.age(now),
                     revision: self.view.revision(),
                     calm: self.view.calm(now),
                     news: self.view.since(after),
+                    members: if starting && self.knows_fleet(now) { self.swim.told() } else { Vec::new() },
                 };
                 self.send(from, frame)
             }
-            Frame::Synced { number, age, revision, calm, news } => self.synced(now, number, age, revision, calm, news),
+            Frame::Synced { number, age, revision, calm, news, members } => {
+                self.told |= !members.is_empty();
+                let effects = self.swim.learn_members(now, members);
+                let mut effects = self.members(now, effects);
+                effects.extend(self.synced(now, number, age, revision, calm, news));
+                effects
+            }
             Frame::News(news) => {
                 let after = self.view.revision();
                 if !self.view.take(news) {
@@ -348,8 +356,14 @@
             self.swim.resumed(now);
         }
         self.last_tick = now;
-        let effects = self.swim.tick(now);
-        let mut effects = self.members(now, effects);
+        let mut effects = Vec::new();
+        if self.born.is_none() {
+            self.born = Some(now);
+            let knocks = self.swim.knock_at_seeds();
+            effects.extend(self.members(now, knocks));
+        }
+        let ticked = self.swim.tick(now);
+        effects.extend(self.members(now, ticked));
         if self.view.tick(now) {
             effects.extend(self.refresh(now));
         }
@@ -357,9 +371,7 @@
             let answers = self.pools.get_mut(&service).map(|pool| pool.tick(now));
             effects.extend(self.answers(answers.unwrap_or_default()));
             // Before the first requests come, as soon as it is clear who the homes are.
-            if self.is_named() {
-                effects.extend(self.inspect(&service));
-            }
+            effects.extend(self.inspect(now, &service));
         }
         effects.extend(self.greet_homes(now));
         if now >= self.next_renew {
@@ -368,7 +380,8 @@
             effects.extend(self.inherit());
         }
         if now >= self.next_sync {
-            self.next_sync = now + self.bounds.stale() / SYNCS;
+            let often = self.bounds.stale() / SYNCS;
+            self.next_sync = now + if self.view.is_confirmed() { often } else { often.min(FIRST_SYNCS) };
             effects.extend(self.sync(now));
         }
         effects
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -6,6 +6,7 @@
 use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
 use stairvale_replica::News;
 use stairvale_types::id;
+use stairvale_wire::Member;
 
 /// A frame on a stream between two routers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -87,6 +88,8 @@
         number: u64,
         /// The revision that is known.
         after: u64,
+        /// Whether the asker has just started, and knows few routers.
+        starting: bool,
     },
     /// The answer to a [`Frame::Sync`].
     Synced {
@@ -100,6 +103,8 @@
         calm: Option<Duration>,
         /// What the asker lacks.
         news: Option<News>,
+        /// The routers that live, if the asker has just started.
+        members: Vec<Member>,
     },
     /// Changes, as soon as the sender read them.
     News(News),
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -87,7 +87,7 @@
     }
 }
 
-async fn serve<S: Source>(process: Process<S>, mut signals: Signals, file: PathBuf) {
+async fn serve(process: Process, mut signals: Signals, file: PathBuf) {
     let mut looks = tokio::time::interval(LOOK);
     let mut known = std::fs::read_to_string(&file).unwrap_or_default();
     loop {
@@ -102,20 +102,22 @@
 
 /// A router that runs within a runtime; [`run`] makes a process of it.
 #[derive(Debug)]
-pub struct Process<S: Source> {
+pub struct Process {
     shared: Arc<Shared>,
-    source: Arc<S>,
-    lease: Arc<Mutex<Option<S::Lease>>>,
     accepting: JoinHandle<()>,
     tasks: JoinSet<()>,
 }
 
-impl<S: Source> Process<S> {
+impl Process {
     /// Listens at all addresses of the settings and begins to serve.
     ///
     /// # Errors
     /// [`Error::Listen`] with the first address that can't be listened at.
-    pub async fn start<D: Dialect>(settings: Settings, dialect: D, source: S) -> Result<Self, Report<Error>> {
+    pub async fn start<D: Dialect, S: Source>(
+        settings: Settings,
+        dialect: D,
+        source: S,
+    ) -> Result<Self, Report<Error>> {
         let callers = bind("callers", settings.callers).await?;
         let readiness = bind("ready", settings.ready).await?;
         let peers = bind("peers", settings.peers).await?;
@@ -128,19 +130,18 @@
         let source = Arc::new(source);
         let (inspections, due) = mpsc::unbounded_channel();
         let shared = share(settings, socket.clone(), inspections);
-        let lease = Arc::new(Mutex::new(None));
         let mut tasks = JoinSet::new();
         tasks.spawn(control::run(shared.clone(), socket));
         tasks.spawn(inspect::run(shared.clone(), dialect.clone(), due));
         tasks.spawn(stairvale_link::listen(peers, shared.inbox()));
         tasks.spawn(watch::read(shared.clone(), source.clone()));
-        tasks.spawn(watch::announce(shared.clone(), source.clone(), lease.clone()));
+        tasks.spawn(watch::name(shared.clone(), source));
         for listener in [Some(readiness), metrics].into_iter().flatten() {
             tasks.spawn(ready::listen(shared.clone(), listener, dialect.ready_path()));
         }
         let accepting = tokio::spawn(caller::listen(shared.clone(), dialect, callers));
         tracing::info!(router = %shared.settings.router, zone = %shared.settings.zone, "started");
-        Ok(Self { shared, source, lease, accepting, tasks })
+        Ok(Self { shared, accepting, tasks })
     }
 
     /// What its tasks share.
@@ -151,12 +152,7 @@
 
     /// A planned stop: not ready to the balancer, homes handed over, no new callers after a while, all in flight ends.
     pub async fn stop(self) {
-        let Self { shared, source, lease, accepting, tasks } = self;
-        let lease = lease.lock().unwrap_or_else(PoisonError::into_inner).take();
-        if let Some(lease) = lease {
-            // The lease ends by itself if this doesn't reach the store.
-            tokio::spawn(async move { source.withdraw(&lease).await });
-        }
+        let Self { shared, accepting, tasks } = self;
         stop(&shared, || accepting.abort()).await;
         drop(tasks);
     }
@@ -199,6 +195,7 @@
         address: settings.peers,
         incarnation,
         status: Status::Alive,
+        strength: settings.strength(),
     };
     let core = Core::new(me, settings.seeds.clone(), settings.bounds, seed);
     Shared::new(settings, core, socket, inspections)
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
@@ -28,8 +29,9 @@
     upstream::Connections,
 };
 
-/// A process that can reach the store or a peer knows the configuration this long after its start.
-const START: Duration = Duration::from_millis(500);
+/// A process that can reach the store or a peer knows the configuration this long after its start: on small VMs that all start
+/// at once after a loss of power it takes 350 to 600 ms (docs/INCIDENTS.md).
+const START: Duration = Duration::from_millis(1_000);
 
 /// Hands what links bring to the core.
 #[derive(Clone, Debug)]
@@ -45,6 +47,7 @@
     fn broken(&self, to: &id::Router) {
         if let Some(shared) = self.0.upgrade() {
             tracing::info!(peer = %to, "the stream to a peer broke");
+            shared.unanswered(to);
             shared.with(|core, now| {
                 core.broken(now, to);
                 Vec::new()
@@ -53,6 +56,20 @@
     }
 }
 
+/// A request that waits for a home's replies.
+struct Waiter {
+    replies: mpsc::UnboundedSender<Reply>,
+    /// The peer that was asked, if it is one.
+    home: Option<id::Router>,
+}
+
+impl Waiter {
+    fn tell(&self, reply: Reply) {
+        // A request that no longer waits needs no reply.
+        let _ = self.replies.send(reply);
+    }
+}
+
 /// What all tasks of a process share.
 pub struct Shared {
     /// The settings it started with.
@@ -73,7 +90,7 @@
     core: Mutex<Core>,
     links: Links<Frame, Inbox>,
     socket: Arc<UdpSocket>,
-    waiting: Mutex<HashMap<id::Attempt, mpsc::UnboundedSender<Reply>>>,
+    waiting: Mutex<HashMap<id::Attempt, Waiter>>,
     started: Instant,
 }
 
@@ -159,8 +176,8 @@
 
     /// Opens a way for a home's replies to a request.
     pub fn expect(&self, attempt: id::Attempt) -> mpsc::UnboundedReceiver<Reply> {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        self.waiting().insert(attempt, sender);
+        let (replies, receiver) = mpsc::unbounded_channel();
+        self.waiting().insert(attempt, Waiter { replies, home: None });
         receiver
     }
 
@@ -173,11 +190,7 @@
     pub fn perform(&self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Frame { to, address, frame } => {
-                    if !self.links.send(&to, address, &frame) {
-                        self.metrics.count("frame-dropped");
-                    }
-                }
+                Effect::Frame { to, address, frame } => self.send(&to, address, &frame),
                 Effect::Datagram { to, packet } => {
                     if let Ok(bytes) = codec::pack(&packet) {
                         // Datagrams may be lost; the next probe says the same.
@@ -186,7 +199,7 @@
                 }
                 Effect::Reply { attempt, reply } => {
                     if let Some(waiter) = self.waiting().get(&attempt) {
-                        let _ = waiter.send(reply);
+                        waiter.tell(reply);
                     }
                 }
                 Effect::Inspect { service, upstream, address } => {
@@ -206,11 +219,34 @@
         }
     }
 
+    /// Sends a frame to a peer. A request that asks a home which can't be reached needn't wait for its answer.
+    fn send(&self, to: &id::Router, address: SocketAddr, frame: &Frame) {
+        let sent = self.links.send(to, address, frame);
+        if !sent {
+            self.metrics.count("frame-dropped");
+        }
+        if let Frame::Ask { ask, .. } = frame
+            && let Some(waiter) = self.waiting().get_mut(&ask.attempt)
+        {
+            waiter.home = Some(to.clone());
+            if !sent {
+                waiter.tell(Reply::Decided(None));
+            }
+        }
+    }
+
+    /// The stream to a peer broke: what was asked of it is asked of others.
+    fn unanswered(&self, home: &id::Router) {
+        for waiter in self.waiting().values().filter(|waiter| waiter.home.as_ref() == Some(home)) {
+            waiter.tell(Reply::Decided(None));
+        }
+    }
+
     fn core(&self) -> MutexGuard<'_, Core> {
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn waiting(&self) -> MutexGuard<'_, HashMap<id::Attempt, mpsc::UnboundedSender<Reply>>> {
+    fn waiting(&self) -> MutexGuard<'_, HashMap<id::Attempt, Waiter>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/stairvale-serve/src/source.rs
+++ b/crates/stairvale-serve/src/source.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use stairvale_replica::{News, Router};
+use stairvale_types::id;
 
 /// Why the store gave nothing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -27,19 +28,45 @@
     Lapsed,
 }
 
+/// How new what is read must be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Consistency {
+    /// The newest there is when the store is asked.
+    Linearizable,
+    /// It may be seconds old. It costs the store little, so any number of routers may start at once.
+    Stale,
+}
+
+/// Changes to the routers that the store names.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Naming {
+    /// Routers to be named, or named anew.
+    pub put: Vec<Router>,
+    /// Routers to be named no longer.
+    pub remove: Vec<id::Router>,
+}
+
+impl Naming {
+    /// Whether there is nothing to do.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.put.is_empty() && self.remove.is_empty()
+    }
+}
+
 /// The store.
 pub trait Source: Send + Sync + 'static {
     /// A lease's name.
     type Lease: Clone + Send + Sync;
 
     /// Reads everything.
-    fn everything(&self) -> impl Future<Output = Result<News, Fault>> + Send;
+    fn everything(&self, consistency: Consistency) -> impl Future<Output = Result<News, Fault>> + Send;
     /// Waits up to `wait` for changes after a revision.
     fn changes(&self, after: u64, wait: Duration) -> impl Future<Output = Result<News, Fault>> + Send;
-    /// Names this router in the store until the lease ends.
-    fn announce(&self, router: &Router, keep: Duration) -> impl Future<Output = Result<Self::Lease, Fault>> + Send;
+    /// Grants a lease for this long, counted from the call.
+    fn grant(&self, keep: Duration) -> impl Future<Output = Result<Self::Lease, Fault>> + Send;
+    /// Names routers in the store until the lease ends, all or none.
+    fn name(&self, lease: &Self::Lease, naming: &Naming) -> impl Future<Output = Result<(), Fault>> + Send;
     /// Keeps a lease.
     fn renew(&self, lease: &Self::Lease) -> impl Future<Output = Result<(), Fault>> + Send;
-    /// Ends a lease.
-    fn withdraw(&self, lease: &Self::Lease) -> impl Future<Output = Result<(), Fault>> + Send;
 }
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -1,10 +1,14 @@
-//! Reading the store, and being named in it.
+//! Reading the store, and naming routers in it.
 
 use std::{sync::Arc, time::Duration};
 
-use stairvale_replica::Router;
+use tokio::time::Instant;
 
-use crate::{Shared, Source, core::Core, source::Fault};
+use crate::{
+    Shared, Source,
+    core::{Core, Reading},
+    source::{Consistency, Fault, Naming},
+};
 
 /// How often a router that needn't read the store looks whether it has to.
 const LOOK: Duration = Duration::from_millis(100);
@@ -12,10 +16,20 @@
 const FIRST: Duration = Duration::from_millis(100);
 /// The longest pause after failures.
 const LONGEST: Duration = Duration::from_millis(1_000);
-/// How long the store names a router that it hears no more of.
-const KEEP: Duration = Duration::from_secs(60);
+/// How long the store keeps names that nobody writes anew: several times as long as a fleet may be without its store or
+/// without power, and the longest lease of the users' store.
+const KEEP: Duration = Duration::from_secs(600);
 /// Renewals in that time.
 const RENEWALS: u32 = 3;
+/// How often the fleet's reader looks whether the right routers are named.
+const NAMES_LOOK: Duration = Duration::from_millis(500);
+/// What is to change of the names must have been so for this long: routers come and go together.
+const SETTLED: Duration = Duration::from_secs(2);
+/// What was written is seen by this router itself after this long, at the latest.
+const SEEN: Duration = Duration::from_secs(5);
+/// A router that reads for the fleet for this long writes the names under a lease of its own: well before the lease ends of
+/// one that died.
+const ADOPT: Duration = Duration::from_secs(60);
 
 /// Reads the store whenever this router is to, until the task is dropped.
 pub async fn read<S: Source>(shared: Arc<Shared>, source: Arc<S>) {
@@ -23,20 +37,28 @@
     let mut forgotten = false;
     let mut cut = false;
     loop {
-        let (wait, revision, asked) = shared.look(|core, now| (core.watch(now), core.view().revision(), now));
-        let Some(wait) = wait else {
-            tokio::time::sleep(LOOK).await;
-            continue;
+        let (reading, revision, asked) = shared.look(|core, now| (core.reading(now), core.view().revision(), now));
+        let news = match reading {
+            None => {
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+            Some(_) if forgotten => source.everything(Consistency::Linearizable).await,
+            Some(Reading::Stale) => source.everything(Consistency::Stale).await,
+            Some(Reading::Changes(wait)) => source.changes(revision, wait).await,
         };
-        let whole = revision == 0 || forgotten;
-        let news = if whole { source.everything().await } else { source.changes(revision, wait).await };
+        let stale = reading == Some(Reading::Stale) && !forgotten;
         let fault = match news {
             Ok(news) => {
                 if pause > FIRST {
                     tracing::info!("the store answers again");
                 }
                 (pause, forgotten, cut) = (FIRST, false, false);
-                shared.with(|core, now| core.read(now, asked, news));
+                shared.with(|core, now| if stale { core.read_stale(now, news) } else { core.read(now, asked, news) });
+                if shared.look(|core, _| core.view().revision() == 0) {
+                    // Nothing was ever written there, or the copy that was read is older than that.
+                    tokio::time::sleep(LONGEST).await;
+                }
                 continue;
             }
             Err(fault) => fault,
@@ -58,42 +80,74 @@
     }
 }
 
-/// Keeps this router named in the store, until the task is dropped.
-pub async fn announce<S: Source>(shared: Arc<Shared>, source: Arc<S>, kept: Arc<std::sync::Mutex<Option<S::Lease>>>) {
-    let settings = &shared.settings;
-    let router = Router {
-        id: settings.router.clone(),
-        zone: settings.zone.clone(),
-        address: settings.peers,
-        strength: settings.strength(),
-    };
-    let mut pause = FIRST;
+/// Keeps the right routers named in the store, as long as this one reads it for the fleet and until the task is dropped.
+pub async fn name<S: Source>(shared: Arc<Shared>, source: Arc<S>) {
+    let mut names = Names { source, lease: None, reader_since: None, due_since: None };
+    let mut pause = NAMES_LOOK;
     loop {
-        match source.announce(&router, KEEP).await {
-            Ok(lease) => {
-                *kept.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(lease.clone());
-                pause = FIRST;
-                keep(&*source, &lease).await;
-            }
-            Err(_) => {
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST * 4);
-            }
+        tokio::time::sleep(pause).await;
+        let (reads, due, all) = shared.look(|core, now| (core.is_reader(now), core.naming(now), core.names()));
+        if !reads {
+            (names.reader_since, names.due_since, pause) = (None, None, NAMES_LOOK);
+            continue;
         }
+        pause = match names.keep(due, all).await {
+            Ok(true) => SEEN,
+            Ok(false) => NAMES_LOOK,
+            Err(fault) => {
+                tracing::info!(%fault, "the store doesn't take names of routers");
+                shared.metrics.count("naming-fault");
+                (pause * 2).clamp(LONGEST, SEEN)
+            }
+        };
     }
 }
 
-/// Renews a lease until it is over.
-async fn keep<S: Source>(source: &S, lease: &S::Lease) {
-    let mut pause = KEEP / RENEWALS;
-    loop {
-        tokio::time::sleep(pause).await;
-        match source.renew(lease).await {
-            Ok(()) => pause = KEEP / RENEWALS,
-            Err(Fault::Lapsed) => return,
-            Err(Fault::Forgotten | Fault::Refused | Fault::Cut | Fault::Silent | Fault::Nonsense) => {
-                pause = LONGEST * 2;
-            }
+/// What the fleet's reader has written of names.
+struct Names<S: Source> {
+    source: Arc<S>,
+    /// The lease that they were written under, and when it is to be renewed.
+    lease: Option<(S::Lease, Instant)>,
+    /// Since when this router reads for the fleet.
+    reader_since: Option<Instant>,
+    /// Since when something is to be changed.
+    due_since: Option<Instant>,
+}
+
+impl<S: Source> Names<S> {
+    /// Writes what is due, renews the lease, or takes over all names; tells whether names were written.
+    async fn keep(&mut self, due: Naming, all: Naming) -> Result<bool, Fault> {
+        let now = Instant::now();
+        let reader_since = *self.reader_since.get_or_insert(now);
+        if due.is_empty() {
+            self.due_since = None;
+        } else if now - *self.due_since.get_or_insert(now) >= SETTLED {
+            return self.write(due).await;
         }
+        match &self.lease {
+            Some((lease, renew)) if *renew <= now => match self.source.renew(lease).await {
+                Ok(()) => {
+                    self.lease = Some((lease.clone(), now + KEEP / RENEWALS));
+                    Ok(false)
+                }
+                Err(Fault::Lapsed) => self.write(all).await,
+                Err(fault) => Err(fault),
+            },
+            None if now - reader_since >= ADOPT && !all.is_empty() => self.write(all).await,
+            Some(_) | None => Ok(false),
+        }
+    }
+
+    async fn write(&mut self, naming: Naming) -> Result<bool, Fault> {
+        let lease = match self.lease.take() {
+            Some((lease, _)) => lease,
+            None => self.source.grant(KEEP).await?,
+        };
+        let renew = Instant::now() + KEEP / RENEWALS;
+        // A lease that is over is taken anew next time.
+        self.source.name(&lease, &naming).await?;
+        tracing::info!(named = naming.put.len(), removed = naming.remove.len(), "routers are named in the store");
+        (self.lease, self.due_since) = (Some((lease, renew)), None);
+        Ok(true)
     }
 }
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeSet, BinaryHeap, HashMap},
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -11,7 +11,7 @@
 use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
 use stairvale_replica::{Item, News, Router, State, Subject, Upstream, Value};
 use stairvale_serve::{
-    core::{Core, Effect, Reply},
+    core::{Core, Effect, Reading, Reply},
     frame::Frame,
     settings::Bounds,
 };
@@ -39,6 +39,7 @@
 struct Call {
     asked: u64,
     until: u64,
+    reading: Reading,
 }
 
 /// One router.
@@ -49,8 +50,10 @@
     pub replies: HashMap<id::Attempt, Reply>,
     /// Engines that it wants inspected.
     pub inspected: Vec<id::Upstream>,
-    /// Calls to the store.
+    /// Calls to the store at its full price.
     pub reads: usize,
+    /// Reads of a stale state.
+    pub stale: usize,
     alive: bool,
     call: Option<Call>,
     rest_until: u64,
@@ -70,6 +73,8 @@
     store: Vec<Item>,
     /// Versions of the configuration, with the time of their acknowledgement.
     pub versions: Vec<(u64, u64)>,
+    /// Changes that stale reads of the store don't show yet.
+    pub lag: usize,
     /// Frames that carried changes of the store from one router to another.
     pub told: usize,
     cut: BTreeSet<(usize, usize)>,
@@ -97,6 +102,7 @@
             sent: 0,
             store: Vec::new(),
             versions: Vec::new(),
+            lag: 0,
             told: 0,
             cut: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
@@ -104,7 +110,16 @@
         for index in 0..routers {
             let core = world.core(index, zones, 1);
             let (replies, inspected) = (HashMap::new(), Vec::new());
-            world.nodes.push(Node { core, replies, inspected, reads: 0, alive: true, call: None, rest_until: 0 });
+            world.nodes.push(Node {
+                core,
+                replies,
+                inspected,
+                reads: 0,
+                stale: 0,
+                alive: true,
+                call: None,
+                rest_until: 0,
+            });
         }
         world.configure();
         for engine in 0..engines {
@@ -120,6 +135,7 @@
             address: address(index),
             incarnation: id::Incarnation(life),
             status: Status::Alive,
+            strength: Member::ALIKE,
         };
         Core::new(me, vec![address(0), address(1)], self.bounds, index as u64 + 77 * life)
     }
@@ -170,14 +186,30 @@
         News::Changes { after, to: self.store.len() as u64, items }
     }
 
+    /// All that the store held some changes ago.
+    fn stale(&self) -> News {
+        let to = self.store.len().saturating_sub(self.lag);
+        let mut items = BTreeMap::new();
+        for item in &self.store[..to] {
+            items.insert(item.subject.clone(), item.clone());
+        }
+        let items = items.into_values().filter(|item| item.value.is_some()).collect();
+        News::Everything { to: to as u64, items }
+    }
+
     fn poll_store(&mut self, index: usize) {
         let (now, revision) = (self.now, self.store.len() as u64);
         let cut = self.cut_from_store.contains(&index);
         let node = &mut self.nodes[index];
         let Some(call) = node.call else {
-            if let Some(wait) = node.core.watch(moment(now)).filter(|_| now >= node.rest_until) {
-                node.reads += 1;
-                node.call = Some(Call { asked: now, until: now + u64::try_from(wait.as_millis()).unwrap() });
+            if let Some(reading) = node.core.reading(moment(now)).filter(|_| now >= node.rest_until) {
+                let wait = match reading {
+                    Reading::Stale => Duration::ZERO,
+                    Reading::Changes(wait) => wait,
+                };
+                *(if reading == Reading::Stale { &mut node.stale } else { &mut node.reads }) += 1;
+                let until = now + u64::try_from(wait.as_millis()).unwrap();
+                node.call = Some(Call { asked: now, until, reading });
             }
             return;
         };
@@ -190,6 +222,12 @@
             return;
         }
         let known = node.core.view().revision();
+        if call.reading == Reading::Stale {
+            node.call = None;
+            let news = self.stale();
+            let effects = self.nodes[index].core.read_stale(moment(now), news);
+            return self.perform(index, effects);
+        }
         if revision > known || now >= call.until {
             node.call = None;
             let news = self.changes(known);
@@ -230,7 +268,8 @@
     pub fn start(&mut self, index: usize, zones: usize) {
         let core = self.core(index, zones, self.now + 2);
         let (replies, inspected) = (HashMap::new(), Vec::new());
-        self.nodes[index] = Node { core, replies, inspected, reads: 0, alive: true, call: None, rest_until: 0 };
+        self.nodes[index] =
+            Node { core, replies, inspected, reads: 0, stale: 0, alive: true, call: None, rest_until: 0 };
     }
 
     // ------------------------------------------------------------------------
--- a/crates/stairvale-wire/src/packet.rs
+++ b/crates/stairvale-wire/src/packet.rs
@@ -84,6 +84,13 @@
     pub incarnation: id::Incarnation,
     /// How it is.
     pub status: Status,
+    /// Its VM's share of a processor, in hundredths of a core. Work for others goes to the strongest.
+    pub strength: u32,
+}
+
+impl Member {
+    /// The strength of routers whose VMs are taken as alike: a whole core.
+    pub const ALIKE: u32 = 100;
 }
 
 /// What is known of an upstream's willingness, ordered by the upstream's own counters, so no clocks are compared.
