Connections that go silent without a reset are given up: links, upstreams, the store, callers

Nothing in the product had a keep-alive of its own: a link between routers on which packets vanish swallowed frames until a megabyte waited (test a_stream_that_goes_silent_without_a_reset_is_opened_anew: never passes without the pings), a silent pooled connection cost as many tries as connections were kept, and a stream to a caller that reads nothing held its upstream beyond the request's time.

Links are pinged each second while they are used, since a kernel may acknowledge what nobody reads. After a silent or broken try idle connections to that upstream are closed. Links wait 1.5 s for a connection: 295 routers that start at once broke 198 links after 400 ms. Where descriptors run out, idle connections to upstreams go first.

--- a/crates/stairvale-link/src/lib.rs
+++ b/crates/stairvale-link/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each process opens one `h2` stream to every peer that it has something to say to, and frames go one way on it, coded
 //! as `stairvale-wire`'s codec does. [`Links`] sends, [`listen()`] receives; both hand what happens to a [`Sink`].
+//! [`watch_over`] gives any connection, these streams and others, a limit to its silence.
 //! A frame that can't be sent is dropped, so what it says must be said again by something that repeats.
 //!
 //! ```
@@ -20,9 +21,11 @@
 
 pub mod links;
 pub mod listen;
+pub mod silence;
 
 pub use links::Links;
 pub use listen::listen;
+pub use silence::watch_over;
 
 use stairvale_types::id;
 
--- a/crates/stairvale-link/src/links.rs
+++ b/crates/stairvale-link/src/links.rs
@@ -9,17 +9,23 @@
 };
 
 use bytes::Bytes;
-use h2::SendStream;
+use h2::{Ping, PingPong, SendStream};
 use http::{Request, StatusCode};
 use serde::Serialize;
 use stairvale_types::id;
 use stairvale_wire::codec;
-use tokio::net::TcpStream;
-
-use crate::{SENDER, Sink, VERSION};
-
-/// A peer that doesn't take a connection by then is unreachable.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+use tokio::{net::TcpStream, task::AbortHandle};
+
+use crate::{SENDER, Sink, VERSION, watch_over};
+
+/// A peer that doesn't take a connection by then is unreachable. A peer that hundreds of others connect to at once, since all
+/// have just started, takes most of this (docs/INCIDENTS.md); that one is dead is found by probes, sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A stream on which nothing is acknowledged for this long is silent. Homes' answers and news of the store hang on it: the
+/// former go to another home after 120 ms at most, the latter are to be known in one or more seconds.
+pub(crate) const SILENCE: Duration = Duration::from_millis(800);
+/// A peer that was sent something is pinged this often: its kernel may acknowledge what the peer never reads.
+const PING: Duration = Duration::from_secs(1);
 /// After a failure a peer is left alone for this long.
 const PAUSE: Duration = Duration::from_millis(200);
 /// A peer that takes nothing for this long is as good as gone: its stream is opened anew.
@@ -38,11 +44,31 @@
 struct Open {
     stream: SendStream<Bytes>,
     stalled: Option<Instant>,
+    /// Whether something was sent since it was pinged last.
+    used: bool,
+}
+
+/// A stream to a peer that has just been opened. Its connection ends with it.
+struct Opened {
+    stream: SendStream<Bytes>,
+    answer: h2::RecvStream,
+    pings: PingPong,
+    connection: Connection,
+}
+
+/// A connection's task.
+struct Connection(AbortHandle);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
 impl Open {
     /// Sends what the peer has room for; `false` if it had none for too long, or the stream is closed.
     fn send(&mut self, bytes: Bytes) -> bool {
+        self.used = true;
         self.stream.reserve_capacity(bytes.len());
         if self.stream.capacity() >= bytes.len() {
             self.stalled = None;
@@ -129,11 +155,15 @@
 
     async fn run(self, to: id::Router, address: SocketAddr, number: u64) {
         let opening = tokio::time::timeout(CONNECT_TIMEOUT, connect(&self.me, address));
-        if let Some((stream, mut answer)) = opening.await.ok().flatten()
+        if let Some(Opened { stream, mut answer, pings, connection }) = opening.await.ok().flatten()
             && self.opened(&to, number, stream)
         {
-            // The peer never sends data, so this ends with the stream.
-            let _ = poll_fn(|context| answer.poll_data(context)).await;
+            tokio::select! {
+                // The peer never sends data, so this ends with the stream.
+                _ = poll_fn(|context| answer.poll_data(context)) => {}
+                () = self.ping(&to, number, pings) => tracing::info!(peer = %to, "the stream to a peer is silent"),
+            }
+            drop(connection);
         }
         let mut links = self.lock();
         if let Some(link) = links.get_mut(&to).filter(|link| link.number == number) {
@@ -143,6 +173,20 @@
         }
     }
 
+    /// Pings the peer as long as it answers in time.
+    async fn ping(&self, to: &id::Router, number: u64, mut pings: PingPong) {
+        loop {
+            tokio::time::sleep(PING).await;
+            let used = match self.lock().get_mut(to).filter(|link| link.number == number).map(|link| &mut link.state) {
+                Some(State::Open(open)) => std::mem::take(&mut open.used),
+                Some(State::Opening(_) | State::Broken(_)) | None => false,
+            };
+            if used && !matches!(tokio::time::timeout(SILENCE, pings.ping(Ping::opaque())).await, Ok(Ok(_))) {
+                return;
+            }
+        }
+    }
+
     /// Hands over what waited; `false` if another stream took this one's place.
     fn opened(&self, to: &id::Router, number: u64, mut stream: SendStream<Bytes>) -> bool {
         let mut links = self.lock();
@@ -160,7 +204,7 @@
                 }
             }
         }
-        link.state = State::Open(Open { stream, stalled: None });
+        link.state = State::Open(Open { stream, stalled: None, used: true });
         true
     }
 
@@ -169,11 +213,12 @@
     }
 }
 
-async fn connect(me: &id::Router, address: SocketAddr) -> Option<(SendStream<Bytes>, h2::RecvStream)> {
+async fn connect(me: &id::Router, address: SocketAddr) -> Option<Opened> {
     let tcp = TcpStream::connect(address).await.ok()?;
-    tcp.set_nodelay(true).ok()?;
-    let (client, connection) = h2::client::handshake(tcp).await.ok()?;
-    tokio::spawn(connection);
+    watch_over(&tcp, SILENCE).ok()?;
+    let (client, mut connection) = h2::client::handshake(tcp).await.ok()?;
+    let pings = connection.ping_pong()?;
+    let connection = Connection(tokio::spawn(connection).abort_handle());
     let mut client = client.ready().await.ok()?;
     let request = Request::post(format!("http://{address}/peer")).header(SENDER, me.as_str());
     let request = request.header(VERSION, stairvale_wire::VERSION).body(()).ok()?;
@@ -183,5 +228,5 @@
         tracing::warn!(%address, status = %response.status(), "a peer refused this router");
         return None;
     }
-    Some((stream, response.into_body()))
+    Some(Opened { stream, answer: response.into_body(), pings, connection })
 }
--- a/crates/stairvale-link/src/listen.rs
+++ b/crates/stairvale-link/src/listen.rs
@@ -9,7 +9,7 @@
 use stairvale_wire::codec;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{SENDER, Sink, VERSION};
+use crate::{SENDER, Sink, VERSION, links::SILENCE, watch_over};
 
 /// Bytes that may wait to be read. `h2` ends a connection on which small frames of half of this many bytes, heads counted, wait: with its usual
 /// window a hundred frames at once would be too many.
@@ -29,7 +29,7 @@
 }
 
 async fn serve<F: DeserializeOwned + Send + 'static, S: Sink<F>>(tcp: TcpStream, sink: S) {
-    if tcp.set_nodelay(true).is_err() {
+    if watch_over(&tcp, SILENCE).is_err() {
         return;
     }
     let handshake = h2::server::Builder::new().initial_connection_window_size(WINDOW).handshake(tcp);
--- a/crates/stairvale-link/tests/link.rs
+++ b/crates/stairvale-link/tests/link.rs
@@ -111,3 +111,58 @@
         assert!(sent > 5, "it is tried again and again");
     });
 }
+
+/// A way to `target` whose open connections can be silenced for good, while new ones work.
+async fn silenceable(target: SocketAddr) -> (SocketAddr, Arc<std::sync::atomic::AtomicUsize>) {
+    let (listener, address) = open().await;
+    let silenced = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let count = silenced.clone();
+    tokio::spawn(async move {
+        let mut number = 0;
+        while let Ok((near, _)) = listener.accept().await {
+            number += 1;
+            let (number, count) = (number, count.clone());
+            tokio::spawn(async move {
+                let far = tokio::net::TcpStream::connect(target).await.unwrap();
+                let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+                let carry = |mut from: tokio::net::tcp::OwnedReadHalf, mut to: tokio::net::tcp::OwnedWriteHalf| {
+                    let count = count.clone();
+                    async move {
+                        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+                        let mut buffer = [0; 4096];
+                        while let Ok(read @ 1..) = from.read(&mut buffer).await {
+                            if number <= count.load(std::sync::atomic::Ordering::Relaxed) {
+                                continue;
+                            }
+                            to.write_all(&buffer[..read]).await.unwrap();
+                        }
+                        // Silenced connections aren't closed either.
+                        std::future::pending::<()>().await;
+                    }
+                };
+                tokio::join!(carry(near_in, far_out), carry(far_in, near_out));
+            });
+        }
+    });
+    (address, silenced)
+}
+
+#[test]
+fn a_stream_that_goes_silent_without_a_reset_is_opened_anew() {
+    run(async {
+        let (seen, (listener, address)) = (Seen::default(), open().await);
+        tokio::spawn(listen::<String, Seen>(listener, seen.clone()));
+        let (address, silenced) = silenceable(address).await;
+        let sender = Seen::default();
+        let links = Links::new("r1".parse().unwrap(), sender.clone());
+        let to: id::Router = "r2".parse().unwrap();
+        assert!(links.send(&to, address, &"before".to_owned()));
+        until(|| seen.frames.lock().unwrap().len() == 1).await;
+        silenced.store(1, std::sync::atomic::Ordering::Relaxed);
+        assert!(links.send(&to, address, &"lost".to_owned()));
+        until(|| sender.broken.lock().unwrap().contains(&to)).await;
+        until(|| links.send(&to, address, &"after".to_owned())).await;
+        until(|| seen.frames.lock().unwrap().iter().any(|(_, frame)| frame == "after")).await;
+        assert!(seen.frames.lock().unwrap().iter().all(|(_, frame)| frame != "lost"));
+    });
+}
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use stairvale_link::watch_over;
 use stairvale_types::{Refusal, outcome::Reason};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -26,6 +27,8 @@
 
 /// After a failed accept, such as for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
+/// A caller that acknowledges nothing for this long has gone without a word. One that reads slowly is given as long.
+const SILENCE: Duration = Duration::from_secs(5);
 /// When to come back to a router that isn't ready or isn't sure.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// Callers keep to their limits at rest; this keeps a connection a little longer than they may.
@@ -40,13 +43,19 @@
     loop {
         match listener.accept().await {
             Ok((tcp, _)) => drop(tokio::spawn(connection(shared.clone(), dialect.clone(), tcp))),
-            Err(_) => tokio::time::sleep(PAUSE).await,
+            Err(error) => {
+                // Callers come before connections that only might be used again.
+                tracing::warn!(%error, "a caller's connection can't be taken; idle ones to upstreams are closed");
+                shared.metrics.count("accept-fault");
+                shared.upstreams.clear();
+                tokio::time::sleep(PAUSE).await;
+            }
         }
     }
 }
 
 async fn connection<D: Dialect>(shared: Arc<Shared>, dialect: D, tcp: TcpStream) {
-    if tcp.set_nodelay(true).is_err() {
+    if watch_over(&tcp, SILENCE).is_err() {
         return;
     }
     let limits = shared.table.load().document().limits;
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -296,6 +296,7 @@
         let sending = self.shared.upstreams.send(&id, address, request);
         let Ok(sent) = tokio::time::timeout(self.try_limit(), sending).await else {
             self.tries.runs += 1;
+            self.shared.upstreams.forget(&id);
             permit.end(Outcome::Silent);
             return Err(Missed::MayHaveRun(Problem::Late));
         };
@@ -307,6 +308,7 @@
             }
             Err(Fault::Broken) => {
                 self.tries.runs += 1;
+                self.shared.upstreams.forget(&id);
                 permit.end(Outcome::Failed);
                 return Err(Missed::MayHaveRun(Problem::Broken));
             }
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -213,7 +213,12 @@
         } else {
             piece
         };
-        piece.is_empty() || self.sender.send(Ok(piece)).await.is_ok()
+        if piece.is_empty() {
+            return true;
+        }
+        // A caller that reads nothing until its time is over has left as well.
+        let sent = tokio::time::timeout(self.exchange.left(), self.sender.send(Ok(piece))).await;
+        sent.is_ok_and(|sent| sent.is_ok())
     }
 
     fn log(&self, reply: &Reply, end: End) {
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -15,11 +15,15 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use stairvale_link::watch_over;
 use stairvale_types::id;
 use tokio::{net::TcpStream, task::AbortHandle};
 
 /// A connection that takes longer is given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// An upstream that acknowledges nothing for this long is given up, whatever runs there: less than the objective of most
+/// requests, so that what may run twice can still be served elsewhere, and more than two lost packets in a row take.
+const SILENCE: Duration = Duration::from_millis(700);
 /// An idle connection is used again this long after its last answer, if the upstream says nothing else.
 const IDLE: Duration = Duration::from_secs(2);
 /// Kept away from the moment at which the upstream closes an idle connection.
@@ -112,6 +116,16 @@
         }
     }
 
+    /// An upstream was silent: idle connections to it may be, too, and would cost the next requests as much.
+    pub fn forget(&self, upstream: &id::Upstream) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(upstream);
+    }
+
+    /// Closes all that idle: descriptors are wanted elsewhere.
+    pub fn clear(&self) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     /// Closes what idled too long, and all connections to upstreams that are gone.
     pub fn sweep(&self, known: impl Fn(&id::Upstream) -> bool) {
         let now = Instant::now();
@@ -152,7 +166,7 @@
 async fn open(upstream: &id::Upstream, address: SocketAddr) -> Result<Connection, Fault> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let tcp = connecting.await.ok().and_then(Result::ok).ok_or(Fault::Unreachable)?;
-    tcp.set_nodelay(true).map_err(|_| Fault::Unreachable)?;
+    watch_over(&tcp, SILENCE).map_err(|_| Fault::Unreachable)?;
     let (sender, connection) =
         http1::Builder::new().handshake(TokioIo::new(tcp)).await.map_err(|_| Fault::Unreachable)?;
     let task = tokio::spawn(async move {
