--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -60,8 +60,7 @@
             return if watcher { self.bounds.late() } else { self.bounds.stale() };
         }
         let meeting = if self.view.routers().next().is_some() { Duration::ZERO } else { naming::JOIN };
-        let share = f64::from(u16::try_from(self.me.hash64() >> 48).unwrap_or(0)) / f64::from(u16::MAX);
-        meeting + if watcher { START_WATCHER } else { START.mul_f64(1.0 + share) }
+        meeting + if watcher { START_WATCHER } else { START.mul_f64(1.0 + self.share()) }
     }
 
     /// Whether this router's copy is older than this; one that was never known to be the newest is as old as the process.
@@ -106,8 +105,7 @@
     pub(super) fn sync_with(&mut self, now: Moment, peer: &id::Router, after: u64) -> Vec<Effect> {
         self.number = self.number.wrapping_add(1);
         self.syncs.insert(self.number, now);
-        let starting = !self.view.is_confirmed();
-        self.send(peer, Frame::Sync { number: self.number, after, starting })
+        self.send(peer, Frame::Sync { number: self.number, after, routers: self.routers() })
     }
 
     /// The peer's copy was the newest `age` before it answered, which was after it was asked.
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -36,6 +36,8 @@
 const SYNCS: u32 = 6;
 /// And this often until it knows for the first time how fresh its copy is.
 const FIRST_SYNCS: Duration = Duration::from_millis(100);
+/// Who knows fewer routers by more than one in this many is told all of them; gossip brings the others.
+const FEWER: usize = 8;
 /// A process that didn't run for this long distrusts what it was about to do.
 const PAUSE: Duration = Duration::from_millis(900);
 
@@ -209,16 +211,27 @@
     }
 
     fn watcher_of(&self, zone: &id::Zone) -> Option<&Member> {
-        let sees = |member: &&Member| &member.zone == zone && !self.blind.contains_key(&member.router);
-        let live: Vec<_> = self.swim.live().filter(|member| member.status == Status::Alive).filter(sees).collect();
-        let picked = pick(zone.hash64(), self.strong(live.iter().copied()).into_iter())?;
-        live.into_iter().find(|member| &member.router == picked)
+        self.pick_watcher(zone, self.watching().filter(|member| &member.zone == zone).collect())
     }
 
     /// The zones' watchers.
     fn watchers(&self) -> Vec<&Member> {
-        let zones: BTreeSet<_> = self.swim.live().map(|member| &member.zone).collect();
-        zones.into_iter().filter_map(|zone| self.watcher_of(zone)).collect()
+        let mut zones: BTreeMap<&id::Zone, Vec<&Member>> = BTreeMap::new();
+        for member in self.watching() {
+            zones.entry(&member.zone).or_default().push(member);
+        }
+        zones.into_iter().filter_map(|(zone, members)| self.pick_watcher(zone, members)).collect()
+    }
+
+    /// Routers that may read the store for others.
+    fn watching(&self) -> impl Iterator<Item = &Member> {
+        let alive = self.swim.live().filter(|member| member.status == Status::Alive);
+        alive.filter(|member| !self.blind.contains_key(&member.router))
+    }
+
+    fn pick_watcher<'a>(&self, zone: &id::Zone, members: Vec<&'a Member>) -> Option<&'a Member> {
+        let picked = pick(zone.hash64(), self.strong(members.iter().copied()).into_iter())?.clone();
+        members.into_iter().find(|member| member.router == picked)
     }
 
     /// The watcher that reads the store for the whole fleet, and tells the others.
@@ -320,19 +333,22 @@
                 }
                 Vec::new()
             }
-            Frame::Sync { number, after, starting } => {
+            Frame::Sync { number, after, routers } => {
+                let knows_fleet = self.knows_fleet(now);
+                let few = routers + routers / FEWER < self.routers();
                 let frame = Frame::Synced {
                     number,
                     age: self.view.age(now),
                     revision: self.view.revision(),
                     calm: self.view.calm(now),
                     news: self.view.since(after),
-                    members: if starting && self.knows_fleet(now) { self.swim.told() } else { Vec::new() },
+                    knows_fleet,
+                    members: if few { self.swim.told() } else { Vec::new() },
                 };
                 self.send(from, frame)
             }
-            Frame::Synced { number, age, revision, calm, news, members } => {
-                self.told |= !members.is_empty();
+            Frame::Synced { number, age, revision, calm, news, knows_fleet, members } => {
+                self.told |= knows_fleet;
                 let effects = self.swim.learn_members(now, members);
                 let mut effects = self.members(now, effects);
                 effects.extend(self.synced(now, number, age, revision, calm, news));
--- a/crates/stairvale-serve/src/core/naming.rs
+++ b/crates/stairvale-serve/src/core/naming.rs
@@ -19,6 +19,8 @@
 /// Names of a zone beyond which those of routers that are gone are taken away. Below it they stay: on the other side of a cut
 /// they may live.
 const MOST: usize = 6;
+/// What is to change of the names must have been so for this long before it is written: routers come and go together.
+const SETTLED: Duration = Duration::from_secs(2);
 /// Changes that are written at once. A transaction of the users' store holds 32.
 const AT_ONCE: usize = 32;
 /// A router that has just started, of a fleet that nobody is named of, waits this long for others before it reads for all of them.
@@ -80,6 +82,20 @@
         naming
     }
 
+    /// How long a change of the names must have been due. Where none of those that are named lives, nobody knows of anybody and
+    /// each router takes itself for the reader: they write one after the other, so that the later ones find the first.
+    #[must_use]
+    pub fn naming_settles(&self) -> Duration {
+        let mut named = self.view.routers().peekable();
+        let lost = named.peek().is_some() && !named.any(|router| self.lives(&router.id));
+        SETTLED.mul_f64(if lost { 1.0 + 2.0 * self.share() } else { 1.0 })
+    }
+
+    /// A share of one that differs from router to router, so that not all do the same in the same moment.
+    pub(super) fn share(&self) -> f64 {
+        f64::from(u16::try_from(self.me.hash64() >> 48).unwrap_or(0)) / f64::from(u16::MAX)
+    }
+
     /// All names that stand, to be written anew under a lease of this router's own.
     #[must_use]
     pub fn names(&self) -> Naming {
@@ -109,7 +125,8 @@
             });
         }
         let surplus = named.len().saturating_sub(MOST);
-        naming.remove.extend(gone.into_iter().take(surplus).map(|router| router.id.clone()));
+        let spare = standing.into_iter().skip(NAMED);
+        naming.remove.extend(gone.into_iter().chain(spare).take(surplus).map(|router| router.id.clone()));
     }
 
     fn lives(&self, router: &id::Router) -> bool {
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -88,8 +88,8 @@
         number: u64,
         /// The revision that is known.
         after: u64,
-        /// Whether the asker has just started, and knows few routers.
-        starting: bool,
+        /// How many routers the asker knows to live.
+        routers: usize,
     },
     /// The answer to a [`Frame::Sync`].
     Synced {
@@ -103,7 +103,9 @@
         calm: Option<Duration>,
         /// What the asker lacks.
         news: Option<News>,
-        /// The routers that live, if the asker has just started.
+        /// Whether the sender knows how many routers there are: it didn't start a moment ago.
+        knows_fleet: bool,
+        /// The routers that live, if the asker knows clearly fewer.
         members: Vec<Member>,
     },
     /// Changes, as soon as the sender read them.
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -160,6 +160,13 @@
         self.notice() / 5
     }
 
+    /// How long the reader lets changes come together before it asks for the next ones: a release or a start of many upstreams
+    /// changes an entry every few ms, and each answer costs a call.
+    #[must_use]
+    pub fn gather(&self) -> Duration {
+        self.notice() / 20
+    }
+
     /// A zone's watcher whose copy may be older than this reads the store itself: more than twice [`Self::watch`] and the time
     /// between two questions to the fleet's reader, so in calm times it needn't, and less than [`Self::stale`], so that the zone's other
     /// routers needn't either.
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -23,8 +23,6 @@
 const RENEWALS: u32 = 3;
 /// How often the fleet's reader looks whether the right routers are named.
 const NAMES_LOOK: Duration = Duration::from_millis(500);
-/// What is to change of the names must have been so for this long: routers come and go together.
-const SETTLED: Duration = Duration::from_secs(2);
 /// What was written is seen by this router itself after this long, at the latest.
 const SEEN: Duration = Duration::from_secs(5);
 /// A router that reads for the fleet for this long writes the names under a lease of its own: well before the lease ends of
@@ -55,7 +53,11 @@
                 }
                 (pause, forgotten, cut) = (FIRST, false, false);
                 shared.with(|core, now| if stale { core.read_stale(now, news) } else { core.read(now, asked, news) });
-                if shared.look(|core, _| core.view().revision() == 0) {
+                let known = shared.look(|core, _| core.view().revision());
+                if revision > 0 && known > revision {
+                    tokio::time::sleep(shared.settings.bounds.gather()).await;
+                }
+                if known == 0 {
                     // Nothing was ever written there, or the copy that was read is older than that.
                     tokio::time::sleep(LONGEST).await;
                 }
@@ -86,12 +88,13 @@
     let mut pause = NAMES_LOOK;
     loop {
         tokio::time::sleep(pause).await;
-        let (reads, due, all) = shared.look(|core, now| (core.is_reader(now), core.naming(now), core.names()));
+        let (reads, due, all, settles) =
+            shared.look(|core, now| (core.is_reader(now), core.naming(now), core.names(), core.naming_settles()));
         if !reads {
             (names.reader_since, names.due_since, pause) = (None, None, NAMES_LOOK);
             continue;
         }
-        pause = match names.keep(due, all).await {
+        pause = match names.keep(due, all, settles).await {
             Ok(true) => SEEN,
             Ok(false) => NAMES_LOOK,
             Err(fault) => {
@@ -116,12 +119,12 @@
 
 impl<S: Source> Names<S> {
     /// Writes what is due, renews the lease, or takes over all names; tells whether names were written.
-    async fn keep(&mut self, due: Naming, all: Naming) -> Result<bool, Fault> {
+    async fn keep(&mut self, due: Naming, all: Naming, settles: Duration) -> Result<bool, Fault> {
         let now = Instant::now();
         let reader_since = *self.reader_since.get_or_insert(now);
         if due.is_empty() {
             self.due_since = None;
-        } else if now - *self.due_since.get_or_insert(now) >= SETTLED {
+        } else if now - *self.due_since.get_or_insert(now) >= settles {
             return self.write(due).await;
         }
         match &self.lease {
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -253,7 +253,7 @@
 fn routers_that_the_store_names_find_each_other_at_once() {
     let mut world = World::new(6, 1, 4);
     for index in 0..6 {
-        world.name_router(index, 25);
+        world.name_router(index);
     }
     world.run(100);
     assert!(world.nodes.iter().all(|node| node.core.routers() == 6));
@@ -263,7 +263,7 @@
 fn after_all_were_killed_one_home_inspects_the_engines() {
     let mut world = World::new(6, 1, 4);
     for index in 0..6 {
-        world.name_router(index, 25);
+        world.name_router(index);
     }
     world.run(100);
     for index in 0..6 {
@@ -278,9 +278,10 @@
 
 #[test]
 fn a_home_inspects_before_weak_routers_have_started() {
-    let mut world = World::new(8, 2, 4);
+    let strengths = (0..8).map(|index| if index >= 6 { 50 } else { 12 }).collect();
+    let mut world = World::with_strengths(strengths, 2, 4);
     for index in 0..8 {
-        world.name_router(index, if index >= 6 { 50 } else { 12 });
+        world.name_router(index);
     }
     for weak in 0..6 {
         world.kill(weak);
@@ -309,9 +310,10 @@
 
 #[test]
 fn the_strongest_routers_are_homes() {
-    let mut world = World::new(8, 2, 4);
+    let strengths = (0..8).map(|index| if index % 4 == 3 { 50 } else { 12 }).collect();
+    let mut world = World::with_strengths(strengths, 2, 4);
     for index in 0..8 {
-        world.name_router(index, if index % 4 == 3 { 50 } else { 12 });
+        world.name_router(index);
     }
     world.run(500);
     for entry in 0..8 {
@@ -328,9 +330,10 @@
 
 #[test]
 fn the_strongest_routers_of_a_zone_read_the_store_for_it() {
-    let mut world = World::new(8, 2, 4);
+    let strengths = (0..8).map(|index| if index >= 6 { 50 } else { 12 }).collect();
+    let mut world = World::with_strengths(strengths, 2, 4);
     for index in 0..8 {
-        world.name_router(index, if index >= 6 { 50 } else { 12 });
+        world.name_router(index);
     }
     world.run(2_000);
     let reader = readers(&mut world, 2_000);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -1,5 +1,8 @@
 //! Routers, a store and the ways between them, in time that only the test moves.
 
+// Each file of tests uses a part of it.
+#![allow(dead_code)]
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
@@ -14,6 +17,7 @@
     core::{Core, Effect, Reading, Reply},
     frame::Frame,
     settings::Bounds,
+    source::Naming,
 };
 use stairvale_table::{Customer, Document, Engine, Service};
 use stairvale_types::{Moment, id};
@@ -25,6 +29,8 @@
 const WAY: u64 = 2;
 /// A call to a store that can't be reached is given up after its wait and this, in ms.
 const SILENCE: u64 = 1_200;
+/// How often a router looks whether it is to read the store, in ms.
+const LOOK: u64 = 25;
 /// Pause after a failed call, in ms.
 const PAUSE: u64 = 200;
 
@@ -75,6 +81,12 @@
     pub versions: Vec<(u64, u64)>,
     /// Changes that stale reads of the store don't show yet.
     pub lag: usize,
+    /// Times that names of routers were written.
+    pub writes: usize,
+    strengths: Vec<u32>,
+    zones: usize,
+    /// What readers want written, and since when.
+    names: HashMap<usize, (Naming, u64)>,
     /// Frames that carried changes of the store from one router to another.
     pub told: usize,
     cut: BTreeSet<(usize, usize)>,
@@ -86,12 +98,28 @@
 }
 
 fn address(index: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, u8::try_from(index + 1).unwrap()], 7000))
+    let [high, low] = u16::try_from(index + 1).unwrap().to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7000))
+}
+
+/// The router at an address, if it is one's.
+fn at(address: SocketAddr) -> Option<usize> {
+    let std::net::IpAddr::V4(ip) = address.ip() else {
+        return None;
+    };
+    let [_, _, high, low] = ip.octets();
+    usize::from(u16::from_be_bytes([high, low])).checked_sub(1)
 }
 
 impl World {
-    /// Routers spread over zones, and a store with a first configuration and some engines.
+    /// Routers that are alike spread over zones, and a store with a first configuration and some engines.
     pub fn new(routers: usize, zones: usize, engines: usize) -> Self {
+        Self::with_strengths(vec![Member::ALIKE; routers], zones, engines)
+    }
+
+    /// The same with VMs of these strengths.
+    pub fn with_strengths(strengths: Vec<u32>, zones: usize, engines: usize) -> Self {
+        let routers = strengths.len();
         let bounds = Bounds::default();
         let mut world = Self {
             now: 0,
@@ -103,6 +131,10 @@
             store: Vec::new(),
             versions: Vec::new(),
             lag: 0,
+            writes: 0,
+            strengths,
+            zones,
+            names: HashMap::new(),
             told: 0,
             cut: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
@@ -135,7 +167,7 @@
             address: address(index),
             incarnation: id::Incarnation(life),
             status: Status::Alive,
-            strength: Member::ALIKE,
+            strength: self.strengths[index],
         };
         Core::new(me, vec![address(0), address(1)], self.bounds, index as u64 + 77 * life)
     }
@@ -171,8 +203,9 @@
     }
 
     /// A router's entry in the store.
-    pub fn name_router(&mut self, index: usize, strength: u32) {
-        let router = Router { id: name(index), zone: "z0".parse().unwrap(), address: address(index), strength };
+    pub fn name_router(&mut self, index: usize) {
+        let zone = format!("z{}", index % self.zones).parse().unwrap();
+        let router = Router { id: name(index), zone, address: address(index), strength: self.strengths[index] };
         self.put(Subject::Router(name(index)), Some(Value::Router(router)));
     }
 
@@ -181,6 +214,28 @@
         self.store.push(Item::new(subject, revision, value));
     }
 
+    /// Lets a router that reads the store for the fleet name others in it, once it wants the same for long enough.
+    fn write_names(&mut self, index: usize) {
+        let naming = self.nodes[index].core.naming(moment(self.now));
+        if naming.is_empty() || self.cut_from_store.contains(&index) {
+            self.names.remove(&index);
+            return;
+        }
+        let (wanted, since) = self.names.entry(index).or_insert_with(|| (naming.clone(), self.now)).clone();
+        if wanted != naming {
+            self.names.insert(index, (naming, since));
+        } else if Duration::from_millis(self.now - since) >= self.nodes[index].core.naming_settles() {
+            self.names.remove(&index);
+            self.writes += 1;
+            for router in naming.put {
+                self.put(Subject::Router(router.id.clone()), Some(Value::Router(router)));
+            }
+            for router in naming.remove {
+                self.put(Subject::Router(router), None);
+            }
+        }
+    }
+
     fn changes(&self, after: u64) -> News {
         let items = self.store.iter().filter(|item| item.revision > after).cloned().collect();
         News::Changes { after, to: self.store.len() as u64, items }
@@ -202,7 +257,10 @@
         let cut = self.cut_from_store.contains(&index);
         let node = &mut self.nodes[index];
         let Some(call) = node.call else {
-            if let Some(reading) = node.core.reading(moment(now)).filter(|_| now >= node.rest_until) {
+            if now < node.rest_until {
+                return;
+            }
+            if let Some(reading) = node.core.reading(moment(now)) {
                 let wait = match reading {
                     Reading::Stale => Duration::ZERO,
                     Reading::Changes(wait) => wait,
@@ -210,6 +268,8 @@
                 *(if reading == Reading::Stale { &mut node.stale } else { &mut node.reads }) += 1;
                 let until = now + u64::try_from(wait.as_millis()).unwrap();
                 node.call = Some(Call { asked: now, until, reading });
+            } else {
+                node.rest_until = now + LOOK;
             }
             return;
         };
@@ -239,6 +299,26 @@
     // ------------------------------------------------------------------------
     // Trouble.
 
+    /// The names that the store holds.
+    pub fn named(&self) -> BTreeSet<id::Router> {
+        let mut named = BTreeSet::new();
+        for item in &self.store {
+            if let Subject::Router(router) = &item.subject {
+                if item.value.is_some() {
+                    named.insert(router.clone());
+                } else {
+                    named.remove(router);
+                }
+            }
+        }
+        named
+    }
+
+    /// The store is down for everybody, or up again.
+    pub fn set_store_down(&mut self, down: bool) {
+        self.cut_from_store = if down { (0..self.nodes.len()).collect() } else { BTreeSet::new() };
+    }
+
     /// Cuts the way between two routers, or mends it.
     pub fn set_cut(&mut self, a: usize, b: usize, cut: bool) {
         for pair in [(a, b), (b, a)] {
@@ -290,6 +370,9 @@
                     let effects = self.nodes[index].core.tick(moment(self.now));
                     self.perform(index, effects);
                 }
+                if self.now.is_multiple_of(500) {
+                    self.write_names(index);
+                }
             }
         }
     }
@@ -316,7 +399,7 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
-        let Some(to) = (0..self.nodes.len()).find(|index| address(*index) == to) else {
+        let Some(to) = at(to).filter(|index| *index < self.nodes.len()) else {
             return;
         };
         if self.cut.contains(&(from, to)) {
