Named routers that don't answer at once are no homes; connections to peers are tried anew after 250 ms

A time-out of the kernel's was taken for a failure, so an upstream behind a cut counted as one that answers.

A router counts as home or watcher once it has answered, or in the first 100 ms; 250 ms for a connection, 1.5 s for the stream on it; silences are told apart from failures.

Ruled out, by ablation: the user time-out, asks passed on at once, homes among the named.

--- a/crates/stairvale-link/src/links.rs
+++ b/crates/stairvale-link/src/links.rs
@@ -18,9 +18,12 @@
 
 use crate::{SENDER, Sink, VERSION, watch_over};
 
-/// A peer that doesn't take a connection by then is unreachable. A peer that hundreds of others connect to at once, since all
-/// have just started, takes most of this (docs/INCIDENTS.md); that one is dead is found by probes, sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A connection that isn't made by then is tried anew: the first packet to a peer without power, or with too many callers, is
+/// lost, and the kernel sends the next one only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A peer that has taken the connection may need this long to answer: hundreds may have come to it at once, since all have
+/// just started.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A stream on which nothing is acknowledged for this long is silent. Homes' answers and news of the store hang on it: the
 /// former go to another home after 120 ms at most, the latter are to be known in one or more seconds.
 pub(crate) const SILENCE: Duration = Duration::from_millis(800);
@@ -154,7 +157,7 @@
     }
 
     async fn run(self, to: id::Router, address: SocketAddr, number: u64) {
-        let opening = tokio::time::timeout(CONNECT_TIMEOUT, connect(&self.me, address));
+        let opening = tokio::time::timeout(OPEN_TIMEOUT, connect(&self.me, address));
         if let Some(Opened { stream, mut answer, pings, connection }) = opening.await.ok().flatten()
             && self.opened(&to, number, stream)
         {
@@ -214,7 +217,7 @@
 }
 
 async fn connect(me: &id::Router, address: SocketAddr) -> Option<Opened> {
-    let tcp = TcpStream::connect(address).await.ok()?;
+    let tcp = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
     watch_over(&tcp, SILENCE).ok()?;
     let (client, mut connection) = h2::client::handshake(tcp).await.ok()?;
     let pings = connection.ping_pong()?;
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -80,7 +80,7 @@
     pub(super) fn inherit(&mut self) -> Vec<Effect> {
         let mut effects = Vec::new();
         for (service, pool) in self.pools.iter().filter(|(_, pool)| pool.has_engines()) {
-            let mut order = self.strong(self.swim.live());
+            let mut order = self.strong(self.present());
             let Some(home) = pick(service.hash64(), order.iter().copied()).cloned() else {
                 continue;
             };
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -34,7 +34,7 @@
         effects
     }
 
-    /// Whether it is clear who the homes are: half of the strong routers that the store names are taken to live, so that all
+    /// Whether it is clear who the homes are: half of the strong routers that the store names have answered, so that all
     /// agree. The others may take longer to start, and aren't waited for. Where none is named, some time must have passed.
     pub(super) fn has_joined(&self, now: Moment) -> bool {
         let strongest = self.view.routers().map(|router| router.strength).max();
@@ -43,7 +43,8 @@
         };
         let strong = self.view.routers().filter(|router| router.strength * 2 >= strongest);
         let named: BTreeSet<_> = strong.map(|router| &router.id).collect();
-        let live = self.swim.live().filter(|member| named.contains(&member.router)).count();
+        let heard = self.swim.live().filter(|member| member.incarnation.0 > 0);
+        let live = heard.filter(|member| named.contains(&member.router)).count();
         live * 2 >= named.len()
     }
 
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -39,6 +39,8 @@
 const SYNCS: u32 = 6;
 /// And this often until it knows for the first time how fresh its copy is.
 const FIRST_SYNCS: Duration = Duration::from_millis(50);
+/// Named routers have answered this long after a start, if they run: many round trips, and the time of a small VM to start.
+const PRESUMED: Duration = Duration::from_millis(100);
 /// A process that didn't run for this long distrusts what it was about to do.
 const PAUSE: Duration = Duration::from_millis(900);
 
@@ -186,13 +188,19 @@
     /// The router that a request of a service is placed by: its home, or who stands in for one that doesn't answer.
     fn home(&self, now: Moment, service: &id::Service) -> id::Router {
         let trusted = |member: &&Member| self.distrusted.get(&member.router).is_none_or(|until| *until <= now);
-        let live = self.strong(self.swim.live().filter(trusted));
+        let live = self.strong(self.present().filter(trusted));
         pick(service.hash64(), live.into_iter()).cloned().unwrap_or_else(|| self.me.clone())
     }
 
     /// The service's home, whether it answers or not.
     fn standing_home(&self, service: &id::Service) -> Option<id::Router> {
-        pick(service.hash64(), self.strong(self.swim.live()).into_iter()).cloned()
+        pick(service.hash64(), self.strong(self.present()).into_iter()).cloned()
+    }
+
+    /// Routers that live, and in the first moments of this one those that are only named and haven't answered yet.
+    fn present(&self) -> impl Iterator<Item = &Member> {
+        let early = self.life(self.last_tick) < PRESUMED;
+        self.swim.live().filter(move |member| early || member.incarnation.0 > 0)
     }
 
     /// The routers that may do work for others, as homes or watchers: of those that the store names, or of all where it names
@@ -229,7 +237,7 @@
 
     /// Routers that may read the store for others.
     fn watching(&self) -> impl Iterator<Item = &Member> {
-        let alive = self.swim.live().filter(|member| member.status == Status::Alive);
+        let alive = self.present().filter(|member| member.status == Status::Alive);
         alive.filter(|member| !self.blind.contains_key(&member.router))
     }
 
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -183,14 +183,8 @@
                 self.shared.metrics.answered(self.came.elapsed());
                 Ok((reply, piece))
             }
-            Ok(Err(_)) => {
-                reply.permit.end(Outcome::Failed);
-                Err(Problem::Broken)
-            }
-            Err(_) => {
-                reply.permit.end(Outcome::Silent);
-                Err(Problem::Late)
-            }
+            Ok(Err(fault)) => Err(self.missed(&fault, reply.permit)),
+            Err(_) => Err(self.missed(&Fault::Silent, reply.permit)),
         }
     }
 
@@ -198,13 +192,10 @@
     async fn whole(&mut self, reply: Reply) -> Result<Response<Body>, Problem> {
         let Reply { mut head, body, connection, permit } = reply;
         let collected = tokio::time::timeout(self.try_limit(), body.collect()).await;
-        let Ok(collected) = collected else {
-            permit.end(Outcome::Silent);
-            return Err(Problem::Late);
-        };
-        let Ok(collected) = collected else {
-            permit.end(Outcome::Failed);
-            return Err(Problem::Broken);
+        let collected = match collected {
+            Ok(Ok(collected)) => collected,
+            Ok(Err(error)) => return Err(self.missed(&Fault::of(&error), permit)),
+            Err(_) => return Err(self.missed(&Fault::Silent, permit)),
         };
         self.shared.upstreams.keep(connection, &head.headers);
         tracing::info!(
@@ -296,9 +287,7 @@
         let sending = self.shared.upstreams.send(&id, address, request);
         let Ok(sent) = tokio::time::timeout(self.try_limit(), sending).await else {
             self.tries.runs += 1;
-            self.shared.upstreams.forget(&id);
-            permit.end(Outcome::Silent);
-            return Err(Missed::MayHaveRun(Problem::Late));
+            return Err(Missed::MayHaveRun(self.missed(&Fault::Silent, permit)));
         };
         let (answer, connection) = match sent {
             Ok(sent) => sent,
@@ -306,11 +295,9 @@
                 permit.end(Outcome::Unreachable);
                 return Err(Missed::NotRun);
             }
-            Err(Fault::Broken) => {
+            Err(fault @ (Fault::Broken | Fault::Silent)) => {
                 self.tries.runs += 1;
-                self.shared.upstreams.forget(&id);
-                permit.end(Outcome::Failed);
-                return Err(Missed::MayHaveRun(Problem::Broken));
+                return Err(Missed::MayHaveRun(self.missed(&fault, permit)));
             }
         };
         let (head, body) = answer.into_parts();
@@ -336,6 +323,17 @@
         }
     }
 
+    /// An upstream that may have run it didn't answer. What else idles there is no better than the connection that failed.
+    fn missed(&self, fault: &Fault, permit: Permit) -> Problem {
+        self.shared.upstreams.forget(&permit.upstream.id);
+        let (outcome, problem) = match fault {
+            Fault::Silent => (Outcome::Silent, Problem::Late),
+            Fault::Broken | Fault::Unreachable | Fault::Unsent => (Outcome::Failed, Problem::Broken),
+        };
+        permit.end(outcome);
+        problem
+    }
+
     /// Reads a refusal to its end, so that its connection can be used again.
     fn read_away(&self, headers: HeaderMap, body: Incoming, connection: Connection) {
         let shared = self.shared.clone();
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -14,6 +14,7 @@
     Dialect,
     body::{Body, Broken},
     exchange::{Exchange, Reply, millis, strip},
+    upstream::Fault,
 };
 
 /// Pieces that wait for the caller; a caller that reads more slowly holds the upstream up.
@@ -26,10 +27,10 @@
 /// The next piece of a body that isn't empty; `None` at its end.
 ///
 /// # Errors
-/// [`Broken`] if it didn't come whole.
-pub async fn next(body: &mut Incoming) -> Result<Option<Bytes>, Broken> {
+/// A [`Fault`] if it didn't come whole.
+pub async fn next(body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Broken)?;
+        let frame = frame.map_err(|error| Fault::of(&error))?;
         if let Ok(piece) = frame.into_data()
             && !piece.is_empty()
         {
@@ -193,7 +194,8 @@
                 }
                 Ok(None) if self.events.is_partial() => return End::Broken,
                 Ok(None) => return End::Whole,
-                Err(Broken) => return End::Broken,
+                Err(Fault::Silent) => return End::Silent,
+                Err(Fault::Broken | Fault::Unreachable | Fault::Unsent) => return End::Broken,
             }
         }
     }
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -5,6 +5,8 @@
 
 use std::{
     collections::HashMap,
+    error::Error,
+    io,
     net::SocketAddr,
     sync::{Mutex, PoisonError},
     time::{Duration, Instant},
@@ -43,6 +45,24 @@
     /// The connection broke, or what came is no answer; the request may have run.
     #[error("the upstream broke off")]
     Broken,
+    /// The upstream acknowledged nothing for too long; the request may have run.
+    #[error("the upstream is silent")]
+    Silent,
+}
+
+impl Fault {
+    /// What a failed exchange comes to. A silence is told apart: it says that nothing can be reached there, and a failure that something can.
+    #[must_use]
+    pub fn of(error: &hyper::Error) -> Self {
+        let mut source = error.source();
+        while let Some(inner) = source {
+            if inner.downcast_ref::<io::Error>().is_some_and(|error| error.kind() == io::ErrorKind::TimedOut) {
+                return Self::Silent;
+            }
+            source = inner.source();
+        }
+        Self::Broken
+    }
 }
 
 type Sender = http1::SendRequest<Full<Bytes>>;
@@ -91,14 +111,17 @@
                 Err(mut error) => match error.take_message() {
                     // It was closed under us, and nothing of the request was written.
                     Some(unsent) => request = unsent,
-                    None => return Err(Fault::Broken),
+                    None => return Err(Fault::of(error.error())),
                 },
             }
         }
         let mut connection = open(upstream, address).await?;
         match connection.sender.try_send_request(request).await {
             Ok(answer) => Ok((answer, connection)),
-            Err(mut error) => Err(if error.take_message().is_some() { Fault::Unsent } else { Fault::Broken }),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(Fault::Unsent),
+                None => Err(Fault::of(error.error())),
+            },
         }
     }
 
