Nothing is sent to routers that are only named; who answers first is asked at once

Frames go only to routers that have said something themselves; the first one that does is asked for its copy at once; a router that has just started looks each 20 ms, not 100, whether it is to ask the store.

--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -6,7 +6,7 @@
 use stairvale_types::{Moment, id};
 use stairvale_wire::Member;
 
-use super::{Core, Effect, naming};
+use super::{Core, Effect, is_heard, naming};
 use crate::frame::{Frame, Sync};
 
 /// A question about freshness is remembered this long.
@@ -182,7 +182,8 @@
         let number = self.number;
         // Of those that are named many have the newest copy, also when all have just started.
         let named = |peer: &&Member| self.view.is_confirmed() || self.view.router(&peer.router).is_some();
-        let mut peers: Vec<_> = self.live_peers().filter(named).map(|peer| peer.router.clone()).collect();
+        let mut peers: Vec<_> =
+            self.live_peers().filter(|peer| is_heard(peer)).filter(named).map(|peer| peer.router.clone()).collect();
         if peers.is_empty() {
             peers.extend(self.live_peers().map(|peer| peer.router.clone()));
         }
@@ -195,7 +196,8 @@
     }
 
     pub(super) fn send(&self, to: &id::Router, frame: Frame) -> Vec<Effect> {
-        let Some(peer) = self.swim.peer(to) else {
+        // A stream to one that may not run would be opened in vain, and wait for it.
+        let Some(peer) = self.swim.peer(to).filter(|peer| is_heard(peer)) else {
             return Vec::new();
         };
         vec![Effect::Frame { to: to.clone(), address: peer.address, frame: Box::new(frame) }]
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -12,7 +12,7 @@
 use stairvale_types::{Moment, id, unit};
 use stairvale_wire::Status;
 
-use super::{Core, Effect};
+use super::{Core, Effect, is_heard};
 
 /// Routers of a fleet that nobody is named of know each other this long after they started.
 const SETTLED: Duration = Duration::from_secs(3);
@@ -43,7 +43,7 @@
         };
         let strong = self.view.routers().filter(|router| router.strength * 2 >= strongest);
         let named: BTreeSet<_> = strong.map(|router| &router.id).collect();
-        let heard = self.swim.live().filter(|member| member.incarnation.0 > 0);
+        let heard = self.swim.live().filter(|member| is_heard(member));
         let live = heard.filter(|member| named.contains(&member.router)).count();
         live * 2 >= named.len()
     }
@@ -102,6 +102,10 @@
         }
         if joined {
             out.extend(self.inherit());
+            if !self.view.is_confirmed() {
+                // Whoever has just answered may know what this router waits for.
+                out.extend(self.sync(now));
+            }
         }
         let dark = self.find_dark();
         if dark != self.dark {
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -40,7 +40,7 @@
 /// And this often until it knows for the first time how fresh its copy is.
 const FIRST_SYNCS: Duration = Duration::from_millis(50);
 /// Named routers have answered this long after a start, if they run: many round trips, and the time of a small VM to start.
-const PRESUMED: Duration = Duration::from_millis(100);
+const PRESUMED: Duration = Duration::from_millis(50);
 /// A process that didn't run for this long distrusts what it was about to do.
 const PAUSE: Duration = Duration::from_millis(900);
 
@@ -197,10 +197,9 @@
         pick(service.hash64(), self.strong(self.present()).into_iter()).cloned()
     }
 
-    /// Routers that live, and in the first moments of this one those that are only named and haven't answered yet.
+    /// Routers that live and were heard of, rather than only named.
     fn present(&self) -> impl Iterator<Item = &Member> {
-        let early = self.life(self.last_tick) < PRESUMED;
-        self.swim.live().filter(move |member| early || member.incarnation.0 > 0)
+        self.swim.live().filter(|member| is_heard(member))
     }
 
     /// The routers that may do work for others, as homes or watchers: of those that the store names, or of all where it names
@@ -235,9 +234,12 @@
         zones.into_iter().filter_map(|(zone, members)| self.pick_watcher(zone, members)).collect()
     }
 
-    /// Routers that may read the store for others.
+    /// Routers that may read the store for others. In its first moments a router leaves that to those that are named, until
+    /// they have had time to answer: or each would begin by reading it for all.
     fn watching(&self) -> impl Iterator<Item = &Member> {
-        let alive = self.present().filter(|member| member.status == Status::Alive);
+        let early = self.life(self.last_tick) < PRESUMED;
+        let present = self.swim.live().filter(move |member| early || is_heard(member));
+        let alive = present.filter(|member| member.status == Status::Alive);
         alive.filter(|member| !self.blind.contains_key(&member.router))
     }
 
@@ -424,3 +426,8 @@
         effects
     }
 }
+
+/// Whether a router has said something itself; one that is only named hasn't.
+fn is_heard(member: &Member) -> bool {
+    member.incarnation.0 > 0
+}
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -12,6 +12,8 @@
 
 /// How often a router that needn't read the store looks whether it has to.
 const LOOK: Duration = Duration::from_millis(100);
+/// And how often until its copy is known to be the newest: requests wait for that.
+const FIRST_LOOK: Duration = Duration::from_millis(20);
 /// The first pause after a failure; it doubles up to [`LONGEST`].
 const FIRST: Duration = Duration::from_millis(100);
 /// The longest pause after failures.
@@ -38,7 +40,8 @@
         let (reading, revision, asked) = shared.look(|core, now| (core.reading(now), core.view().revision(), now));
         let news = match reading {
             None => {
-                tokio::time::sleep(LOOK).await;
+                let known = shared.look(|core, _| core.view().is_confirmed());
+                tokio::time::sleep(if known { LOOK } else { FIRST_LOOK }).await;
                 continue;
             }
             Some(_) if forgotten => source.everything(Consistency::Linearizable).await,
