--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -51,8 +51,9 @@
     log: VecDeque<Item>,
     /// Changes up to this revision are no longer in the log.
     forgotten: u64,
-    /// The moment at which this copy is known to have been the newest.
-    fresh: Option<Moment>,
+    /// The moment at which this copy is known to have been the newest, in microseconds on this process's clock: before its
+    /// start where a peer told a router that has just started.
+    fresh: Option<i128>,
     /// When the store failed this router last.
     disturbed: Option<Moment>,
     /// When this router read the store last.
@@ -74,7 +75,8 @@
     /// How long ago this copy is known to have been the newest; `None` if it never was.
     #[must_use]
     pub fn age(&self, now: Moment) -> Option<Duration> {
-        self.fresh.map(|fresh| now.since(fresh))
+        let age = self.fresh.map(|fresh| (i128::from(now.0) - fresh).max(0))?;
+        Some(Duration::from_micros(u64::try_from(age).unwrap_or(u64::MAX)))
     }
 
     /// Whether this copy was ever known to be the newest.
@@ -207,7 +209,13 @@
 
     /// This copy is known to have been the newest at `moment`.
     pub fn confirm(&mut self, moment: Moment) {
-        self.fresh = self.fresh.max(Some(moment));
+        self.confirm_told(moment, Duration::ZERO);
+    }
+
+    /// A peer that was asked at `asked` said that the same copy was the newest `age` before its answer.
+    pub fn confirm_told(&mut self, asked: Moment, age: Duration) {
+        let age = i128::try_from(age.as_micros()).unwrap_or(i128::MAX);
+        self.fresh = self.fresh.max(Some(i128::from(asked.0).saturating_sub(age)));
     }
 
     /// The store failed this router at `moment`.
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -169,9 +169,8 @@
         // A peer that is behind says nothing about this copy, unless this copy is as old as the peer's.
         if let Some(age) = age
             && revision >= self.view.revision()
-            && micros(age) <= asked.0
         {
-            self.view.confirm(Moment(asked.0 - micros(age)));
+            self.view.confirm_told(asked, age);
         }
         changed |= self.view.is_confirmed() != confirmed;
         if changed { self.refresh(now) } else { Vec::new() }
@@ -203,7 +202,3 @@
         vec![Effect::Frame { to: to.clone(), address: peer.address, frame: Box::new(frame) }]
     }
 }
-
-fn micros(span: Duration) -> u64 {
-    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -327,7 +327,10 @@
     fn missed(&self, fault: &Fault, permit: Permit) -> Problem {
         self.shared.upstreams.forget(&permit.upstream.id);
         let (outcome, problem) = match fault {
-            Fault::Silent => (Outcome::Silent, Problem::Late),
+            Fault::Silent => {
+                self.shared.metrics.count("upstream-silent");
+                (Outcome::Silent, Problem::Late)
+            }
             Fault::Broken | Fault::Unreachable | Fault::Unsent => (Outcome::Failed, Problem::Broken),
         };
         permit.end(outcome);
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -144,7 +144,7 @@
     }
     world.run(world.bounds.revoke_ms);
     assert!(!world.trusts(0));
-    assert!(!world.nodes[0].core.is_ready(world::moment(world.now)));
+    assert!(!world.nodes[0].core.is_ready(world.local(0)));
     assert!((1..4).all(|index| world.trusts(index)));
     world.set_store_cut(0, false);
     world.run(2_500);
@@ -187,7 +187,8 @@
     for (number, entry) in (1..).zip(&entries) {
         world.hold(*entry, number, &[(100, 10)]);
     }
-    let effects = world.nodes[home].core.leave(world::moment(world.now));
+    let now = world.local(home);
+    let effects = world.nodes[home].core.leave(now);
     world.perform(home, effects);
     world.run(100);
     let next = world.ask(entries[0], 100, &[]);
@@ -210,7 +211,8 @@
             (1..).zip(&prompts).map(|(number, prompt)| world.serve(entry, number, prompt).unwrap()).collect();
         world.run(1_000);
         if stops {
-            let effects = world.nodes[home].core.leave(world::moment(world.now));
+            let now = world.local(home);
+            let effects = world.nodes[home].core.leave(now);
             world.perform(home, effects);
         } else {
             world.kill(home);
@@ -368,7 +370,8 @@
     let mut world = settled(3, 1, 2);
     let home = world.ask(0, 1, &[]);
     let index = world.index(&home);
-    let effects = world.nodes[index].core.leave(world::moment(world.now));
+    let now = world.local(index);
+    let effects = world.nodes[index].core.leave(now);
     world.perform(index, effects);
     world.run(500);
     let entry = (index + 1) % 3;
--- a/crates/stairvale-serve/tests/starts.rs
+++ b/crates/stairvale-serve/tests/starts.rs
@@ -99,7 +99,7 @@
         assert_eq!(world.version(index), world.versions.last().unwrap().0);
         world.run(1_000);
         let reads = world.nodes[index].reads;
-        let reads_for_all = world.nodes[index].core.is_reader(world::moment(world.now));
+        let reads_for_all = world.nodes[index].core.is_reader(world.local(index));
         assert!(reads_for_all || reads == 0, "router {index} made {reads} calls");
     }
     assert_eq!((world.writes, world.named()), (writes, names));
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -60,11 +60,20 @@
     pub reads: usize,
     /// Reads of a stale state.
     pub stale: usize,
+    /// When its process started; its clock begins then, as a process's does.
+    born: u64,
     alive: bool,
     call: Option<Call>,
     rest_until: u64,
 }
 
+impl Node {
+    /// A moment on its own clock.
+    pub fn local(&self, millis: u64) -> Moment {
+        Moment::from_millis(millis - self.born)
+    }
+}
+
 /// The world.
 pub struct World {
     /// Now, in ms.
@@ -148,6 +157,7 @@
                 inspected,
                 reads: 0,
                 stale: 0,
+                born: 0,
                 alive: true,
                 call: None,
                 rest_until: 0,
@@ -216,7 +226,7 @@
 
     /// Lets a router that reads the store for the fleet name others in it, once it wants the same for long enough.
     fn write_names(&mut self, index: usize) {
-        let naming = self.nodes[index].core.naming(moment(self.now));
+        let naming = self.nodes[index].core.naming(self.local(index));
         if naming.is_empty() || self.cut_from_store.contains(&index) {
             self.names.remove(&index);
             return;
@@ -260,7 +270,7 @@
             if now < node.rest_until {
                 return;
             }
-            if let Some(reading) = node.core.reading(moment(now)) {
+            if let Some(reading) = node.core.reading(node.local(now)) {
                 let wait = match reading {
                     Reading::Stale => Duration::ZERO,
                     Reading::Changes(wait) => wait,
@@ -277,7 +287,7 @@
             if now >= call.until + SILENCE {
                 node.call = None;
                 node.rest_until = now + PAUSE;
-                node.core.disturbed(moment(now));
+                node.core.disturbed(node.local(now));
             }
             return;
         }
@@ -285,13 +295,15 @@
         if call.reading == Reading::Stale {
             node.call = None;
             let news = self.stale();
-            let effects = self.nodes[index].core.read_stale(moment(now), news);
+            let now = self.local(index);
+            let effects = self.nodes[index].core.read_stale(now, news);
             return self.perform(index, effects);
         }
         if revision > known || now >= call.until {
             node.call = None;
             let news = self.changes(known);
-            let effects = self.nodes[index].core.read(moment(now), moment(call.asked), news);
+            let (now, asked) = (self.local(index), self.nodes[index].local(call.asked));
+            let effects = self.nodes[index].core.read(now, asked, news);
             self.perform(index, effects);
         }
     }
@@ -348,8 +360,17 @@
     pub fn start(&mut self, index: usize, zones: usize) {
         let core = self.core(index, zones, self.now + 2);
         let (replies, inspected) = (HashMap::new(), Vec::new());
-        self.nodes[index] =
-            Node { core, replies, inspected, reads: 0, stale: 0, alive: true, call: None, rest_until: 0 };
+        self.nodes[index] = Node {
+            core,
+            replies,
+            inspected,
+            reads: 0,
+            stale: 0,
+            born: self.now,
+            alive: true,
+            call: None,
+            rest_until: 0,
+        };
     }
 
     // ------------------------------------------------------------------------
@@ -367,7 +388,8 @@
                 }
                 self.poll_store(index);
                 if self.now.is_multiple_of(50) {
-                    let effects = self.nodes[index].core.tick(moment(self.now));
+                    let now = self.local(index);
+                    let effects = self.nodes[index].core.tick(now);
                     self.perform(index, effects);
                 }
                 if self.now.is_multiple_of(500) {
@@ -389,7 +411,7 @@
             if !self.nodes[to].alive {
                 continue;
             }
-            let now = moment(self.now);
+            let now = self.local(to);
             let effects = match message {
                 Message::Frame(from, frame) => self.nodes[to].core.frame(now, &from, frame),
                 Message::Packet(from, packet) => self.nodes[to].core.datagram(now, from, packet),
@@ -430,7 +452,7 @@
 
     /// A router got no answer from another one as a home.
     pub fn distrust(&mut self, index: usize, home: usize) {
-        let now = moment(self.now);
+        let now = self.local(index);
         self.nodes[index].core.distrust(now, &name(home));
     }
 
@@ -440,7 +462,8 @@
     /// A request at a router; gives the home that was asked.
     pub fn ask(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> id::Router {
         let (service, ask) = request(index, number, parts);
-        let (home, effects) = self.nodes[index].core.ask(moment(self.now), &service, ask);
+        let now = self.local(index);
+        let (home, effects) = self.nodes[index].core.ask(now, &service, ask);
         self.perform(index, effects);
         home
     }
@@ -448,7 +471,8 @@
     /// A request at a router that decides by itself, since no home answered.
     pub fn ask_self(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) {
         let (service, ask) = request(index, number, parts);
-        let effects = self.nodes[index].core.ask_self(moment(self.now), &service, ask);
+        let now = self.local(index);
+        let effects = self.nodes[index].core.ask_self(now, &service, ask);
         self.perform(index, effects);
     }
 
@@ -474,9 +498,10 @@
     pub fn serve(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> Option<id::Upstream> {
         let upstream = self.hold(index, number, parts)?;
         let attempt = id::Attempt(number);
+        let now = self.local(index);
         let core = &mut self.nodes[index].core;
-        let mut effects = core.begun(moment(self.now), attempt, Duration::from_millis(20));
-        effects.extend(core.end(moment(self.now), attempt, Outcome::Served, None));
+        let mut effects = core.begun(now, attempt, Duration::from_millis(20));
+        effects.extend(core.end(now, attempt, Outcome::Served, None));
         self.perform(index, effects);
         self.run(50);
         Some(upstream)
@@ -494,7 +519,12 @@
 
     /// Whether keys count at a router.
     pub fn trusts(&self, index: usize) -> bool {
-        self.nodes[index].core.trusts_keys(moment(self.now))
+        self.nodes[index].core.trusts_keys(self.local(index))
+    }
+
+    /// Now, on a router's own clock.
+    pub fn local(&self, index: usize) -> Moment {
+        self.nodes[index].local(self.now)
     }
 
     /// The index of a router.
@@ -519,8 +549,3 @@
     };
     ("chat".parse().unwrap(), ask)
 }
-
-/// A moment so many ms after the start.
-pub fn moment(millis: u64) -> Moment {
-    Moment::from_millis(millis)
-}
