--- a/crates/stairvale-membership/tests/membership.rs
+++ b/crates/stairvale-membership/tests/membership.rs
@@ -11,6 +11,7 @@
     upstreams::FORGET_AFTER,
 };
 use stairvale_types::{Moment, id};
+use stairvale_wire as wire;
 use stairvale_wire::{
     Member, Packet, Status, Vm, Word,
     packet::{Role, State},
@@ -126,6 +127,85 @@
     assert!((0..9).all(|number| net.live(number) == 9));
 }
 
+/// A router that knows nobody, and is told by some list that these are there.
+fn presuming(named: &[u16]) -> (Swim, Vec<Effect>) {
+    let mut swim = Swim::new(member(0), Settings::default(), 7);
+    let effects = swim.presume(Moment::ZERO, named.iter().map(|number| member(*number)).collect());
+    (swim, effects)
+}
+
+#[test]
+fn a_router_that_is_only_named_counts_as_alive_until_it_does_not_answer() {
+    let mut net = Net::new(1);
+    let named = vec![member(1), member(2)];
+    let effects = net.routers.get_mut(&address(0)).unwrap().presume(Moment::ZERO, named.clone());
+    let pinged = effects.iter().filter(|effect| matches!(effect, Effect::Send { .. })).count();
+    assert_eq!((net.live(0), pinged), (3, 2));
+    // One of them runs.
+    net.routers.insert(address(1), Swim::new(member(1), Settings::default(), 1));
+    net.deliver(address(0), effects);
+    let heard = net.routers[&address(0)].peer(&member(1).router).unwrap().incarnation;
+    assert_eq!(heard, member(1).incarnation);
+    net.run(Duration::from_secs(3));
+    assert_eq!(net.live(0), 2);
+    // What was found out goes before the list, which may be old.
+    let again = net.routers.get_mut(&address(0)).unwrap().presume(net.now, named);
+    assert!(again.is_empty());
+    // At another address it may live.
+    let moved = wire::Member { address: address(9), ..member(2) };
+    let again = net.routers.get_mut(&address(0)).unwrap().presume(net.now, vec![moved]);
+    assert!(again.iter().any(|effect| matches!(effect, Effect::Send { to, .. } if *to == address(9))));
+}
+
+#[test]
+fn a_router_whose_address_another_one_has_is_gone() {
+    let (mut swim, _) = presuming(&[1]);
+    let mut other = Swim::new(wire::Member { address: address(1), ..member(5) }, Settings::default(), 5);
+    let mut died = Vec::new();
+    for step in 1..60 {
+        let now = Moment::from_millis(step * 10);
+        for effect in swim.tick(now) {
+            let Effect::Send { to, packet } = effect else { continue };
+            assert_eq!(to, address(1));
+            for answer in other.receive(now, address(0), packet) {
+                if let Effect::Send { packet, .. } = answer {
+                    died.extend(swim.receive(now, address(1), packet));
+                }
+            }
+        }
+    }
+    assert!(died.contains(&Effect::Died(member(1).router)), "{died:?}");
+    assert!(swim.live().any(|known| known.router == member(5).router));
+}
+
+#[test]
+fn a_probe_that_was_just_sent_is_not_judged_since_another_router_is_doubted() {
+    let (mut swim, _) = presuming(&[1, 2]);
+    // Both are known to live.
+    let lives = swim.learn_members(Moment::ZERO, vec![member(1), member(2)]);
+    assert!(lives.is_empty() || swim.live().count() == 3);
+    let sent = swim.tick(Moment::from_millis(10));
+    let asked = sent.iter().find_map(|effect| match effect {
+        Effect::Send { to, .. } => Some(*to),
+        _ => None,
+    });
+    let other = if asked == Some(address(1)) { member(2) } else { member(1) };
+    swim.doubt(Moment::from_millis(12), &other.router);
+    swim.tick(Moment::from_millis(14));
+    assert!(swim.peers().all(|peer| peer.status == Status::Alive), "2 ms are no silence");
+}
+
+#[test]
+fn a_list_of_members_that_is_older_than_what_is_known_changes_nothing() {
+    let (mut swim, _) = presuming(&[]);
+    let later = wire::Member { incarnation: id::Incarnation(4), status: Status::Leaving, ..member(1) };
+    swim.learn_members(Moment::ZERO, vec![later.clone(), member(2)]);
+    let effects = swim.learn_members(Moment::ZERO, vec![member(1), member(2), member(0)]);
+    assert!(effects.is_empty());
+    assert_eq!(swim.peer(&later.router), Some(&later));
+    assert_eq!(swim.told().len(), 2, "this router and the one that lives");
+}
+
 #[test]
 fn a_leaving_router_is_told_of_at_once() {
     let mut net = Net::new(5);
--- a/crates/stairvale-replica/tests/view.rs
+++ b/crates/stairvale-replica/tests/view.rs
@@ -147,6 +147,20 @@
     assert_eq!(view.age(at(130)), Some(Duration::from_millis(30)));
 }
 
+#[test]
+fn a_peer_may_vouch_for_a_time_before_this_process_began() {
+    let mut view = View::default();
+    assert!(!view.is_confirmed());
+    view.confirm_told(at(20), Duration::from_millis(500));
+    assert!(view.is_confirmed());
+    assert_eq!(view.age(at(50)), Some(Duration::from_millis(530)));
+    // An older word changes nothing, a newer one does.
+    view.confirm_told(at(30), Duration::from_millis(900));
+    assert_eq!(view.age(at(50)), Some(Duration::from_millis(530)));
+    view.confirm_told(at(40), Duration::from_millis(100));
+    assert_eq!(view.age(at(50)), Some(Duration::from_millis(110)));
+}
+
 /// What happens to a few upstreams, in the store's order.
 #[derive(Clone, Debug)]
 struct History(Vec<(u8, Option<State>)>);
--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -1,7 +1,8 @@
 /* Freshness: a key that was taken away counts nowhere for longer than the limit, however long messages are under way and
  * however long a router stands still.
  *
- * The store holds a key until the operator takes it away. The first router reads the store, the second one asks the first.
+ * The store holds a key until the operator takes it away. The first router reads the store; the second one starts with a stale
+ * read, which may show any earlier state, and asks the first.
  * Time is a number that rises at any moment; every message takes any time. A router's copy carries the moment at which it
  * was the newest: that of the question, never that of the answer. Both routers pass requests with the key on.
  *
@@ -10,6 +11,7 @@
  *   -DAGE_AT_ANSWER    a peer's age is taken off the moment at which its answer came in
  *   -DCHECK_ONCE       whether keys count is looked at when a request is taken, and not again when it is sent
  *   -DTAKE_OLDER       an answer that shows less than what is known already counts as a confirmation
+ *   -DSTALE_CONFIRMS   what a stale read shows counts as the newest
  *
  * crates/stairvale-serve/tests/core.rs, keys_are_safe_through_any_trouble, walks the code's own transitions.
  */
@@ -66,10 +68,19 @@
 #endif
 }
 
-/* The second router asks the first. */
+/* The second router begins with a stale read and asks the first. */
 active proctype peer() {
   byte asked, age, round;
   bool answer, any;
+  if
+  /* as it was before the key was taken away, whenever that was */
+  :: true -> gone[1] = false
+  /* as it is */
+  :: gone[1] = removed
+  fi;
+#ifdef STALE_CONFIRMS
+  atomic { known[1] = true; fresh[1] = now };
+#endif
   do
   :: round < ROUNDS ->
     asked = now;
