A zone hears through its watcher how long the store has been well, so entries that went are gone there, too

Who reads the store itself within 3.5 s of its last failure takes an entry that goes for lapsed; it is gone once a reader says that the store has been well for 2.6 s, and only the fleet's reader could say so, to watchers alone. The code before had the same fault.

What a watcher was told of the store's calm it tells its zone, as long as its copy was read lately.

--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -58,6 +58,8 @@
     disturbed: Option<Moment>,
     /// When this router read the store last.
     read: Option<Moment>,
+    /// How long the store hadn't failed a reader of it, and when this router was told.
+    told_calm: Option<(Moment, Duration)>,
     /// Upstreams whose entry vanished while the store was disturbed.
     lapsed: BTreeMap<id::Upstream, Upstream>,
 }
@@ -85,11 +87,16 @@
         self.fresh.is_some()
     }
 
-    /// How long the store has not failed this router, if it reads the store itself.
+    /// How long the store has not failed this router, if it reads the store itself, or else a reader of whom it was told a
+    /// moment ago: a zone hears of the fleet's reader through its watcher. What was told counts only beside a copy that somebody
+    /// read lately, or routers would tell each other for good of a store that fails by now.
     #[must_use]
     pub fn calm(&self, now: Moment) -> Option<Duration> {
-        self.read.filter(|read| now.since(*read) < READING)?;
-        Some(now.since(self.disturbed.unwrap_or(Moment::ZERO)))
+        if self.read.is_some_and(|read| now.since(read) < READING) {
+            return Some(now.since(self.disturbed.unwrap_or(Moment::ZERO)));
+        }
+        self.age(now).filter(|age| *age < READING)?;
+        self.told_calm.filter(|(told, _)| now.since(*told) < READING).map(|(_, calm)| calm)
     }
 
     /// The configuration, if one is known.
@@ -228,6 +235,11 @@
         self.vouched(self.calm(now))
     }
 
+    /// A peer said how long the store hadn't failed whoever it hears of the store from.
+    pub fn tell_calm(&mut self, now: Moment, calm: Duration) {
+        self.told_calm = Some((now, calm));
+    }
+
     /// A reader of the store hasn't been failed by it for this long; `None` says nothing. Tells whether upstreams went.
     pub fn vouched(&mut self, calm: Option<Duration>) -> bool {
         if self.lapsed.is_empty() || calm.is_none_or(|calm| calm < RETURN) {
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -165,7 +165,12 @@
             }
             changed = true;
         }
-        changed |= revision >= self.view.revision() && self.view.vouched(calm);
+        if revision >= self.view.revision() {
+            if let Some(calm) = calm {
+                self.view.tell_calm(now, calm);
+            }
+            changed |= self.view.vouched(calm);
+        }
         // A peer that is behind says nothing about this copy, unless this copy is as old as the peer's.
         if let Some(age) = age
             && revision >= self.view.revision()
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -446,3 +446,54 @@
         keys_are_safe(&troubles)
     }
 }
+
+#[test]
+fn a_router_that_comes_back_from_a_cut_learns_in_time_that_an_entry_went() {
+    // Whoever it is, and whenever the entry goes after the cut: whether it reads that itself or is told.
+    for router in 0..9 {
+        for after in [50, 400, 900, 1_500] {
+            let mut world = settled(9, 3, 6);
+            let bound = notice(&world);
+            for other in (0..9).filter(|other| *other != router) {
+                world.set_cut(router, other, true);
+            }
+            world.set_store_cut(router, true);
+            world.run(6_000);
+            for other in 0..9 {
+                world.set_cut(router, other, false);
+            }
+            world.set_store_cut(router, false);
+            world.run(after);
+            world.put_engine(0, 0, None);
+            world.run(bound + 2_500);
+            for index in 0..9 {
+                assert!(
+                    !world.usable(index, 0),
+                    "router {index}, {router} was cut off, the entry went {after} ms after that"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn routers_that_come_back_from_a_cut_together_learn_in_time_that_an_entry_went() {
+    for first in 0..6 {
+        let strengths = (0..60).map(|index| if index < 15 { 50 } else { 12 }).collect();
+        let mut world = World::with_strengths(strengths, 5, 6);
+        world.run(SETTLE);
+        let cut: Vec<_> = (0..60).filter(|index| (index * 7 + first * 3) % 10 < 3).collect();
+        let ways = || cut.iter().flat_map(|a| (0..60).map(move |b| (*a, b))).filter(|(_, b)| !cut.contains(b));
+        ways().for_each(|(a, b)| world.set_cut(a, b, true));
+        cut.iter().for_each(|index| world.set_store_cut(*index, true));
+        world.run(8_000);
+        ways().for_each(|(a, b)| world.set_cut(a, b, false));
+        cut.iter().for_each(|index| world.set_store_cut(*index, false));
+        world.run(1_300);
+        world.put_engine(0, 0, None);
+        let bound = notice(&world);
+        world.run(bound);
+        let late: Vec<_> = (0..60).filter(|index| world.usable(*index, 0)).collect();
+        assert!(late.is_empty(), "{late:?}, of which were cut off: {cut:?}");
+    }
+}
