--- a/crates/stairvale-config/src/lib.rs
+++ b/crates/stairvale-config/src/lib.rs
@@ -17,4 +17,4 @@
 
 pub use document::{Customer, Document, Kind, Operator, Service, Zone};
 pub use fault::Fault;
-pub use manifest::{Change, Generation, Manifest};
+pub use manifest::{Change, Evacuation, Generation, Manifest};
--- a/crates/stairvale-config/src/manifest.rs
+++ b/crates/stairvale-config/src/manifest.rs
@@ -1,6 +1,10 @@
 //! Which document is in force, and how it came to be.
 
-use std::{collections::VecDeque, fmt, str::FromStr};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    str::FromStr,
+};
 
 use serde::{Deserialize, Serialize};
 use stairvale_types::id;
@@ -51,6 +55,15 @@
     pub document: Digest,
 }
 
+/// An availability zone to whose upstreams nothing new goes.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// Who asked for it.
+    pub operator: id::Operator,
+    /// When, in milliseconds since 1970 by the accepting router's clock.
+    pub at_ms: u64,
+}
+
 /// The one value whose compare-and-swap accepts a configuration.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Manifest {
@@ -60,6 +73,9 @@
     pub chunks: Vec<Digest>,
     /// Earlier changes, the latest last, at most [`HISTORY`].
     pub history: VecDeque<Change>,
+    /// Zones that are evacuated. A new document leaves them so.
+    #[serde(default)]
+    pub evacuated: BTreeMap<id::Zone, Evacuation>,
 }
 
 impl Manifest {
@@ -73,7 +89,22 @@
         while history.len() > HISTORY {
             history.pop_front();
         }
-        Self { change, chunks, history }
+        let evacuated = before.map(|m| m.evacuated.clone()).unwrap_or_default();
+        Self { change, chunks, history, evacuated }
+    }
+
+    /// The same with a zone evacuated.
+    #[must_use]
+    pub fn with_evacuated(mut self, zone: id::Zone, evacuation: Evacuation) -> Self {
+        self.evacuated.insert(zone, evacuation);
+        self
+    }
+
+    /// The same with a zone taken back into use.
+    #[must_use]
+    pub fn with_restored(mut self, zone: &id::Zone) -> Self {
+        self.evacuated.remove(zone);
+        self
     }
 
     /// The generation in force.
--- a/crates/stairvale-control/src/apply.rs
+++ b/crates/stairvale-control/src/apply.rs
@@ -1,6 +1,6 @@
-//! An operator's submission on its way to acceptance: chunks first, then one compare-and-swap of the manifest.
+//! An operator's submission on its way to acceptance: a document's chunks first, then one compare-and-swap of the manifest.
 
-use stairvale_config::{Change, Generation, Manifest, chunk, chunk::Digest};
+use stairvale_config::{Change, Evacuation, Generation, Manifest, chunk, chunk::Digest};
 use stairvale_types::id;
 
 use crate::io::{Action, Answer};
@@ -23,14 +23,28 @@
     pub id: String,
     /// Who submits it.
     pub operator: id::Operator,
-    /// The whole document, checked already.
-    pub text: String,
-    /// The generation that it was made from.
-    pub base: Generation,
+    /// What is to change.
+    pub intent: Intent,
     /// Now, in milliseconds since 1970.
     pub at_ms: u64,
 }
 
+/// What a submission is to change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Intent {
+    /// Another document is to be in force.
+    Document {
+        /// All of it, checked already.
+        text: String,
+        /// The generation that it was made from.
+        base: Generation,
+    },
+    /// Nothing new is to go to the upstreams of a zone.
+    Evacuate(id::Zone),
+    /// A zone is taken back into use.
+    Restore(id::Zone),
+}
+
 /// How a submission ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -38,6 +52,8 @@
     Accepted(Box<Manifest>),
     /// Another change came first.
     Conflict(Change),
+    /// There is no configuration yet whose zones could be evacuated.
+    NoConfiguration,
     /// The store didn't answer and nothing was swapped.
     Unavailable,
     /// The store didn't answer to the swap, and not to the questions after it.
@@ -80,11 +96,14 @@
     /// A submission that hasn't started.
     #[must_use]
     pub fn new(submission: Submission) -> Self {
-        let chunks = chunk::split(&submission.text).into_iter().map(str::to_owned).collect();
+        let chunks = match &submission.intent {
+            Intent::Document { text, .. } => chunk::split(text).into_iter().map(str::to_owned).collect(),
+            Intent::Evacuate(_) | Intent::Restore(_) => Vec::new(),
+        };
         Self { submission, chunks, phase: Phase::Reading, before: None, lost: 0 }
     }
 
-    /// The document's chunks.
+    /// The document's chunks; none of a wish that leaves the document as it is.
     #[must_use]
     pub fn chunks(&self) -> &[String] {
         &self.chunks
@@ -131,9 +150,18 @@
         if let Some(manifest) = manifest.filter(|manifest| manifest.find(&self.submission.id).is_some()) {
             return Step::Done(Outcome::Accepted(Box::new(manifest.clone())));
         }
-        let in_force = manifest.map_or(Generation(0), Manifest::generation);
-        if let Some(manifest) = manifest.filter(|_| in_force != self.submission.base) {
-            return Step::Done(Outcome::Conflict(manifest.change.clone()));
+        match (&self.submission.intent, manifest) {
+            (Intent::Document { base, .. }, Some(manifest)) if *base != manifest.generation() => {
+                return Step::Done(Outcome::Conflict(manifest.change.clone()));
+            }
+            (Intent::Evacuate(_) | Intent::Restore(_), None) => return Step::Done(Outcome::NoConfiguration),
+            (Intent::Evacuate(zone), Some(manifest)) if manifest.evacuated.contains_key(zone) => {
+                return Step::Done(Outcome::Accepted(Box::new(manifest.clone())));
+            }
+            (Intent::Restore(zone), Some(manifest)) if !manifest.evacuated.contains_key(zone) => {
+                return Step::Done(Outcome::Accepted(Box::new(manifest.clone())));
+            }
+            (Intent::Document { .. } | Intent::Evacuate(_) | Intent::Restore(_), _) => {}
         }
         self.chunk(0)
     }
@@ -198,7 +226,17 @@
             self.phase = Phase::Swapping;
             return self.swap();
         }
-        Step::Done(Outcome::Conflict(manifest.change))
+        match self.submission.intent {
+            Intent::Document { .. } => Step::Done(Outcome::Conflict(manifest.change)),
+            // It goes with any other change, so it is made to what is there now.
+            Intent::Evacuate(_) | Intent::Restore(_) => self.recompare(),
+        }
+    }
+
+    /// Begins anew with the manifest that another change left.
+    fn recompare(&mut self) -> Step {
+        self.phase = Phase::Reading;
+        read_manifest()
     }
 
     fn again(&mut self, phase: Phase) -> Step {
@@ -231,10 +269,25 @@
             submission: self.submission.id.clone(),
             operator: self.submission.operator.clone(),
             at_ms: self.submission.at_ms,
-            document: Digest::of(self.submission.text.as_bytes()),
+            document: match (&self.submission.intent, before) {
+                (Intent::Document { text, .. }, _) => Digest::of(text.as_bytes()),
+                (Intent::Evacuate(_) | Intent::Restore(_), Some(before)) => before.change.document,
+                (Intent::Evacuate(_) | Intent::Restore(_), None) => Digest::of(b""),
+            },
         };
-        let chunks = self.chunks.iter().map(|chunk| Digest::of(chunk.as_bytes())).collect();
-        Manifest::after(before, change, chunks)
+        let chunks = match &self.submission.intent {
+            Intent::Document { .. } => self.chunks.iter().map(|chunk| Digest::of(chunk.as_bytes())).collect(),
+            Intent::Evacuate(_) | Intent::Restore(_) => before.map(|before| before.chunks.clone()).unwrap_or_default(),
+        };
+        let manifest = Manifest::after(before, change, chunks);
+        match &self.submission.intent {
+            Intent::Document { .. } => manifest,
+            Intent::Evacuate(zone) => {
+                let Submission { operator, at_ms, .. } = self.submission.clone();
+                manifest.with_evacuated(zone.clone(), Evacuation { operator, at_ms })
+            }
+            Intent::Restore(zone) => manifest.with_restored(zone),
+        }
     }
 }
 
--- a/crates/stairvale-control/src/event.rs
+++ b/crates/stairvale-control/src/event.rs
@@ -45,6 +45,18 @@
         /// The generation in force.
         in_force: Generation,
     },
+    /// Nothing new goes from this router to the upstreams of a zone from now on.
+    ZoneEvacuated {
+        /// The zone.
+        zone: id::Zone,
+        /// Who asked for it.
+        operator: id::Operator,
+    },
+    /// This router uses the upstreams of a zone again.
+    ZoneRestored {
+        /// The zone.
+        zone: id::Zone,
+    },
     /// A router joined, by this router's view.
     RouterJoined {
         /// Which.
--- a/crates/stairvale-control/src/fleet.rs
+++ b/crates/stairvale-control/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Who is whose home: the entry's directory, made from routers, upstreams and the configuration.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -24,6 +24,8 @@
     pub upstreams: Upstreams,
     /// The configuration in force.
     pub document: Arc<Document>,
+    /// Zones to whose upstreams nothing new goes.
+    pub evacuated: BTreeSet<id::Zone>,
     /// The time of the input that is being handled.
     pub now: Moment,
     zone: id::Zone,
@@ -41,6 +43,7 @@
             swim,
             upstreams: Upstreams::new(),
             document: Arc::default(),
+            evacuated: BTreeSet::new(),
             now: Moment::ZERO,
             zone,
             homes: BTreeMap::new(),
@@ -174,7 +177,7 @@
     }
 
     fn usable(&self, upstream: &id::Upstream) -> bool {
-        self.upstreams.get(upstream).is_some_and(|u| u.usable(self.now))
+        self.upstreams.get(upstream).is_some_and(|u| u.usable(self.now) && !self.evacuated.contains(&u.zone))
     }
 
     /// Without a home nobody knows the engine's account: all routers together should stay within the bound that their
--- a/crates/stairvale-control/src/generation.rs
+++ b/crates/stairvale-control/src/generation.rs
@@ -138,7 +138,8 @@
     // ------------------------------------------------------------------------
 
     fn compare(&mut self, manifest: &Manifest) -> Vec<Effect> {
-        let same = self.in_force.as_ref().is_some_and(|m| m.change.document == manifest.change.document);
+        let same = |m: &Manifest| m.change.document == manifest.change.document && m.evacuated == manifest.evacuated;
+        let same = self.in_force.as_ref().is_some_and(same);
         if same || manifest.generation() == Generation(0) {
             return Vec::new();
         }
@@ -193,8 +194,17 @@
         }
         let operator = manifest.change.operator.clone();
         self.chunks.retain(|digest, _| manifest.chunks.contains(digest));
-        self.in_force = Some(manifest);
-        let audit = Effect::Audit(Event::ConfigurationInForce { from, to, operator });
-        vec![Effect::InForce(to, Arc::new(document)), audit]
+        let before = self.in_force.replace(manifest).map(|before| before.evacuated).unwrap_or_default();
+        let evacuated = self.in_force.as_ref().map(|manifest| manifest.evacuated.clone()).unwrap_or_default();
+        let audit = Event::ConfigurationInForce { from, to, operator };
+        let mut effects = vec![Effect::InForce(to, Arc::new(document)), Effect::Audit(audit)];
+        for (zone, evacuation) in evacuated.iter().filter(|(zone, _)| !before.contains_key(*zone)) {
+            let (zone, operator) = (zone.clone(), evacuation.operator.clone());
+            effects.push(Effect::Audit(Event::ZoneEvacuated { zone, operator }));
+        }
+        for zone in before.into_keys().filter(|zone| !evacuated.contains_key(zone)) {
+            effects.push(Effect::Audit(Event::ZoneRestored { zone }));
+        }
+        effects
     }
 }
--- a/crates/stairvale-control/src/handlers/configuration.rs
+++ b/crates/stairvale-control/src/handlers/configuration.rs
@@ -84,6 +84,7 @@
                 generation::Effect::InForce(generation, document) => {
                     if let Some(manifest) = self.config.manifest() {
                         self.sweep.in_force(self.now, manifest);
+                        self.fleet.evacuated = manifest.evacuated.keys().cloned().collect();
                     }
                     self.fleet.document = document.clone();
                     self.fleet.refresh();
--- a/crates/stairvale-control/tests/fleet.rs
+++ b/crates/stairvale-control/tests/fleet.rs
@@ -194,6 +194,57 @@
     world.assert_one_generation();
 }
 
+#[test]
+fn an_evacuated_zone_gets_nothing_new_until_it_is_taken_back() {
+    let mut world = World::settled(10, 3, 2);
+    let chats = |world: &mut World, from: u64| {
+        for chat in from..from + 30 {
+            world.request("a-router-0", "chat", Some(chat), LONG);
+        }
+        world.run(SECOND);
+        let names: Vec<_> = world.grants.iter().map(|(_, grant)| grant.upstream.to_string()).collect();
+        world.grants.clear();
+        names.into_iter().filter(|engine| engine.starts_with("b-")).count()
+    };
+    assert!(chats(&mut world, 0) > 0);
+    assert!(matches!(world.evacuate("a-router-0", "b", true, "e1"), Outcome::Accepted(_)));
+    world.run(SECOND);
+    world.assert_one_generation();
+    assert_eq!(chats(&mut world, 100), 0);
+    // Another document leaves it evacuated, and so does the same wish once more, which changes nothing.
+    let second = format!("{DOCUMENT}# second\n");
+    assert!(matches!(world.apply("c-router-0", &second, 2, "s2"), Outcome::Accepted(_)));
+    let Outcome::Accepted(manifest) = world.evacuate("c-router-0", "b", true, "e2") else { panic!() };
+    assert_eq!(manifest.generation().0, 3);
+    world.run(SECOND);
+    assert_eq!(chats(&mut world, 200), 0);
+    assert!(matches!(world.evacuate("b-router-0", "b", false, "r1"), Outcome::Accepted(_)));
+    world.run(SECOND);
+    assert!(chats(&mut world, 300) > 0);
+}
+
+#[test]
+fn two_operators_evacuate_at_once_and_answers_are_lost_and_both_zones_are_evacuated() {
+    for lost in [0.0, 0.4] {
+        let mut world = World::settled(17, 3, 2);
+        world.faults.lost_answers = lost;
+        let first = world.evacuate("a-router-0", "a", true, "e1");
+        let second = world.evacuate("c-router-0", "b", true, "e2");
+        world.faults.lost_answers = 0.0;
+        for (outcome, zone, id) in [(first, "a", "e1"), (second, "b", "e2")] {
+            // Who wasn't told asks again with the same id.
+            if !matches!(outcome, Outcome::Accepted(_)) {
+                assert!(matches!(world.evacuate("b-router-0", zone, true, id), Outcome::Accepted(_)));
+            }
+        }
+        world.run(Duration::from_secs(2));
+        world.assert_one_generation();
+        let manifest = world.routers["b-router-0"].node.manifest().unwrap();
+        let zones: Vec<_> = manifest.evacuated.keys().map(ToString::to_string).collect();
+        assert_eq!(zones, ["a", "b"]);
+    }
+}
+
 #[test]
 fn a_router_that_starts_while_the_store_is_down_takes_its_peers_configuration() {
     let mut world = World::settled(11, 2, 2);
--- a/crates/stairvale-control/tests/spec.rs
+++ b/crates/stairvale-control/tests/spec.rs
@@ -9,7 +9,7 @@
 
 use stairvale_config::{Generation, Manifest};
 use stairvale_control::{
-    apply::{MANIFEST_KEY, Machine, Outcome, Step, Submission},
+    apply::{Intent, MANIFEST_KEY, Machine, Outcome, Step, Submission},
     generation::{Effect, Holder},
     io::{Action, Answer},
 };
@@ -49,8 +49,7 @@
     Submission {
         id: format!("s{number}"),
         operator: format!("op-{number}").parse().unwrap(),
-        text: text(number),
-        base: Generation(base),
+        intent: Intent::Document { text: text(number), base: Generation(base) },
         at_ms: 0,
     }
 }
@@ -168,7 +167,9 @@
                 assert_eq!(accepted, 0, "told of a conflict");
                 assert_ne!(change.operator, operator);
             }
-            Outcome::Unavailable => assert_eq!(accepted, 0, "told that nothing was changed"),
+            Outcome::Unavailable | Outcome::NoConfiguration => {
+                assert_eq!(accepted, 0, "told that nothing was changed");
+            }
             Outcome::Unknown => {}
         }
     }
--- a/crates/stairvale-control/tests/sweep.rs
+++ b/crates/stairvale-control/tests/sweep.rs
@@ -10,7 +10,7 @@
 use quickcheck::{QuickCheck, TestResult};
 use stairvale_config::Generation;
 use stairvale_control::{
-    apply::{self, Machine, Outcome, Step, Submission},
+    apply::{self, Intent, Machine, Outcome, Step, Submission},
     io::{Action, Answer},
     sweep::{self, HOLD, KEEP, Wish},
 };
@@ -48,8 +48,10 @@
         let machine = Machine::new(Submission {
             id: format!("s{}", self.number),
             operator: "op".parse().unwrap(),
-            text: format!("zones: []\nservices: []\ncustomers: []\noperators: []\n# {}\n", document % 4),
-            base,
+            intent: Intent::Document {
+                text: format!("zones: []\nservices: []\ncustomers: []\noperators: []\n# {}\n", document % 4),
+                base,
+            },
             at_ms: 0,
         });
         let step = machine.start();
--- a/crates/stairvale-control/tests/world/callers.rs
+++ b/crates/stairvale-control/tests/world/callers.rs
@@ -65,7 +65,19 @@
 
     /// An operator submits a document at a router and waits for the end.
     pub fn apply(&mut self, router: &str, text: &str, base: u64, submission: &str) -> Outcome {
-        let mut machine = self.submission(text, base, submission);
+        let machine = self.submission(text, base, submission);
+        self.submit(router, machine)
+    }
+
+    /// An operator evacuates a zone at a router, or takes it back, and waits for the end.
+    pub fn evacuate(&mut self, router: &str, zone: &str, evacuated: bool, submission: &str) -> Outcome {
+        let zone = zone.parse().unwrap();
+        let intent = if evacuated { Intent::Evacuate(zone) } else { Intent::Restore(zone) };
+        let machine = self.intend(intent, submission);
+        self.submit(router, machine)
+    }
+
+    fn submit(&mut self, router: &str, mut machine: Machine) -> Outcome {
         let mut step = machine.start();
         loop {
             match step {
@@ -82,11 +94,14 @@
     }
 
     pub fn submission(&self, text: &str, base: u64, submission: &str) -> Machine {
+        self.intend(Intent::Document { text: text.to_owned(), base: Generation(base) }, submission)
+    }
+
+    fn intend(&self, intent: Intent, submission: &str) -> Machine {
         Machine::new(Submission {
             id: submission.to_owned(),
             operator: "op".parse().unwrap(),
-            text: text.to_owned(),
-            base: Generation(base),
+            intent,
             at_ms: self.now / 1_000,
         })
     }
--- a/crates/stairvale-control/tests/world/mod.rs
+++ b/crates/stairvale-control/tests/world/mod.rs
@@ -25,7 +25,7 @@
 use stairvale_config::Generation;
 use stairvale_control::{
     Input, Node, Output,
-    apply::{Machine, Outcome, Step, Submission},
+    apply::{Intent, Machine, Outcome, Step, Submission},
     io::{Action, Answer, Call, Purpose, Report, Request},
     node::{Policy, Settings, TICK},
     orders::{Loaded, Order},
--- a/crates/stairvale-ctl/src/client.rs
+++ b/crates/stairvale-ctl/src/client.rs
@@ -100,6 +100,14 @@
         self.call(Method::PUT, path, body).await
     }
 
+    /// Takes something away.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`] or [`Error::Refused`].
+    pub async fn delete(&self, path: &str) -> Result<Value, Report<Error>> {
+        self.call(Method::DELETE, path, String::new()).await
+    }
+
     async fn call(&self, method: Method, path: &str, body: String) -> Result<Value, Report<Error>> {
         let unreachable = || Report::new(Error::Unreachable(self.router.clone()));
         let http: legacy::Client<_, Full<Bytes>> = legacy::Client::builder(TokioExecutor::new()).build_http();
@@ -138,6 +146,7 @@
             "the platform's store didn't say whether the change took effect; apply again with the same --submission"
                 .to_owned()
         }
+        Some("zone") => format!("the configuration has no availability zone {}", text("zone")),
         Some("key") => "an operator's key is needed".to_owned(),
         Some(other) => other.to_owned(),
         None => "the router said no".to_owned(),
--- a/crates/stairvale-ctl/src/command.rs
+++ b/crates/stairvale-ctl/src/command.rs
@@ -26,6 +26,10 @@
     HashKey(Plain),
     /// apply a configuration file as a whole
     Apply(Apply),
+    /// let nothing more go to the upstreams of an availability zone
+    Evacuate(Zone),
+    /// use the upstreams of an availability zone again
+    Restore(Zone),
     /// print the configuration in force
     Get(Plain),
     /// print the state of the fleet as one router sees it
@@ -64,6 +68,21 @@
     submission: Option<String>,
 }
 
+/// An availability zone to evacuate or to take back into use.
+#[derive(Debug, Options)]
+pub struct Zone {
+    /// print this help
+    help: bool,
+    /// the zone's name
+    #[options(free, required)]
+    zone: String,
+    /// wait until it is in force at every router
+    wait: bool,
+    /// the submission's id, to ask again after an unknown outcome
+    #[options(meta = "ID")]
+    submission: Option<String>,
+}
+
 /// No arguments.
 #[derive(Debug, Options)]
 pub struct Plain {
@@ -105,6 +124,8 @@
         Command::Check(file) => check(&file.file),
         Command::HashKey(_) => hash_key(),
         Command::Apply(apply) => self::apply(client, apply).await,
+        Command::Evacuate(zone) => evacuate(client, zone, true).await,
+        Command::Restore(zone) => evacuate(client, zone, false).await,
         Command::Get(_) => get(client).await,
         Command::Status(_) => status(client).await,
         Command::Audit(_) => audit(client).await,
@@ -138,14 +159,33 @@
         Some(base) => base,
         None => generation(client).await?,
     };
-    let submission = apply.submission.clone().unwrap_or_else(|| uuid::Uuid::new_v4().to_string());
+    let submission = submission_id(apply.submission.as_ref());
     let path = format!("/v1/config?base={base}&submission={submission}");
     let accepted = client.put(&path, text).await?;
+    settle(client, accepted, apply.wait, &submission).await
+}
+
+async fn evacuate(client: &Client, zone: &Zone, evacuated: bool) -> Result<Printed, Report<Error>> {
+    let submission = submission_id(zone.submission.as_ref());
+    let path = format!("/v1/evacuations/{}?submission={submission}", zone.zone);
+    let accepted = match evacuated {
+        true => client.put(&path, String::new()).await?,
+        false => client.delete(&path).await?,
+    };
+    settle(client, accepted, zone.wait, &submission).await
+}
+
+fn submission_id(given: Option<&String>) -> String {
+    given.cloned().unwrap_or_else(|| uuid::Uuid::new_v4().to_string())
+}
+
+/// Tells how a change was accepted, once it is in force everywhere if that is waited for.
+async fn settle(client: &Client, accepted: Value, waits: bool, submission: &str) -> Result<Printed, Report<Error>> {
     let generation = accepted["generation"].as_u64().unwrap_or(0);
-    if apply.wait {
+    if waits {
         wait(client, generation).await?;
     }
-    let place = if apply.wait { "in force at every router" } else { "accepted" };
+    let place = if waits { "in force at every router" } else { "accepted" };
     let table = format!("generation {generation} is {place} (submission {submission})\n");
     Ok(Printed::new(accepted, table))
 }
@@ -176,12 +216,16 @@
     let config = client.get("/v1/config").await?;
     let change = &config["change"];
     let text = |value: &Value| value.as_str().unwrap_or("?").to_owned();
-    let head = format!(
+    let mut head = format!(
         "# generation {}, applied by {} at {} ms since 1970\n",
         change["generation"],
         text(&change["operator"]),
         change["at_ms"],
     );
+    for (zone, evacuation) in config["evacuated"].as_object().into_iter().flatten() {
+        let (operator, at_ms) = (text(&evacuation["operator"]), &evacuation["at_ms"]);
+        head += &format!("# {zone} is evacuated, by {operator} at {at_ms} ms since 1970\n");
+    }
     let table = head + config["document"].as_str().unwrap_or("");
     Ok(Printed::new(config, table))
 }
--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -37,6 +37,8 @@
     pub patience: Duration,
     /// Upstreams that failed or refused this request, or that the entry can't reach.
     pub avoid: Vec<id::Upstream>,
+    /// The only zones whose upstreams it may go to; `None` for any.
+    pub within: Option<Vec<id::Zone>>,
     /// How many of the parts the entry last saw read together, and where; a home that took over learns from it.
     pub seen: Option<(usize, id::Upstream)>,
 }
@@ -49,6 +51,12 @@
         self.objective / 2
     }
 
+    /// Whether it may go to the upstreams of a zone, or be served with what they hold.
+    #[must_use]
+    pub fn allows(&self, zone: &id::Zone) -> bool {
+        self.within.as_ref().is_none_or(|within| within.contains(zone))
+    }
+
     /// The parts of its prompt that other prompts may have, too.
     #[must_use]
     pub fn shared(&self) -> &[Part] {
--- a/crates/stairvale-dispatch/src/lib.rs
+++ b/crates/stairvale-dispatch/src/lib.rs
@@ -26,7 +26,7 @@
 pub use ask::{Answer, Ask, Held, Outcome, Part, Verdict};
 pub use budget::Window;
 pub use cache::Cache;
-pub use member::Member;
+pub use member::{Listing, Member};
 pub use pool::Pool;
 pub use reading::Reading;
 pub use seen::Seen;
--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -1,6 +1,9 @@
 //! One upstream of a service, as the home knows it.
 
-use std::collections::HashMap;
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use stairvale_types::{Moment, id};
 
@@ -27,6 +30,23 @@
     pub reads: Vec<u64>,
 }
 
+/// What the store says of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Its id.
+    pub id: id::Upstream,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it may be given new work.
+    pub usable: bool,
+    /// How much longer it was cold when this was written.
+    pub cold: Duration,
+    /// The revision of what was written.
+    pub revision: u64,
+}
+
 /// One upstream.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -48,8 +68,19 @@
     pub memory: u64,
     /// How it does.
     pub health: Health,
+    /// Until when it says that it is cold.
+    cold_until: Moment,
+    /// Until when it may be cold without having said so.
+    presumed_until: Moment,
+    /// The revision of what it said last.
+    revision: u64,
+    /// When it was given requests, the earliest first, as far back as matters.
+    given: VecDeque<Moment>,
 }
 
+/// Grants that are remembered at most: more a second than any upstream that can be cold is given.
+const REMEMBERED: usize = 256;
+
 impl Member {
     /// An upstream that nothing is known of yet. `memory` is zero for a plain one.
     #[must_use]
@@ -64,7 +95,50 @@
             known: false,
             memory,
             health: Health::default(),
+            cold_until: Moment::ZERO,
+            presumed_until: Moment::ZERO,
+            revision: 0,
+            given: VecDeque::new(),
+        }
+    }
+
+    /// The store says something of it. One that has turned cold holds nothing any more.
+    pub fn list(&mut self, now: Moment, listing: &Listing) {
+        self.usable = listing.usable;
+        if self.revision == listing.revision {
+            return;
+        }
+        self.revision = listing.revision;
+        if !listing.cold.is_zero() && self.cold_until <= now {
+            self.cache = Cache::new(self.memory);
         }
+        self.cold_until = now + listing.cold;
+    }
+
+    /// It may be cold until then, whatever it says.
+    pub fn presume_cold(&mut self, until: Moment) {
+        self.presumed_until = self.presumed_until.max(until);
+    }
+
+    /// Whether it is cold, or may be.
+    #[must_use]
+    pub fn is_cold(&self, now: Moment) -> bool {
+        now < self.cold_until.max(self.presumed_until)
+    }
+
+    /// It is given a request.
+    pub fn give(&mut self, now: Moment) {
+        self.given.push_back(now);
+        if self.given.len() > REMEMBERED {
+            self.given.pop_front();
+        }
+    }
+
+    /// Requests that it was given within a time before now.
+    #[must_use]
+    pub fn given_since(&self, now: Moment, window: Duration) -> u32 {
+        let within = self.given.iter().rev().take_while(|given| now.since(**given) < window);
+        u32::try_from(within.count()).unwrap_or(u32::MAX)
     }
 
     /// Requests that run there.
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -7,12 +7,15 @@
 
 use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
 
-use crate::{Answer, Ask, Held, Member, Outcome, Part, Reading, Verdict, member::Hold};
+use crate::{Answer, Ask, Held, Listing, Member, Outcome, Part, Reading, Verdict, member::Hold};
 
 mod choose;
+mod cold;
 mod follow;
 mod reach;
 
+pub use cold::Cold;
+
 /// A hold that its entry hasn't named for this long is dropped; entries name theirs several times in it.
 const HOLD_TTL: Duration = Duration::from_secs(4);
 /// A hold younger than this may be missing from what its entry named before the grant came in.
@@ -37,6 +40,8 @@
     pub multiple: f64,
     /// What is allowed beyond that multiple, in requests.
     pub slack: f64,
+    /// What a cold upstream bears; `None` if that isn't known.
+    pub cold: Option<Cold>,
 }
 
 #[derive(Clone, Debug)]
@@ -65,6 +70,8 @@
     reading: Reading,
     /// The mean time of a plain answer, or of an engine's request from grant to end, in ms.
     time: f64,
+    /// This router's part of what the whole fleet may give to cold upstreams.
+    share: cold::Share,
 }
 
 impl Pool {
@@ -82,6 +89,7 @@
             number: 0,
             reading: Reading::default(),
             time: FIRST_TIME,
+            share: cold::Share::ALL,
         }
     }
 
@@ -119,23 +127,27 @@
     // ------------------------------------------------------------------------
     // Changes.
 
-    /// Sets the upstreams that exist: id, zone, slots and whether they may be given new work.
-    pub fn set_members(&mut self, now: Moment, known: &[(id::Upstream, id::Zone, u32, bool)]) -> Vec<Answer> {
+    /// Sets the upstreams that exist.
+    pub fn set_members(&mut self, now: Moment, known: &[Listing]) -> Vec<Answer> {
         let memory = self.rules.engine.map_or(0, |memory| u64::from(memory.0));
+        let cold = self.rules.cold.map_or(Duration::ZERO, |cold| cold.time);
         let first = self.members.is_empty();
-        for (id, zone, slots, usable) in known {
-            let member = self.members.entry(id.clone()).or_insert_with(|| {
-                let mut member = Member::new(id.clone(), zone.clone(), *slots, memory);
-                // One that comes later has just begun, and holds nothing yet.
-                member.known = !first;
+        for listing in known {
+            let member = self.members.entry(listing.id.clone()).or_insert_with(|| {
+                let mut member = Member::new(listing.id.clone(), listing.zone.clone(), listing.slots, memory);
+                if !first {
+                    // One that comes later has just begun, and holds nothing yet.
+                    member.known = true;
+                    member.presume_cold(now + cold);
+                }
                 member
             });
-            member.usable = *usable;
+            member.list(now, listing);
         }
-        let named = |id: &id::Upstream| known.iter().any(|(name, ..)| name == id);
+        let named: BTreeSet<_> = known.iter().map(|listing| &listing.id).collect();
         // One that is gone is kept as long as something runs there.
-        self.members.retain(|id, member| named(id) || !member.held.is_empty());
-        for member in self.members.values_mut().filter(|member| !named(&member.id)) {
+        self.members.retain(|id, member| named.contains(id) || !member.held.is_empty());
+        for member in self.members.values_mut().filter(|member| !named.contains(&member.id)) {
             member.usable = false;
         }
         self.serve(now)
@@ -383,7 +395,7 @@
     #[allow(clippy::cast_precision_loss)]
     fn predict(&self, now: Moment, ask: &Ask) -> Option<Duration> {
         let within = self.reach(now);
-        let able = |member: &&Member| within.has(member) && !ask.avoid.contains(&member.id);
+        let able = |member: &&Member| within.has(member) && ask.allows(&member.zone) && !ask.avoid.contains(&member.id);
         let able: Vec<_> = self.members.values().filter(able).collect();
         if able.is_empty() {
             return None;
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -5,7 +5,7 @@
 use stairvale_placement::{Engine, rank};
 use stairvale_types::{Moment, id};
 
-use super::{Pool, reach::Reach};
+use super::{Pool, cold::Care, reach::Reach};
 use crate::{Answer, Ask, Member, Part, Verdict, cache, member::Hold};
 
 /// What each running request costs the next one, in ms; it spreads work that would be as well anywhere.
@@ -81,22 +81,26 @@
         let within = self.reach(now);
         let bound = self.bound(&within);
         let covers = self.covers(ask, &within);
-        let able = |member: &Member| within.has(member) && !ask.avoid.contains(&member.id);
+        let able = |member: &Member| within.has(member) && ask.allows(&member.zone) && !ask.avoid.contains(&member.id);
         // Where none is well, any of them is better than a refusal.
         let none_well = !self.members.values().any(|member| able(member) && member.health.is_open(now));
-        let mut best: Option<Bid> = None;
-        for (index, id) in self.order(&ask.parts).iter().enumerate() {
-            let member = &self.members[id];
-            let open = none_well || member.health.is_open(now);
-            if !able(member) || !open || !self.has_room(member, ask, bound) {
-                continue;
+        let order = self.order(&ask.parts);
+        let best = |care| {
+            let mut best: Option<Bid> = None;
+            for (index, id) in order.iter().enumerate() {
+                let member = &self.members[id];
+                let open = none_well || member.health.is_open(now);
+                if !able(member) || !open || !self.has_room(member, ask, bound) || !self.bears(now, member, care) {
+                    continue;
+                }
+                let bid = self.bid(now, member, ask, &covers, index);
+                if best.as_ref().is_none_or(|best| bid.cost < best.cost) {
+                    best = Some(bid);
+                }
             }
-            let bid = self.bid(now, member, ask, &covers, index);
-            if best.as_ref().is_none_or(|best| bid.cost < best.cost) {
-                best = Some(bid);
-            }
-        }
-        let bid = best?;
+            best
+        };
+        let bid = best(Care::Full).or_else(|| best(Care::Known))?;
         self.hold(now, ask, &bid);
         let Bid { upstream, read, source, .. } = bid;
         let verdict = Verdict::Granted { upstream, read, source };
@@ -111,6 +115,7 @@
         };
         let reads = member.cache.begin(&ask.parts, ask.attempt);
         member.health.given(now);
+        member.give(now);
         let tokens = own + ask.output;
         let hold = Hold {
             entry: ask.entry.clone(),
@@ -131,7 +136,7 @@
         if !self.rules.copies {
             return Vec::new();
         }
-        let sources = self.members.values().filter(|member| within.can_copy(member));
+        let sources = self.members.values().filter(|member| within.can_copy(member) && ask.allows(&member.zone));
         let covers = sources.map(|member| (member.cache.covers(ask.shared()), member.id.clone()));
         let mut covers: Vec<_> = covers.filter(|(tokens, _)| *tokens >= COPY_LEAST).collect();
         covers.sort_by(|a, b| b.cmp(a));
--- /dev/null
+++ b/crates/stairvale-dispatch/src/pool/cold.rs
@@ -0,0 +1,85 @@
+//! Upstreams that are cold: just started, or empty again, and able to bear only a few requests a second.
+//!
+//! What one of them is given must stay below a bound over the whole fleet, whoever decides. So only a service's home gives
+//! them anything: as much as its part of the fleet allows, less behind a cut, and nothing at first, since it doesn't know what
+//! the home before it gave. Two routers that both believe to be the home stay below the bound together. Who only stands in
+//! for a home that doesn't answer uses the warm ones.
+
+use std::time::Duration;
+
+use stairvale_types::{Moment, id};
+
+use super::Pool;
+use crate::Member;
+
+/// What a cold upstream bears, and what it must never be given.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests a second that it bears.
+    pub pace: f64,
+    /// Requests in any second that must not be exceeded over the whole fleet.
+    pub bound: f64,
+    /// How long an upstream is cold that has just started or is taken back into use.
+    pub time: Duration,
+}
+
+/// Grants are counted over this long: what is sent within a second was granted within that second and the time that a home's
+/// answer and a new connection may take beside it, 120 ms each.
+const WINDOW: Duration = Duration::from_millis(1_250);
+/// The part of the bound that one home may use: two that both take themselves for the home stay below it together.
+const PART: f64 = 0.4;
+/// The part of the bound that any upstream is given while another one has room. It may turn cold at any moment, and says so
+/// a heartbeat later.
+const UNSUSPECTED: f64 = 0.9;
+
+/// How strictly limits to what upstreams bear are taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Care {
+    /// Nobody is given as much as one that turns cold unseen couldn't bear, and who is cold at an unknown pace gets nothing.
+    Full,
+    /// Only what is known to be cold is limited: better than a refusal.
+    Known,
+}
+
+/// This router's part of what the whole fleet may give to cold upstreams.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Share {
+    part: f64,
+    /// Since when it has any.
+    since: Moment,
+}
+
+impl Share {
+    /// That of a router alone in the world.
+    pub(super) const ALL: Self = Self { part: 1.0, since: Moment::ZERO };
+}
+
+impl Pool {
+    /// Sets this router's part of what the whole fleet may give to cold upstreams: that of the routers which ask it, if it is
+    /// the service's home, and otherwise none.
+    pub fn set_share(&mut self, now: Moment, part: f64) {
+        let since = if self.share.part > 0.0 { self.share.since } else { now + WINDOW };
+        self.share = Share { part: part.clamp(0.0, 1.0), since };
+    }
+
+    /// The upstreams of a zone are taken back into use: they may have turned cold meanwhile.
+    pub fn take_back(&mut self, now: Moment, zone: &id::Zone) {
+        let time = self.rules.cold.map_or(Duration::ZERO, |cold| cold.time);
+        for member in self.members.values_mut().filter(|member| &member.zone == zone) {
+            member.presume_cold(now + time);
+        }
+    }
+
+    /// Whether a member can be given one more request without overdoing it.
+    pub(super) fn bears(&self, now: Moment, member: &Member, care: Care) -> bool {
+        let fits = |most: f64| f64::from(member.given_since(now, WINDOW)) + 1.0 <= most;
+        match (member.is_cold(now), self.rules.cold, care) {
+            (true, Some(cold), _) => {
+                now >= self.share.since && fits(self.share.part * cold.pace.min(cold.bound * PART))
+            }
+            (false, Some(cold), Care::Full) => fits(cold.bound * UNSUSPECTED),
+            (true, None, Care::Full) => false,
+            (true, None, Care::Known) | (false, Some(_), Care::Known) | (false, None, _) => true,
+        }
+    }
+}
--- a/crates/stairvale-dispatch/src/pool/follow.rs
+++ b/crates/stairvale-dispatch/src/pool/follow.rs
@@ -34,7 +34,7 @@
             return None;
         }
         let within = self.reach(now);
-        let reached = || self.members.values().filter(|member| within.has(member));
+        let reached = || self.members.values().filter(|member| within.has(member) && ask.allows(&member.zone));
         let ready = reached().map(|member| member.cache.ready(ask.shared())).max()?;
         let gain = |tokens: u32| self.reading.time(f64::from(tokens.saturating_sub(ready))) >= millis(LEAST);
         let ahead = reached().filter(|member| gain(member.cache.covers(ask.shared())));
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Verdict, pool::Rules};
+use stairvale_dispatch::{Answer, Ask, Held, Listing, Outcome, Part, Pool, Verdict, pool::Rules};
 use stairvale_types::{Moment, id, outcome::Reason, unit};
 
 fn at(millis: u64) -> Moment {
@@ -13,7 +13,7 @@
 }
 
 fn engines() -> Rules {
-    Rules { engine: Some(unit::Tokens(100_000)), copies: true, multiple: 2.0, slack: 3.0 }
+    Rules { engine: Some(unit::Tokens(100_000)), copies: true, multiple: 2.0, slack: 3.0, cold: None }
 }
 
 fn pool(rules: Rules, count: usize, slots: u32) -> Pool {
@@ -22,8 +22,16 @@
     pool
 }
 
-fn members(count: usize, slots: u32) -> Vec<(id::Upstream, id::Zone, u32, bool)> {
-    (0..count).map(|i| (format!("e{i}").parse().unwrap(), "a".parse().unwrap(), slots, true)).collect()
+fn members(count: usize, slots: u32) -> Vec<Listing> {
+    let listing = |i: usize| Listing {
+        id: format!("e{i}").parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        slots,
+        usable: true,
+        cold: Duration::ZERO,
+        revision: 1,
+    };
+    (0..count).map(listing).collect()
 }
 
 fn ask(number: u128, parts: &[(u64, u32)]) -> Ask {
@@ -38,6 +46,7 @@
         objective: Duration::from_millis(500),
         patience: Duration::from_millis(100),
         avoid: Vec::new(),
+        within: None,
         seen: None,
     }
 }
@@ -86,7 +95,7 @@
 #[test]
 fn engines_alike_are_not_told_apart_by_the_size_of_their_prompts() {
     let mut pool = pool(engines(), 2, 16);
-    let ids: Vec<_> = members(2, 16).into_iter().map(|(id, ..)| id).collect();
+    let ids: Vec<_> = members(2, 16).into_iter().map(|listing| listing.id).collect();
     for round in 0..60_u32 {
         for (other, tokens) in [(1, 60), (0, 6_000)] {
             let number = u128::from(round) * 2 + other as u128;
@@ -138,10 +147,10 @@
     let mut pool = Pool::new(engines());
     let mut known = members(3, 4);
     for member in &mut known[..2] {
-        member.1 = "far".parse().unwrap();
+        member.zone = "far".parse().unwrap();
     }
     pool.set_members(at(0), &known);
-    let ids: Vec<_> = known.into_iter().map(|(id, ..)| id).collect();
+    let ids: Vec<_> = known.into_iter().map(|listing| listing.id).collect();
     for (number, place, outcome) in [(1, 0, Outcome::Served), (2, 1, Outcome::Silent)] {
         let mut ask = ask(number, &[(7 * u64::try_from(number).unwrap(), 8_000), (100, 500)]);
         ask.avoid = ids.iter().filter(|id| **id != ids[place]).cloned().collect();
@@ -193,7 +202,7 @@
 fn what_only_silent_upstreams_behind_a_cut_could_serve_is_refused_at_once() {
     let mut pool = Pool::new(Rules::default());
     let mut known = members(1, 8);
-    known[0].1 = "far".parse().unwrap();
+    known[0].zone = "far".parse().unwrap();
     pool.set_members(at(0), &known);
     pool.set_dark(["far".parse().unwrap()].into());
     // Nothing says that it can't be reached, until a request has tried.
@@ -338,7 +347,7 @@
 fn a_leaving_upstream_gets_nothing_new() {
     let mut pool = pool(Rules::default(), 2, 8);
     let mut list = members(2, 8);
-    list[0].3 = false;
+    list[0].usable = false;
     pool.set_members(at(1), &list);
     for number in 0..6 {
         assert_eq!(granted(&pool.ask(at(2), ask(number, &[]))).unwrap().as_str(), "e1");
@@ -387,8 +396,8 @@
 fn the_only_upstream_left_is_used_though_it_fails() {
     let mut pool = pool(Rules::default(), 3, 8);
     let mut list = members(3, 8);
-    list[1].3 = false;
-    list[2].3 = false;
+    list[1].usable = false;
+    list[2].usable = false;
     pool.set_members(at(1), &list);
     for number in 0..20 {
         let now = at(10 + u64::try_from(number).unwrap() * 20);
--- a/crates/stairvale-replica/src/item.rs
+++ b/crates/stairvale-replica/src/item.rs
@@ -1,6 +1,6 @@
 //! What the store says of one thing.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use stairvale_table::Document;
@@ -15,10 +15,12 @@
     Upstream(id::Upstream),
     /// A router.
     Router(id::Router),
+    /// The evacuation of an availability zone.
+    Evacuation(id::Zone),
 }
 
 /// Something that the store holds, or that it no longer does.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Item {
     /// What it is about.
     pub subject: Subject,
@@ -39,7 +41,7 @@
 }
 
 /// What is said of a subject.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Value {
     /// The configuration.
     Configuration(Arc<Document>),
@@ -47,6 +49,8 @@
     Upstream(Upstream),
     /// A router.
     Router(Router),
+    /// Nothing new is to go to the upstreams of a zone.
+    Evacuation,
 }
 
 /// One life of an upstream.
@@ -64,6 +68,8 @@
     pub slots: u32,
     /// Whether it takes work.
     pub state: State,
+    /// How much longer it is cold, when this was written: just started, and able to bear only a few requests a second.
+    pub cold: Duration,
 }
 
 /// Whether an upstream takes work.
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -23,7 +23,7 @@
 const RETURN: Duration = Duration::from_millis(2_600);
 
 /// Changes for a peer's copy.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum News {
     /// All changes after a revision, up to another.
     Changes {
@@ -104,17 +104,22 @@
     pub fn document(&self) -> Option<&std::sync::Arc<stairvale_table::Document>> {
         match self.items.get(&Subject::Configuration)?.value.as_ref()? {
             Value::Configuration(document) => Some(document),
-            Value::Upstream(_) | Value::Router(_) => None,
+            Value::Upstream(_) | Value::Router(_) | Value::Evacuation => None,
         }
     }
 
-    /// Upstreams that the store names, and those whose entry lapsed with the store.
-    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+    /// Upstreams that the store names, each with the revision at which it was written, and those whose entry lapsed with the
+    /// store, with the revision at which it did.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&Upstream, u64)> {
         let named = self.items.values().filter_map(|item| match item.value.as_ref()? {
-            Value::Upstream(upstream) => Some(upstream),
-            Value::Configuration(_) | Value::Router(_) => None,
+            Value::Upstream(upstream) => Some((upstream, item.revision)),
+            Value::Configuration(_) | Value::Router(_) | Value::Evacuation => None,
         });
-        named.chain(self.lapsed.values())
+        let lapsed = self.lapsed.values().map(|upstream| {
+            let item = self.items.get(&Subject::Upstream(upstream.id.clone()));
+            (upstream, item.map_or(0, |item| item.revision))
+        });
+        named.chain(lapsed)
     }
 
     /// An upstream, as [`View::upstreams`] has it.
@@ -122,7 +127,7 @@
     pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
         let named = match self.items.get(&Subject::Upstream(id.clone())).and_then(|item| item.value.as_ref()) {
             Some(Value::Upstream(upstream)) => Some(upstream),
-            Some(Value::Configuration(_) | Value::Router(_)) | None => None,
+            Some(Value::Configuration(_) | Value::Router(_) | Value::Evacuation) | None => None,
         };
         named.or_else(|| self.lapsed.get(id))
     }
@@ -132,7 +137,7 @@
     pub fn router(&self, id: &id::Router) -> Option<&crate::Router> {
         match self.items.get(&Subject::Router(id.clone()))?.value.as_ref()? {
             Value::Router(router) => Some(router),
-            Value::Configuration(_) | Value::Upstream(_) => None,
+            Value::Configuration(_) | Value::Upstream(_) | Value::Evacuation => None,
         }
     }
 
@@ -140,19 +145,29 @@
     pub fn routers(&self) -> impl Iterator<Item = &crate::Router> {
         self.items.values().filter_map(|item| match item.value.as_ref()? {
             Value::Router(router) => Some(router),
-            Value::Configuration(_) | Value::Upstream(_) => None,
+            Value::Configuration(_) | Value::Upstream(_) | Value::Evacuation => None,
         })
     }
 
     /// Whether an upstream may be sent new work.
     #[must_use]
     pub fn is_usable(&self, upstream: &id::Upstream) -> bool {
-        if self.lapsed.contains_key(upstream) {
-            return true;
-        }
-        let item = self.items.get(&Subject::Upstream(upstream.clone()));
-        let value = item.and_then(|item| item.value.as_ref());
-        matches!(value, Some(Value::Upstream(upstream)) if upstream.state == State::Ready)
+        let known = self.upstream(upstream);
+        known.is_some_and(|known| known.state == State::Ready && !self.is_evacuated(&known.zone))
+    }
+
+    /// Whether nothing new is to go to the upstreams of a zone.
+    #[must_use]
+    pub fn is_evacuated(&self, zone: &id::Zone) -> bool {
+        self.items.get(&Subject::Evacuation(zone.clone())).is_some_and(|item| item.value.is_some())
+    }
+
+    /// The zones to whose upstreams nothing new is to go.
+    pub fn evacuated(&self) -> impl Iterator<Item = &id::Zone> {
+        self.items.values().filter(|item| item.value.is_some()).filter_map(|item| match &item.subject {
+            Subject::Evacuation(zone) => Some(zone),
+            Subject::Configuration | Subject::Upstream(_) | Subject::Router(_) => None,
+        })
     }
 
     /// What a peer needs whose copy shows `revision`; `None` if it lacks nothing.
--- a/crates/stairvale-replica/tests/view.rs
+++ b/crates/stairvale-replica/tests/view.rs
@@ -17,6 +17,7 @@
         zone: "a".parse().unwrap(),
         slots: 4,
         state,
+        cold: Duration::ZERO,
     })
 }
 
@@ -30,6 +31,34 @@
     Item::new(Subject::Configuration, revision, Some(Value::Configuration(Arc::new(document))))
 }
 
+fn evacuation(revision: u64, stands: bool) -> Item {
+    Item::new(Subject::Evacuation("a".parse().unwrap()), revision, stands.then_some(Value::Evacuation))
+}
+
+#[test]
+fn an_evacuation_holds_for_what_lapsed_too_and_until_it_is_taken_back() {
+    let mut view = View::default();
+    let e = |name: &str| name.parse::<id::Upstream>().unwrap();
+    let ready = |name, revision| item(name, revision, Some(State::Ready));
+    assert!(view.read(at(0), at(0), changes(0, vec![ready("u1", 1), ready("u2", 2)])));
+    view.disturb(at(10));
+    assert!(view.read(at(20), at(15), changes(2, vec![item("u1", 3, None)])));
+    assert!(view.is_usable(&e("u1")) && view.is_usable(&e("u2")));
+    assert!(view.take(changes(3, vec![evacuation(4, true)])));
+    assert!(!view.is_usable(&e("u1")) && !view.is_usable(&e("u2")));
+    assert_eq!(view.evacuated().count(), 1);
+    // A peer whose copy is older says nothing against it, nor does a list that is.
+    assert!(view.take(News::Everything { to: 3, items: vec![ready("u2", 2)] }));
+    assert!(!view.is_usable(&e("u2")));
+    // The store has forgotten its history, and the evacuation was taken back in the meantime.
+    assert!(view.take(News::Everything { to: 9, items: vec![ready("u2", 2)] }));
+    assert!(view.is_usable(&e("u2")));
+    assert!(view.take(changes(9, vec![evacuation(10, true)])));
+    assert!(!view.is_usable(&e("u2")));
+    assert!(view.take(changes(10, vec![evacuation(11, false)])));
+    assert!(view.is_usable(&e("u2")));
+}
+
 fn changes(after: u64, items: Vec<Item>) -> News {
     let to = items.iter().map(|item| item.revision).max().unwrap_or(after);
     News::Changes { after, to, items }
--- a/crates/stairvale-router/src/operators.rs
+++ b/crates/stairvale-router/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' interface: submit a whole configuration, read back what is in force.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{collections::BTreeMap, convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
@@ -12,12 +12,12 @@
 };
 use serde::Serialize;
 use stairvale_config::{
-    Change, Document, Generation,
+    Change, Document, Evacuation, Generation, Manifest,
     document::{MAX_DOCUMENT, key_hash},
 };
 use stairvale_control::{
     Event, Input,
-    apply::{Machine, Outcome, Step, Submission},
+    apply::{Intent, Machine, Outcome, Step, Submission},
     io::Answer,
 };
 use stairvale_types::id;
@@ -35,6 +35,9 @@
 /// The longest submission id, in bytes.
 const MAX_SUBMISSION: usize = 64;
 
+/// Where zones are evacuated (`PUT`) and taken back into use (`DELETE`), each under its name.
+const EVACUATIONS: &str = "/v1/evacuations/";
+
 /// Why an operator got no answer.
 #[derive(Clone, Debug, Serialize, thiserror::Error)]
 #[serde(tag = "error", rename_all = "kebab-case")]
@@ -60,6 +63,12 @@
         /// Where and why.
         fault: String,
     },
+    /// The configuration has no such availability zone.
+    #[error("the configuration has no availability zone {zone}")]
+    Zone {
+        /// What was named.
+        zone: String,
+    },
     /// Another change came first.
     #[error("generation {generation} was applied by {operator} meanwhile")]
     Conflict {
@@ -90,7 +99,7 @@
             Self::Key => StatusCode::UNAUTHORIZED,
             Self::Path | Self::NoConfiguration => StatusCode::NOT_FOUND,
             Self::Parameter { .. } | Self::Body => StatusCode::BAD_REQUEST,
-            Self::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Invalid { .. } | Self::Zone { .. } => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Conflict { .. } => StatusCode::CONFLICT,
             Self::Unavailable | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
@@ -110,6 +119,7 @@
 struct InForce {
     change: Change,
     history: Vec<Change>,
+    evacuated: BTreeMap<id::Zone, Evacuation>,
     document: String,
 }
 
@@ -156,6 +166,9 @@
             shared.faults.set(cut);
             Ok(json(&"set"))
         }
+        (&Method::PUT | &Method::DELETE, path) if path.starts_with(EVACUATIONS) => {
+            evacuate(shared, operator, &request, path.trim_start_matches(EVACUATIONS)).await
+        }
         (&Method::GET, path) => match path.strip_prefix("/v1/explain/") {
             Some(number) => {
                 let number = number.to_owned();
@@ -185,13 +198,47 @@
     let query = request.uri().query().unwrap_or("").to_owned();
     let base = parameter(&query, "base").and_then(|text| text.parse().ok());
     let base = base.ok_or(Error::Parameter { name: "base" })?;
-    let submission = parameter(&query, "submission").filter(|text| !text.is_empty() && text.len() <= MAX_SUBMISSION);
-    let id = submission.ok_or(Error::Parameter { name: "submission" })?.to_owned();
+    let id = submission_id(&query)?;
     let body = read(request).await?;
     let text = String::from_utf8(body.to_vec()).map_err(|_| Error::Body)?;
     Document::parse(&text).map_err(|fault| Error::Invalid { fault: fault.current_context().to_string() })?;
+    change(shared, operator, id, Intent::Document { text, base }).await
+}
+
+/// Evacuates a zone, or takes it back into use.
+async fn evacuate(
+    shared: &Arc<Shared>,
+    operator: id::Operator,
+    request: &Request<Incoming>,
+    name: &str,
+) -> Result<Response<Body>, Error> {
+    let id = submission_id(request.uri().query().unwrap_or(""))?;
+    let unknown = || Error::Zone { zone: name.to_owned() };
+    let zone: id::Zone = name.parse().map_err(|_| unknown())?;
+    if request.method() == Method::DELETE {
+        // Also one that the configuration no longer has: it is only taken from a list.
+        return change(shared, operator, id, Intent::Restore(zone)).await;
+    }
+    if !shared.snapshot.load().document.zones.iter().any(|known| known.name == zone) {
+        return Err(unknown());
+    }
+    change(shared, operator, id, Intent::Evacuate(zone)).await
+}
+
+fn submission_id(query: &str) -> Result<String, Error> {
+    let submission = parameter(query, "submission").filter(|text| !text.is_empty() && text.len() <= MAX_SUBMISSION);
+    Ok(submission.ok_or(Error::Parameter { name: "submission" })?.to_owned())
+}
+
+/// Makes a change, tells the control thread of it and the trail how it ended.
+async fn change(
+    shared: &Arc<Shared>,
+    operator: id::Operator,
+    id: String,
+    intent: Intent,
+) -> Result<Response<Body>, Error> {
     let at_ms = audit::now_ms();
-    let submission = Submission { id: id.clone(), operator: operator.clone(), text, base, at_ms };
+    let submission = Submission { id: id.clone(), operator: operator.clone(), intent, at_ms };
     let manifest = match apply(shared, submission).await {
         (Outcome::Accepted(manifest), chunks) => {
             shared.tell(Input::Accepted { manifest: manifest.clone(), chunks });
@@ -203,6 +250,7 @@
             let Change { generation, operator, at_ms, .. } = change;
             return Err(Error::Conflict { generation, operator, at_ms });
         }
+        (Outcome::NoConfiguration, _) => return Err(Error::NoConfiguration),
         (Outcome::Unavailable, _) => return Err(Error::Unavailable),
         (Outcome::Unknown, _) => return Err(Error::Unknown),
     };
@@ -229,7 +277,8 @@
     let config = shared.ask(Command::Config).await.ok_or(Error::Stopping)?;
     let (manifest, chunks) = config.ok_or(Error::NoConfiguration)?;
     let history = manifest.history.iter().cloned().collect();
-    Ok(json(&InForce { change: manifest.change, history, document: chunks.concat() }))
+    let Manifest { change, evacuated, .. } = manifest;
+    Ok(json(&InForce { change, history, evacuated, document: chunks.concat() }))
 }
 
 async fn metrics(shared: &Shared) -> Result<Response<Body>, Error> {
--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -371,6 +371,12 @@
     let uri = format!("http://{operators}/v1/config?base=1&submission=bad");
     let invalid = call(Method::PUT, uri, &headers, "zones: 3".into()).await.unwrap();
     assert_eq!(invalid.status, StatusCode::UNPROCESSABLE_ENTITY);
+    let nowhere = format!("http://{operators}/v1/evacuations/nowhere?submission=gone");
+    let unknown = call(Method::PUT, nowhere, &headers, String::new()).await.unwrap();
+    assert_eq!(unknown.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(unknown.json()["zone"], "nowhere");
+    let nameless = format!("http://{operators}/v1/evacuations/a");
+    assert_eq!(call(Method::PUT, nameless, &headers, String::new()).await.unwrap().status, StatusCode::BAD_REQUEST);
     let again = format!("http://{operators}/v1/config?base=0&submission=first");
     let settled = call(Method::PUT, again, &headers, document()).await.unwrap();
     assert_eq!(settled.status, StatusCode::OK, "the same submission again is the same acceptance: {}", settled.body);
--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -46,6 +46,15 @@
     },
     /// Another configuration is in force.
     Configured(Arc<Table>),
+    /// Nothing new goes to the upstreams of a zone from now on, or they are used again.
+    Evacuated {
+        /// The zone.
+        zone: id::Zone,
+        /// Whether it is evacuated.
+        evacuated: bool,
+        /// How many upstreams are there.
+        upstreams: usize,
+    },
     /// A peer is gone, so its stream can be closed.
     Lost(id::Router),
 }
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -22,6 +22,7 @@
             | Effect::Reply { .. }
             | Effect::Inspect { .. }
             | Effect::Configured(_)
+            | Effect::Evacuated { .. }
             | Effect::Lost(_) => false,
         });
         if !decided {
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -6,8 +6,12 @@
     time::Duration,
 };
 
-use stairvale_dispatch::{Pool, pool::Rules};
+use stairvale_dispatch::{
+    Listing, Pool,
+    pool::{Cold, Rules},
+};
 use stairvale_membership::swim;
+use stairvale_replica::State;
 use stairvale_table::{Document, Table};
 use stairvale_types::{Moment, id, unit};
 use stairvale_wire::Status;
@@ -52,24 +56,45 @@
     pub(super) fn regroup(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
         let table = self.table.clone();
+        let evacuated: BTreeSet<_> = self.view.evacuated().cloned().collect();
+        let before = std::mem::replace(&mut self.evacuated, evacuated);
+        let taken_back: Vec<_> = before.difference(&self.evacuated).cloned().collect();
+        for zone in before.symmetric_difference(&self.evacuated) {
+            let upstreams = self.view.upstreams().filter(|(upstream, _)| &upstream.zone == zone).count();
+            effects.push(Effect::Evacuated { zone: zone.clone(), evacuated: self.evacuated.contains(zone), upstreams });
+        }
+        let mut by_service: BTreeMap<&id::Service, Vec<Listing>> = BTreeMap::new();
+        for (upstream, revision) in self.view.upstreams() {
+            by_service.entry(&upstream.service).or_default().push(Listing {
+                id: upstream.id.clone(),
+                zone: upstream.zone.clone(),
+                slots: upstream.slots,
+                usable: upstream.state == State::Ready && !self.evacuated.contains(&upstream.zone),
+                cold: upstream.cold,
+                revision,
+            });
+        }
+        let mut by_service: BTreeMap<_, _> = by_service.into_iter().map(|(name, all)| (name.clone(), all)).collect();
         for service in &table.document().services {
-            let known = self.view.upstreams().filter(|upstream| upstream.service == service.name);
-            let known: Vec<_> = known
-                .map(|upstream| {
-                    let usable = self.view.is_usable(&upstream.id);
-                    (upstream.id.clone(), upstream.zone.clone(), upstream.slots, usable)
-                })
-                .collect();
+            let known = by_service.remove(&service.name).unwrap_or_default();
             let memory = service.engine.map(|engine| unit::Tokens(u32::try_from(engine.memory).unwrap_or(u32::MAX)));
             let rules = Rules {
                 engine: memory,
                 copies: service.engine.is_some_and(|engine| engine.copies),
                 multiple: self.bounds.load_multiple,
                 slack: self.bounds.load_slack,
+                cold: service.cold.map(|cold| Cold {
+                    pace: cold.pace,
+                    bound: self.bounds.cold(cold.pace),
+                    time: cold.time,
+                }),
             };
             let pool = self.pools.entry(service.name.clone()).or_insert_with(|| Pool::new(rules));
             pool.set_rules(rules);
             pool.set_dark(self.dark.clone());
+            for zone in &taken_back {
+                pool.take_back(now, zone);
+            }
             let answers = pool.set_members(now, &known);
             effects.extend(self.answers(answers));
         }
@@ -77,6 +102,26 @@
         effects
     }
 
+    /// Tells each pool which part this router has in what may be given to cold upstreams over the whole fleet: as a service's
+    /// home that of the routers which can ask it, and otherwise none. Who doesn't know the fleet yet has none either.
+    pub(super) fn share_out(&mut self, now: Moment) {
+        let (mut asking, mut known) = (0_u32, 0_u32);
+        for member in self.swim.peers().filter(|member| member.status != Status::Leaving) {
+            known += 1;
+            asking += u32::from(member.status == Status::Alive && is_heard(member));
+        }
+        // This router itself.
+        (asking, known) = (asking + 1, known + 1);
+        let knows = self.knows_fleet(now);
+        for service in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let home = knows && self.standing_home(&service).as_ref() == Some(&self.me);
+            let part = if home { f64::from(asking) / f64::from(known) } else { 0.0 };
+            if let Some(pool) = self.pools.get_mut(&service) {
+                pool.set_share(now, part);
+            }
+        }
+    }
+
     /// The zones none of whose routers answers: they may be behind a cut.
     pub(super) fn find_dark(&self) -> BTreeSet<id::Zone> {
         let mut seen: BTreeMap<id::Zone, bool> = BTreeMap::new();
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -79,6 +79,8 @@
     next_sync: Moment,
     last_tick: Moment,
     dark: BTreeSet<id::Zone>,
+    /// Zones to whose upstreams nothing new goes.
+    evacuated: BTreeSet<id::Zone>,
     /// Routers that didn't keep this one up to date, and until when they aren't relied upon for that.
     blind: HashMap<id::Router, Moment>,
     /// Whom this router hears of the store from, and since when.
@@ -116,6 +118,7 @@
             next_sync: Moment::ZERO,
             last_tick: Moment::ZERO,
             dark: BTreeSet::new(),
+            evacuated: BTreeSet::new(),
             blind: HashMap::new(),
             relied: None,
             born: None,
@@ -384,6 +387,7 @@
         if self.view.tick(now) {
             effects.extend(self.refresh(now));
         }
+        self.share_out(now);
         for service in self.pools.keys().cloned().collect::<Vec<_>>() {
             let answers = self.pools.get_mut(&service).map(|pool| pool.tick(now));
             effects.extend(self.answers(answers.unwrap_or_default()));
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -65,6 +65,8 @@
     pub customer: Option<id::Customer>,
     /// Its rank, 0 to 9.
     pub priority: u8,
+    /// The only zones whose upstreams it may go to; `None` for any.
+    pub within: Option<Vec<id::Zone>>,
     /// When it came.
     pub came: Instant,
     /// When nobody waits for it any longer.
@@ -118,7 +120,23 @@
         let limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let until = came + limit;
         let (body, customer, priority, tries) = (Bytes::new(), None, route.priority, Tries::default());
-        Self { shared, dialect, route, service, head, parts, body, customer, priority, came, until, tries }
+        let exchange = Self {
+            shared,
+            dialect,
+            route,
+            service,
+            head,
+            parts,
+            body,
+            customer,
+            priority,
+            within: None,
+            came,
+            until,
+            tries,
+        };
+        let regions = exchange.route.regions.clone();
+        exchange.within_regions(&regions)
     }
 
     /// Sets the body.
@@ -133,12 +151,23 @@
     pub fn with_customer(mut self, customer: &stairvale_table::Customer) -> Self {
         /// Ranks of routes that are told apart within a customer's.
         const ROUTES: u8 = 3;
+        self = self.within_regions(&customer.regions);
         self.customer = Some(customer.name.clone());
         let rank = customer.priority.saturating_mul(ROUTES).saturating_add(self.route.priority.min(ROUTES - 1));
         self.priority = rank.min(9);
         self
     }
 
+    /// Keeps it to upstreams of some regions, if any are named. Where route and customer both name some, each binds.
+    fn within_regions(mut self, regions: &[id::Region]) -> Self {
+        if !regions.is_empty() {
+            let zones = self.shared.settings.zones_of(regions);
+            let allowed = zones.into_iter().filter(|zone| self.within.as_ref().is_none_or(|all| all.contains(zone)));
+            self.within = Some(allowed.collect());
+        }
+        self
+    }
+
     /// Serves it.
     pub async fn run(mut self) -> Response<Body> {
         self.shared.change(|core, now| core.count(now, &self.service));
@@ -272,6 +301,7 @@
             objective: self.route.objective,
             patience,
             avoid: self.tries.avoid.clone(),
+            within: self.within.clone(),
             seen: self.shared.look(|core, _| core.seen(&self.head.parts)),
         };
         let want = Want { service: &self.service, ask, objective: self.route.objective };
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -1,6 +1,10 @@
 //! What a process is told at its start.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use error_stack::Report;
 use serde::Deserialize;
@@ -42,6 +46,9 @@
     /// The VM's share of a processor, in cores. The strongest routers are homes.
     #[serde(default = "one")]
     pub cores: f64,
+    /// The region that each availability zone lies in; needed where routes or customers are kept to some regions.
+    #[serde(default)]
+    pub zones: Option<BTreeMap<id::Zone, id::Region>>,
     /// What must hold.
     #[serde(default)]
     pub bounds: Bounds,
@@ -75,6 +82,12 @@
     pub load_multiple: f64,
     /// Requests beyond the multiple.
     pub load_slack: f64,
+    /// The multiple of the pace that a cold upstream bears which it must never be given in a second...
+    pub cold_excess: f64,
+    /// ... and the requests beyond that.
+    pub cold_slack: f64,
+    /// Nothing new goes to the upstreams of an evacuated zone after this many ms.
+    pub evacuation_ms: u64,
 }
 
 impl Default for Bounds {
@@ -90,6 +103,9 @@
             retry_window_s: 10.0,
             load_multiple: 2.0,
             load_slack: 3.0,
+            cold_excess: 1.0,
+            cold_slack: 0.0,
+            evacuation_ms: 5_000,
         }
     }
 }
@@ -108,6 +124,13 @@
         Ok(settings)
     }
 
+    /// The zones that lie in one of some regions.
+    #[must_use]
+    pub fn zones_of(&self, regions: &[id::Region]) -> BTreeSet<id::Zone> {
+        let all = self.zones.iter().flatten();
+        all.filter(|(_, region)| regions.contains(region)).map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// The VM's share of a processor, in hundredths of a core.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -132,6 +155,8 @@
             ("bounds.retry_free", self.retry_free),
             ("bounds.load_multiple", self.load_multiple),
             ("bounds.load_slack", self.load_slack),
+            ("bounds.cold_excess", self.cold_excess),
+            ("bounds.cold_slack", self.cold_slack),
         ];
         for (name, value) in natural {
             if !value.is_finite() || value < 0.0 {
@@ -150,7 +175,7 @@
     /// How soon a change in the store must be known here.
     #[must_use]
     pub fn notice(&self) -> Duration {
-        Duration::from_millis(self.configuration_ms.min(self.leave_ms))
+        Duration::from_millis(self.configuration_ms.min(self.leave_ms).min(self.evacuation_ms))
     }
 
     /// How long a watch of the store waits: each answer says that nothing newer was there when it was asked for, so the
@@ -181,6 +206,12 @@
         self.notice() * 7 / 10
     }
 
+    /// Requests that a cold upstream which bears `pace` a second may be given in any second, over the whole fleet.
+    #[must_use]
+    pub fn cold(&self, pace: f64) -> f64 {
+        pace * self.cold_excess + self.cold_slack
+    }
+
     /// What the fleet may send beyond first tries.
     #[must_use]
     pub fn budget(&self) -> Budget {
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -208,9 +208,16 @@
                 }
                 Effect::Configured(table) => {
                     tracing::info!(version = table.version(), "a configuration is in force");
+                    for region in table.regions().filter(|region| self.settings.zones_of(&[(*region).clone()]).is_empty()) {
+                        tracing::warn!(%region, "no zone lies in this region; what is kept to it alone is refused");
+                    }
                     self.table.store(table);
                     self.configured.send_replace(true);
                 }
+                Effect::Evacuated { zone, evacuated, upstreams } => {
+                    let what = if evacuated { "a zone is evacuated" } else { "a zone is used again" };
+                    tracing::info!(%zone, upstreams, "{what}");
+                }
                 Effect::Lost(router) => {
                     tracing::info!(peer = %router, "a router is gone");
                     self.links.close(&router);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -19,7 +19,7 @@
     settings::Bounds,
     source::Naming,
 };
-use stairvale_table::{Customer, Document, Engine, Service};
+use stairvale_table::{Cold, Customer, Document, Engine, Service};
 use stairvale_types::{Moment, id};
 use stairvale_wire::{Member, Packet, Status};
 
@@ -86,8 +86,14 @@
     messages: HashMap<u64, Message>,
     sent: u64,
     store: Vec<Item>,
+    /// Up to this revision changes are no longer known one by one.
+    forgotten: u64,
     /// Versions of the configuration, with the time of their acknowledgement.
     pub versions: Vec<(u64, u64)>,
+    /// Requests that an engine runs at once.
+    pub slots: u32,
+    /// What cold engines bear, by the configuration.
+    pub cold: Option<Cold>,
     /// Changes that stale reads of the store don't show yet.
     pub lag: usize,
     /// Times that names of routers were written.
@@ -138,7 +144,10 @@
             messages: HashMap::new(),
             sent: 0,
             store: Vec::new(),
+            forgotten: 0,
             versions: Vec::new(),
+            slots: 8,
+            cold: None,
             lag: 0,
             writes: 0,
             strengths,
@@ -189,8 +198,14 @@
     pub fn configure(&mut self) {
         let version = self.versions.last().map_or(0, |(version, _)| *version) + 3;
         let engine = Engine { slots: 8, memory: 200_000, copies: true };
-        let service = Service { name: "chat".parse().unwrap(), connections: 100, engine: Some(engine) };
-        let customer = Customer { name: "c".parse().unwrap(), keys: vec![format!("key-{version}")], priority: 0 };
+        let service =
+            Service { name: "chat".parse().unwrap(), connections: 100, engine: Some(engine), cold: self.cold };
+        let customer = Customer {
+            name: "c".parse().unwrap(),
+            keys: vec![format!("key-{version}")],
+            priority: 0,
+            regions: Vec::new(),
+        };
         let document = Document { version, services: vec![service], customers: vec![customer], ..Document::default() };
         self.versions.push((version, self.now));
         self.put(Subject::Configuration, Some(Value::Configuration(Arc::new(document))));
@@ -198,6 +213,15 @@
 
     /// An engine appears, changes its state, or goes.
     pub fn put_engine(&mut self, engine: usize, zone: usize, state: Option<State>) {
+        self.write_engine(engine, zone, state, Duration::ZERO);
+    }
+
+    /// An engine says that it is cold for so much longer.
+    pub fn put_cold_engine(&mut self, engine: usize, zone: usize, cold: Duration) {
+        self.write_engine(engine, zone, Some(State::Ready), cold);
+    }
+
+    fn write_engine(&mut self, engine: usize, zone: usize, state: Option<State>, cold: Duration) {
         let id: id::Upstream = format!("e{engine}").parse().unwrap();
         let value = state.map(|state| {
             Value::Upstream(Upstream {
@@ -205,13 +229,25 @@
                 service: "chat".parse().unwrap(),
                 address: SocketAddr::from(([10, 1, 0, u8::try_from(engine).unwrap()], 80)),
                 zone: format!("z{zone}").parse().unwrap(),
-                slots: 8,
+                slots: self.slots,
                 state,
+                cold,
             })
         });
         self.put(Subject::Upstream(id), value);
     }
 
+    /// A zone is evacuated, or taken back into use.
+    pub fn evacuate(&mut self, zone: usize, evacuated: bool) {
+        let subject = Subject::Evacuation(format!("z{zone}").parse().unwrap());
+        self.put(subject, evacuated.then_some(Value::Evacuation));
+    }
+
+    /// The store forgets how it came to hold what it holds: readers are given all of it.
+    pub fn forget_history(&mut self) {
+        self.forgotten = self.store.len() as u64;
+    }
+
     /// A router's entry in the store.
     pub fn name_router(&mut self, index: usize) {
         let zone = format!("z{}", index % self.zones).parse().unwrap();
@@ -247,13 +283,20 @@
     }
 
     fn changes(&self, after: u64) -> News {
+        if after < self.forgotten {
+            return self.held(self.store.len());
+        }
         let items = self.store.iter().filter(|item| item.revision > after).cloned().collect();
         News::Changes { after, to: self.store.len() as u64, items }
     }
 
     /// All that the store held some changes ago.
     fn stale(&self) -> News {
-        let to = self.store.len().saturating_sub(self.lag);
+        self.held(self.store.len().saturating_sub(self.lag))
+    }
+
+    /// All that the store held after so many changes.
+    fn held(&self, to: usize) -> News {
         let mut items = BTreeMap::new();
         for item in &self.store[..to] {
             items.insert(item.subject.clone(), item.clone());
@@ -445,7 +488,7 @@
                     self.nodes[index].replies.insert(attempt, reply);
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
-                Effect::Configured(_) | Effect::Lost(_) => {}
+                Effect::Configured(_) | Effect::Evacuated { .. } | Effect::Lost(_) => {}
             }
         }
     }
@@ -497,14 +540,38 @@
     /// A request that is placed, runs and ends; gives its place.
     pub fn serve(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> Option<id::Upstream> {
         let upstream = self.hold(index, number, parts)?;
+        self.end(index, number);
+        self.run(50);
+        Some(upstream)
+    }
+
+    /// A request that was held ends.
+    pub fn end(&mut self, index: usize, number: u128) {
         let attempt = id::Attempt(number);
         let now = self.local(index);
         let core = &mut self.nodes[index].core;
         let mut effects = core.begun(now, attempt, Duration::from_millis(20));
         effects.extend(core.end(now, attempt, Outcome::Served, None));
         self.perform(index, effects);
-        self.run(50);
-        Some(upstream)
+    }
+
+    /// So many requests at once, each of which ends once it is placed; gives their places.
+    pub fn burst(&mut self, index: usize, from: u128, count: u128) -> Vec<id::Upstream> {
+        let parts = |number: u128| [(u64::try_from(number).unwrap() + 1_000, 200)];
+        let homes: Vec<_> =
+            (from..from + count).map(|number| (number, self.ask(index, number, &parts(number)))).collect();
+        self.run(30);
+        let mut places = Vec::new();
+        for (number, home) in homes {
+            if let Some(upstream) = self.granted(index, number) {
+                let held = Held { attempt: id::Attempt(number), upstream: upstream.clone(), read: 0 };
+                self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
+                self.end(index, number);
+                places.push(upstream);
+            }
+        }
+        self.run(30);
+        places
     }
 
     /// Whether a router may send new work to an engine.
@@ -545,6 +612,7 @@
         objective: Duration::from_millis(500),
         patience: Duration::from_millis(100),
         avoid: Vec::new(),
+        within: None,
         seen: None,
     };
     ("chat".parse().unwrap(), ask)
--- a/crates/stairvale-table/src/document.rs
+++ b/crates/stairvale-table/src/document.rs
@@ -6,7 +6,7 @@
 use stairvale_types::id;
 
 /// A whole configuration. A higher version replaces a lower one, never the other way round.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Document {
     /// Rises with every change, in uneven steps.
     pub version: u64,
@@ -58,6 +58,8 @@
     pub resumable: bool,
     /// The longest pause between events that is aimed at.
     pub pause: Option<Duration>,
+    /// The only regions whose upstreams may be given its requests; empty for any.
+    pub regions: Vec<id::Region>,
 }
 
 impl Route {
@@ -88,7 +90,7 @@
 }
 
 /// A group of upstreams that serve the same.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: id::Service,
@@ -96,6 +98,17 @@
     pub connections: u32,
     /// What its upstreams are, if they are model engines.
     pub engine: Option<Engine>,
+    /// What its upstreams bear while they are cold; `None` if that is not told.
+    pub cold: Option<Cold>,
+}
+
+/// How upstreams do that have just started, or have turned cold again.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Cold {
+    /// How long they stay so.
+    pub time: Duration,
+    /// Requests a second that one of them bears; 0 if none.
+    pub pace: f64,
 }
 
 /// A model engine's sizes.
@@ -118,6 +131,8 @@
     pub keys: Vec<String>,
     /// Its rank, which goes before a route's: 0 is the most urgent.
     pub priority: u8,
+    /// The only regions whose upstreams may be given its requests; empty for any.
+    pub regions: Vec<id::Region>,
 }
 
 /// What callers may send, and how long they may take.
--- a/crates/stairvale-table/src/lib.rs
+++ b/crates/stairvale-table/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod document;
 pub mod table;
 
-pub use document::{Customer, Document, Engine, Kind, Limits, Route, Service};
+pub use document::{Cold, Customer, Document, Engine, Kind, Limits, Route, Service};
 pub use table::Table;
--- a/crates/stairvale-table/src/table.rs
+++ b/crates/stairvale-table/src/table.rs
@@ -1,6 +1,6 @@
 //! A document with its indices.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use stairvale_types::id;
 
@@ -66,6 +66,13 @@
         self.keys.get(key).map(|index| &self.document.customers[*index])
     }
 
+    /// The regions that routes and customers are kept to, each once.
+    pub fn regions(&self) -> impl Iterator<Item = &id::Region> {
+        let routes = self.document.routes.iter().flat_map(|route| &route.regions);
+        let customers = self.document.customers.iter().flat_map(|customer| &customer.regions);
+        routes.chain(customers).collect::<BTreeSet<_>>().into_iter()
+    }
+
     /// A service.
     #[must_use]
     pub fn service(&self, name: &id::Service) -> Option<&Service> {
--- a/crates/stairvale-table/tests/table.rs
+++ b/crates/stairvale-table/tests/table.rs
@@ -21,6 +21,7 @@
         public: false,
         resumable: false,
         pause: None,
+        regions: Vec::new(),
     }
 }
 
@@ -39,8 +40,12 @@
 
 #[test]
 fn a_key_leads_to_its_customer_only() {
-    let customer =
-        |name: &str, key: &str| Customer { name: name.parse().unwrap(), keys: vec![key.to_owned()], priority: 0 };
+    let customer = |name: &str, key: &str| Customer {
+        name: name.parse().unwrap(),
+        keys: vec![key.to_owned()],
+        priority: 0,
+        regions: Vec::new(),
+    };
     let customers = vec![customer("a", "k1"), customer("b", "k2")];
     let table = Table::new(Document { customers, ..Document::default() });
     assert_eq!(table.customer("k2").unwrap().name.as_str(), "b");
