--- /dev/null
+++ b/crates/stairvale-dispatch/benches/pool.rs
@@ -0,0 +1,108 @@
+//! What one decision of a service's home costs, by the number of its engines.
+
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use divan::{Bencher, black_box};
+use stairvale_dispatch::{
+    Ask, Listing, Outcome, Part, Pool,
+    pool::{Cold, Rules},
+};
+use stairvale_types::{Moment, id, unit};
+
+fn main() {
+    divan::main();
+}
+
+/// Engines of a service.
+const ENGINES: [usize; 5] = [30, 90, 300, 1_000, 3_000];
+/// Prompts' shared beginnings that are in use: each is held by some engines.
+const BEGINNINGS: u64 = 600;
+
+fn listing(index: usize) -> Listing {
+    Listing {
+        id: format!("i-{index:08x}").parse().unwrap(),
+        zone: format!("z{}", index % 3).parse().unwrap(),
+        slots: 64,
+        usable: true,
+        cold: Duration::ZERO,
+        revision: 1,
+    }
+}
+
+fn ask(number: u64) -> Ask {
+    let beginning = number.wrapping_mul(7_919) % BEGINNINGS;
+    Ask {
+        attempt: id::Attempt(u128::from(number)),
+        entry: "r1".parse().unwrap(),
+        zone: format!("z{}", number % 3).parse().unwrap(),
+        priority: 1,
+        repeatable: true,
+        parts: vec![
+            Part { id: beginning % 4 + 1, tokens: 2_500 },
+            Part { id: 1_000 + beginning, tokens: 6_000 },
+            Part { id: 1_000_000 + number, tokens: 500 },
+        ],
+        output: 100,
+        objective: Duration::from_millis(600),
+        patience: Duration::from_millis(100),
+        avoid: Vec::new(),
+        within: None,
+        seen: None,
+    }
+}
+
+/// A pool in use: engines hold beginnings, and run some five requests each.
+fn pool(engines: usize) -> (Pool, u64, u64) {
+    let cold = Cold { pace: 9.6, bound: 19.4, time: Duration::from_secs(3) };
+    let engine = Some(unit::Tokens(237_549));
+    let mut pool = Pool::new(Rules { engine, copies: true, multiple: 2.0, slack: 3.0, cold: Some(cold) });
+    let known: Vec<_> = (0..engines).map(listing).collect();
+    pool.set_members(Moment::ZERO, &known);
+    let (mut now, mut number) = (0, 0);
+    for _ in 0..engines * 8 {
+        number += 1;
+        now += 1_000_000 / (engines as u64 * 5);
+        step(&mut pool, now, number, engines as u64 * 5);
+    }
+    (pool, now, number)
+}
+
+/// One request is placed and begins; the one before `running` others ends.
+fn step(pool: &mut Pool, now: u64, number: u64, running: u64) {
+    let now = Moment(now);
+    black_box(pool.ask(now, ask(number)));
+    black_box(pool.begun(now, id::Attempt(u128::from(number)), Duration::from_millis(50)));
+    if number > running {
+        black_box(pool.release(now, id::Attempt(u128::from(number - running)), Outcome::Served, None));
+    }
+}
+
+#[divan::bench(args = ENGINES, sample_count = 10, sample_size = 200)]
+fn request(bencher: Bencher, engines: usize) {
+    let (mut pool, mut now, mut number) = pool(engines);
+    bencher.bench_local(|| {
+        number += 1;
+        now += 1_000_000 / (engines as u64 * 5);
+        step(&mut pool, now, number, engines as u64 * 5);
+    });
+}
+
+#[divan::bench(args = ENGINES, sample_count = 10, sample_size = 20)]
+fn change_of_one(bencher: Bencher, engines: usize) {
+    let (mut pool, now, _) = pool(engines);
+    let mut known: Vec<_> = (0..engines).map(listing).collect();
+    let mut revision = 1;
+    bencher.bench_local(|| {
+        revision += 1;
+        known[0].revision = revision;
+        black_box(pool.set_members(Moment(now), &known));
+    });
+}
+
+#[divan::bench(args = ENGINES, sample_count = 10, sample_size = 20)]
+fn tick(bencher: Bencher, engines: usize) {
+    let (mut pool, now, _) = pool(engines);
+    bencher.bench_local(|| black_box(pool.tick(Moment(now))));
+}
--- a/crates/stairvale-dispatch/src/cache.rs
+++ b/crates/stairvale-dispatch/src/cache.rs
@@ -1,7 +1,8 @@
 //! What the home believes an engine holds of prompts: the parts least lately used give way, as they do at the engine.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
+use rapidhash::RapidHashMap;
 use stairvale_types::id;
 
 use crate::Part;
@@ -22,7 +23,7 @@
     capacity: u64,
     held: u64,
     clock: u64,
-    kept: HashMap<u64, Kept>,
+    kept: RapidHashMap<u64, Kept>,
     order: BTreeMap<u64, u64>,
 }
 
--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -1,10 +1,8 @@
 //! One upstream of a service, as the home knows it.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::VecDeque, time::Duration};
 
+use rapidhash::RapidHashMap;
 use stairvale_types::{Moment, id};
 
 use crate::{Cache, health::Health};
@@ -58,8 +56,13 @@
     pub slots: u32,
     /// Whether it may be given new work.
     pub usable: bool,
-    /// What runs there.
-    pub held: HashMap<id::Attempt, Hold>,
+    /// Its id's hash, by which prompts rank it.
+    pub hash: u64,
+    held: RapidHashMap<id::Attempt, Hold>,
+    /// The sum of what is to be read for what runs there.
+    ahead: u64,
+    /// The sum of what that takes beside shared parts.
+    taken: u64,
     /// What it holds of prompts.
     pub cache: Cache,
     /// Whether that is more than what was placed there by this router.
@@ -74,6 +77,8 @@
     presumed_until: Moment,
     /// The revision of what it said last.
     revision: u64,
+    /// Whether the store no longer names it.
+    gone: bool,
     /// When it was given requests, the earliest first, as far back as matters.
     given: VecDeque<Moment>,
 }
@@ -86,11 +91,14 @@
     #[must_use]
     pub fn new(id: id::Upstream, zone: id::Zone, slots: u32, memory: u64) -> Self {
         Self {
+            hash: id.hash64(),
             id,
             zone,
             slots: slots.max(1),
             usable: true,
-            held: HashMap::new(),
+            held: RapidHashMap::default(),
+            ahead: 0,
+            taken: 0,
             cache: Cache::new(memory),
             known: false,
             memory,
@@ -98,6 +106,7 @@
             cold_until: Moment::ZERO,
             presumed_until: Moment::ZERO,
             revision: 0,
+            gone: false,
             given: VecDeque::new(),
         }
     }
@@ -105,6 +114,7 @@
     /// The store says something of it. One that has turned cold holds nothing any more.
     pub fn list(&mut self, now: Moment, listing: &Listing) {
         self.usable = listing.usable;
+        self.gone = false;
         if self.revision == listing.revision {
             return;
         }
@@ -115,6 +125,18 @@
         self.cold_until = now + listing.cold;
     }
 
+    /// The store no longer names it: it gets nothing new.
+    pub fn go(&mut self) {
+        self.usable = false;
+        self.gone = true;
+    }
+
+    /// Whether the store no longer names it.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.gone
+    }
+
     /// It may be cold until then, whatever it says.
     pub fn presume_cold(&mut self, until: Moment) {
         self.presumed_until = self.presumed_until.max(until);
@@ -150,12 +172,55 @@
     /// Tokens that it has yet to read for what runs there.
     #[must_use]
     pub fn ahead(&self) -> u64 {
-        self.held.values().map(|hold| u64::from(hold.read)).sum()
+        self.ahead
     }
 
     /// Tokens that what runs there takes beside shared parts.
     #[must_use]
     pub fn taken(&self) -> u64 {
-        self.held.values().map(|hold| u64::from(hold.tokens)).sum()
+        self.taken
+    }
+
+    /// What runs there.
+    #[must_use]
+    pub fn held(&self) -> &RapidHashMap<id::Attempt, Hold> {
+        &self.held
+    }
+
+    /// A request runs there from now on.
+    pub fn hold(&mut self, attempt: id::Attempt, hold: Hold) {
+        self.let_go(attempt);
+        self.ahead += u64::from(hold.read);
+        self.taken += u64::from(hold.tokens);
+        self.held.insert(attempt, hold);
+    }
+
+    /// A request no longer runs there.
+    pub fn let_go(&mut self, attempt: id::Attempt) -> Option<Hold> {
+        let hold = self.held.remove(&attempt)?;
+        self.ahead -= u64::from(hold.read);
+        self.taken -= u64::from(hold.tokens);
+        Some(hold)
+    }
+
+    /// A request's first event came: nothing more is to be read for it. Gives what it was until then.
+    pub fn begin(&mut self, attempt: id::Attempt) -> Option<Hold> {
+        let hold = self.held.get_mut(&attempt)?;
+        let before = hold.clone();
+        self.ahead -= u64::from(hold.read);
+        hold.read = 0;
+        hold.reads = Vec::new();
+        Some(before)
+    }
+
+    /// The entry of a request named it; whether it runs there at all.
+    pub fn name(&mut self, attempt: id::Attempt, now: Moment) -> bool {
+        let hold = self.held.get_mut(&attempt);
+        hold.map(|hold| hold.named = now).is_some()
+    }
+
+    /// What runs there of which something is true.
+    pub fn which(&self, is: impl Fn(&Hold) -> bool) -> Vec<id::Attempt> {
+        self.held.iter().filter(|(_, hold)| is(hold)).map(|(attempt, _)| *attempt).collect()
     }
 }
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -1,10 +1,11 @@
 //! The home's account of a service's upstreams, and its decisions.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
+use rapidhash::RapidHashMap;
 use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
 
 use crate::{Answer, Ask, Held, Listing, Member, Outcome, Part, Reading, Verdict, member::Hold};
@@ -57,12 +58,16 @@
 pub struct Pool {
     rules: Rules,
     members: BTreeMap<id::Upstream, Member>,
+    /// Upstreams that are gone and may still run something.
+    leaving: BTreeSet<id::Upstream>,
     /// Zones none of whose routers is heard of.
     dark: BTreeSet<id::Zone>,
     /// When an upstream of a zone answered last.
     answered: BTreeMap<id::Zone, Moment>,
     /// Where each attempt runs.
-    places: HashMap<id::Attempt, id::Upstream>,
+    places: RapidHashMap<id::Attempt, id::Upstream>,
+    /// Who reads each of the shared parts that somebody is reading now.
+    readers: RapidHashMap<u64, Vec<id::Attempt>>,
     waiting: Vec<Waiting>,
     following: Vec<follow::Follower>,
     number: u64,
@@ -81,9 +86,11 @@
         Self {
             rules,
             members: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             dark: BTreeSet::new(),
             answered: BTreeMap::new(),
-            places: HashMap::new(),
+            places: RapidHashMap::default(),
+            readers: RapidHashMap::default(),
             waiting: Vec::new(),
             following: Vec::new(),
             number: 0,
@@ -129,6 +136,13 @@
 
     /// Sets the upstreams that exist.
     pub fn set_members(&mut self, now: Moment, known: &[Listing]) -> Vec<Answer> {
+        let named: BTreeSet<_> = known.iter().map(|listing| &listing.id).collect();
+        let gone: Vec<_> = self.members.keys().filter(|id| !named.contains(id)).cloned().collect();
+        self.update(now, known, &gone)
+    }
+
+    /// Takes what the store says of some upstreams, and that others have gone.
+    pub fn update(&mut self, now: Moment, known: &[Listing], gone: &[id::Upstream]) -> Vec<Answer> {
         let memory = self.rules.engine.map_or(0, |memory| u64::from(memory.0));
         let cold = self.rules.cold.map_or(Duration::ZERO, |cold| cold.time);
         let first = self.members.is_empty();
@@ -144,15 +158,31 @@
             });
             member.list(now, listing);
         }
-        let named: BTreeSet<_> = known.iter().map(|listing| &listing.id).collect();
-        // One that is gone is kept as long as something runs there.
-        self.members.retain(|id, member| named.contains(id) || !member.held.is_empty());
-        for member in self.members.values_mut().filter(|member| !named.contains(&member.id)) {
-            member.usable = false;
+        for id in gone {
+            if let Some(member) = self.members.get_mut(id) {
+                member.go();
+                self.leaving.insert(id.clone());
+            }
         }
+        self.bury();
         self.serve(now)
     }
 
+    /// Drops the upstreams that are gone once nothing runs there any more.
+    fn bury(&mut self) {
+        if self.leaving.is_empty() {
+            return;
+        }
+        let members = &mut self.members;
+        self.leaving.retain(|id| {
+            let stays = members.get(id).is_some_and(|member| member.is_gone() && !member.held().is_empty());
+            if !stays && members.get(id).is_some_and(Member::is_gone) {
+                members.remove(id);
+            }
+            stays
+        });
+    }
+
     /// Sets the zones none of whose routers is heard of: where upstreams are silent, too, they are behind a cut.
     pub fn set_dark(&mut self, dark: BTreeSet<id::Zone>) {
         self.dark = dark;
@@ -230,24 +260,21 @@
         let Some(member) = self.places.get(&attempt).and_then(|place| self.members.get_mut(place)) else {
             return Vec::new();
         };
-        let Some(hold) = member.held.get_mut(&attempt) else {
+        let Some(Hold { reads, read, expected, copies, .. }) = member.begin(attempt) else {
             return Vec::new();
         };
-        member.cache.finish(&std::mem::take(&mut hold.reads));
+        member.cache.finish(&reads);
         self.answered.insert(member.zone.clone(), now);
         let took = took.as_secs_f64() * 1e3;
-        let read = f64::from(hold.read);
-        hold.read = 0;
-        let (expected, copies) = (hold.expected, hold.copies);
         // Only what was read while nothing else was tells how long reading takes.
-        let alone = member.held.values().all(|other| other.read == 0);
-        if self.rules.engine.is_some() && alone && !copies {
-            self.reading.observe(read, took);
+        if self.rules.engine.is_some() && member.ahead() == 0 && !copies {
+            self.reading.observe(f64::from(read), took);
         }
         // How long a copy takes is no matter of this engine alone.
         if expected > 0.0 && !copies {
             member.health.took(now, (took + 20.0) / (expected + 20.0));
         }
+        self.stop_reading(&reads, attempt);
         self.lead(now, attempt)
     }
 
@@ -262,15 +289,17 @@
         let Some(place) = self.places.remove(&attempt) else {
             return Vec::new();
         };
-        let usual = self.usual(now, &place);
+        // It matters only where something went wrong, and takes a look at all.
+        let usual = if matches!(outcome, Outcome::Failed | Outcome::Silent) { self.usual(now, &place) } else { 0.0 };
+        let mut read = Vec::new();
         if let Some(member) = self.members.get_mut(&place) {
-            let hold = member.held.remove(&attempt);
+            let hold = member.let_go(attempt);
             // Without a first event it isn't certain that anything was read.
-            let reads = hold.as_ref().map(|hold| hold.reads.as_slice()).unwrap_or_default();
+            read = hold.as_ref().map(|hold| hold.reads.clone()).unwrap_or_default();
             if outcome == Outcome::Served {
-                member.cache.finish(reads);
+                member.cache.finish(&read);
             } else {
-                member.cache.lose(reads, attempt);
+                member.cache.lose(&read, attempt);
             }
             if let Some(took) = took {
                 let took = took.as_secs_f64() * 1e3;
@@ -284,6 +313,7 @@
                 self.answered.insert(member.zone.clone(), now);
             }
         }
+        self.stop_reading(&read, attempt);
         let mut answers = self.lead(now, attempt);
         answers.extend(self.serve(now));
         answers
@@ -293,8 +323,8 @@
     pub fn renew(&mut self, now: Moment, entry: &id::Router, held: &[Held]) -> Vec<Answer> {
         for item in held {
             if let Some(place) = self.places.get(&item.attempt) {
-                if let Some(hold) = self.members.get_mut(place).and_then(|m| m.held.get_mut(&item.attempt)) {
-                    hold.named = now;
+                if let Some(member) = self.members.get_mut(place) {
+                    member.name(item.attempt, now);
                 }
                 continue;
             }
@@ -311,7 +341,7 @@
                 copies: false,
                 reads: Vec::new(),
             };
-            member.held.insert(item.attempt, hold);
+            member.hold(item.attempt, hold);
             self.places.insert(item.attempt, item.upstream.clone());
         }
         self.drop_holds(|hold| &hold.entry == entry && hold.named < now && now.since(hold.since) >= YOUNG);
@@ -321,6 +351,7 @@
     /// Lets time pass: waits end, holds that nobody names are dropped.
     pub fn tick(&mut self, now: Moment) -> Vec<Answer> {
         self.drop_holds(|hold| now.since(hold.named) >= HOLD_TTL);
+        self.bury();
         let mut answers = self.end_following(now);
         answers.extend(self.serve(now));
         let expired: Vec<_> = self.waiting.extract_if(.., |waiting| waiting.until <= now).collect();
@@ -338,7 +369,9 @@
         };
         let parts = &ask.parts[..(*depth).min(ask.parts.len())];
         let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
-        if self.members.values().any(|member| member.cache.covers(parts) >= tokens) {
+        // Most often it is there, and nobody else need be looked at.
+        let covers = |member: &Member| member.cache.covers(parts) >= tokens;
+        if self.members.get(upstream).is_none_or(covers) || self.members.values().any(covers) {
             return;
         }
         if let Some(member) = self.members.get_mut(upstream) {
@@ -347,16 +380,30 @@
     }
 
     fn drop_holds(&mut self, gone: impl Fn(&Hold) -> bool) {
-        for member in self.members.values_mut() {
-            let cache = &mut member.cache;
-            member.held.retain(|attempt, hold| {
-                let gone = gone(hold);
-                if gone {
-                    self.places.remove(attempt);
-                    cache.lose(&hold.reads, *attempt);
+        let mut lost = Vec::new();
+        for member in self.members.values_mut().filter(|member| !member.held().is_empty()) {
+            for attempt in member.which(&gone) {
+                self.places.remove(&attempt);
+                if let Some(hold) = member.let_go(attempt) {
+                    member.cache.lose(&hold.reads, attempt);
+                    lost.push((attempt, hold.reads));
                 }
-                !gone
-            });
+            }
+        }
+        for (attempt, reads) in lost {
+            self.stop_reading(&reads, attempt);
+        }
+    }
+
+    /// An attempt no longer reads some parts.
+    fn stop_reading(&mut self, parts: &[u64], attempt: id::Attempt) {
+        for part in parts {
+            if let Some(readers) = self.readers.get_mut(part) {
+                readers.retain(|reader| *reader != attempt);
+                if readers.is_empty() {
+                    self.readers.remove(part);
+                }
+            }
         }
     }
 
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stairvale_placement::{Engine, rank};
+use stairvale_placement::mix;
 use stairvale_types::{Moment, id};
 
 use super::{Pool, cold::Care, reach::Reach};
@@ -38,16 +38,37 @@
 
 /// What serving a request at one member comes to.
 #[derive(Clone, Debug)]
-struct Bid {
+struct Bid<'a> {
     /// In ms, by what it is worth to be sooner and what the work costs others.
     cost: f64,
     /// The time to the first event, in ms.
     expected: f64,
-    upstream: id::Upstream,
+    upstream: &'a id::Upstream,
     /// Tokens that it has to read.
     read: u32,
     /// From where it copies what it doesn't hold.
-    source: Option<id::Upstream>,
+    source: Option<&'a id::Upstream>,
+}
+
+/// Ranks beyond which a step back costs nothing more.
+const STEPS: usize = 25;
+
+/// The order in which any router would try the members for a prompt (rendezvous hashing).
+struct Order {
+    key: u64,
+    /// The scores of the first members, the highest first.
+    first: Vec<u64>,
+}
+
+impl Order {
+    fn score(&self, member: &Member) -> u64 {
+        mix(self.key, member.hash)
+    }
+
+    /// The rank of a score; [`STEPS`] for all that come later.
+    fn index(&self, score: u64) -> usize {
+        self.first.partition_point(|other| *other > score)
+    }
 }
 
 impl Pool {
@@ -58,8 +79,7 @@
             return f64::MAX;
         }
         let usable = self.members.values().filter(|member| within.has(member)).count().max(1);
-        let running: u32 = self.members.values().map(Member::running).sum();
-        let mean = f64::from(running) / usable as f64;
+        let mean = self.places.len() as f64 / usable as f64;
         // One less than allowed: what is on its way isn't seen by everybody at once.
         (mean * self.rules.multiple + self.rules.slack - 1.0).max(1.0)
     }
@@ -69,7 +89,7 @@
         if member.running() >= member.slots || f64::from(member.running()) >= bound {
             return false;
         }
-        if member.memory == 0 || member.held.is_empty() {
+        if member.memory == 0 || member.held().is_empty() {
             return true;
         }
         let own = ask.parts.last().map_or(0, |part| part.tokens) + ask.output;
@@ -86,31 +106,33 @@
         let none_well = !self.members.values().any(|member| able(member) && member.health.is_open(now));
         let order = self.order(&ask.parts);
         let best = |care| {
-            let mut best: Option<Bid> = None;
-            for (index, id) in order.iter().enumerate() {
-                let member = &self.members[id];
+            let mut best: Option<(Bid<'_>, u64)> = None;
+            for member in self.members.values() {
                 let open = none_well || member.health.is_open(now);
-                if !able(member) || !open || !self.has_room(member, ask, bound) || !self.bears(now, member, care) {
+                if !open || !able(member) || !self.has_room(member, ask, bound) || !self.bears(now, member, care) {
                     continue;
                 }
-                let bid = self.bid(now, member, ask, &covers, index);
-                if best.as_ref().is_none_or(|best| bid.cost < best.cost) {
-                    best = Some(bid);
+                let score = order.score(member);
+                let bid = self.bid(now, member, ask, &covers, order.index(score));
+                // Of two that cost the same the one that ranks first, as any router would have it.
+                if best.as_ref().is_none_or(|(best, top)| (bid.cost, *top) < (best.cost, score)) {
+                    best = Some((bid, score));
                 }
             }
-            best
+            best.map(|(bid, _)| bid)
         };
         let bid = best(Care::Full).or_else(|| best(Care::Known))?;
-        self.hold(now, ask, &bid);
-        let Bid { upstream, read, source, .. } = bid;
+        let Bid { expected, read, .. } = bid;
+        let (upstream, source) = (bid.upstream.clone(), bid.source.cloned());
+        self.hold(now, ask, &upstream, read, expected, source.is_some());
         let verdict = Verdict::Granted { upstream, read, source };
         Some(Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict })
     }
 
-    fn hold(&mut self, now: Moment, ask: &Ask, bid: &Bid) {
-        let expected = if self.rules.engine.is_some() { bid.expected } else { self.time };
+    fn hold(&mut self, now: Moment, ask: &Ask, upstream: &id::Upstream, read: u32, expected: f64, copies: bool) {
+        let expected = if self.rules.engine.is_some() { expected } else { self.time };
         let own = ask.parts.last().map_or(0, |part| part.tokens);
-        let Some(member) = self.members.get_mut(&bid.upstream) else {
+        let Some(member) = self.members.get_mut(upstream) else {
             return;
         };
         let reads = member.cache.begin(&ask.parts, ask.attempt);
@@ -121,43 +143,64 @@
             entry: ask.entry.clone(),
             since: now,
             named: now,
-            read: bid.read,
+            read,
             tokens,
             expected,
-            copies: bid.source.is_some(),
-            reads,
+            copies,
+            reads: reads.clone(),
         };
-        member.held.insert(ask.attempt, hold);
-        self.places.insert(ask.attempt, bid.upstream.clone());
+        member.hold(ask.attempt, hold);
+        for part in reads {
+            self.readers.entry(part).or_default().push(ask.attempt);
+        }
+        self.places.insert(ask.attempt, upstream.clone());
     }
 
     /// The two members that hold most of a prompt's shared parts and can be copied from, the one with most first.
-    fn covers(&self, ask: &Ask, within: &Reach<'_>) -> Vec<(u32, id::Upstream)> {
+    fn covers(&self, ask: &Ask, within: &Reach<'_>) -> Vec<(u32, &id::Upstream)> {
         if !self.rules.copies {
             return Vec::new();
         }
         let sources = self.members.values().filter(|member| within.can_copy(member) && ask.allows(&member.zone));
-        let covers = sources.map(|member| (member.cache.covers(ask.shared()), member.id.clone()));
-        let mut covers: Vec<_> = covers.filter(|(tokens, _)| *tokens >= COPY_LEAST).collect();
-        covers.sort_by(|a, b| b.cmp(a));
-        covers.truncate(2);
-        covers
+        let covers = sources.map(|member| (member.cache.covers(ask.shared()), &member.id));
+        let mut most: Vec<(u32, &id::Upstream)> = Vec::with_capacity(3);
+        for cover in covers.filter(|(tokens, _)| *tokens >= COPY_LEAST) {
+            if most.len() < 2 || most[1] < cover {
+                most.push(cover);
+                most.sort_by(|a, b| b.cmp(a));
+                most.truncate(2);
+            }
+        }
+        most
     }
 
     /// The members in the order in which any router would try them for a prompt, by the last part that others share.
-    fn order(&self, parts: &[Part]) -> Vec<id::Upstream> {
+    fn order(&self, parts: &[Part]) -> Order {
         let shared = if parts.len() > 1 { &parts[..parts.len() - 1] } else { parts };
-        let engines: Vec<_> = self.members.keys().map(|id| Engine::new(id.clone(), 1)).collect();
-        rank(cache::name(shared), &engines)
+        let key = cache::name(shared);
+        let mut scores: Vec<_> = self.members.values().map(|member| mix(key, member.hash)).collect();
+        if scores.len() > STEPS {
+            scores.select_nth_unstable_by(STEPS, |a, b| b.cmp(a));
+            scores.truncate(STEPS);
+        }
+        scores.sort_unstable_by(|a, b| b.cmp(a));
+        Order { key, first: scores }
     }
 
     /// What serving a request at a member costs.
     #[allow(clippy::cast_precision_loss)]
-    fn bid(&self, now: Moment, member: &Member, ask: &Ask, covers: &[(u32, id::Upstream)], index: usize) -> Bid {
+    fn bid<'a>(
+        &self,
+        now: Moment,
+        member: &'a Member,
+        ask: &Ask,
+        covers: &[(u32, &'a id::Upstream)],
+        index: usize,
+    ) -> Bid<'a> {
         let prompt: u32 = ask.parts.iter().map(|part| part.tokens).sum();
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let covered = member.cache.covers(&ask.parts);
-        let mut source = covers.iter().find(|(_, id)| id != &member.id);
+        let mut source = covers.iter().find(|(_, id)| *id != &member.id);
         let mut copied = source.map_or(0, |(tokens, _)| tokens.saturating_sub(covered));
         if copied < COPY_LEAST {
             (source, copied) = (None, 0);
@@ -176,13 +219,13 @@
             (self.time * (1.0 + over * over) * pace, 0.0)
         };
         let far = if member.zone == ask.zone { 0.0 } else { FAR };
-        let step = (index as f64 * STEP).min(FAR);
+        let step = index as f64 * STEP;
         // What may run twice shows whether an upstream that failed is well again.
         let tries = ask.repeatable && member.health.is_due(now);
         let failing = if tries { -TRIAL } else { member.health.doubt(now) * FAILING };
         let cost = lateness(time, ask.objective) + work + crowd * pace + far + step + failing;
         let expected = time + crowd * pace + far;
-        Bid { cost, expected, upstream: member.id.clone(), read, source: source.map(|(_, id)| id.clone()) }
+        Bid { cost, expected, upstream: &member.id, read, source: source.map(|(_, id)| *id) }
     }
 }
 
--- a/crates/stairvale-dispatch/src/pool/follow.rs
+++ b/crates/stairvale-dispatch/src/pool/follow.rs
@@ -33,6 +33,10 @@
         if until <= now || ask.shared().is_empty() || !ask.avoid.is_empty() {
             return None;
         }
+        // Most often nobody reads any of it.
+        if !ask.shared().iter().any(|part| self.readers.contains_key(&part.id)) {
+            return None;
+        }
         let within = self.reach(now);
         let reached = || self.members.values().filter(|member| within.has(member) && ask.allows(&member.zone));
         let ready = reached().map(|member| member.cache.ready(ask.shared())).max()?;
@@ -40,7 +44,7 @@
         let ahead = reached().filter(|member| gain(member.cache.covers(ask.shared())));
         let mut leaders = ahead.filter_map(|member| {
             let leader = member.cache.reader(ask.shared())?;
-            let hold = member.held.get(&leader)?;
+            let hold = member.held().get(&leader)?;
             let left = hold.expected - millis(now.since(hold.since));
             (left > 0.0 && left <= millis(until.since(now))).then_some((left, leader))
         });
--- a/crates/stairvale-link/src/links.rs
+++ b/crates/stairvale-link/src/links.rs
@@ -125,9 +125,19 @@
 
     /// Sends a frame; `false` if the peer can't be reached now.
     pub fn send(&self, to: &id::Router, address: SocketAddr, frame: &F) -> bool {
+        codec::encode(frame).is_ok_and(|bytes| self.send_bytes(to, address, bytes))
+    }
+
+    /// Sends one frame to many peers; gives how many can't be reached now. It is written once, and its bytes are shared for as
+    /// long as they wait for any of them.
+    pub fn send_all(&self, to: &[(id::Router, SocketAddr)], frame: &F) -> usize {
         let Ok(bytes) = codec::encode(frame) else {
-            return false;
+            return to.len();
         };
+        to.iter().filter(|(peer, address)| !self.send_bytes(peer, *address, bytes.clone())).count()
+    }
+
+    fn send_bytes(&self, to: &id::Router, address: SocketAddr, bytes: Bytes) -> bool {
         let mut links = self.lock();
         if let Some(link) = links.get_mut(to).filter(|link| link.address == address) {
             match &mut link.state {
--- a/crates/stairvale-membership/src/swim.rs
+++ b/crates/stairvale-membership/src/swim.rs
@@ -127,6 +127,8 @@
     vms: u64,
     words: u64,
     heard: Moment,
+    /// Rises with each change of what is known of the routers.
+    revision: u64,
 }
 
 impl Swim {
@@ -149,6 +151,7 @@
             vms: 0,
             words: 0,
             heard: Moment::ZERO,
+            revision: 0,
         }
     }
 
@@ -191,6 +194,12 @@
         self.peers.get(router).map(|peer| &peer.member)
     }
 
+    /// A number that rises with each change of what is known of the routers.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// When a packet came in last.
     #[must_use]
     pub fn heard(&self) -> Moment {
@@ -221,6 +230,7 @@
             // Any word of the router itself goes before this one, and nobody is told of it.
             let member = Member { incarnation: id::Incarnation(0), status: Status::Alive, ..member };
             let (router, to) = (member.router.clone(), member.address);
+            self.revision += 1;
             self.peers.insert(router.clone(), Peer { member, since: now, returned: None });
             self.round.push(router.clone());
             effects.push(Effect::Joined(router));
@@ -276,6 +286,7 @@
 
     /// This router stops as planned.
     pub fn leave(&mut self) -> Vec<Effect> {
+        self.revision += 1;
         self.me.status = Status::Leaving;
         self.me.incarnation.0 += 1;
         self.enqueue(Update::Member(self.me.clone()));
@@ -444,7 +455,9 @@
         let overdue = |peer: &&Peer| peer.member.status == Status::Suspect && now.since(peer.since) >= suspicion;
         let overdue: Vec<_> = self.peers.values().filter(overdue).map(|peer| peer.member.clone()).collect();
         let forgotten = |peer: &Peer| peer.member.status >= Status::Leaving && now.since(peer.since) >= BURIAL;
+        let before = self.peers.len();
         self.peers.retain(|_, peer| !forgotten(peer));
+        self.revision += u64::from(self.peers.len() != before);
         let dead = overdue.into_iter().map(|member| Member { status: Status::Dead, ..member });
         let dead: Vec<_> = dead.collect();
         dead.into_iter().flat_map(|member| self.learn(now, Update::Member(member))).collect()
@@ -486,6 +499,7 @@
         if !wrong {
             return Vec::new();
         }
+        self.revision += 1;
         self.me.incarnation = id::Incarnation(said.incarnation.0 + 1);
         self.enqueue(Update::Member(self.me.clone()));
         self.rumour()
@@ -511,6 +525,7 @@
         let router = member.router.clone();
         let status = member.status;
         let returned = if was == Some(Status::Dead) && status == Status::Alive { Some(now) } else { before };
+        self.revision += 1;
         self.peers.insert(router.clone(), Peer { member, since: now, returned });
         Some(match status {
             Status::Alive | Status::Suspect if was.is_none_or(|was| !is_live(was)) => vec![Effect::Joined(router)],
--- a/crates/stairvale-placement/src/lib.rs
+++ b/crates/stairvale-placement/src/lib.rs
@@ -18,4 +18,4 @@
 pub mod rendezvous;
 
 pub use exceptions::Exceptions;
-pub use rendezvous::{Engine, pick, rank};
+pub use rendezvous::{Engine, mix, pick, rank};
--- a/crates/stairvale-placement/src/rendezvous.rs
+++ b/crates/stairvale-placement/src/rendezvous.rs
@@ -21,9 +21,11 @@
     }
 }
 
-/// Spreads two hashes over 64 bits (the finaliser of SplitMix64, Steele et al., 2014).
+/// Spreads two hashes over 64 bits (the finaliser of SplitMix64, Steele et al., 2014): the score of a node for a key, where all
+/// nodes weigh the same.
 #[inline]
-fn mix(a: u64, b: u64) -> u64 {
+#[must_use]
+pub fn mix(a: u64, b: u64) -> u64 {
     let mut z = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -1,7 +1,7 @@
 //! The copy itself.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -15,6 +15,8 @@
 
 /// Changes that are kept to tell peers that lag a little; who lags more gets everything.
 const KEPT: usize = 512;
+/// Things that are gone of which that is remembered, so that news as old as from before doesn't bring them back.
+const GONE: usize = 4_096;
 /// Who read the store this recently reads it now.
 const READING: Duration = Duration::from_secs(2);
 /// A store that failed this recently may have let leases run out that it shouldn't have.
@@ -62,6 +64,14 @@
     told_calm: Option<(Moment, Duration)>,
     /// Upstreams whose entry vanished while the store was disturbed.
     lapsed: BTreeMap<id::Upstream, Upstream>,
+    /// How many of the items say that something is gone.
+    gone: usize,
+    /// What isn't known and isn't newer than this revision has gone.
+    buried: u64,
+    /// What changed since that was asked for last.
+    changed: BTreeSet<Subject>,
+    /// Rises when the routers change that the store names.
+    names: u64,
 }
 
 impl View {
@@ -132,6 +142,25 @@
         named.or_else(|| self.lapsed.get(id))
     }
 
+    /// An upstream with the revision at which it was written, as [`View::upstreams`] has it.
+    #[must_use]
+    pub fn written(&self, id: &id::Upstream) -> Option<(&Upstream, u64)> {
+        let item = self.items.get(&Subject::Upstream(id.clone()));
+        Some((self.upstream(id)?, item.map_or(0, |item| item.revision)))
+    }
+
+    /// How many things are remembered, those that are gone included.
+    #[must_use]
+    pub fn remembered(&self) -> usize {
+        self.items.len() + self.log.len()
+    }
+
+    /// A number that rises when the routers change that the store names.
+    #[must_use]
+    pub fn names(&self) -> u64 {
+        self.names
+    }
+
     /// A router that the store names.
     #[must_use]
     pub fn router(&self, id: &id::Router) -> Option<&crate::Router> {
@@ -260,12 +289,18 @@
         if self.lapsed.is_empty() || calm.is_none_or(|calm| calm < RETURN) {
             return false;
         }
-        self.lapsed.clear();
+        let gone = std::mem::take(&mut self.lapsed);
+        self.changed.extend(gone.into_keys().map(Subject::Upstream));
         true
     }
 
+    /// What changed since this was called last.
+    pub fn take_changed(&mut self) -> BTreeSet<Subject> {
+        std::mem::take(&mut self.changed)
+    }
+
     fn replace(&mut self, to: u64, items: Vec<Item>, sure: bool) {
-        let named: std::collections::BTreeSet<_> = items.iter().map(|item| item.subject.clone()).collect();
+        let named: BTreeSet<_> = items.iter().map(|item| item.subject.clone()).collect();
         let known = self.items.values().filter(|item| item.value.is_some() && item.revision <= to);
         let missing: Vec<_> = known.map(|item| item.subject.clone()).filter(|s| !named.contains(s)).collect();
         for item in items {
@@ -290,6 +325,9 @@
             self.make_sure(&item);
             return;
         }
+        if old.is_none() && item.revision <= self.buried {
+            return;
+        }
         if let Some(Value::Configuration(document)) = &item.value
             && self.document().is_some_and(|known| known.version >= document.version)
         {
@@ -305,7 +343,24 @@
                 self.forgotten = self.forgotten.max(dropped.revision);
             }
         }
-        self.items.insert(item.subject.clone(), item);
+        self.names += u64::from(matches!(item.subject, Subject::Router(_)));
+        self.changed.insert(item.subject.clone());
+        self.gone += usize::from(item.value.is_none());
+        let before = self.items.insert(item.subject.clone(), item);
+        self.gone -= usize::from(before.is_some_and(|before| before.value.is_none()));
+        if self.gone > GONE {
+            self.bury();
+        }
+    }
+
+    /// Forgets the older half of what is gone: upstreams come and go for as long as a router runs.
+    fn bury(&mut self) {
+        let gone = self.items.values().filter(|item| item.value.is_none());
+        let mut revisions: Vec<_> = gone.map(|item| item.revision).collect();
+        revisions.sort_unstable();
+        self.buried = revisions[revisions.len() / 2];
+        self.items.retain(|_, item| item.value.is_some() || item.revision > self.buried);
+        self.gone = self.items.values().filter(|item| item.value.is_none()).count();
     }
 
     /// An entry that vanishes while the store is disturbed says nothing yet; one that was leaving stays so.
@@ -327,8 +382,9 @@
             && item.value.is_none()
             && item.sure
             && self.items.get(&item.subject).is_some_and(|known| known.revision == item.revision)
+            && self.lapsed.remove(id).is_some()
         {
-            self.lapsed.remove(id);
+            self.changed.insert(item.subject.clone());
         }
     }
 }
--- a/crates/stairvale-replica/tests/view.rs
+++ b/crates/stairvale-replica/tests/view.rs
@@ -209,6 +209,32 @@
     }
 }
 
+#[test]
+fn upstreams_that_come_and_go_for_good_leave_bounded_memory_and_do_not_come_back() {
+    let mut view = View::default();
+    for life in 0..30_000_u64 {
+        let name = format!("e{life}");
+        let items = vec![item(&name, 2 * life + 1, Some(State::Ready)), item(&name, 2 * life + 2, None)];
+        assert!(view.take(changes(2 * life, items)));
+        view.take_changed();
+    }
+    assert!(view.remembered() < 10_000, "{}", view.remembered());
+    // A peer whose copy is from long ago names some of them.
+    let old = News::Everything { to: 50, items: vec![item("e2", 5, Some(State::Ready))] };
+    assert!(view.take(old));
+    assert_eq!(view.upstreams().count(), 0);
+}
+
+#[test]
+fn what_changed_is_told_once() {
+    let mut view = View::default();
+    view.take(changes(0, vec![item("e1", 1, Some(State::Ready)), item("e2", 2, Some(State::Ready))]));
+    assert_eq!(view.take_changed().len(), 2);
+    assert_eq!(view.take_changed().len(), 0);
+    view.take(changes(2, vec![item("e2", 3, None), item("e1", 1, Some(State::Ready))]));
+    assert_eq!(view.take_changed().into_iter().collect::<Vec<_>>(), [Subject::Upstream("e2".parse().unwrap())]);
+}
+
 quickcheck! {
     /// Two copies, one of which lagged anywhere, agree after one exchange.
     fn a_copy_that_lags_catches_up(history: History, lag: usize) -> bool {
--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -21,6 +21,13 @@
         /// The frame.
         frame: Box<Frame>,
     },
+    /// Send one frame to many peers.
+    Frames {
+        /// The peers, and where they are.
+        to: Vec<(id::Router, SocketAddr)>,
+        /// The frame.
+        frame: Box<Frame>,
+    },
     /// Send a datagram.
     Datagram {
         /// Where to.
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -54,7 +54,7 @@
     /// Whether this router reads the store for the fleet.
     #[must_use]
     pub fn is_reader(&self, now: Moment) -> bool {
-        self.has_met(now) && self.leader().as_ref() == Some(&self.me)
+        self.has_met(now) && self.roles.leader.as_ref() == Some(&self.me)
     }
 
     /// How old this router's copy may grow before it reads the store itself.
@@ -78,7 +78,10 @@
     /// Asks those who read the store; who knows nothing yet asks anybody.
     pub(super) fn sync(&mut self, now: Moment) -> Vec<Effect> {
         self.syncs.retain(|_, asked| now.since(*asked) < ASKED);
+        let blind = self.blind.len();
         self.blind.retain(|_, until| *until > now);
+        self.blind_changes += u64::from(self.blind.len() != blind);
+        self.assign(now);
         self.judge_informant(now);
         let after = self.view.revision();
         let mut to = Vec::new();
@@ -103,6 +106,8 @@
             && now.since(*since) >= patience
         {
             self.blind.insert(informant.clone(), now + BLIND);
+            self.blind_changes += 1;
+            self.assign(now);
         }
     }
 
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -19,6 +19,7 @@
         let decided = effects.iter().any(|effect| match effect {
             Effect::Frame { frame, .. } => matches!(&**frame, Frame::Decided { attempt: a, .. } if *a == attempt),
             Effect::Datagram { .. }
+            | Effect::Frames { .. }
             | Effect::Reply { .. }
             | Effect::Inspect { .. }
             | Effect::Configured(_)
@@ -66,7 +67,7 @@
     /// Asks engines what they hold, as a home that nobody told. Who only stands in for a home that doesn't answer leaves
     /// that: when all routers start at once each would ask all engines, and every list holds an engine's work up.
     pub(super) fn inspect(&mut self, now: Moment, service: &id::Service) -> Vec<Effect> {
-        if !self.has_joined(now) || self.standing_home(service).as_ref() != Some(&self.me) {
+        if !self.has_joined(now) || self.standing_home(service) != Some(&self.me) {
             return Vec::new();
         }
         let unknown = self.pools.get_mut(service).map(Pool::unknown).unwrap_or_default();
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -11,12 +11,11 @@
     pool::{Cold, Rules},
 };
 use stairvale_membership::swim;
-use stairvale_replica::State;
+use stairvale_replica::{State, Subject, Upstream};
 use stairvale_table::{Document, Table};
 use stairvale_types::{Moment, id, unit};
-use stairvale_wire::Status;
 
-use super::{Core, Effect, is_heard};
+use super::{Core, Effect};
 
 /// Routers of a fleet that nobody is named of know each other this long after they started.
 const SETTLED: Duration = Duration::from_secs(3);
@@ -26,30 +25,29 @@
     pub(super) fn refresh(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
         // A copy that may be seconds old decides nothing: what it shows may have been changed already.
+        let mut whole = false;
         if let Some(document) = self.view.document().filter(|_| self.view.is_confirmed())
             && document.version > self.table.version()
         {
             self.table = Arc::new(Table::new(Document::clone(document)));
             effects.push(Effect::Configured(self.table.clone()));
+            whole = true;
         }
-        effects.extend(self.presume(now));
+        let changed = self.view.take_changed();
+        whole |= changed.iter().any(|subject| matches!(subject, Subject::Evacuation(_)));
+        if changed.iter().any(|subject| matches!(subject, Subject::Router(_))) {
+            effects.extend(self.presume(now));
+        }
+        self.assign(now);
         effects.extend(self.answer_askers(now));
-        effects.extend(self.regroup(now));
+        effects.extend(if whole { self.regroup(now) } else { self.regroup_some(now, &changed) });
         effects
     }
 
     /// Whether it is clear who the homes are: half of the strong routers that the store names have answered, so that all
     /// agree. The others may take longer to start, and aren't waited for. Where none is named, some time must have passed.
     pub(super) fn has_joined(&self, now: Moment) -> bool {
-        let strongest = self.view.routers().map(|router| router.strength).max();
-        let Some(strongest) = strongest else {
-            return self.life(now) >= SETTLED;
-        };
-        let strong = self.view.routers().filter(|router| router.strength * 2 >= strongest);
-        let named: BTreeSet<_> = strong.map(|router| &router.id).collect();
-        let heard = self.swim.live().filter(|member| is_heard(member));
-        let live = heard.filter(|member| named.contains(&member.router)).count();
-        live * 2 >= named.len()
+        self.roles.half_joined.unwrap_or_else(|| self.life(now) >= SETTLED)
     }
 
     /// Hands each service's upstreams to its pool.
@@ -63,18 +61,10 @@
             let upstreams = self.view.upstreams().filter(|(upstream, _)| &upstream.zone == zone).count();
             effects.push(Effect::Evacuated { zone: zone.clone(), evacuated: self.evacuated.contains(zone), upstreams });
         }
-        let mut by_service: BTreeMap<&id::Service, Vec<Listing>> = BTreeMap::new();
+        let mut by_service: BTreeMap<id::Service, Vec<Listing>> = BTreeMap::new();
         for (upstream, revision) in self.view.upstreams() {
-            by_service.entry(&upstream.service).or_default().push(Listing {
-                id: upstream.id.clone(),
-                zone: upstream.zone.clone(),
-                slots: upstream.slots,
-                usable: upstream.state == State::Ready && !self.evacuated.contains(&upstream.zone),
-                cold: upstream.cold,
-                revision,
-            });
+            by_service.entry(upstream.service.clone()).or_default().push(self.listing(upstream, revision));
         }
-        let mut by_service: BTreeMap<_, _> = by_service.into_iter().map(|(name, all)| (name.clone(), all)).collect();
         for service in &table.document().services {
             let known = by_service.remove(&service.name).unwrap_or_default();
             let memory = service.engine.map(|engine| unit::Tokens(u32::try_from(engine.memory).unwrap_or(u32::MAX)));
@@ -99,41 +89,64 @@
             effects.extend(self.answers(answers));
         }
         self.pools.retain(|name, _| table.service(name).is_some());
+        self.share_out(now);
         effects
     }
 
-    /// Tells each pool which part this router has in what may be given to cold upstreams over the whole fleet: as a service's
-    /// home that of the routers which can ask it, and otherwise none. Who doesn't know the fleet yet has none either.
-    pub(super) fn share_out(&mut self, now: Moment) {
-        let (mut asking, mut known) = (0_u32, 0_u32);
-        for member in self.swim.peers().filter(|member| member.status != Status::Leaving) {
-            known += 1;
-            asking += u32::from(member.status == Status::Alive && is_heard(member));
-        }
-        // This router itself.
-        (asking, known) = (asking + 1, known + 1);
-        let knows = self.knows_fleet(now);
-        for service in self.pools.keys().cloned().collect::<Vec<_>>() {
-            let home = knows && self.standing_home(&service).as_ref() == Some(&self.me);
-            let part = if home { f64::from(asking) / f64::from(known) } else { 0.0 };
-            if let Some(pool) = self.pools.get_mut(&service) {
-                pool.set_share(now, part);
+    /// Hands the upstreams that changed to their pools. What a change costs doesn't grow with the fleet.
+    fn regroup_some(&mut self, now: Moment, changed: &BTreeSet<Subject>) -> Vec<Effect> {
+        let mut known: BTreeMap<id::Service, Vec<Listing>> = BTreeMap::new();
+        let mut gone = Vec::new();
+        for subject in changed {
+            let Subject::Upstream(id) = subject else {
+                continue;
+            };
+            match self.view.written(id) {
+                Some((upstream, revision)) => {
+                    known.entry(upstream.service.clone()).or_default().push(self.listing(upstream, revision));
+                }
+                None => gone.push(id.clone()),
             }
         }
+        let mut answers = Vec::new();
+        for (service, pool) in &mut self.pools {
+            let known = known.remove(service).unwrap_or_default();
+            answers.extend(pool.update(now, &known, &gone));
+        }
+        self.answers(answers)
     }
 
-    /// The zones none of whose routers answers: they may be behind a cut.
-    pub(super) fn find_dark(&self) -> BTreeSet<id::Zone> {
-        let mut seen: BTreeMap<id::Zone, bool> = BTreeMap::new();
-        for peer in self.swim.peers().filter(|peer| peer.zone != self.zone && peer.status != Status::Leaving) {
-            *seen.entry(peer.zone.clone()).or_default() |= peer.status == Status::Alive;
+    fn listing(&self, upstream: &Upstream, revision: u64) -> Listing {
+        Listing {
+            id: upstream.id.clone(),
+            zone: upstream.zone.clone(),
+            slots: upstream.slots,
+            usable: upstream.state == State::Ready && !self.evacuated.contains(&upstream.zone),
+            cold: upstream.cold,
+            revision,
+        }
+    }
+
+    /// Grants what waits wherever there is room now.
+    fn serve_waiting(&mut self, now: Moment) -> Vec<Effect> {
+        let answers = self.pools.values_mut().flat_map(|pool| pool.update(now, &[], &[])).collect();
+        self.answers(answers)
+    }
+
+    /// Tells each pool which part this router has in what may be given to cold upstreams over the whole fleet: as a service's
+    /// home that of the routers which can ask it, and otherwise none. Who doesn't know the fleet yet has none either.
+    pub(super) fn share_out(&mut self, now: Moment) {
+        let knows = self.knows_fleet(now);
+        for (service, pool) in &mut self.pools {
+            let home = knows && self.roles.home(service.hash64()) == Some(&self.me);
+            pool.set_share(now, if home { self.roles.answering } else { 0.0 });
         }
-        seen.into_iter().filter(|(_, alive)| !alive).map(|(zone, _)| zone).collect()
     }
 
     pub(super) fn members(&mut self, now: Moment, effects: Vec<swim::Effect>) -> Vec<Effect> {
         let mut out = Vec::new();
         let mut joined = false;
+        self.assign(now);
         for effect in effects {
             match effect {
                 swim::Effect::Send { to, packet } => out.push(Effect::Datagram { to, packet }),
@@ -152,10 +165,13 @@
                 out.extend(self.sync(now));
             }
         }
-        let dark = self.find_dark();
-        if dark != self.dark {
-            self.dark = dark;
-            out.extend(self.regroup(now));
+        self.assign(now);
+        if self.roles.dark != self.dark {
+            self.dark = self.roles.dark.clone();
+            for pool in self.pools.values_mut() {
+                pool.set_dark(self.dark.clone());
+            }
+            out.extend(self.serve_waiting(now));
         }
         out
     }
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -11,10 +11,10 @@
 use stairvale_dispatch::{Held, Pool, Seen, Window};
 use stairvale_membership::{Swim, swim};
 use stairvale_placement::pick;
-use stairvale_replica::{News, Router, Upstream, View};
+use stairvale_replica::{News, Upstream, View};
 use stairvale_table::Table;
 use stairvale_types::{Moment, id};
-use stairvale_wire::{Member, Packet, Status};
+use stairvale_wire::{Member, Packet};
 
 use crate::{
     frame::{Frame, Sync},
@@ -27,6 +27,9 @@
 mod home;
 mod knowledge;
 mod naming;
+mod roles;
+
+use roles::Roles;
 
 pub use effect::{Effect, Reply};
 pub use freshness::Reading;
@@ -83,6 +86,10 @@
     evacuated: BTreeSet<id::Zone>,
     /// Routers that didn't keep this one up to date, and until when they aren't relied upon for that.
     blind: HashMap<id::Router, Moment>,
+    /// Rises when those change.
+    blind_changes: u64,
+    /// Who does what, as far as that was worked out.
+    roles: Roles,
     /// Whom this router hears of the store from, and since when.
     relied: Option<(id::Router, Moment)>,
     /// When this router first let time pass.
@@ -120,6 +127,8 @@
             dark: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             blind: HashMap::new(),
+            blind_changes: 0,
+            roles: Roles::default(),
             relied: None,
             born: None,
             told: false,
@@ -190,14 +199,19 @@
 
     /// The router that a request of a service is placed by: its home, or who stands in for one that doesn't answer.
     fn home(&self, now: Moment, service: &id::Service) -> id::Router {
-        let trusted = |member: &&Member| self.distrusted.get(&member.router).is_none_or(|until| *until <= now);
-        let live = self.strong(self.present().filter(trusted));
-        pick(service.hash64(), live.into_iter()).cloned().unwrap_or_else(|| self.me.clone())
+        let distrusts = |router: &id::Router| self.distrusted.get(router).is_some_and(|until| *until > now);
+        let home = if self.distrusted.is_empty() || !self.roles.any_home(distrusts) {
+            self.standing_home(service)
+        } else {
+            let trusted = self.present().filter(|member| !distrusts(&member.router));
+            pick(service.hash64(), self.strong(trusted).into_iter())
+        };
+        home.unwrap_or(&self.me).clone()
     }
 
     /// The service's home, whether it answers or not.
-    fn standing_home(&self, service: &id::Service) -> Option<id::Router> {
-        pick(service.hash64(), self.strong(self.present()).into_iter()).cloned()
+    fn standing_home(&self, service: &id::Service) -> Option<&id::Router> {
+        self.roles.home(service.hash64())
     }
 
     /// Routers that live and were heard of, rather than only named.
@@ -205,61 +219,15 @@
         self.swim.live().filter(|member| is_heard(member))
     }
 
-    /// The routers that may do work for others, as homes or watchers: of those that the store names, or of all where it names
-    /// none that lives, the ones with at least half of the strongest one's share of a processor. Everybody knows the names,
-    /// also who has just started and has heard of few others; so all agree on who does what.
-    fn strong<'a>(&self, live: impl Iterator<Item = &'a Member>) -> Vec<(u64, &'a id::Router)> {
-        let live: Vec<_> = live.map(|member| (member, self.view.router(&member.router))).collect();
-        let any_named = live.iter().any(|(_, named)| named.is_some());
-        let candidates = live.into_iter().filter(|(_, named)| named.is_some() || !any_named);
-        let strength = |member: &Member, named: Option<&Router>| named.map_or(member.strength, |named| named.strength);
-        let candidates: Vec<_> = candidates.map(|(member, named)| (member, strength(member, named))).collect();
-        let strongest = candidates.iter().map(|(_, strength)| *strength).max().unwrap_or(0);
-        let strong = candidates.into_iter().filter(|(_, strength)| strength * 2 >= strongest);
-        strong.map(|(member, _)| (member.router.hash64(), &member.router)).collect()
-    }
-
     /// The router of this zone that keeps it up to date: it sends what changes to all others, so it is a strong one.
     fn watcher(&self) -> Option<id::Router> {
-        self.watcher_of(&self.zone).map(|watcher| watcher.router.clone())
-    }
-
-    fn watcher_of(&self, zone: &id::Zone) -> Option<&Member> {
-        self.pick_watcher(zone, self.watching().filter(|member| &member.zone == zone).collect())
-    }
-
-    /// The zones' watchers.
-    fn watchers(&self) -> Vec<&Member> {
-        let mut zones: BTreeMap<&id::Zone, Vec<&Member>> = BTreeMap::new();
-        for member in self.watching() {
-            zones.entry(&member.zone).or_default().push(member);
-        }
-        zones.into_iter().filter_map(|(zone, members)| self.pick_watcher(zone, members)).collect()
-    }
-
-    /// Routers that may read the store for others. In its first moments a router leaves that to those that are named, until
-    /// they have had time to answer: or each would begin by reading it for all.
-    fn watching(&self) -> impl Iterator<Item = &Member> {
-        let early = self.life(self.last_tick) < PRESUMED;
-        let present = self.swim.live().filter(move |member| early || is_heard(member));
-        let alive = present.filter(|member| member.status == Status::Alive);
-        alive.filter(|member| !self.blind.contains_key(&member.router))
-    }
-
-    fn pick_watcher<'a>(&self, zone: &id::Zone, members: Vec<&'a Member>) -> Option<&'a Member> {
-        let picked = pick(zone.hash64(), self.strong(members.iter().copied()).into_iter())?.clone();
-        members.into_iter().find(|member| member.router == picked)
-    }
-
-    /// The watcher that reads the store for the whole fleet, and tells the others.
-    fn leader(&self) -> Option<id::Router> {
-        pick(LEADER, self.strong(self.watchers().into_iter()).into_iter()).cloned()
+        self.roles.watchers.get(&self.zone).cloned()
     }
 
     /// Whom this router hears of the store from.
     fn informant(&self) -> Option<id::Router> {
         let watcher = self.watcher();
-        if watcher.as_ref() == Some(&self.me) { self.leader() } else { watcher }
+        if watcher.as_ref() == Some(&self.me) { self.roles.leader.clone() } else { watcher }
     }
 
     // ------------------------------------------------------------------------
@@ -267,6 +235,7 @@
 
     /// The store was read: `news` came to a call that was made at `asked`.
     pub fn read(&mut self, now: Moment, asked: Moment, news: News) -> Vec<Effect> {
+        self.assign(now);
         self.judge_informant(now);
         let before = self.view.revision();
         if !self.view.read(now, asked, news) {
@@ -287,10 +256,15 @@
             return Vec::new();
         };
         let mut to: BTreeSet<_> = self.live_peers().filter(|peer| peer.zone == self.zone).map(|p| &p.router).collect();
-        if self.leader().as_ref() == Some(&self.me) {
-            to.extend(self.watchers().into_iter().map(|watcher| &watcher.router).filter(|router| **router != self.me));
+        if self.roles.leader.as_ref() == Some(&self.me) {
+            to.extend(self.roles.watchers.values().filter(|router| **router != self.me));
+        }
+        let heard = to.into_iter().filter_map(|router| self.swim.peer(router)).filter(|peer| is_heard(peer));
+        let to: Vec<_> = heard.map(|peer| (peer.router.clone(), peer.address)).collect();
+        if to.is_empty() {
+            return Vec::new();
         }
-        to.into_iter().flat_map(|peer| self.send(peer, Frame::News(news.clone()))).collect()
+        vec![Effect::Frames { to, frame: Box::new(Frame::News(news)) }]
     }
 
     /// The store was read as it was a while ago: enough to begin with, and to be made the newest by others or by a later call.
@@ -376,6 +350,7 @@
             self.swim.resumed(now);
         }
         self.last_tick = now;
+        self.assign(now);
         let mut effects = Vec::new();
         if self.born.is_none() {
             self.born = Some(now);
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -191,6 +191,11 @@
         for effect in effects {
             match effect {
                 Effect::Frame { to, address, frame } => self.send(&to, address, &frame),
+                Effect::Frames { to, frame } => {
+                    for _ in 0..self.links.send_all(&to, &frame) {
+                        self.metrics.count("frame-dropped");
+                    }
+                }
                 Effect::Datagram { to, packet } => {
                     if let Ok(bytes) = codec::pack(&packet) {
                         // Datagrams may be lost; the next probe says the same.
@@ -208,7 +213,9 @@
                 }
                 Effect::Configured(table) => {
                     tracing::info!(version = table.version(), "a configuration is in force");
-                    for region in table.regions().filter(|region| self.settings.zones_of(&[(*region).clone()]).is_empty()) {
+                    for region in
+                        table.regions().filter(|region| self.settings.zones_of(&[(*region).clone()]).is_empty())
+                    {
                         tracing::warn!(%region, "no zone lies in this region; what is kept to it alone is refused");
                     }
                     self.table.store(table);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -483,6 +483,12 @@
                     self.told += usize::from(matches!(&*frame, Frame::News(_) | Frame::Synced { news: Some(_), .. }));
                     self.send(index, address, Message::Frame(name(index), *frame));
                 }
+                Effect::Frames { to, frame } => {
+                    self.told += to.len();
+                    for (_, address) in to {
+                        self.send(index, address, Message::Frame(name(index), (*frame).clone()));
+                    }
+                }
                 Effect::Datagram { to, packet } => self.send(index, to, Message::Packet(address(index), packet)),
                 Effect::Reply { attempt, reply } => {
                     self.nodes[index].replies.insert(attempt, reply);
