An outage's calls are left to the watchers, members are told seldom, and what may be cold unseen is limited by the second

Calls: with the store away each router asked it about once a second. Now routers that nobody hears of the store from pause 1 s after their second failure and up to 4 s; the three watchers go on asking each second, and tell.

In the deterministic world the start of all routers at once made them tell each other 7.9 MB, since whoever knew fewer routers was told of all of them, each 50 ms. Asked for twice or thrice a second it is 0.3 MB; tests/size.rs counts bytes by kind and fails on the old way. Questions to any router go to one of the own zone two times in three.

Now 95% in a second.

--- a/crates/stairvale-dispatch/src/pool/cold.rs
+++ b/crates/stairvale-dispatch/src/pool/cold.rs
@@ -28,9 +28,11 @@
 const WINDOW: Duration = Duration::from_millis(1_250);
 /// The part of the bound that one home may use: two that both take themselves for the home stay below it together.
 const PART: f64 = 0.4;
-/// The part of the bound that any upstream is given while another one has room. It may turn cold at any moment, and says so
-/// a heartbeat later.
-const UNSUSPECTED: f64 = 0.9;
+/// The part of the bound that any upstream is given in a second while another one has room. It may turn cold at any moment, and
+/// says so a heartbeat later. Each request less costs copies: at nine tenths in 1.25 s a tenth more of prompts' memory was moved.
+const UNSUSPECTED: f64 = 0.95;
+/// What counts for those.
+const SECOND: Duration = Duration::from_secs(1);
 
 /// How strictly limits to what upstreams bear are taken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -72,12 +74,12 @@
 
     /// Whether a member can be given one more request without overdoing it.
     pub(super) fn bears(&self, now: Moment, member: &Member, care: Care) -> bool {
-        let fits = |most: f64| f64::from(member.given_since(now, WINDOW)) + 1.0 <= most;
+        let fits = |window, most: f64| f64::from(member.given_since(now, window)) + 1.0 <= most;
         match (member.is_cold(now), self.rules.cold, care) {
             (true, Some(cold), _) => {
-                now >= self.share.since && fits(self.share.part * cold.pace.min(cold.bound * PART))
+                now >= self.share.since && fits(WINDOW, self.share.part * cold.pace.min(cold.bound * PART))
             }
-            (false, Some(cold), Care::Full) => fits(cold.bound * UNSUSPECTED),
+            (false, Some(cold), Care::Full) => fits(SECOND, cold.bound * UNSUSPECTED),
             (true, None, Care::Full) => false,
             (true, None, Care::Known) | (false, Some(_), Care::Known) | (false, None, _) => true,
         }
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -19,9 +19,15 @@
 const START_WATCHER: Duration = Duration::from_millis(50);
 /// Any other router asks after this long and up to twice as long, by its name: not all at once, and after its watcher could.
 const START: Duration = Duration::from_millis(300);
+/// A router asks for others that it doesn't know this often. When all start at once nobody knows all of them for a second, and
+/// whoever asked each time would be told of most of them twenty times: 8 MB for a hundred routers, growing with their square.
+const MEMBERS: Duration = Duration::from_millis(400);
 /// Who knows fewer routers by more than one in this many is told all of them; gossip brings the others.
 const FEWER: usize = 8;
 
+/// One question to any router in this many goes to another zone, where there are routers in its own.
+const FAR: u64 = 3;
+
 /// How this router reads the store now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reading {
@@ -57,9 +63,15 @@
         self.has_met(now) && self.roles.leader.as_ref() == Some(&self.me)
     }
 
+    /// Whether the other routers of its zone hear of the store from this one.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        self.watcher().as_ref() == Some(&self.me)
+    }
+
     /// How old this router's copy may grow before it reads the store itself.
     fn patience(&self) -> Duration {
-        let watcher = self.watcher().as_ref() == Some(&self.me);
+        let watcher = self.is_watcher();
         if self.view.is_confirmed() {
             return if watcher { self.bounds.late() } else { self.bounds.stale() };
         }
@@ -114,7 +126,12 @@
     pub(super) fn sync_with(&mut self, now: Moment, peer: &id::Router, after: u64) -> Vec<Effect> {
         self.number = self.number.wrapping_add(1);
         self.syncs.insert(self.number, now);
-        self.send(peer, Frame::Sync(Sync { number: self.number, after, routers: self.routers() }))
+        let wants = self.next_members <= now;
+        if wants {
+            self.next_members = now + MEMBERS;
+        }
+        let routers = wants.then(|| self.routers());
+        self.send(peer, Frame::Sync(Sync { number: self.number, after, routers }))
     }
 
     /// A peer asks. Who doesn't know yet how fresh its own copy is answers as soon as it does: when all start at once, each is
@@ -123,7 +140,7 @@
         if !self.view.is_confirmed() {
             self.askers.insert(from.clone(), sync);
         }
-        let few = sync.routers + sync.routers / FEWER < self.routers();
+        let few = sync.routers.is_some_and(|known| known + known / FEWER < self.routers());
         let frame = Frame::Synced {
             number: sync.number,
             age: self.view.age(now),
@@ -191,13 +208,16 @@
         let number = self.number;
         // Of those that are named many have the newest copy, also when all have just started.
         let named = |peer: &&Member| self.view.is_confirmed() || self.view.router(&peer.router).is_some();
-        let mut peers: Vec<_> =
-            self.live_peers().filter(|peer| is_heard(peer)).filter(named).map(|peer| peer.router.clone()).collect();
+        let heard = self.live_peers().filter(|peer| is_heard(peer)).filter(named);
+        // Mostly one of its own zone, if there is one: what crosses zones costs.
+        let near = !number.is_multiple_of(FAR);
+        let (here, beyond): (Vec<_>, Vec<_>) = heard.partition(|peer| peer.zone == self.zone);
+        let mut peers = if here.is_empty() || !near && !beyond.is_empty() { beyond } else { here };
         if peers.is_empty() {
-            peers.extend(self.live_peers().map(|peer| peer.router.clone()));
+            peers.extend(self.live_peers());
         }
         let index = usize::try_from(number).unwrap_or(0).checked_rem(peers.len())?;
-        peers.get(index).cloned()
+        peers.get(index).map(|peer| peer.router.clone())
     }
 
     pub(super) fn live_peers(&self) -> impl Iterator<Item = &Member> {
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -80,6 +80,7 @@
     number: u64,
     next_renew: Moment,
     next_sync: Moment,
+    next_members: Moment,
     last_tick: Moment,
     dark: BTreeSet<id::Zone>,
     /// Zones to whose upstreams nothing new goes.
@@ -123,6 +124,7 @@
             number: seed,
             next_renew: Moment::ZERO,
             next_sync: Moment::ZERO,
+            next_members: Moment::ZERO,
             last_tick: Moment::ZERO,
             dark: BTreeSet::new(),
             evacuated: BTreeSet::new(),
@@ -209,6 +211,12 @@
         home.unwrap_or(&self.me).clone()
     }
 
+    /// The service's home, as far as this router knows.
+    #[must_use]
+    pub fn home_of(&self, service: &id::Service) -> Option<id::Router> {
+        self.standing_home(service).cloned()
+    }
+
     /// The service's home, whether it answers or not.
     fn standing_home(&self, service: &id::Service) -> Option<&id::Router> {
         self.roles.home(service.hash64())
@@ -249,7 +257,7 @@
     /// Tells what is new since a revision: a zone's watcher to its zone, the fleet's reader to the other watchers, too. Who
     /// reads only for itself, since it heard too little, tells nobody: each of the others does the same.
     fn tell(&self, before: u64) -> Vec<Effect> {
-        if self.watcher().as_ref() != Some(&self.me) {
+        if !self.is_watcher() {
             return Vec::new();
         }
         let Some(news) = self.view.since(before) else {
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -112,6 +112,6 @@
     pub number: u64,
     /// The revision that is known.
     pub after: u64,
-    /// How many routers the asker knows to live.
-    pub routers: usize,
+    /// How many routers the asker knows to live, if it wants to be told of more.
+    pub routers: Option<usize>,
 }
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -16,8 +16,13 @@
 const FIRST_LOOK: Duration = Duration::from_millis(20);
 /// The first pause after a failure; it doubles up to [`LONGEST`].
 const FIRST: Duration = Duration::from_millis(100);
-/// The longest pause after failures.
+/// The longest pause after failures, of a router that others hear of the store from.
 const LONGEST: Duration = Duration::from_millis(1_000);
+/// Any other router pauses this long after its second failure: its zone's watcher tries more often, and tells it. Where the
+/// store fails the watchers alone, the first two tries show it.
+const SECOND: Duration = Duration::from_millis(1_000);
+/// And this long after more of them.
+const LONGEST_OTHER: Duration = Duration::from_millis(4_000);
 /// How long the store keeps names that nobody writes anew: several times as long as a fleet may be without its store or
 /// without power, and the longest lease of the users' store.
 const KEEP: Duration = Duration::from_secs(600);
@@ -79,7 +84,8 @@
                 }
                 shared.change(Core::disturbed);
                 tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST);
+                let watches = shared.look(|core, _| core.is_watcher());
+                pause = if watches { (pause * 2).min(LONGEST) } else { (pause * 2).clamp(SECOND, LONGEST_OTHER) };
             }
         }
     }
--- /dev/null
+++ b/crates/stairvale-serve/tests/size.rs
@@ -0,0 +1,102 @@
+//! What routers say to each other before many upstreams: bytes by kind, which must not grow with the fleet.
+
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use stairvale_replica::State;
+use world::World;
+
+const ROUTERS: usize = 99;
+const ENGINES: usize = 990;
+
+/// A fleet of three zones, in each of which two routers are strong.
+fn world() -> World {
+    let strengths = (0..ROUTERS).map(|index| if index < 6 { 50 } else { 12 }).collect();
+    let mut world = World::with_strengths(strengths, 3, ENGINES);
+    world.slots = 64;
+    world.run(8_000);
+    world
+}
+
+/// So many requests at each router, spread over a second.
+fn traffic(world: &mut World, from: u128, each: u128) {
+    for round in 0..each {
+        for router in 0..ROUTERS {
+            let number = from + round * ROUTERS as u128 + router as u128;
+            let beginning = u64::try_from(number * 7_919 % 600).unwrap();
+            let parts = [
+                (beginning % 4 + 1, 2_500),
+                (1_000 + beginning, 6_000),
+                (100_000 + u64::try_from(number).unwrap(), 500),
+            ];
+            world.ask(router, number, &parts);
+        }
+        world.run(u64::try_from(1_000 / each).unwrap());
+        for router in 0..ROUTERS {
+            let number = from + round * ROUTERS as u128 + router as u128;
+            world.finish(router, number);
+        }
+    }
+}
+
+fn sum(bytes: &std::collections::BTreeMap<&'static str, usize>) -> usize {
+    bytes.values().sum()
+}
+
+#[test]
+fn in_calm_times_a_router_says_little() {
+    let mut world = world();
+    world.recount();
+    world.run(2_000);
+    let calm = world.recount();
+    assert!(sum(&calm) / ROUTERS / 2 < 1_000, "{calm:?} in two seconds");
+}
+
+#[test]
+fn a_request_takes_a_few_hundred_bytes_between_routers() {
+    let mut world = world();
+    world.recount();
+    for second in 0..3 {
+        traffic(&mut world, second * 100_000, 10);
+    }
+    let bytes = world.recount();
+    let of_requests: usize = ["ask", "decided", "end", "read"].iter().filter_map(|kind| bytes.get(kind)).sum();
+    assert!(of_requests / (30 * ROUTERS) < 400, "{bytes:?}");
+}
+
+#[test]
+fn a_change_of_an_upstream_takes_a_hundred_bytes_for_each_router() {
+    const CHANGES: usize = 50;
+    let mut world = world();
+    world.recount();
+    for engine in 0..CHANGES {
+        world.put_engine(engine, engine % 3, Some(State::Draining));
+        world.run(20);
+    }
+    world.run(1_000);
+    let bytes = world.recount();
+    let told: usize = ["news", "synced with news"].iter().filter_map(|kind| bytes.get(kind)).sum();
+    assert!(told / CHANGES / ROUTERS < 100, "{bytes:?}");
+}
+
+/// All start at once after a loss of all power: nobody knows anybody but the few that the store names.
+#[test]
+fn when_all_start_at_once_nobody_is_told_of_everybody_again_and_again() {
+    let mut world = world();
+    for index in 0..ROUTERS {
+        world.kill(index);
+    }
+    world.recount();
+    for index in 0..ROUTERS {
+        world.start(index, 3);
+    }
+    world.run(3_000);
+    let bytes = world.recount();
+    // Each needs to hear of each other once: some 60 bytes; and of all of them, a few times while they come up.
+    assert!(bytes["synced"] < ROUTERS * ROUTERS * 60 * 3, "{bytes:?}");
+    assert!(sum(&bytes) / ROUTERS / 3 < 15_000, "{bytes:?} in three seconds");
+    let knows = |index: usize| world.nodes[index].core.routers();
+    let known: Vec<_> = (0..ROUTERS).map(knows).collect();
+    assert!(known.iter().all(|known| *known >= ROUTERS * 9 / 10), "{known:?}");
+}
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -21,7 +21,7 @@
 };
 use stairvale_table::{Cold, Customer, Document, Engine, Service};
 use stairvale_types::{Moment, id};
-use stairvale_wire::{Member, Packet, Status};
+use stairvale_wire::{Member, Packet, Status, codec};
 
 /// One step of time, in ms.
 const STEP: u64 = 5;
@@ -104,6 +104,8 @@
     names: HashMap<usize, (Naming, u64)>,
     /// Frames that carried changes of the store from one router to another.
     pub told: usize,
+    /// Bytes sent, by what they are about, if that is counted.
+    counted: Option<BTreeMap<&'static str, usize>>,
     cut: BTreeSet<(usize, usize)>,
     cut_from_store: BTreeSet<usize>,
 }
@@ -117,6 +119,27 @@
     SocketAddr::from(([10, 0, high, low], 7000))
 }
 
+fn engine_address(engine: usize) -> SocketAddr {
+    let [high, low] = u16::try_from(engine).unwrap().to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 80))
+}
+
+/// What a frame is about, for counting.
+fn kind(frame: &Frame) -> &'static str {
+    match frame {
+        Frame::Ask { .. } => "ask",
+        Frame::Decided { .. } | Frame::Waits { .. } => "decided",
+        Frame::Forget { .. } | Frame::Begun { .. } | Frame::Release { .. } => "end",
+        Frame::Renew { .. } => "renew",
+        Frame::Prefixes { .. } => "prefixes",
+        Frame::Read { .. } => "read",
+        Frame::Sync(_) => "sync",
+        Frame::Synced { news: Some(_), .. } => "synced with news",
+        Frame::Synced { .. } => "synced",
+        Frame::News(_) => "news",
+    }
+}
+
 /// The router at an address, if it is one's.
 fn at(address: SocketAddr) -> Option<usize> {
     let std::net::IpAddr::V4(ip) = address.ip() else {
@@ -154,6 +177,7 @@
             zones,
             names: HashMap::new(),
             told: 0,
+            counted: None,
             cut: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
         };
@@ -227,7 +251,7 @@
             Value::Upstream(Upstream {
                 id: id.clone(),
                 service: "chat".parse().unwrap(),
-                address: SocketAddr::from(([10, 1, 0, u8::try_from(engine).unwrap()], 80)),
+                address: engine_address(engine),
                 zone: format!("z{zone}").parse().unwrap(),
                 slots: self.slots,
                 state,
@@ -475,21 +499,39 @@
         self.queue.push(Reverse((self.now + WAY, self.sent, to)));
     }
 
+    /// Begins to count bytes sent, by what they are about; gives what was counted.
+    pub fn recount(&mut self) -> BTreeMap<&'static str, usize> {
+        self.counted.replace(BTreeMap::new()).unwrap_or_default()
+    }
+
+    fn count(&mut self, frame: &Frame, times: usize) {
+        if let Some(counted) = &mut self.counted {
+            *counted.entry(kind(frame)).or_default() += times * codec::encode(frame).unwrap().len();
+        }
+    }
+
     /// Does what a router decided.
     pub fn perform(&mut self, index: usize, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
                 Effect::Frame { address, frame, .. } => {
                     self.told += usize::from(matches!(&*frame, Frame::News(_) | Frame::Synced { news: Some(_), .. }));
+                    self.count(&frame, 1);
                     self.send(index, address, Message::Frame(name(index), *frame));
                 }
                 Effect::Frames { to, frame } => {
                     self.told += to.len();
+                    self.count(&frame, to.len());
                     for (_, address) in to {
                         self.send(index, address, Message::Frame(name(index), (*frame).clone()));
                     }
                 }
-                Effect::Datagram { to, packet } => self.send(index, to, Message::Packet(address(index), packet)),
+                Effect::Datagram { to, packet } => {
+                    if let Some(counted) = &mut self.counted {
+                        *counted.entry("datagram").or_default() += codec::pack(&packet).unwrap().len();
+                    }
+                    self.send(index, to, Message::Packet(address(index), packet));
+                }
                 Effect::Reply { attempt, reply } => {
                     self.nodes[index].replies.insert(attempt, reply);
                 }
@@ -551,6 +593,16 @@
         Some(upstream)
     }
 
+    /// A request that was placed, if it was, runs and ends.
+    pub fn finish(&mut self, index: usize, number: u128) {
+        if let Some(upstream) = self.granted(index, number) {
+            let home = self.nodes[index].core.home_of(&"chat".parse().unwrap()).unwrap();
+            let held = Held { attempt: id::Attempt(number), upstream, read: 0 };
+            self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
+            self.end(index, number);
+        }
+    }
+
     /// A request that was held ends.
     pub fn end(&mut self, index: usize, number: u128) {
         let attempt = id::Attempt(number);
