--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -73,17 +73,17 @@
 mutant "a failed engine is tried again on a hint" crates/stairvale-permit/src/entry.rs \
   's/if !is_candidate \|\| !directory/if !directory/' stairvale-permit entry
 mutant "who stands in for a home inspects, too" crates/stairvale-serve/src/core/home.rs \
-  's/ \|\| self\.standing_home\(service\)\.as_ref\(\) != Some\(&self\.me\)//' stairvale-serve core
+  's/ \|\| self\.standing_home\(service\) != Some\(&self\.me\)//' stairvale-serve core
 mutant "who reads for itself tells its zone" crates/stairvale-serve/src/core/mod.rs \
-  's/if self\.watcher\(\)\.as_ref\(\) != Some\(&self\.me\)/if before == u64::MAX/' stairvale-serve core
-mutant "a watcher is picked among all" crates/stairvale-serve/src/core/mod.rs \
+  's/if !self\.is_watcher\(\)/if before == u64::MAX/' stairvale-serve core
+mutant "a watcher is picked among all" crates/stairvale-serve/src/core/roles.rs \
   's/strength \* 2 >= strongest/strength * 2 >= strongest || self.leaving != self.table.has_customers()/' stairvale-serve core
 mutant "a watcher that just took over is blamed" crates/stairvale-serve/src/core/freshness.rs \
   's/now\.since\(\*since\) >= patience/now >= *since/' stairvale-serve core
 mutant "a zone's watcher waits as long as the others" crates/stairvale-serve/src/core/freshness.rs \
   's/if watcher \{ self\.bounds\.late\(\) \}/if watcher { self.bounds.stale() }/' stairvale-serve core
 mutant "each zone's watcher reads the store" crates/stairvale-serve/src/core/freshness.rs \
-  's/self\.has_met\(now\) \&\& self\.leader\(\)\.as_ref\(\)/self.has_met(now) \&\& self.watcher().as_ref()/' stairvale-serve core
+  's/self\.has_met\(now\) \&\& self\.roles\.leader\.as_ref\(\)/self.has_met(now) \&\& self.watcher().as_ref()/' stairvale-serve core
 mutant "a zone without routers is cut off" crates/stairvale-dispatch/src/pool/reach.rs \
   's/!answers && self/answers | true \&\& self/' stairvale-dispatch pool
 mutant "a silent engine is a source" crates/stairvale-dispatch/src/pool/reach.rs \
@@ -91,12 +91,28 @@
 mutant "a part counts as kept while it is read" crates/stairvale-dispatch/src/cache.rs \
   's/kept\.reader = Some\(reader\);/kept.reader = None;/' stairvale-dispatch pool
 mutant "what a failed reader hadn't read counts as kept" crates/stairvale-dispatch/src/pool.rs \
-  's/member\.cache\.lose\(reads, attempt\);/member.cache.finish(reads);/' stairvale-dispatch pool
+  's/member\.cache\.lose\(&read, attempt\);/member.cache.finish(\&read);/' stairvale-dispatch pool
 mutant "who waited for a reader waits anew for a place" crates/stairvale-dispatch/src/pool.rs \
   's/let until = asked \+ ask\.patience;/let until = now + ask.patience;/' stairvale-dispatch pool
+mutant "a cold engine gets three fifths of its bound" crates/stairvale-dispatch/src/pool/cold.rs \
+  's/const PART: f64 = 0\.4;/const PART: f64 = 0.6;/' stairvale-dispatch cold
+mutant "a new home gives cold engines something at once" crates/stairvale-dispatch/src/pool/cold.rs \
+  's/self\.share\.since \} else \{ now \+ WINDOW \}/self.share.since } else { now }/' stairvale-dispatch cold
+mutant "a home's part doesn't fall behind a cut" crates/stairvale-dispatch/src/pool/cold.rs \
+  's/self\.share\.part \* cold\.pace/cold.pace/' stairvale-dispatch cold
+mutant "late sends to cold engines aren't thought of" crates/stairvale-dispatch/src/pool/cold.rs \
+  's/from_millis\(1_250\)/from_millis(700)/' stairvale-dispatch cold
+mutant "an engine that turned cold still holds prompts" crates/stairvale-dispatch/src/member.rs \
+  's/self\.cache\.clear\(\);//' stairvale-dispatch cold
+mutant "the short look is content too soon" crates/stairvale-dispatch/src/pool/choose.rs \
+  's/reading\.time\(lacks \* COPY\) - TRIAL/reading.time(lacks * COPY) + 60.0/' stairvale-dispatch pool
+mutant "an evacuation is not looked at" crates/stairvale-replica/src/view.rs \
+  's/known\.state == State::Ready \&\& !self\.is_evacuated\(&known\.zone\)/known.state == State::Ready/' stairvale-replica view
+mutant "a copy is confirmed by one that didn't tell what is new" crates/stairvale-serve/src/core/freshness.rs \
+  's/if revision == self\.view\.revision\(\) \{/if revision >= self.view.revision() {/' stairvale-serve core
 mutant "a new home isn't told what runs" crates/stairvale-serve/src/core/mod.rs \
   's/effects\.extend\(self\.greet_homes\(now\)\);//' stairvale-serve core
-mutant "a home waits for weak routers" crates/stairvale-serve/src/core/knowledge.rs \
+mutant "a home waits for weak routers" crates/stairvale-serve/src/core/roles.rs \
   's/router\.strength \* 2 >= strongest\)/router.strength <= strongest)/' stairvale-serve core
 mutant "a copy is fresh from the answer on" crates/stairvale-serve/src/core/freshness.rs \
   's/self\.view\.confirm_told\(asked, age\)/self.view.confirm(now)/' stairvale-serve core
