--- a/crates/stairvale-dispatch/src/pool/cold.rs
+++ b/crates/stairvale-dispatch/src/pool/cold.rs
@@ -29,7 +29,8 @@
 /// The part of the bound that one home may use: two that both take themselves for the home stay below it together.
 const PART: f64 = 0.4;
 /// The part of the bound that any upstream is given in a second while another one has room. It may turn cold at any moment, and
-/// says so a heartbeat later. Each request less costs copies: at nine tenths in 1.25 s a tenth more of prompts' memory was moved.
+/// says so a heartbeat later. A tighter limit spreads prompts over more
+/// engines, which copy them; what that costs wasn't measured apart.
 const UNSUSPECTED: f64 = 0.95;
 /// What counts for those.
 const SECOND: Duration = Duration::from_secs(1);
