Roll-outs: a design note, and the types that its parts share

Cause: a customer's terms include roll-outs, and nothing in the code reads an upstream's version, the operator's order or answers it.

Ruled out: shares of the bound for each router, and the cold engines' part-by-part rule (docs/design/rollouts.md says why).

Asks and held requests name route and customer.

--- a/crates/stairvale-dispatch/benches/pool.rs
+++ b/crates/stairvale-dispatch/benches/pool.rs
@@ -28,6 +28,7 @@
         usable: true,
         cold: Duration::ZERO,
         revision: 1,
+        version: None,
     }
 }
 
@@ -37,6 +38,8 @@
         attempt: id::Attempt(u128::from(number)),
         entry: "r1".parse().unwrap(),
         zone: format!("z{}", number % 3).parse().unwrap(),
+        customer: None,
+        route: id::Route(0),
         priority: 1,
         repeatable: true,
         parts: vec![
--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -23,6 +23,10 @@
     pub entry: id::Router,
     /// Its availability zone.
     pub zone: id::Zone,
+    /// Whose request it is, where that is known.
+    pub customer: Option<id::Customer>,
+    /// Its route.
+    pub route: id::Route,
     /// The request's rank: 0 is the most urgent.
     pub priority: u8,
     /// Whether it may run a second time.
@@ -119,4 +123,8 @@
     pub upstream: id::Upstream,
     /// Tokens that the upstream still has to read; zero after the first event.
     pub read: u32,
+    /// Whose request it is, where that is known.
+    pub customer: Option<id::Customer>,
+    /// Its route.
+    pub route: id::Route,
 }
--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -43,6 +43,8 @@
     pub cold: Duration,
     /// The revision of what was written.
     pub revision: u64,
+    /// The software that it runs; `None` if it doesn't say.
+    pub version: Option<id::Version>,
 }
 
 /// One upstream.
--- a/crates/stairvale-dispatch/tests/cold.rs
+++ b/crates/stairvale-dispatch/tests/cold.rs
@@ -27,7 +27,15 @@
 
 fn listing(name: &str, zone: &str, cold: u64, revision: u64) -> Listing {
     let cold = Duration::from_millis(cold);
-    Listing { id: name.parse().unwrap(), zone: zone.parse().unwrap(), slots: 64, usable: true, cold, revision }
+    Listing {
+        id: name.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        slots: 64,
+        usable: true,
+        cold,
+        revision,
+        version: None,
+    }
 }
 
 fn ask(number: u128, parts: &[(u64, u32)]) -> Ask {
@@ -35,6 +43,8 @@
         attempt: id::Attempt(number),
         entry: "r1".parse().unwrap(),
         zone: "a".parse().unwrap(),
+        customer: None,
+        route: id::Route(0),
         priority: 1,
         repeatable: true,
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -33,6 +33,7 @@
         usable: true,
         cold: Duration::ZERO,
         revision: 1,
+        version: None,
     };
     (0..count).map(listing).collect()
 }
@@ -42,6 +43,8 @@
         attempt: id::Attempt(number),
         entry: "r1".parse().unwrap(),
         zone: "a".parse().unwrap(),
+        customer: None,
+        route: id::Route(0),
         priority: 1,
         repeatable: true,
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
@@ -420,7 +423,13 @@
     let mut pool = pool(Rules::default(), 1, 1);
     pool.ask(at(0), ask(1, &[]));
     let entry = "r1".parse().unwrap();
-    let held = vec![Held { attempt: id::Attempt(1), upstream: "e0".parse().unwrap(), read: 0 }];
+    let held = vec![Held {
+        attempt: id::Attempt(1),
+        upstream: "e0".parse().unwrap(),
+        read: 0,
+        customer: None,
+        route: id::Route(0),
+    }];
     pool.renew(at(3_000), &entry, &held);
     pool.tick(at(5_000));
     assert_eq!(pool.running(&"e0".parse().unwrap()), 1);
@@ -431,7 +440,13 @@
 #[test]
 fn a_new_home_counts_what_entries_name() {
     let mut pool = pool(Rules::default(), 1, 1);
-    let held = vec![Held { attempt: id::Attempt(9), upstream: "e0".parse().unwrap(), read: 0 }];
+    let held = vec![Held {
+        attempt: id::Attempt(9),
+        upstream: "e0".parse().unwrap(),
+        read: 0,
+        customer: None,
+        route: id::Route(0),
+    }];
     pool.renew(at(1), &"r2".parse().unwrap(), &held);
     assert!(pool.ask(at(2), ask(1, &[])).is_empty(), "the only slot is taken");
     assert_eq!(granted(&pool.release(at(3), id::Attempt(9), Outcome::Served, None)).unwrap().as_str(), "e0");
--- a/crates/stairvale-replica/src/item.rs
+++ b/crates/stairvale-replica/src/item.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use stairvale_rollout::{Order, Record};
 use stairvale_table::Document;
 use stairvale_types::id;
 
@@ -17,6 +18,10 @@
     Router(id::Router),
     /// The evacuation of an availability zone.
     Evacuation(id::Zone),
+    /// An operator's order to move a service to another version.
+    Order(id::Service),
+    /// How far the fleet has come with that.
+    Rollout(id::Service),
 }
 
 /// Something that the store holds, or that it no longer does.
@@ -51,6 +56,10 @@
     Router(Router),
     /// Nothing new is to go to the upstreams of a zone.
     Evacuation,
+    /// A service is to move to another version.
+    Order(Order),
+    /// How far it has come.
+    Rollout(Record),
 }
 
 /// One life of an upstream.
@@ -70,6 +79,8 @@
     pub state: State,
     /// How much longer it is cold, when this was written: just started, and able to bear only a few requests a second.
     pub cold: Duration,
+    /// The software that it runs; `None` if it doesn't say.
+    pub version: Option<id::Version>,
 }
 
 /// Whether an upstream takes work.
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -6,6 +6,7 @@
 };
 
 use serde::{Deserialize, Serialize};
+use stairvale_rollout::{Order, Record};
 use stairvale_types::{Moment, id};
 
 use crate::{
@@ -114,7 +115,7 @@
     pub fn document(&self) -> Option<&std::sync::Arc<stairvale_table::Document>> {
         match self.items.get(&Subject::Configuration)?.value.as_ref()? {
             Value::Configuration(document) => Some(document),
-            Value::Upstream(_) | Value::Router(_) | Value::Evacuation => None,
+            Value::Upstream(_) | Value::Router(_) | Value::Evacuation | Value::Order(_) | Value::Rollout(_) => None,
         }
     }
 
@@ -123,7 +124,9 @@
     pub fn upstreams(&self) -> impl Iterator<Item = (&Upstream, u64)> {
         let named = self.items.values().filter_map(|item| match item.value.as_ref()? {
             Value::Upstream(upstream) => Some((upstream, item.revision)),
-            Value::Configuration(_) | Value::Router(_) | Value::Evacuation => None,
+            Value::Configuration(_) | Value::Router(_) | Value::Evacuation | Value::Order(_) | Value::Rollout(_) => {
+                None
+            }
         });
         let lapsed = self.lapsed.values().map(|upstream| {
             let item = self.items.get(&Subject::Upstream(upstream.id.clone()));
@@ -137,7 +140,7 @@
     pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
         let named = match self.items.get(&Subject::Upstream(id.clone())).and_then(|item| item.value.as_ref()) {
             Some(Value::Upstream(upstream)) => Some(upstream),
-            Some(Value::Configuration(_) | Value::Router(_) | Value::Evacuation) | None => None,
+            Some(_) | None => None,
         };
         named.or_else(|| self.lapsed.get(id))
     }
@@ -166,7 +169,9 @@
     pub fn router(&self, id: &id::Router) -> Option<&crate::Router> {
         match self.items.get(&Subject::Router(id.clone()))?.value.as_ref()? {
             Value::Router(router) => Some(router),
-            Value::Configuration(_) | Value::Upstream(_) | Value::Evacuation => None,
+            Value::Configuration(_) | Value::Upstream(_) | Value::Evacuation | Value::Order(_) | Value::Rollout(_) => {
+                None
+            }
         }
     }
 
@@ -174,7 +179,9 @@
     pub fn routers(&self) -> impl Iterator<Item = &crate::Router> {
         self.items.values().filter_map(|item| match item.value.as_ref()? {
             Value::Router(router) => Some(router),
-            Value::Configuration(_) | Value::Upstream(_) | Value::Evacuation => None,
+            Value::Configuration(_) | Value::Upstream(_) | Value::Evacuation | Value::Order(_) | Value::Rollout(_) => {
+                None
+            }
         })
     }
 
@@ -195,10 +202,38 @@
     pub fn evacuated(&self) -> impl Iterator<Item = &id::Zone> {
         self.items.values().filter(|item| item.value.is_some()).filter_map(|item| match &item.subject {
             Subject::Evacuation(zone) => Some(zone),
-            Subject::Configuration | Subject::Upstream(_) | Subject::Router(_) => None,
+            Subject::Configuration
+            | Subject::Upstream(_)
+            | Subject::Router(_)
+            | Subject::Order(_)
+            | Subject::Rollout(_) => None,
         })
     }
 
+    /// The order to move a service to another version, with the store's revision of it.
+    #[must_use]
+    pub fn order(&self, service: &id::Service) -> Option<(u64, &Order)> {
+        let item = self.items.get(&Subject::Order(service.clone()))?;
+        match item.value.as_ref()? {
+            Value::Order(order) => Some((item.revision, order)),
+            Value::Configuration(_) | Value::Upstream(_) | Value::Router(_) | Value::Evacuation | Value::Rollout(_) => {
+                None
+            }
+        }
+    }
+
+    /// How far the fleet has come with the newest order for a service, with the store's revision of that.
+    #[must_use]
+    pub fn rollout(&self, service: &id::Service) -> Option<(u64, &Record)> {
+        let item = self.items.get(&Subject::Rollout(service.clone()))?;
+        match item.value.as_ref()? {
+            Value::Rollout(record) => Some((item.revision, record)),
+            Value::Configuration(_) | Value::Upstream(_) | Value::Router(_) | Value::Evacuation | Value::Order(_) => {
+                None
+            }
+        }
+    }
+
     /// What a peer needs whose copy shows `revision`; `None` if it lacks nothing.
     #[must_use]
     pub fn since(&self, revision: u64) -> Option<News> {
--- a/crates/stairvale-replica/tests/view.rs
+++ b/crates/stairvale-replica/tests/view.rs
@@ -18,6 +18,7 @@
         slots: 4,
         state,
         cold: Duration::ZERO,
+        version: None,
     })
 }
 
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -129,6 +129,7 @@
             usable: upstream.state == State::Ready && !self.evacuated.contains(&upstream.zone),
             cold: upstream.cold,
             revision,
+            version: upstream.version.clone(),
         }
     }
 
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -294,6 +294,8 @@
             attempt: id::Attempt(0),
             entry: self.shared.settings.router.clone(),
             zone: self.shared.settings.zone.clone(),
+            customer: self.customer.clone(),
+            route: id::Route::of(&self.route.name),
             priority: self.priority,
             repeatable: self.route.is_repeatable(),
             parts: self.head.parts.clone(),
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -150,7 +150,7 @@
                     continue;
                 };
                 asking.open = false;
-                let held = Held { attempt, upstream, read };
+                let held = Held { attempt, upstream, read, customer: want.ask.customer.clone(), route: want.ask.route };
                 let (since, source) = shared.change(|core, now| {
                     core.start(want.service, held, &asking.home, &want.ask.parts);
                     (now, source.and_then(|source| core.address(&source)))
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -259,6 +259,7 @@
                 slots: self.slots,
                 state,
                 cold,
+                version: None,
             })
         });
         self.put(Subject::Upstream(id), value);
@@ -599,7 +600,13 @@
         let home = self.ask(index, number, parts);
         self.run(50);
         let upstream = self.granted(index, number)?;
-        let held = Held { attempt: id::Attempt(number), upstream: upstream.clone(), read: 0 };
+        let held = Held {
+            attempt: id::Attempt(number),
+            upstream: upstream.clone(),
+            read: 0,
+            customer: None,
+            route: id::Route(0),
+        };
         self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
         Some(upstream)
     }
@@ -616,7 +623,7 @@
     pub fn finish(&mut self, index: usize, number: u128) {
         if let Some(upstream) = self.granted(index, number) {
             let home = self.nodes[index].core.home_of(&"chat".parse().unwrap()).unwrap();
-            let held = Held { attempt: id::Attempt(number), upstream, read: 0 };
+            let held = Held { attempt: id::Attempt(number), upstream, read: 0, customer: None, route: id::Route(0) };
             self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
             self.end(index, number);
         }
@@ -641,7 +648,13 @@
         let mut places = Vec::new();
         for (number, home) in homes {
             if let Some(upstream) = self.granted(index, number) {
-                let held = Held { attempt: id::Attempt(number), upstream: upstream.clone(), read: 0 };
+                let held = Held {
+                    attempt: id::Attempt(number),
+                    upstream: upstream.clone(),
+                    read: 0,
+                    customer: None,
+                    route: id::Route(0),
+                };
                 self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
                 self.end(index, number);
                 places.push(upstream);
@@ -682,6 +695,8 @@
         attempt: id::Attempt(number),
         entry: name(index),
         zone: "z0".parse().unwrap(),
+        customer: None,
+        route: id::Route(0),
         priority: 0,
         repeatable: false,
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
--- a/crates/stairvale-types/src/id.rs
+++ b/crates/stairvale-types/src/id.rs
@@ -123,6 +123,11 @@
     Upstream
 }
 
+name! {
+    /// The software that an upstream runs: upstreams of one version answer alike.
+    Version
+}
+
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $int:ty, $format:literal) => {
         $(#[$doc])*
@@ -162,11 +167,23 @@
     /// An idempotency key, by the hash of its customer, service and text.
     Key, u128, "{:032x}"
 }
+number! {
+    /// A route, by the hash of its name.
+    Route, u64, "{:016x}"
+}
 number! {
     /// What tells a request from another one with the same idempotency key, by the hash of its method, path and body.
     Print, u64, "{:016x}"
 }
 
+impl Route {
+    /// The route of this name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        Self(rapidhash::v3::rapidhash_v3(name.as_bytes()))
+    }
+}
+
 impl Chat {
     /// The chat that a customer knows by `name`. Two customers never share a chat.
     #[must_use]
