Roll-outs: a judge and a steward that work

Cause: the crate had its interface alone; the pool, the store's side and the lead need parts that do something to be joined.

Change: Steward (the order's clock, the account of exposure, writes whose end isn't known, the pace of a trial, moving, ending), Judge (sequential test of the ratio of likelihoods with sums cut at zero, beside the old version's answers of the same moments). Additive: Step::Say(Event) for one line a stage and a verdict; Judge::settle, suspects, doubts, resumed.

Not yet: late and mildly bad versions of a service of 3 plain upstreams, properties under failure, comparison of judges, specification.

--- a/crates/stairvale-rollout/src/judge.rs
+++ b/crates/stairvale-rollout/src/judge.rs
@@ -1,8 +1,28 @@
 //! Whether a version is bad, by what became of its requests beside the old version's.
 
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
 use stairvale_types::{Moment, id};
 
-use crate::record::Cause;
+use crate::{
+    baseline::Baseline,
+    evidence::Evidence,
+    record::{Cause, Tally},
+};
+
+/// The new version's answers are weighed so much later, when the old version has shown the trouble of the same moment, too.
+const WAIT: Duration = Duration::from_millis(500);
+/// Among so many first answers of an upstream slow ones say nothing until a later one is slow, too: it may have been cold.
+const COLD: u32 = 2;
+/// How much more must speak against a version where the old one gets too little to be compared with.
+const CAUTION: f64 = 5.0;
+/// Beyond this share nothing can be told from the comparison.
+const HIGHEST: f64 = 0.7;
+/// Answers of each route and upstream that are kept until they are weighed.
+const MOST_WAITING: usize = 20_000;
 
 /// What became of a request, as far as it says something of a version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -28,17 +48,129 @@
     pub answer: Answer,
 }
 
-/// Compares two versions.
+/// One route at both versions.
+#[derive(Clone, Debug, Default)]
+struct Pair {
+    old: Baseline,
+    new: Evidence,
+}
+
+/// Compares two versions, route by route and over all routes together.
+///
+/// The old version's answers on a route in these seconds say which share of bad answers a good version might have; each
+/// answer of the new one then speaks for or against it. One sick upstream condemns no version where others were tried.
 #[derive(Clone, Debug, Default)]
-pub struct Judge {}
+pub struct Judge {
+    routes: BTreeMap<id::Route, Pair>,
+    /// Over all routes: trouble that has just begun shows sooner there, and so does what is bad a little on each.
+    whole: Pair,
+    /// Answers of the new version that aren't weighed yet, in the order in which they came.
+    waiting: VecDeque<(Moment, Observation)>,
+    /// The first answers of each upstream of the new version.
+    starts: BTreeMap<id::Upstream, Start>,
+}
+
+/// The first answers of an upstream.
+#[derive(Clone, Debug, Default)]
+struct Start {
+    answers: u32,
+    /// Slow ones that aren't weighed yet: their routes, with the share of bad answers to compare with.
+    slow: Vec<(id::Route, f64)>,
+}
 
 impl Judge {
+    /// A judge that goes on with what earlier homes counted.
+    #[must_use]
+    pub fn resumed(now: Moment, routes: &BTreeMap<id::Route, Tally>) -> Self {
+        let mut judge = Self::default();
+        for (route, tally) in routes {
+            let pair = judge.routes.entry(*route).or_default();
+            pair.old.recall(&tally.old);
+            let bad = tally.new.failed + tally.new.slow;
+            let [answers, bad] = [tally.new.answers, bad].map(|count| u32::try_from(count).unwrap_or(u32::MAX));
+            pair.new.recall(pair.old.share(now), answers, bad);
+        }
+        judge
+    }
+
     /// A request ended.
-    pub fn observe(&mut self, _now: Moment, _observation: &Observation) {}
+    pub fn observe(&mut self, now: Moment, observation: &Observation) {
+        if !observation.is_new {
+            let pair = self.routes.entry(observation.route).or_default();
+            pair.old.count(now, observation.answer != Answer::Good);
+            self.whole.old.count(now, observation.answer != Answer::Good);
+            return;
+        }
+        self.waiting.push_back((now, observation.clone()));
+        if self.waiting.len() > MOST_WAITING {
+            self.weigh_first(now);
+        }
+    }
+
+    /// Weighs what has waited for long enough.
+    pub fn settle(&mut self, now: Moment) {
+        while self.waiting.front().is_some_and(|(at, _)| now.since(*at) >= WAIT) {
+            self.weigh_first(now);
+        }
+    }
 
     /// The route on which the new version is bad, and in which way, if it is.
     #[must_use]
-    pub fn verdict(&self, _now: Moment) -> Option<(id::Route, Cause)> {
-        None
+    pub fn verdict(&self, now: Moment) -> Option<(id::Route, Cause)> {
+        let of_route = self.routes.iter().find_map(|(route, pair)| {
+            let cause = pair.new.verdict(Self::caution(&pair.old, now))?;
+            Some((*route, cause))
+        });
+        of_route.or_else(|| {
+            let (route, _) = self.routes.iter().max_by_key(|(_, pair)| pair.new.bad())?;
+            let cause = self.whole.new.verdict(Self::caution(&self.whole.old, now))?;
+            Some((*route, cause))
+        })
+    }
+
+    /// Whether something speaks against the version, be it a single upstream: others should be tried.
+    #[must_use]
+    pub fn suspects(&self) -> bool {
+        self.whole.new.suspects() || self.routes.values().any(|pair| pair.new.suspects())
+    }
+
+    /// Whether something speaks against the version that isn't a single upstream's: more should be seen of it.
+    #[must_use]
+    pub fn doubts(&self) -> bool {
+        self.whole.new.doubts() || self.routes.values().any(|pair| pair.new.doubts())
+    }
+
+    fn caution(old: &Baseline, now: Moment) -> f64 {
+        if old.is_recent(now) { 1.0 } else { CAUTION }
+    }
+
+    fn weigh_first(&mut self, now: Moment) {
+        let Some((_, observation)) = self.waiting.pop_front() else { return };
+        let Observation { route, upstream, is_new: _, answer } = observation;
+        let share = self.share(now, route);
+        let start = self.starts.entry(upstream.clone()).or_default();
+        start.answers = start.answers.saturating_add(1);
+        if answer == Answer::Slow {
+            start.slow.push((route, share));
+            if start.answers <= COLD {
+                return;
+            }
+            for (route, share) in std::mem::take(&mut start.slow) {
+                self.add(route, &upstream, answer, share);
+            }
+            return;
+        }
+        self.add(route, &upstream, answer, share);
+    }
+
+    /// The share of bad answers that a good version might have on a route now.
+    fn share(&self, now: Moment, route: id::Route) -> f64 {
+        let old = self.routes.get(&route).map(|pair| pair.old).unwrap_or_default();
+        (old.share(now) + self.whole.old.excess(now)).min(HIGHEST)
+    }
+
+    fn add(&mut self, route: id::Route, upstream: &id::Upstream, answer: Answer, share: f64) {
+        self.routes.entry(route).or_default().new.add(upstream, answer, share);
+        self.whole.new.add(upstream, answer, share);
     }
 }
--- a/crates/stairvale-rollout/src/lib.rs
+++ b/crates/stairvale-rollout/src/lib.rs
@@ -16,14 +16,24 @@
 //! assert_eq!(policy.admits(Some(&"v1".parse().unwrap())), Admission::Any);
 //! ```
 
+pub mod account;
+mod baseline;
+mod clock;
+mod evidence;
 pub mod judge;
 pub mod order;
+mod outbox;
 pub mod policy;
 pub mod record;
+mod start;
+pub mod step;
 pub mod steward;
+mod trial;
 
+pub use account::Account;
 pub use judge::{Answer, Judge, Observation};
 pub use order::Order;
 pub use policy::{Admission, Policy};
 pub use record::{Cause, Counts, Record, Stage, Tally};
-pub use steward::{Bounds, Facts, Report, Reservation, Step, Steward, Write, Written};
+pub use step::{Bounds, Event, Facts, Report, Reservation, Step, Write, Written};
+pub use steward::Steward;
--- a/crates/stairvale-rollout/src/steward.rs
+++ b/crates/stairvale-rollout/src/steward.rs
@@ -1,125 +1,503 @@
 //! A service's home as the one who carries a roll-out on: what it reserves, when it calls the version good or bad, and what
 //! it writes.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use serde::{Deserialize, Serialize};
 use stairvale_types::{Moment, id};
 
-use crate::{Observation, Order, Policy, Record};
-
-/// What must hold.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Bounds {
-    /// The share of a service's requests since an order that a version which turns out bad may get...
-    pub share: f64,
-    /// ... and the requests beyond that.
-    pub slack: f64,
-    /// Nothing is sent to a bad version later than this after its 50th bad answer.
-    pub rollback: Duration,
-}
-
-/// What the home sees of a service's upstreams.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Facts {
-    /// Upstreams of the ordered version that could be given work.
-    pub ready_new: usize,
-    /// Others that could be.
-    pub ready_old: usize,
-    /// Requests that run at the ordered version.
-    pub running_new: u32,
-    /// Requests that run elsewhere.
-    pub running_old: u32,
-    /// The version that most of the others tell.
-    pub serving: Option<id::Version>,
-}
+use crate::{
+    Account, Bounds, Event, Facts, Judge, Order, Policy, Record, Report, Reservation, Stage, Step, Write, Written,
+    clock::Clock,
+    outbox::{self, Outbox},
+    record::{Cause, Tally},
+    start,
+    trial::{Next, Plan, Trial, View},
+};
 
-/// What the pool saw since it was asked last.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Report {
-    /// Requests that asked for an upstream for the first time.
-    pub requests: u64,
-    /// Requests that ended.
-    pub observations: Vec<Observation>,
-}
+/// What was reserved and not given by then is lost: another home may have found the version bad meanwhile. In the users' terms
+/// nothing may go to a bad version some seconds after it was seen to be bad.
+const VALID: Duration = Duration::from_secs(2);
+/// After a write that failed the next one waits so long, and twice as long each time, up to a most.
+const RETRY: Duration = Duration::from_millis(250);
+/// Calls have a price, and a store that is in trouble isn't helped by more of them.
+const RETRY_MOST: Duration = Duration::from_secs(1);
+/// Nothing runs at the old version for so long before it may be stopped: an entry may just be sending.
+const QUIET: Duration = Duration::from_millis(300);
+/// After the fleet was told to move, entries may still send by older copies for about so long.
+const SPREADING: Duration = Duration::from_millis(500);
+/// What stays of the time allowed when a roll-out is ended in any case: the store may take that long.
+const LAST: Duration = Duration::from_millis(800);
+/// A fleet that was told to move late gets so long all the same.
+const LEAST_MOVING: Duration = Duration::from_secs(1);
+/// Without any old upstream for so long, and before anything was tried, the ordered version is the one that serves.
+const ONLY: Duration = Duration::from_secs(1);
 
-/// Requests that a home may give to the version on trial.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Reservation {
-    /// How many.
-    pub requests: u32,
-    /// Until when: what isn't given by then is lost.
-    pub until: Moment,
-    /// Over how many upstreams, so that each of them carries what an old one does: what shows under load alone is to show.
-    pub over: usize,
-    /// Whether requests that may run only once are tried, too.
-    pub unrepeatable: bool,
-}
+/// Since when something has held without a break.
+#[derive(Clone, Copy, Debug, Default)]
+struct Holding(Option<Moment>);
 
-/// A change of the record, if it is still at the revision that this was worked out from.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Write {
-    /// The service.
-    pub service: id::Service,
-    /// The record's revision in the store; 0 if there is none yet.
-    pub expected: u64,
-    /// What is to stand there. The operator is told its stage in the same transaction.
-    pub record: Record,
-}
+impl Holding {
+    fn note(&mut self, now: Moment, holds: bool) {
+        self.0 = if holds { self.0.or(Some(now)) } else { None };
+    }
 
-/// What became of a [`Write`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Written {
-    /// It stands, at this revision of the store.
-    Done(u64),
-    /// The record was at another revision: this is what stands there, if anything does.
-    Conflict(Option<(u64, Record)>),
-    /// The store did nothing.
-    Refused,
-    /// It may have been done, or may be later.
-    Unknown,
+    fn is_for(self, now: Moment, span: Duration) -> bool {
+        self.0.is_some_and(|since| now.since(since) >= span)
+    }
 }
 
-/// What a steward wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Step {
-    /// Write this; tell the steward by [`Steward::written`].
-    Write(Write),
-    /// The pool may give this to the version on trial, in place of what is left of the last one.
-    Reserve(Reservation),
-    /// The pool is to follow this: it goes before what the copy of the store says.
-    Follow(Policy),
+/// A reservation whose write is under way.
+#[derive(Clone, Copy, Debug)]
+struct Reserving {
+    order: u64,
+    plan: Plan,
+    until: Moment,
 }
 
 /// Carries the roll-outs of one service on, while its router is the service's home.
 #[derive(Debug)]
-pub struct Steward {}
+pub struct Steward {
+    me: id::Router,
+    service: id::Service,
+    bounds: Bounds,
+    /// The newest order of the copy, with its revision.
+    order: Option<(u64, Order)>,
+    /// The record as the copy has it, and as it is known at its newest.
+    copy: Option<(u64, Record)>,
+    record: Option<(u64, Record)>,
+    clock: Clock,
+    /// When the fleet was known to move.
+    moving_since: Option<Moment>,
+    judge: Option<Judge>,
+    /// The order whose version was found bad, how, and where, if this router found it.
+    condemned: Option<(u64, Cause, Option<id::Route>)>,
+    trial: Trial,
+    outbox: Outbox,
+    number: u64,
+    not_before: Moment,
+    failures: u32,
+    reserving: Option<Reserving>,
+    /// A reservation that stands and is to be given out.
+    granted: Option<Reserving>,
+    /// Until when the pool may have something left of a reservation, and for which order.
+    given: Option<(u64, Moment)>,
+    /// What the pool was told to follow, until the copy changes.
+    followed: Option<Policy>,
+    has_copy_changed: bool,
+    said: Option<(u64, Stage, bool)>,
+    quiet: Holding,
+    alone: Holding,
+}
 
 impl Steward {
     /// The steward of a service at a router.
     #[must_use]
-    pub fn new(_me: id::Router, _service: id::Service, _bounds: Bounds) -> Self {
-        Self {}
+    pub fn new(me: id::Router, service: id::Service, bounds: Bounds) -> Self {
+        Self {
+            me,
+            service,
+            bounds,
+            order: None,
+            copy: None,
+            record: None,
+            clock: Clock::default(),
+            moving_since: None,
+            judge: None,
+            condemned: None,
+            trial: Trial::default(),
+            outbox: Outbox::default(),
+            number: 0,
+            not_before: Moment::ZERO,
+            failures: 0,
+            reserving: None,
+            granted: None,
+            given: None,
+            followed: None,
+            has_copy_changed: false,
+            said: None,
+            quiet: Holding::default(),
+            alone: Holding::default(),
+        }
     }
 
+    // ----------------------------------------------------------------------------------------------------------------
+    // What is told
+
     /// Takes what this router's copy of the store says, with revisions. It is told at every router, so that time is counted
     /// from the order also where a home takes over.
-    pub fn learn(&mut self, _now: Moment, _order: Option<(u64, &Order)>, _record: Option<(u64, &Record)>) {}
+    pub fn learn(&mut self, now: Moment, order: Option<(u64, &Order)>, record: Option<(u64, &Record)>) {
+        self.has_copy_changed = true;
+        if let Some((revision, record)) = record {
+            self.copy = Some((revision, record.clone()));
+            self.adopt(now, revision, record);
+        }
+        let Some((revision, order)) = order else {
+            self.order = None;
+            return;
+        };
+        let is_new = self.order.as_ref().is_none_or(|(known, _)| *known < revision);
+        self.order = Some((revision, order.clone()));
+        if is_new {
+            self.clock.note(now, revision, Duration::ZERO);
+            self.begin_account(revision);
+        }
+    }
 
     /// Takes what the pool saw.
-    pub fn observe(&mut self, _now: Moment, _report: Report) {}
+    pub fn observe(&mut self, now: Moment, report: Report) {
+        self.trial.count(now, report.requests);
+        if !self.is_open() {
+            return;
+        }
+        self.outbox.count(report.requests);
+        let judge = self.judge.get_or_insert_with(|| Judge::resumed(now, &routes_of(self.record.as_ref())));
+        // What the old version did in the same moment goes first: trouble of both is to be known as such.
+        let (new, old): (Vec<_>, Vec<_>) = report.observations.into_iter().partition(|observation| observation.is_new);
+        for observation in old.iter().chain(&new) {
+            judge.observe(now, observation);
+            self.outbox.observe(observation);
+        }
+    }
 
-    /// Lets time pass at the service's home, some twenty times a second.
-    pub fn tick(&mut self, _now: Moment, _facts: &Facts) -> Vec<Step> {
-        Vec::new()
+    /// What became of a write.
+    pub fn written(&mut self, now: Moment, written: Written) {
+        if !self.outbox.is_under_way() {
+            return;
+        }
+        let own = self.outbox.answered();
+        let reserving = self.reserving.take();
+        match written {
+            Written::Done(revision) => {
+                self.failures = 0;
+                self.granted = reserving;
+                if let Some(own) = own {
+                    self.adopt(now, revision, &own);
+                }
+            }
+            Written::Conflict(Some((revision, record))) => {
+                self.failures = 0;
+                self.adopt(now, revision, &record);
+                if own.as_ref() == Some(&record) {
+                    // It was done before and asked for again: by then it stood.
+                    self.granted = reserving;
+                }
+            }
+            Written::Conflict(None) => {
+                self.outbox.forget();
+                // It was taken out of the store. What was set aside stays so: it is written anew.
+                if let Some((revision, _)) = &mut self.record {
+                    *revision = 0;
+                }
+                self.put_off(now);
+            }
+            Written::Refused => {
+                self.outbox.refused();
+                self.put_off(now);
+            }
+            Written::Unknown => {
+                self.outbox.unknown();
+                self.put_off(now);
+            }
+        }
     }
 
     /// This router isn't the home: nothing that was reserved counts any longer.
-    pub fn rest(&mut self) {}
-
-    /// What became of a write.
-    pub fn written(&mut self, _now: Moment, _written: Written) {}
+    pub fn rest(&mut self) {
+        self.reserving = None;
+        self.granted = None;
+        self.given = None;
+        self.followed = None;
+        self.quiet = Holding::default();
+        self.alone = Holding::default();
+        self.trial.restart();
+    }
 
     /// A peer found the version bad that an order of this revision names.
-    pub fn condemned(&mut self, _order: u64) {}
+    pub fn condemned(&mut self, order: u64) {
+        if self.condemned.is_none_or(|(known, ..)| known < order) {
+            self.condemned = Some((order, Cause::Failing, None));
+        }
+    }
+
+    // ----------------------------------------------------------------------------------------------------------------
+    // What is wanted
+
+    /// Lets time pass at the service's home, some twenty times a second.
+    pub fn tick(&mut self, now: Moment, facts: &Facts) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.quiet.note(now, facts.running_old == 0);
+        self.alone.note(now, facts.ready_old == 0 && facts.running_old == 0 && facts.ready_new > 0);
+        if let Some(judge) = &mut self.judge {
+            judge.settle(now);
+        }
+        self.convict(now);
+        self.say(now, &mut steps);
+        self.follow(&mut steps);
+        self.hand_out(now, &mut steps);
+        if !self.outbox.is_under_way()
+            && now >= self.not_before
+            && let Some((record, plan)) = self.next(now, facts)
+        {
+            steps.push(self.write(now, record, plan));
+        }
+        steps
+    }
+
+    /// Whether what is seen belongs to a roll-out that goes on, or is about to begin.
+    fn is_open(&self) -> bool {
+        self.unseen_order().is_some() || self.record.as_ref().is_some_and(|(_, record)| !record.stage.is_over())
+    }
+
+    /// The order that no record is about yet.
+    fn unseen_order(&self) -> Option<(u64, &Order)> {
+        let (revision, order) = self.order.as_ref()?;
+        let is_taken_up = self.record.as_ref().is_some_and(|(_, record)| record.order >= *revision);
+        (!is_taken_up).then_some((*revision, order))
+    }
+
+    /// Whether the operator took the order away that the record is about. A copy that is older than the record doesn't say so.
+    fn is_withdrawn(&self, record: &Record) -> bool {
+        self.order.is_none() && self.copy.as_ref().is_some_and(|(_, copy)| copy.order == record.order)
+    }
+
+    /// The stage, and whether this router has found the version bad since.
+    fn is_condemned(&self, order: u64) -> Option<Cause> {
+        self.condemned.filter(|(condemned, ..)| *condemned == order).map(|(_, cause, _)| cause)
+    }
+
+    /// The order that is in force here: of the record, or one that nobody has taken up.
+    fn current(&self) -> Option<u64> {
+        self.unseen_order()
+            .map(|(revision, _)| revision)
+            .or_else(|| self.record.as_ref().map(|(_, record)| record.order))
+    }
+
+    fn convict(&mut self, now: Moment) {
+        let Some((_, record)) = &self.record else { return };
+        let order = record.order;
+        if record.stage.is_over() || self.unseen_order().is_some() || self.is_condemned(order).is_some() {
+            return;
+        }
+        if let Some((route, cause)) = self.judge.as_ref().and_then(|judge| judge.verdict(now)) {
+            self.condemned = Some((order, cause, Some(route)));
+        }
+    }
+
+    /// One line a stage, by the router that wrote it, and one when a version is found bad.
+    fn say(&mut self, now: Moment, steps: &mut Vec<Step>) {
+        let Some((_, record)) = &self.record else { return };
+        let condemned = self.condemned.filter(|(order, ..)| *order == record.order);
+        let found = condemned.and_then(|(_, cause, route)| route.map(|route| (route, cause)));
+        let (stage, stands) = match condemned {
+            Some((_, cause, _)) if !record.stage.is_over() => (Stage::RolledBack(cause), false),
+            _ => (record.stage, true),
+        };
+        let is_own = if stands { record.writer == self.me } else { found.is_some() };
+        if self.said == Some((record.order, stage, stands)) || !is_own {
+            return;
+        }
+        self.said = Some((record.order, stage, stands));
+        let counted = self.outbox.counted();
+        let mut routes = record.routes.clone();
+        outbox::add(&mut routes, &counted.routes);
+        steps.push(Step::Say(Event {
+            service: self.service.clone(),
+            order: record.order,
+            target: record.target.clone(),
+            stage,
+            stands,
+            found,
+            elapsed: self.clock.age(now),
+            requests: record.requests + counted.requests,
+            granted: record.granted,
+            routes,
+        }));
+    }
+
+    /// What the pool is to follow, where that isn't what the copy says.
+    fn follow(&mut self, steps: &mut Vec<Step>) {
+        let order = self.order.as_ref().map(|(revision, order)| (*revision, order));
+        let by_copy = Policy::of(order, self.copy.as_ref().map(|(_, record)| record));
+        let mut wanted = Policy::of(order, self.record.as_ref().map(|(_, record)| record));
+        let cause = self.current().and_then(|order| self.is_condemned(order));
+        if let (Some(policy), Some(cause)) = (&mut wanted, cause)
+            && !policy.stage.is_over()
+        {
+            policy.stage = Stage::RolledBack(cause);
+        }
+        let has_changed = std::mem::take(&mut self.has_copy_changed);
+        let Some(wanted) = wanted else { return };
+        let is_told = self.followed.as_ref() == Some(&wanted);
+        if self.followed.is_some() && !is_told || by_copy.as_ref() != Some(&wanted) && (!is_told || has_changed) {
+            self.followed = Some(wanted.clone());
+            steps.push(Step::Follow(wanted));
+        }
+    }
+
+    /// Gives out what stands in the store, or takes back what the pool may have left of it.
+    fn hand_out(&mut self, now: Moment, steps: &mut Vec<Step>) {
+        let on_trial = self.on_trial();
+        if let Some(reserving) = self.granted.take()
+            && on_trial == Some(reserving.order)
+            && now < reserving.until
+        {
+            self.trial.given(now, reserving.plan);
+            self.given = Some((reserving.order, reserving.until));
+            let Plan { requests, over, unrepeatable, is_rehearsal: _ } = reserving.plan;
+            steps.push(Step::Reserve(Reservation { requests, until: reserving.until, over, unrepeatable }));
+        }
+        if self.given.is_some_and(|(order, until)| now < until && on_trial != Some(order)) {
+            self.given = None;
+            steps.push(Step::Reserve(Reservation { requests: 0, until: now, over: 1, unrepeatable: false }));
+        }
+    }
+
+    /// The order whose version may get what is reserved.
+    fn on_trial(&self) -> Option<u64> {
+        let (_, record) = self.record.as_ref()?;
+        let is_in_force = self.unseen_order().is_none() && !self.is_withdrawn(record);
+        let is_on_trial = record.stage == Stage::Trial && self.is_condemned(record.order).is_none();
+        (is_in_force && is_on_trial).then_some(record.order)
+    }
+
+    /// What is to stand in the store next, and the reservation in it.
+    fn next(&mut self, now: Moment, facts: &Facts) -> Option<(Record, Option<Plan>)> {
+        let elapsed = self.clock.age(now);
+        if let Some(order) = self.unseen_order() {
+            let last = self.record.as_ref().map(|(_, record)| record);
+            let mut record = start::record(&self.me, order, elapsed, last, facts);
+            if let (false, Some(cause)) = (record.stage.is_over(), self.is_condemned(record.order)) {
+                record.stage = Stage::RolledBack(cause);
+            }
+            return Some((record, None));
+        }
+        let (_, record) = self.record.as_ref()?;
+        let mut record = record.clone();
+        if record.stage.is_over() {
+            return None;
+        }
+        if let Some(cause) = self.is_condemned(record.order) {
+            record.stage = Stage::RolledBack(cause);
+            return Some((record, None));
+        }
+        if self.is_withdrawn(&record) {
+            record.stage = Stage::RolledBack(Cause::Withdrawn);
+            return Some((record, None));
+        }
+        match record.stage {
+            Stage::Trial => self.next_of_trial(now, record, facts),
+            Stage::Moving => {
+                record.stage = self.end_of_moving(now, &record, facts)?;
+                Some((record, None))
+            }
+            Stage::Completed | Stage::RolledBack(_) => None,
+        }
+    }
+
+    fn next_of_trial(&mut self, now: Moment, mut record: Record, facts: &Facts) -> Option<(Record, Option<Plan>)> {
+        if record.granted == 0 && record.serving.is_none() && self.alone.is_for(now, Duration::ZERO) {
+            if !self.alone.is_for(now, ONLY) {
+                return None;
+            }
+            record.stage = Stage::Completed;
+            return Some((record, None));
+        }
+        let counted = self.outbox.counted();
+        let mut routes = record.routes.clone();
+        outbox::add(&mut routes, &counted.routes);
+        let view = View {
+            elapsed: self.clock.age(now),
+            over: record.over,
+            account: Account { requests: record.requests + counted.requests, granted: record.granted },
+            routes: &routes,
+            facts,
+            suspects: self.judge.as_ref().is_some_and(Judge::suspects),
+            doubts: self.judge.as_ref().is_some_and(Judge::doubts),
+        };
+        match self.trial.next(now, &self.bounds, &view) {
+            Next::Wait => None,
+            Next::Reserve(plan) => {
+                record.granted += u64::from(plan.requests);
+                self.trial.sent(now);
+                Some((record, Some(plan)))
+            }
+            Next::Move => {
+                record.stage = Stage::Moving;
+                Some((record, None))
+            }
+            Next::Unproven => {
+                record.stage = Stage::RolledBack(Cause::Unproven);
+                Some((record, None))
+            }
+            Next::Missing => {
+                record.stage = Stage::RolledBack(Cause::Missing);
+                Some((record, None))
+            }
+        }
+    }
+
+    /// The stage that follows once the fleet has moved, or has had the time for it.
+    fn end_of_moving(&self, now: Moment, record: &Record, facts: &Facts) -> Option<Stage> {
+        let has_spread = self.moving_since.is_some_and(|since| now.since(since) >= SPREADING);
+        let last = record.over.saturating_sub(LAST.min(record.over / 4)).max(record.elapsed + LEAST_MOVING);
+        let is_last = self.clock.age(now) >= last;
+        if facts.ready_new == 0 {
+            return is_last.then_some(Stage::RolledBack(Cause::Missing));
+        }
+        (has_spread && (self.quiet.is_for(now, QUIET) || is_last)).then_some(Stage::Completed)
+    }
+
+    fn write(&mut self, now: Moment, mut record: Record, plan: Option<Plan>) -> Step {
+        self.outbox.counted().add_to(&mut record);
+        record.elapsed = self.clock.age(now);
+        self.number = self.number.max(record.number) + 1;
+        record.number = self.number;
+        record.writer = self.me.clone();
+        let expected = self.record.as_ref().map_or(0, |(revision, _)| *revision);
+        self.reserving = plan.map(|plan| Reserving { order: record.order, plan, until: now + VALID });
+        self.outbox.send(expected, record.clone());
+        Step::Write(Write { service: self.service.clone(), expected, record })
+    }
+
+    // ----------------------------------------------------------------------------------------------------------------
+    // What is known
+
+    /// Takes a record that the store has, unless a newer one is known.
+    fn adopt(&mut self, now: Moment, revision: u64, record: &Record) {
+        if self.record.as_ref().is_some_and(|(known, _)| *known >= revision) {
+            return;
+        }
+        self.outbox.settle(revision, record);
+        self.clock.note(now, record.order, record.elapsed);
+        let last = self.record.replace((revision, record.clone()));
+        let was = last.map(|(_, last)| (last.order, last.stage));
+        if was == Some((record.order, record.stage)) {
+            return;
+        }
+        self.moving_since = (record.stage == Stage::Moving).then_some(now);
+    }
+
+    /// An order is seen for the first time: what was counted and judged before belongs to it only if it goes on with the same
+    /// version.
+    fn begin_account(&mut self, order: u64) {
+        let goes_on = self.record.as_ref().is_some_and(|(_, record)| {
+            let is_same = self.order.as_ref().is_some_and(|(_, order)| order.target == record.target);
+            record.order >= order || is_same && !record.stage.is_over()
+        });
+        if !goes_on {
+            self.outbox.begin();
+            self.judge = None;
+            self.trial.restart();
+        }
+    }
+
+    fn put_off(&mut self, now: Moment) {
+        let wait = (RETRY * 2_u32.saturating_pow(self.failures)).min(RETRY_MOST);
+        self.failures = (self.failures + 1).min(4);
+        self.not_before = now + wait;
+    }
+}
+
+fn routes_of(record: Option<&(u64, Record)>) -> BTreeMap<id::Route, Tally> {
+    record.map(|(_, record)| record.routes.clone()).unwrap_or_default()
 }
