Roll-outs: outcomes, lost answers and interleavings are tested, and what they showed is mended

Cause: the property over interleavings (two homes, late writes, kills, freezes, orders that change) found requests counted for an account that they didn't belong to: an order that was seen while a write for another one was under way, and a home that missed a record between two of the same version. A service without repeatable routes used up its bound in reservations that ran out.

Change: counts before and since the newest order are kept apart; what another home took up drops the former. A reservation is given only on the store's own Done, never on a conflict that shows the same record (an earlier life might have given it). The next reservation waits for the last one to be given; the first one's answers are waited for.

--- a/crates/stairvale-rollout/src/outbox.rs
+++ b/crates/stairvale-rollout/src/outbox.rs
@@ -66,18 +66,45 @@
     }
 }
 
+/// What was counted before and since the newest order was seen: an account that begins with the order has the latter alone.
+#[derive(Clone, Debug, Default)]
+struct Counted {
+    earlier: Delta,
+    latest: Delta,
+}
+
+impl Counted {
+    fn mark(&mut self) {
+        let latest = std::mem::take(&mut self.latest);
+        self.earlier.requests += latest.requests;
+        add(&mut self.earlier.routes, &latest.routes);
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        self.earlier.subtract(&other.earlier);
+        self.latest.subtract(&other.latest);
+    }
+
+    fn sum(&self) -> Delta {
+        let mut sum = self.earlier.clone();
+        sum.requests += self.latest.requests;
+        add(&mut sum.routes, &self.latest.routes);
+        sum
+    }
+}
+
 /// A write that may be done, or may be later.
 #[derive(Clone, Debug)]
 struct Sent {
     expected: u64,
     record: Record,
-    delta: Delta,
+    counted: Counted,
 }
 
 /// What this router counted, and what it sent to the store without knowing yet what became of it.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    counted: Delta,
+    counted: Counted,
     /// All of one revision expected, so one of them at most is ever done. The last may be under way.
     sent: Vec<Sent>,
     is_under_way: bool,
@@ -86,8 +113,8 @@
 impl Outbox {
     /// What stands in no record yet, as far as is known.
     #[must_use]
-    pub fn counted(&self) -> &Delta {
-        &self.counted
+    pub fn counted(&self) -> Delta {
+        self.counted.sum()
     }
 
     /// Whether an answer is still to come.
@@ -98,25 +125,35 @@
 
     /// Requests came.
     pub fn count(&mut self, requests: u64) {
-        self.counted.requests += requests;
+        self.counted.latest.requests += requests;
     }
 
     /// A request ended.
     pub fn observe(&mut self, observation: &Observation) {
-        self.counted.observe(observation);
+        self.counted.latest.observe(observation);
     }
 
-    /// A new account begins: what was counted before belongs to none.
-    pub fn begin(&mut self) {
-        self.counted = Delta::default();
+    /// An order is seen for the first time.
+    pub fn mark(&mut self) {
+        self.counted.mark();
         for sent in &mut self.sent {
-            sent.delta = Delta::default();
+            sent.counted.mark();
         }
     }
 
+    /// An account begins with the newest order that was seen: what was counted before belongs to another one.
+    pub fn drop_earlier(&mut self) {
+        self.counted.earlier = Delta::default();
+    }
+
+    /// An account began with an order that wasn't seen here yet.
+    pub fn drop_all(&mut self) {
+        self.counted = Counted::default();
+    }
+
     /// A record goes to the store, with all that was counted.
     pub fn send(&mut self, expected: u64, record: Record) {
-        self.sent.push(Sent { expected, record, delta: self.counted.clone() });
+        self.sent.push(Sent { expected, record, counted: self.counted.clone() });
         self.is_under_way = true;
     }
 
@@ -140,17 +177,17 @@
     /// This is what the store has, at a later revision than before. Whatever was sent and isn't it will never be done.
     pub fn settle(&mut self, revision: u64, record: &Record) {
         if let Some(own) = self.sent.iter().find(|sent| sent.record == *record) {
-            let delta = own.delta.clone();
-            self.counted.subtract(&delta);
+            self.counted.subtract(&own.counted);
             self.sent.clear();
             return;
         }
         // One's own may have been done and written over since: what it held counts as written then, since fewer requests than
         // there were allow less, and more would allow too much.
         let hidden = self.sent.iter().filter(|sent| sent.expected != revision);
-        let hidden = hidden.filter(|sent| sent.record.order == record.order && sent.record.requests <= record.requests);
-        if let Some(delta) = hidden.map(|sent| sent.delta.clone()).next_back() {
-            self.counted.subtract(&delta);
+        let mut hidden =
+            hidden.filter(|sent| sent.record.order == record.order && sent.record.requests <= record.requests);
+        if let Some(sent) = hidden.next_back() {
+            self.counted.subtract(&sent.counted);
         }
         self.sent.retain(|sent| sent.expected == revision);
     }
--- a/crates/stairvale-rollout/src/start.rs
+++ b/crates/stairvale-rollout/src/start.rs
@@ -53,6 +53,11 @@
     record
 }
 
+/// Whether a record that follows another one is of a trial that begins anew: what was seen before isn't its own.
+pub fn is_anew(last: &Record, record: &Record) -> bool {
+    last.target != record.target || last.order != record.order && last.stage.is_over()
+}
+
 fn fresh(
     me: &id::Router,
     (revision, order): (u64, &Order),
--- a/crates/stairvale-rollout/src/step.rs
+++ b/crates/stairvale-rollout/src/step.rs
@@ -85,7 +85,7 @@
 /// What a steward wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
-    /// Write this; tell the steward by [`Steward::written`].
+    /// Write this; tell the steward by [`Steward::written`](crate::Steward::written).
     Write(Write),
     /// The pool may give this to the version on trial, in place of what is left of the last one.
     Reserve(Reservation),
--- a/crates/stairvale-rollout/src/steward.rs
+++ b/crates/stairvale-rollout/src/steward.rs
@@ -139,7 +139,7 @@
         self.order = Some((revision, order.clone()));
         if is_new {
             self.clock.note(now, revision, Duration::ZERO);
-            self.begin_account(revision);
+            self.outbox.mark();
         }
     }
 
@@ -174,13 +174,11 @@
                     self.adopt(now, revision, &own);
                 }
             }
+            // Also one's own may stand there, when it was handed on and done twice. Nothing is given then: an earlier life of this
+            // router might have written the very same, and given it.
             Written::Conflict(Some((revision, record))) => {
                 self.failures = 0;
                 self.adopt(now, revision, &record);
-                if own.as_ref() == Some(&record) {
-                    // It was done before and asked for again: by then it stood.
-                    self.granted = reserving;
-                }
             }
             Written::Conflict(None) => {
                 self.outbox.forget();
@@ -366,9 +364,13 @@
         if let Some(order) = self.unseen_order() {
             let last = self.record.as_ref().map(|(_, record)| record);
             let mut record = start::record(&self.me, order, elapsed, last, facts);
+            let is_anew = last.is_none_or(|last| start::is_anew(last, &record));
             if let (false, Some(cause)) = (record.stage.is_over(), self.is_condemned(record.order)) {
                 record.stage = Stage::RolledBack(cause);
             }
+            if is_anew {
+                self.outbox.drop_earlier();
+            }
             return Some((record, None));
         }
         let (_, record) = self.record.as_ref()?;
@@ -418,7 +420,7 @@
             Next::Wait => None,
             Next::Reserve(plan) => {
                 record.granted += u64::from(plan.requests);
-                self.trial.sent(now);
+                self.trial.sent(now, plan, facts);
                 Some((record, Some(plan)))
             }
             Next::Move => {
@@ -470,6 +472,18 @@
         self.outbox.settle(revision, record);
         self.clock.note(now, record.order, record.elapsed);
         let last = self.record.replace((revision, record.clone()));
+        if last.as_ref().is_none_or(|(_, last)| start::is_anew(last, record)) {
+            self.judge = None;
+            self.trial.restart();
+        }
+        // Of a later order that another router took up it isn't known whether its account goes on: there may have been a
+        // record of another version between. Fewer requests than there were allow less.
+        let goes_on = last.as_ref().is_some_and(|(_, last)| {
+            last.order == record.order || record.writer == self.me && !start::is_anew(last, record)
+        });
+        if !goes_on {
+            self.begin_account(record.order);
+        }
         let was = last.map(|(_, last)| (last.order, last.stage));
         if was == Some((record.order, record.stage)) {
             return;
@@ -477,17 +491,12 @@
         self.moving_since = (record.stage == Stage::Moving).then_some(now);
     }
 
-    /// An order is seen for the first time: what was counted and judged before belongs to it only if it goes on with the same
-    /// version.
+    /// Another account begins, with an order of this revision: what was counted before isn't its own.
     fn begin_account(&mut self, order: u64) {
-        let goes_on = self.record.as_ref().is_some_and(|(_, record)| {
-            let is_same = self.order.as_ref().is_some_and(|(_, order)| order.target == record.target);
-            record.order >= order || is_same && !record.stage.is_over()
-        });
-        if !goes_on {
-            self.outbox.begin();
-            self.judge = None;
-            self.trial.restart();
+        if self.order.as_ref().is_some_and(|(seen, _)| *seen >= order) {
+            self.outbox.drop_earlier();
+        } else {
+            self.outbox.drop_all();
         }
     }
 
--- a/crates/stairvale-rollout/src/trial.rs
+++ b/crates/stairvale-rollout/src/trial.rs
@@ -10,8 +10,14 @@
 const PROBING: f64 = 0.55;
 /// Part of the bound that is ever used before the version is found good.
 const MOST: f64 = 0.85;
-/// Between two reservations, each of which is a call to the store.
+/// Between two reservations, each of which is a call to the store and replaces what is left of the one before; longer when that
+/// one takes longer to be given, up to its end.
 const PACE: Duration = Duration::from_millis(900);
+const PACE_MOST: Duration = Duration::from_millis(1_900);
+/// Of requests that may be repeated alone, which may be few of all, a reservation takes about so long.
+const PACE_REPEATABLE: Duration = Duration::from_millis(1_500);
+/// How much longer than by the rate of old upstreams a reservation takes to be given: new ones come beside old ones.
+const SHARED: f64 = 1.3;
 /// A reservation's fewest requests: fewer say nothing of an upstream.
 const FEWEST: f64 = 6.0;
 /// A reservation that is as large as this is made even if it loads an upstream for less than [`SPELL`].
@@ -24,7 +30,8 @@
 const KNOWN: u64 = 8;
 /// ... and the share of them that may be bad: routes fail by themselves.
 const BEARABLE: f64 = 0.25;
-/// Without any answer for so long since the first reservation, the service has none of the routes that may be repeated.
+/// Without any answer for so long since the first reservation, and with nothing running, the service has none of the routes
+/// that may be repeated. Until then no more is reserved, or most of a small service's bound would run out unused.
 const UNANSWERED: Duration = Duration::from_millis(2_200);
 /// Answers of the new version without which it isn't called good...
 const ENOUGH: u64 = 30;
@@ -129,14 +136,16 @@
     faded: Moment,
     /// Since when requests are counted.
     since: Option<Moment>,
-    /// When the last reservation was sent to the store.
-    sent: Option<Moment>,
+    /// From when the next reservation may be sent to the store.
+    next: Option<Moment>,
     /// When the first one was given out.
     first: Option<Moment>,
     /// When the rehearsal was given out, or left out.
     rehearsed: Option<Moment>,
     /// Whether any upstream of the version was ready.
     was_ready: bool,
+    /// Whether the service showed none of the routes that may be repeated.
+    is_unrepeatable: bool,
 }
 
 impl Trial {
@@ -154,8 +163,11 @@
     }
 
     /// A reservation was sent to the store.
-    pub fn sent(&mut self, now: Moment) {
-        self.sent = Some(now);
+    pub fn sent(&mut self, now: Moment, plan: Plan, facts: &Facts) {
+        let rate = self.rate_of_one(now, facts) * counted(plan.over);
+        let takes = Duration::from_secs_f64(SHARED * f64::from(plan.requests) / rate.max(1.0));
+        let least = if plan.unrepeatable { PACE } else { PACE_REPEATABLE };
+        self.next = Some(now + takes.clamp(least, PACE_MOST));
     }
 
     /// A reservation stands and is given out.
@@ -169,6 +181,8 @@
     /// What the trial needs next.
     pub fn next(&mut self, now: Moment, bounds: &Bounds, view: &View<'_>) -> Next {
         self.was_ready |= view.facts.ready_new > 0 || view.account.granted > 0;
+        let is_unanswered = view.answers() == 0 && view.facts.running_new == 0;
+        self.is_unrepeatable |= is_unanswered && self.first.is_some_and(|first| now.since(first) >= UNANSWERED);
         if view.elapsed >= view.over && !self.was_ready {
             return Next::Missing;
         }
@@ -187,6 +201,9 @@
         if view.facts.ready_new == 0 || rate < IDLE || !self.is_time(now) {
             return Next::Wait;
         }
+        if view.answers() == 0 && self.first.is_some_and(|first| now.since(first) < UNANSWERED) {
+            return Next::Wait;
+        }
         let each = self.rate_of_one(now, view.facts);
         let least = (SPELL * each).clamp(FEWEST, AMPLE);
         let room = view.account.room(bounds, PROBING);
@@ -194,7 +211,7 @@
             return Next::Wait;
         }
         let full = count((each * counted(view.facts.ready_new)).max(least));
-        let unrepeatable = self.may_be_unrepeatable(now, view);
+        let unrepeatable = self.may_be_unrepeatable(view);
         let most = if view.answers() >= KNOWN {
             full
         } else if unrepeatable {
@@ -229,21 +246,18 @@
             return Next::Wait;
         }
         let requests = room.min(count((2.0 * self.rate(now)).max(FEWEST)));
-        let unrepeatable = self.may_be_unrepeatable(now, view);
+        let unrepeatable = self.may_be_unrepeatable(view);
         Next::Reserve(Plan { requests, over: view.facts.ready_new, unrepeatable, is_rehearsal: true })
     }
 
     #[expect(clippy::cast_precision_loss, reason = "counts of answers are far below 2^52")]
-    fn may_be_unrepeatable(&self, now: Moment, view: &View<'_>) -> bool {
+    fn may_be_unrepeatable(&self, view: &View<'_>) -> bool {
         let answers = view.answers();
-        if answers == 0 {
-            return self.first.is_some_and(|first| now.since(first) >= UNANSWERED);
-        }
-        answers >= KNOWN && view.bad() as f64 <= BEARABLE * answers as f64
+        (answers >= KNOWN || self.is_unrepeatable) && view.bad() as f64 <= BEARABLE * answers as f64
     }
 
     fn is_time(&self, now: Moment) -> bool {
-        self.sent.is_none_or(|sent| now.since(sent) >= PACE)
+        self.next.is_none_or(|next| now >= next)
     }
 
     /// Requests a second of the service.
--- /dev/null
+++ b/crates/stairvale-rollout/tests/outcomes.rs
@@ -0,0 +1,320 @@
+//! The outcomes that docs/design/rollouts.md defines, one test each.
+
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use std::time::Duration;
+
+use stairvale_rollout::{Answer, Cause, Facts, Policy, Stage, Step, Steward, Written};
+use stairvale_types::Moment;
+use world::{Dice, Route, Service, TICK, bounds, good, order, version};
+
+fn routes() -> Vec<Route> {
+    vec![
+        Route { name: "a", rate: 40.0, failing: 0.005, is_repeatable: true },
+        Route { name: "b", rate: 20.0, failing: 0.005, is_repeatable: false },
+    ]
+}
+
+fn service() -> Service {
+    Service::new(6, 6, routes(), good, 7)
+}
+
+fn failing(dice: &mut Dice, _: &Route, _: Duration, _: bool) -> Answer {
+    if dice.hits(0.6) { Answer::Failed } else { Answer::Good }
+}
+
+fn record(service: &Service) -> &stairvale_rollout::Record {
+    &service.store.record.as_ref().unwrap().1
+}
+
+#[test]
+fn without_an_order_nothing_is_written_and_nothing_given() {
+    let mut service = service();
+    service.run(5.0);
+    assert_eq!(service.store.record, None);
+    assert_eq!((service.given, service.policy()), (0, None));
+}
+
+#[test]
+fn the_same_order_again_goes_on_with_the_same_account_and_the_new_deadline() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run(5.0);
+    let before = record(&service).clone();
+    assert!(before.granted > 0 && before.stage == Stage::Trial);
+    service.store.order(Some(order("v2", 20.0)));
+    service.run(0.5);
+    let after = record(&service);
+    assert!(after.order > before.order && after.stage == Stage::Trial);
+    assert!(after.granted >= before.granted && after.requests >= before.requests);
+    assert_eq!(after.over, Duration::from_secs(20));
+    assert!(after.elapsed < Duration::from_secs(1), "{:?}", after.elapsed);
+    service.run_to_end(30.0);
+    assert_eq!(service.stage(), Some(Stage::Completed));
+}
+
+#[test]
+fn another_version_ordered_in_the_middle_starts_with_an_account_of_its_own() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run(5.0);
+    let (given, reservations) = (service.given, service.reservations.len());
+    service.store.order(Some(order("v3", 12.0)));
+    service.tick();
+    assert_eq!(service.reservations[reservations].1.requests, 0, "what is left of a reservation is taken back");
+    assert!(service.given <= given + 4, "one tick's");
+    service.run(0.2);
+    let after = service.store.history.iter().find(|record| record.target == version("v3")).unwrap().clone();
+    assert_eq!(after.stage, Stage::Trial);
+    assert_eq!(after.rejected, [version("v2")]);
+    assert_eq!(after.serving, Some(version("v1")));
+    assert!(after.requests < 60 && after.granted == 0, "{after:?}");
+    service.run_to_end(30.0);
+    assert_eq!((record(&service).target.clone(), service.stage()), (version("v3"), Some(Stage::Completed)));
+}
+
+#[test]
+fn an_order_that_is_taken_away_rolls_back() {
+    for seconds in [3.0, 9.6] {
+        let mut service = service();
+        // Something goes on running at the old version, so that the fleet is still moving at 9.6 s.
+        service.facts.running_old = 1;
+        service.order(Some(order("v2", 12.0)));
+        service.run(seconds);
+        assert!(!service.stage().unwrap().is_over());
+        service.store.order(None);
+        service.run(0.3);
+        assert_eq!(service.stage(), Some(Stage::RolledBack(Cause::Withdrawn)));
+    }
+}
+
+#[test]
+fn an_order_that_is_taken_away_after_its_end_changes_nothing() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run_to_end(30.0);
+    service.store.order(None);
+    service.run(3.0);
+    assert_eq!(service.stage(), Some(Stage::Completed));
+}
+
+#[test]
+fn the_version_that_serves_is_completed_at_once() {
+    // It was rolled out before...
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run_to_end(30.0);
+    let history = service.store.history.len();
+    service.order(Some(order("v2", 12.0)));
+    service.run(0.2);
+    assert_eq!(service.stage(), Some(Stage::Completed));
+    assert_eq!(record(&service).order, service.store.order.as_ref().unwrap().0);
+    assert_eq!(service.store.history.len(), history + 1);
+}
+
+#[test]
+fn the_version_that_serves_is_completed_at_once_while_another_is_on_trial() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run(4.0);
+    service.store.order(Some(order("v1", 12.0)));
+    service.run(0.2);
+    assert_eq!((record(&service).target.clone(), service.stage()), (version("v1"), Some(Stage::Completed)));
+    assert_eq!(record(&service).rejected, [version("v2")]);
+}
+
+#[test]
+fn the_only_version_that_there_is_is_completed() {
+    let mut service = service();
+    service.facts = Facts { ready_new: 6, ..Facts::default() };
+    service.order(Some(order("v1", 12.0)));
+    assert!(service.run_to_end(5.0).unwrap() < Duration::from_secs(2));
+    assert_eq!(service.stage(), Some(Stage::Completed));
+}
+
+#[test]
+fn a_moment_without_old_upstreams_completes_nothing() {
+    let mut service = service();
+    service.facts.ready_old = 0;
+    service.order(Some(order("v2", 12.0)));
+    service.run(0.5);
+    service.facts.ready_old = 6;
+    service.run(1.5);
+    assert_eq!(service.stage(), Some(Stage::Trial));
+}
+
+#[test]
+fn a_version_whose_upstreams_never_come_is_missing() {
+    let mut service = service();
+    service.facts.ready_new = 0;
+    service.order(Some(order("v2", 12.0)));
+    let end = service.run_to_end(30.0).unwrap();
+    assert_eq!(service.stage(), Some(Stage::RolledBack(Cause::Missing)));
+    assert!(end > Duration::from_secs(11) && end < Duration::from_secs(13), "{end:?}");
+}
+
+#[test]
+fn a_service_without_traffic_is_unproven_after_twice_the_time() {
+    let mut service = service();
+    service.routes.iter_mut().for_each(|route| route.rate = 0.0);
+    service.order(Some(order("v2", 12.0)));
+    let end = service.run_to_end(60.0).unwrap();
+    assert_eq!(service.stage(), Some(Stage::RolledBack(Cause::Unproven)));
+    assert!(end > Duration::from_secs(23) && end < Duration::from_secs(26), "{end:?}");
+}
+
+#[test]
+fn a_version_that_was_rolled_back_is_tried_again_when_it_is_ordered_again() {
+    let mut service = service();
+    service.new = failing;
+    service.order(Some(order("v2", 12.0)));
+    service.run_to_end(30.0);
+    assert_eq!(service.stage(), Some(Stage::RolledBack(Cause::Failing)));
+    let (given, before) = (service.given, record(&service).clone());
+    service.run(5.0);
+    assert_eq!(service.given, given, "it gets nothing");
+    service.new = good;
+    service.follow = None;
+    service.store.order(Some(order("v2", 12.0)));
+    service.ordered_at = service.now;
+    service.run(0.5);
+    let after = record(&service).clone();
+    assert_eq!(after.stage, Stage::Trial);
+    assert!(after.granted >= before.granted && after.requests >= before.requests);
+    assert!(after.routes.values().all(|tally| tally.new.answers < 10), "{:?}", after.routes);
+    service.run_to_end(40.0);
+    assert_eq!(service.stage(), Some(Stage::Completed));
+}
+
+#[test]
+fn a_rejected_version_may_be_ordered_after_another() {
+    let mut service = service();
+    service.new = failing;
+    service.order(Some(order("v2", 12.0)));
+    service.run_to_end(30.0);
+    for (target, rejected) in [("v3", vec![version("v2")]), ("v2", vec![version("v3")])] {
+        service.store.order(Some(order(target, 12.0)));
+        service.run(0.3);
+        assert_eq!((record(&service).stage, &record(&service).rejected), (Stage::Trial, &rejected));
+    }
+}
+
+#[test]
+fn the_way_back_to_the_version_before_is_a_trial_of_its_own() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run_to_end(30.0);
+    service.facts.serving = Some(version("v2"));
+    service.follow = None;
+    service.order(Some(order("v1", 12.0)));
+    service.run(1.0);
+    assert_eq!((record(&service).target.clone(), service.stage()), (version("v1"), Some(Stage::Trial)));
+    assert_eq!((&record(&service).serving, record(&service).rejected.len()), (&Some(version("v2")), 0));
+}
+
+#[test]
+fn nothing_is_reserved_while_the_store_cannot_be_reached() {
+    let mut steward = Steward::new("r1".parse().unwrap(), "app".parse().unwrap(), bounds());
+    let order = order("v2", 12.0);
+    let facts = Facts { ready_new: 6, ready_old: 6, serving: Some(version("v1")), ..Facts::default() };
+    let mut now = Moment::from_millis(1_000);
+    steward.learn(now, Some((1, &order)), None);
+    let mut writes = 0;
+    for _ in 0..400 {
+        now = now + TICK;
+        steward.observe(now, stairvale_rollout::Report { requests: 5, observations: Vec::new() });
+        let steps = steward.tick(now, &facts);
+        assert!(!steps.iter().any(|step| matches!(step, Step::Reserve(_))), "{steps:?}");
+        if steps.iter().any(|step| matches!(step, Step::Write(_))) {
+            writes += 1;
+            steward.written(now, Written::Refused);
+        }
+    }
+    assert!(writes <= 25, "{writes} calls in twenty seconds to a store that refuses");
+}
+
+#[test]
+fn a_verdict_of_a_peer_stops_the_version_before_the_store_knows() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run(4.0);
+    let revision = service.store.order.as_ref().unwrap().0;
+    service.steward.condemned(revision);
+    let given = service.given;
+    service.tick();
+    let stage = service.follow.as_ref().map(|policy: &Policy| policy.stage);
+    assert_eq!(stage, Some(Stage::RolledBack(Cause::Failing)));
+    service.run(0.3);
+    assert_eq!(service.stage(), Some(Stage::RolledBack(Cause::Failing)));
+    assert!(service.given <= given + 4, "one tick's");
+    assert_eq!(service.reservations.last().unwrap().1.requests, 0);
+}
+
+#[test]
+fn a_verdict_on_an_earlier_order_says_nothing_of_a_later_one() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run(2.0);
+    let revision = service.store.order.as_ref().unwrap().0;
+    service.store.order(Some(order("v3", 12.0)));
+    service.run(0.3);
+    service.steward.condemned(revision);
+    service.run(1.0);
+    assert_eq!((record(&service).target.clone(), service.stage()), (version("v3"), Some(Stage::Trial)));
+}
+
+#[test]
+fn the_old_version_is_waited_for_as_long_as_the_order_allows() {
+    let mut service = service();
+    service.facts.running_old = 3;
+    service.order(Some(order("v2", 12.0)));
+    let end = service.run_to_end(30.0).unwrap();
+    assert_eq!(service.stage(), Some(Stage::Completed));
+    assert!(end > Duration::from_secs(11) && end < Duration::from_secs(12), "{end:?}");
+}
+
+#[test]
+fn requests_that_may_run_only_once_meet_the_version_after_others_did_well() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run_to_end(30.0);
+    let reservations = service.reservations.iter().map(|(_, reservation)| reservation);
+    let reservations: Vec<_> = reservations.filter(|reservation| reservation.requests > 0).collect();
+    assert!(!reservations[0].unrepeatable && reservations[0].requests <= 10, "{reservations:?}");
+    assert!(reservations.last().unwrap().unrepeatable, "{reservations:?}");
+}
+
+#[test]
+fn a_service_that_shows_no_repeatable_route_is_tried_all_the_same() {
+    let mut service = service();
+    service.routes.retain(|route| !route.is_repeatable);
+    service.order(Some(order("v2", 12.0)));
+    let end = service.run_to_end(30.0);
+    assert_eq!(service.stage(), Some(Stage::Completed), "{end:?}");
+    let first = service.reservations.iter().find(|(_, reservation)| reservation.unrepeatable).unwrap().1;
+    assert!(first.requests <= 6, "{first:?}");
+}
+
+#[test]
+fn operators_are_told_each_stage_once_with_the_figures() {
+    let mut service = service();
+    service.order(Some(order("v2", 12.0)));
+    service.run_to_end(30.0);
+    service.run(1.0);
+    let stages: Vec<_> = service.events.iter().map(|event| (event.stage, event.stands)).collect();
+    assert_eq!(stages, [(Stage::Trial, true), (Stage::Moving, true), (Stage::Completed, true)]);
+    let moving = &service.events[1];
+    assert!(moving.routes.values().all(|tally| tally.new.answers >= 5) && moving.granted > 0, "{moving:?}");
+
+    let mut service = self::service();
+    service.new = failing;
+    service.order(Some(order("v2", 12.0)));
+    service.run_to_end(30.0);
+    service.run(1.0);
+    let stages: Vec<_> = service.events.iter().map(|event| (event.stage, event.stands)).collect();
+    let bad = Stage::RolledBack(Cause::Failing);
+    assert_eq!(stages, [(Stage::Trial, true), (bad, false), (bad, true)]);
+    assert!(service.events[1].found.is_some(), "{:?}", service.events[1]);
+}
