The pool follows a roll-out: versions, reservations, and what became of requests

Cause: a home's pool knew no versions, so a version on trial got as much as any other, and nobody could tell how its answers did.

Ruled out: taking a version on trial as one more price in the bid. Engines that hold nothing of a prompt are hardly ever the cheapest, so a trial would run on prompts that nobody holds, thinly, and its size would follow from prices instead of from what was reserved.

Change: allowance.rs holds what an upstream may be given and how fast as one notion: reach, version, health, pace while cold (cold.rs and reach.rs move below it). allowance/versions.rs follows the policy, precomputed for each member, and gives out a reservation: every request adds to what the chosen upstreams are due, which is shared out among routes. watch.rs tells what became of requests at either version by the same measure. What is on trial is no source of copies and doesn't change what the pool takes for usual.

Checked: the crate's tests pass as they were; the new parts have no tests yet.

--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -3,6 +3,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use rapidhash::RapidHashMap;
+use stairvale_rollout::Admission;
 use stairvale_types::{Moment, id};
 
 use crate::{Cache, health::Health};
@@ -22,8 +23,18 @@
     pub tokens: u32,
     /// The time to the first event that was expected, in ms.
     pub expected: f64,
-    /// Whether it copies from another engine first.
-    pub copies: bool,
+    /// The same if the upstream is neither slower nor faster than the others; 0 if that isn't known.
+    pub due: f64,
+    /// The other engine that it copies from first.
+    pub source: Option<id::Upstream>,
+    /// Its route.
+    pub route: id::Route,
+    /// Tokens that it may make; 0 if that isn't known.
+    pub output: u32,
+    /// When its first event came.
+    pub begun: Option<Moment>,
+    /// Whether it was told that it is slow.
+    pub told: bool,
     /// The shared parts of its prompt that nobody had read there before; none once its first event has come.
     pub reads: Vec<u64>,
 }
@@ -58,6 +69,14 @@
     pub slots: u32,
     /// Whether it may be given new work.
     pub usable: bool,
+    /// The software that it runs; `None` if it doesn't say.
+    pub version: Option<id::Version>,
+    /// What it may be given by its version.
+    pub admission: Admission,
+    /// Whether its version is the one that was ordered last.
+    pub is_new: bool,
+    /// The number of the reservation that it was chosen for last; 0 if it never was.
+    pub turn: u64,
     /// Its id's hash, by which prompts rank it.
     pub hash: u64,
     held: RapidHashMap<id::Attempt, Hold>,
@@ -98,6 +117,10 @@
             zone,
             slots: slots.max(1),
             usable: true,
+            version: None,
+            admission: Admission::Any,
+            is_new: false,
+            turn: 0,
             held: RapidHashMap::default(),
             ahead: 0,
             taken: 0,
@@ -116,6 +139,7 @@
     /// The store says something of it. One that has turned cold holds nothing any more.
     pub fn list(&mut self, now: Moment, listing: &Listing) {
         self.usable = listing.usable;
+        self.version.clone_from(&listing.version);
         self.gone = false;
         if self.revision == listing.revision {
             return;
@@ -133,6 +157,15 @@
         self.gone = true;
     }
 
+    /// Whether it may be given more than what is reserved for its version.
+    #[must_use]
+    pub fn serves(&self) -> bool {
+        match self.admission {
+            Admission::Any | Admission::Last => true,
+            Admission::Trial | Admission::Nothing => false,
+        }
+    }
+
     /// Whether the store no longer names it.
     #[must_use]
     pub fn is_gone(&self) -> bool {
@@ -206,9 +239,10 @@
     }
 
     /// A request's first event came: nothing more is to be read for it. Gives what it was until then.
-    pub fn begin(&mut self, attempt: id::Attempt) -> Option<Hold> {
+    pub fn begin(&mut self, now: Moment, attempt: id::Attempt) -> Option<Hold> {
         let hold = self.held.get_mut(&attempt)?;
         let before = hold.clone();
+        hold.begun = Some(now);
         self.ahead -= u64::from(hold.read);
         hold.read = 0;
         hold.reads = Vec::new();
@@ -221,6 +255,13 @@
         hold.map(|hold| hold.named = now).is_some()
     }
 
+    /// A request was told to be slow.
+    pub fn tell(&mut self, attempt: id::Attempt) {
+        if let Some(hold) = self.held.get_mut(&attempt) {
+            hold.told = true;
+        }
+    }
+
     /// What runs there of which something is true.
     pub fn which(&self, is: impl Fn(&Hold) -> bool) -> Vec<id::Attempt> {
         self.held.iter().filter(|(_, hold)| is(hold)).map(|(attempt, _)| *attempt).collect()
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -6,17 +6,18 @@
 };
 
 use rapidhash::RapidHashMap;
+use stairvale_rollout::Admission;
 use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
 
 use crate::{Answer, Ask, Held, Listing, Member, Outcome, Part, Reading, Verdict, member::Hold};
 
+mod allowance;
 mod choose;
-mod cold;
 mod follow;
 mod holders;
-mod reach;
+mod watch;
 
-pub use cold::Cold;
+pub use allowance::cold::Cold;
 
 /// A hold that its entry hasn't named for this long is dropped; entries name theirs several times in it.
 const HOLD_TTL: Duration = Duration::from_secs(4);
@@ -85,7 +86,11 @@
     /// The mean time of a plain answer, or of an engine's request from grant to end, in ms.
     time: f64,
     /// This router's part of what the whole fleet may give to cold upstreams.
-    share: cold::Share,
+    share: allowance::cold::Share,
+    /// What its upstreams may be given by their versions.
+    versions: allowance::versions::Versions,
+    /// What became of requests at either version.
+    watch: watch::Watch,
 }
 
 impl Pool {
@@ -109,7 +114,9 @@
             number: 0,
             reading: Reading::default(),
             time: FIRST_TIME,
-            share: cold::Share::ALL,
+            share: allowance::cold::Share::ALL,
+            versions: allowance::versions::Versions::default(),
+            watch: watch::Watch::default(),
         }
     }
 
@@ -177,6 +184,7 @@
                 member
             });
             member.list(now, listing);
+            self.versions.place(member);
             self.holders.follow(member);
         }
         for id in gone {
@@ -192,8 +200,10 @@
 
     /// Counts the members anew.
     fn recount(&mut self) {
+        let serving = |member: &&Member| member.admission == Admission::Any;
         self.hashes.clear();
-        self.hashes.extend(self.members.values().map(|member| member.hash));
+        self.hashes.extend(self.members.values().filter(serving).map(|member| member.hash));
+        self.versions.serving = self.members.values().filter(serving).filter(|member| member.usable).count();
         self.usable = self.members.values().filter(|member| member.usable).count();
     }
 
@@ -258,6 +268,7 @@
     /// An entry asks for an upstream; no answer means that the request waits.
     pub fn ask(&mut self, now: Moment, ask: Ask) -> Vec<Answer> {
         self.learn(&ask);
+        self.count(now, &ask);
         self.enter(now, ask, now)
     }
 
@@ -296,21 +307,26 @@
         let Some(member) = self.places.get(&attempt).and_then(|place| self.members.get_mut(place)) else {
             return Vec::new();
         };
-        let Some(Hold { reads, read, expected, copies, .. }) = member.begin(attempt) else {
+        let Some(hold) = member.begin(now, attempt) else {
             return Vec::new();
         };
-        member.cache.finish(&reads);
+        let Hold { reads, read, expected, .. } = &hold;
+        let copies = hold.source.is_some();
+        member.cache.finish(reads);
         self.answered.insert(member.zone.clone(), now);
         let took = took.as_secs_f64() * 1e3;
         // Only what was read while nothing else was tells how long reading takes.
-        if self.rules.engine.is_some() && member.ahead() == 0 && !copies {
-            self.reading.observe(f64::from(read), took);
+        // What is on trial doesn't tell what is usual.
+        let usual = member.admission != Admission::Trial;
+        if self.rules.engine.is_some() && member.ahead() == 0 && !copies && usual {
+            self.reading.observe(f64::from(*read), took);
         }
         // How long a copy takes is no matter of this engine alone.
-        if expected > 0.0 && !copies {
+        if *expected > 0.0 && !copies {
             member.health.took(now, (took + 20.0) / (expected + 20.0));
         }
-        self.stop_reading(&reads, attempt);
+        self.stop_reading(reads, attempt);
+        self.watch_begin(now, attempt, &hold, took);
         self.lead(now, attempt)
     }
 
@@ -328,6 +344,7 @@
         // It matters only where something went wrong, and takes a look at all.
         let usual = if matches!(outcome, Outcome::Failed | Outcome::Silent) { self.usual(now, &place) } else { 0.0 };
         let mut read = Vec::new();
+        self.watch_end(now, &place, attempt, outcome, took);
         if let Some(member) = self.members.get_mut(&place) {
             let hold = member.let_go(attempt);
             // Without a first event it isn't certain that anything was read.
@@ -340,7 +357,9 @@
             }
             if let Some(took) = took {
                 let took = took.as_secs_f64() * 1e3;
-                self.time += (took - self.time) * WEIGHT;
+                if member.admission != Admission::Trial {
+                    self.time += (took - self.time) * WEIGHT;
+                }
                 if hold.is_some_and(|hold| hold.expected > 0.0) {
                     member.health.took(now, (took + 5.0) / (self.time + 5.0));
                 }
@@ -375,7 +394,12 @@
                 read: item.read,
                 tokens: item.read,
                 expected: 0.0,
-                copies: false,
+                due: 0.0,
+                source: None,
+                route: item.route,
+                output: 0,
+                begun: None,
+                told: false,
                 reads: Vec::new(),
             };
             member.hold(item.attempt, hold);
@@ -388,6 +412,7 @@
     /// Lets time pass: waits end, holds that nobody names are dropped.
     pub fn tick(&mut self, now: Moment) -> Vec<Answer> {
         self.drop_holds(|hold| now.since(hold.named) >= HOLD_TTL);
+        self.watch_running(now);
         self.bury();
         let mut answers = self.end_following(now);
         answers.extend(self.serve(now));
@@ -411,7 +436,8 @@
         let Some(last) = parts.last() else {
             return;
         };
-        let mut holders = self.holders.of(last.id).iter().filter_map(|id| self.members.get(id));
+        let holders = self.holders.of(last.id).iter().filter_map(|id| self.members.get(id));
+        let mut holders = holders.filter(|member| member.serves());
         if self.members.get(upstream).is_none_or(covers) || holders.any(covers) {
             return;
         }
--- a/crates/stairvale-dispatch/src/pool/cold.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/cold.rs
@@ -9,8 +9,8 @@
 
 use stairvale_types::{Moment, id};
 
-use super::Pool;
-use crate::Member;
+use super::Care;
+use crate::{Member, Pool};
 
 /// What a cold upstream bears, and what it must never be given.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,18 +35,9 @@
 /// What counts for those.
 const SECOND: Duration = Duration::from_secs(1);
 
-/// How strictly limits to what upstreams bear are taken.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Care {
-    /// Nobody is given as much as one that turns cold unseen couldn't bear, and who is cold at an unknown pace gets nothing.
-    Full,
-    /// Only what is known to be cold is limited: better than a refusal.
-    Known,
-}
-
 /// This router's part of what the whole fleet may give to cold upstreams.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Share {
+pub(in crate::pool) struct Share {
     part: f64,
     /// Since when it has any.
     since: Moment,
@@ -54,7 +45,7 @@
 
 impl Share {
     /// That of a router alone in the world.
-    pub(super) const ALL: Self = Self { part: 1.0, since: Moment::ZERO };
+    pub(in crate::pool) const ALL: Self = Self { part: 1.0, since: Moment::ZERO };
 }
 
 impl Pool {
@@ -74,7 +65,7 @@
     }
 
     /// Whether a member can be given one more request without overdoing it.
-    pub(super) fn bears(&self, now: Moment, member: &Member, care: Care) -> bool {
+    pub(in crate::pool) fn bears(&self, now: Moment, member: &Member, care: Care) -> bool {
         let fits = |window, most: f64| most >= 1.0 && member.was_given_at_most(whole(most) - 1, now, window);
         match (member.is_cold(now), self.rules.cold, care) {
             (true, Some(cold), _) => {
--- a/crates/stairvale-dispatch/src/pool/reach.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/reach.rs
@@ -4,15 +4,14 @@
 
 use stairvale_types::{Moment, id};
 
-use super::Pool;
-use crate::Member;
+use crate::{Member, Pool};
 
 /// A zone one of whose upstreams answered this lately isn't behind a cut, whatever its routers do: several times the pause
 /// between two answers of a zone that is in use.
 const LIT: Duration = Duration::from_millis(500);
 
 /// What can be reached at one moment.
-pub(super) struct Reach<'a> {
+pub(in crate::pool) struct Reach<'a> {
     now: Moment,
     /// Zones behind a cut.
     cut: Vec<&'a id::Zone>,
@@ -21,31 +20,43 @@
 }
 
 impl Reach<'_> {
-    /// Whether a member may be given work. Behind a cut there may be upstreams that can be reached after all; where nothing
+    /// Whether a member may be given whatever comes: it serves by its version, and it can be reached.
+    pub(in crate::pool) fn has(&self, member: &Member) -> bool {
+        member.serves() && self.reaches(member)
+    }
+
+    /// Whether work would reach a member. Behind a cut there may be upstreams that can be reached after all; where nothing
     /// else is left they are tried, now and then: what finds them silent would rather have been refused at once.
-    pub(super) fn has(&self, member: &Member) -> bool {
+    pub(in crate::pool) fn reaches(&self, member: &Member) -> bool {
         let beyond = self.cut.contains(&&member.zone);
         let worth_trying = || self.beyond_only && (!member.health.is_silent() || member.health.is_open(self.now));
         member.usable && (!beyond || worth_trying())
     }
 
+    /// Whether a member may be given work and is on this side of any cut.
+    pub(super) fn is_near(&self, member: &Member) -> bool {
+        member.usable && !self.cut.contains(&&member.zone)
+    }
+
     /// Whether nothing is behind a cut.
-    pub(super) fn is_whole(&self) -> bool {
+    pub(in crate::pool) fn is_whole(&self) -> bool {
         self.cut.is_empty()
     }
 
     /// Whether an engine can be copied from. One that is told to copy from an engine that says nothing waits in vain, and
-    /// reads all of it after that.
-    pub(super) fn can_copy(&self, member: &Member) -> bool {
-        !self.cut.contains(&&member.zone) && !member.health.is_silent()
+    /// reads all of it after that. Nor is one asked whose version is on trial or gets nothing any more: the former may be bad,
+    /// and the latter stops.
+    pub(in crate::pool) fn can_copy(&self, member: &Member) -> bool {
+        member.serves() && !self.cut.contains(&&member.zone) && !member.health.is_silent()
     }
 }
 
 impl Pool {
     /// What can be reached now.
-    pub(super) fn reach(&self, now: Moment) -> Reach<'_> {
+    pub(in crate::pool) fn reach(&self, now: Moment) -> Reach<'_> {
         let cut: Vec<_> = self.dark.iter().filter(|zone| self.is_cut(now, zone)).collect();
-        let beyond_only = !self.members.values().any(|member| member.usable && !cut.contains(&&member.zone));
+        let near = |member: &Member| member.usable && member.serves() && !cut.contains(&&member.zone);
+        let beyond_only = !self.members.values().any(near);
         Reach { now, cut, beyond_only }
     }
 
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -5,7 +5,10 @@
 use stairvale_placement::mix;
 use stairvale_types::{Moment, id};
 
-use super::{Pool, cold::Care, reach::Reach};
+use super::{
+    Pool,
+    allowance::{Chance, Resort, reach::Reach},
+};
 use crate::{Answer, Ask, Member, Part, Verdict, cache, member::Hold};
 
 /// What each running request costs the next one, in ms; it spreads work that would be as well anywhere.
@@ -43,6 +46,8 @@
     cost: f64,
     /// The time to the first event, in ms.
     expected: f64,
+    /// The same if the upstream is neither slower nor faster than the others.
+    due: f64,
     upstream: &'a id::Upstream,
     /// Tokens that it has to read.
     read: u32,
@@ -71,6 +76,16 @@
     }
 }
 
+/// What a decision knows before it looks at members.
+struct Look<'a> {
+    /// The most that one upstream may run.
+    bound: f64,
+    /// Who could be copied from, with tokens that it holds.
+    covers: Vec<(u32, &'a id::Upstream)>,
+    order: Order,
+    chance: Chance<'a>,
+}
+
 impl Pool {
     /// The most that one upstream may run, by the set multiple of the mean.
     #[allow(clippy::cast_precision_loss)]
@@ -79,7 +94,7 @@
             return f64::MAX;
         }
         let usable =
-            if within.is_whole() { self.usable } else { self.members.values().filter(|m| within.has(m)).count() };
+            if within.is_whole() { self.usable } else { self.members.values().filter(|m| within.reaches(m)).count() };
         let mean = self.places.len() as f64 / usable.max(1) as f64;
         // One less than allowed: what is on its way isn't seen by everybody at once.
         (mean * self.rules.multiple + self.rules.slack - 1.0).max(1.0)
@@ -102,46 +117,42 @@
         let within = self.reach(now);
         let bound = self.bound(&within);
         let full = self.full_holders(ask);
-        let covers = self.covers(ask, &within, &full);
-        let able = |member: &Member| within.has(member) && ask.allows(&member.zone) && !ask.avoid.contains(&member.id);
-        // Where none is well, any of them is better than a refusal.
-        let none_well = !self.members.values().any(|member| able(member) && member.health.is_open(now));
-        let order = self.order(&ask.parts);
-        let candidate = |member: &Member, care| {
-            let open = none_well || member.health.is_open(now);
-            open && able(member) && self.has_room(member, ask, bound) && self.bears(now, member, care)
+        let look = Look {
+            bound,
+            covers: self.covers(ask, &within, &full),
+            order: self.order(&ask.parts),
+            chance: Chance::new(self, now, ask, &within),
         };
-        let cheapest = {
+        let chosen: Vec<_> = self.versions.chosen(now, ask).iter().filter_map(|id| self.members.get(id)).collect();
+        let tried = self.best(&look, &chosen, Resort::TRIAL);
+        let is_tried = tried.is_some();
+        let cheapest = tried.or_else(|| {
             let enough = self.least_elsewhere(ask);
-            let full = self.best(now, ask, &covers, &order, &full, |member| candidate(member, Care::Full));
-            full.filter(|bid| bid.cost <= enough).or_else(|| {
+            self.best(&look, &full, Resort::FIRST).filter(|bid| bid.cost <= enough).or_else(|| {
                 let all: Vec<_> = self.members.values().collect();
-                let best = |care| self.best(now, ask, &covers, &order, &all, |member| candidate(member, care));
-                best(Care::Full).or_else(|| best(Care::Known))
+                self.resorts().iter().find_map(|resort| self.best(&look, &all, *resort))
             })
-        };
+        });
         let bid = cheapest?;
-        let Bid { expected, read, .. } = bid;
         let (upstream, source) = (bid.upstream.clone(), bid.source.cloned());
-        self.hold(now, ask, &upstream, read, expected, source.is_some());
+        let Bid { expected, due, read, .. } = bid;
+        if is_tried {
+            self.versions.give(ask.route);
+        }
+        self.hold(now, ask, &upstream, (read, expected, due), source.clone());
         let verdict = Verdict::Granted { upstream, read, source };
         Some(Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict })
     }
 
     /// The cheapest of some members.
-    fn best<'a>(
-        &self,
-        now: Moment,
-        ask: &Ask,
-        covers: &[(u32, &'a id::Upstream)],
-        order: &Order,
-        members: &[&'a Member],
-        is_candidate: impl Fn(&Member) -> bool,
-    ) -> Option<Bid<'a>> {
+    fn best<'a>(&self, look: &Look<'a>, members: &[&'a Member], resort: Resort) -> Option<Bid<'a>> {
+        let Chance { now, ask, .. } = look.chance;
+        let candidate =
+            |member: &Member| self.allows(&look.chance, member, resort) && self.has_room(member, ask, look.bound);
         let mut best: Option<(Bid<'a>, u64)> = None;
-        for member in members.iter().filter(|member| is_candidate(member)) {
-            let score = order.score(member);
-            let bid = self.bid(now, member, ask, covers, order.index(score));
+        for member in members.iter().filter(|member| candidate(member)) {
+            let score = look.order.score(member);
+            let bid = self.bid(now, member, ask, &look.covers, look.order.index(score));
             // Of two that cost the same the one that ranks first, as any router would have it.
             if best.as_ref().is_none_or(|(best, top)| (bid.cost, *top) < (best.cost, score)) {
                 best = Some((bid, score));
@@ -171,7 +182,14 @@
         lateness(time, ask.objective) + self.reading.time(lacks * COPY) - TRIAL
     }
 
-    fn hold(&mut self, now: Moment, ask: &Ask, upstream: &id::Upstream, read: u32, expected: f64, copies: bool) {
+    fn hold(
+        &mut self,
+        now: Moment,
+        ask: &Ask,
+        upstream: &id::Upstream,
+        (read, expected, due): (u32, f64, f64),
+        source: Option<id::Upstream>,
+    ) {
         let expected = if self.rules.engine.is_some() { expected } else { self.time };
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let Some(member) = self.members.get_mut(upstream) else {
@@ -189,7 +207,12 @@
             read,
             tokens,
             expected,
-            copies,
+            due,
+            source,
+            route: ask.route,
+            output: ask.output,
+            begun: None,
+            told: false,
             reads: reads.clone(),
         };
         member.hold(ask.attempt, hold);
@@ -261,19 +284,21 @@
         let (time, work) = if self.rules.engine.is_some() {
             let copying = f64::from(copied) * COPY_TIME;
             let time = self.reading.first(member.ahead() as f64 + f64::from(read) + copying);
-            (time * pace, self.reading.time(shared * AGAIN + f64::from(copied) * COPY))
+            (time, self.reading.time(shared * AGAIN + f64::from(copied) * COPY))
         } else {
             let over = f64::from(member.running()) / f64::from(member.slots);
-            (self.time * (1.0 + over * over) * pace, 0.0)
+            (self.time * (1.0 + over * over), 0.0)
         };
         let far = if member.zone == ask.zone { 0.0 } else { FAR };
         let step = index as f64 * STEP;
         // What may run twice shows whether an upstream that failed is well again.
         let tries = ask.repeatable && member.health.is_due(now);
         let failing = if tries { -TRIAL } else { member.health.doubt(now) * FAILING };
+        let due = time + crowd + far;
+        let time = time * pace;
         let cost = lateness(time, ask.objective) + work + crowd * pace + far + step + failing;
         let expected = time + crowd * pace + far;
-        Bid { cost, expected, upstream: &member.id, read, source: source.map(|(_, id)| *id) }
+        Bid { cost, expected, due, upstream: &member.id, read, source: source.map(|(_, id)| *id) }
     }
 }
 
