What a version on trial gets is spread over the chosen upstreams, and tested

Cause: with prices alone one of two chosen upstreams got all of a reservation where requests came from one zone, and a rare route gave two of three requests.

Change: chosen upstreams that are behind with what they got go first; one of two requests of a route goes to the old version.

A first version of the property counted a reservation as lost that was made before its version was on trial again; the trace (policy rolled back, reservation, policy on trial, ask) is allowed: what was reserved was counted in the store. The model says so now.

--- a/crates/stairvale-dispatch/src/pool/allowance/versions.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/versions.rs
@@ -17,6 +17,9 @@
 const DUE_MOST: f64 = 2.0;
 /// The part of what routes had before that counts with the next reservation.
 const KEPT: f64 = 0.5;
+/// Of the chosen ones none gets so many more than another one, in requests, while that one has room: which of them costs least
+/// may matter, and yet each is to be tried.
+const UNEVEN: u32 = 1;
 /// A route of which fewer requests than this count is forgotten.
 const FORGOTTEN: f64 = 0.1;
 
@@ -27,10 +30,8 @@
     seen: f64,
     /// Requests that it is to get yet.
     due: f64,
-    /// Those that could have been tried in this reservation...
-    asked: u32,
-    /// ... and those that were.
-    given: u32,
+    /// How many of its next requests aren't tried, this one included.
+    rests: u8,
 }
 
 /// A reservation that is being given out.
@@ -39,8 +40,8 @@
     reserved: Reservation,
     /// Requests that are left of it.
     left: u32,
-    /// The upstreams that it is given to.
-    chosen: Vec<id::Upstream>,
+    /// The upstreams that it is given to, with how many of it each of them got.
+    chosen: Vec<(id::Upstream, u32)>,
 }
 
 impl Spell {
@@ -86,25 +87,36 @@
         spell.is_some_and(|spell| ask.avoid.is_empty() && (ask.repeatable || spell.reserved.unrepeatable))
     }
 
-    /// The upstreams on trial that a request may go to.
-    pub(in crate::pool) fn chosen(&self, now: Moment, ask: &Ask) -> &[id::Upstream] {
+    /// The upstreams on trial that a request may go to, in two parts: those that are behind with what they get of the
+    /// reservation, and the others.
+    pub(in crate::pool) fn chosen(&self, now: Moment, ask: &Ask) -> [Vec<&id::Upstream>; 2] {
         let (Some(spell), true) = (&self.spell, self.may_try(now, ask)) else {
-            return &[];
+            return [Vec::new(), Vec::new()];
         };
         let portion = self.portions.get(&ask.route).copied().unwrap_or_default();
-        // Every other request of a route goes to the old version at least, to be compared with.
-        let in_turn = self.serving == 0 || portion.given * 2 < portion.asked + 1;
-        if portion.due >= DUE && in_turn { &spell.chosen } else { &[] }
+        if portion.due < DUE || (portion.rests > 0 && self.serving > 0) {
+            return [Vec::new(), Vec::new()];
+        }
+        let least = spell.chosen.iter().map(|(_, given)| *given).min().unwrap_or(0);
+        let part = |behind: bool| {
+            let part = spell.chosen.iter().filter(move |(_, given)| (*given <= least + UNEVEN) == behind);
+            part.map(|(id, _)| id).collect()
+        };
+        [part(true), part(false)]
     }
 
     /// A request was given to a chosen one.
-    pub(in crate::pool) fn give(&mut self, route: id::Route) {
+    pub(in crate::pool) fn give(&mut self, route: id::Route, upstream: &id::Upstream) {
         if let Some(spell) = &mut self.spell {
             spell.left = spell.left.saturating_sub(1);
+            for (_, given) in spell.chosen.iter_mut().filter(|(id, _)| id == upstream) {
+                *given += 1;
+            }
         }
         let portion = self.portions.entry(route).or_default();
         portion.due -= 1.0;
-        portion.given += 1;
+        // One of two requests of a route goes to the old version at least, to be compared with.
+        portion.rests = 2;
     }
 
     /// A request came: what the chosen ones are to get of it is shared out among the routes, half of it by how many requests
@@ -115,7 +127,7 @@
         if self.may_try(now, ask) {
             let portion = self.portions.entry(ask.route).or_default();
             portion.seen += 1.0;
-            portion.asked += 1;
+            portion.rests = portion.rests.saturating_sub(1);
         }
         let part = chosen as f64 / (self.serving + chosen).max(1) as f64;
         let all: f64 = self.portions.values().map(|portion| portion.seen).sum();
@@ -158,7 +170,7 @@
         let versions = &mut self.versions;
         versions.turn += 1;
         for portion in versions.portions.values_mut() {
-            *portion = Portion { seen: portion.seen * KEPT, due: portion.due, asked: 0, given: 0 };
+            portion.seen *= KEPT;
         }
         versions.portions.retain(|_, portion| portion.seen >= FORGOTTEN);
         versions.spell = Some(Spell { reserved: reservation, left: reservation.requests, chosen: Vec::new() });
@@ -210,21 +222,23 @@
         let fits = |member: &Member| {
             member.admission == Admission::Trial && within.is_near(member) && member.health.is_open(now)
         };
-        spell.chosen.retain(|id| self.members.get(id).is_some_and(fits));
+        spell.chosen.retain(|(id, _)| self.members.get(id).is_some_and(fits));
         let lacks = spell.reserved.over.saturating_sub(spell.chosen.len());
         let mut others = Vec::new();
         if lacks > 0 {
-            let fit = self.members.values().filter(|member| fits(member) && !spell.chosen.contains(&member.id));
+            let is_chosen = |member: &Member| spell.chosen.iter().any(|(id, _)| *id == member.id);
+            let fit = self.members.values().filter(|member| fits(member) && !is_chosen(member));
             let bears = |member: &Member| self.bears(now, member, super::Care::Full);
             others.extend(fit.map(|member| (!bears(member), member.turn, member.hash, member.id.clone())));
             others.sort_unstable();
             others.truncate(lacks);
         }
+        let least = spell.chosen.iter().map(|(_, given)| *given).min().unwrap_or(0);
         for (_, _, _, id) in others {
             if let Some(member) = self.members.get_mut(&id) {
                 member.turn = self.versions.turn;
             }
-            spell.chosen.push(id);
+            spell.chosen.push((id, least));
         }
         self.versions.spell = Some(spell);
     }
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -123,8 +123,10 @@
             order: self.order(&ask.parts),
             chance: Chance::new(self, now, ask, &within),
         };
-        let chosen: Vec<_> = self.versions.chosen(now, ask).iter().filter_map(|id| self.members.get(id)).collect();
-        let tried = self.best(&look, &chosen, Resort::TRIAL);
+        let tried = self.versions.chosen(now, ask).iter().find_map(|part| {
+            let members: Vec<_> = part.iter().filter_map(|id| self.members.get(*id)).collect();
+            self.best(&look, &members, Resort::TRIAL)
+        });
         let is_tried = tried.is_some();
         let cheapest = tried.or_else(|| {
             let enough = self.least_elsewhere(ask);
@@ -137,7 +139,7 @@
         let (upstream, source) = (bid.upstream.clone(), bid.source.cloned());
         let Bid { expected, due, read, .. } = bid;
         if is_tried {
-            self.versions.give(ask.route);
+            self.versions.give(ask.route, &upstream);
         }
         self.hold(now, ask, &upstream, (read, expected, due), source.clone());
         let verdict = Verdict::Granted { upstream, read, source };
--- /dev/null
+++ b/crates/stairvale-dispatch/tests/histories.rs
@@ -0,0 +1,297 @@
+//! What holds of roll-outs at a home whatever happens, in any order.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use fleet::{ask, at, engines, listings, place, policy, pool, reservation, version};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use stairvale_dispatch::{
+    Answer, Ask, Held, Member, Outcome, Pool, Verdict,
+    pool::{Cold, Rules},
+};
+use stairvale_rollout::{
+    Admission::{Any, Last, Nothing, Trial},
+    Cause, Policy, Reservation, Stage,
+};
+use stairvale_types::id;
+
+/// What may happen at the routers that are, or were, a service's home.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An ask at a pool, of this shape.
+    Ask(u8),
+    /// A request ends somehow.
+    End(u8),
+    /// Its first event comes.
+    Begin(u8),
+    /// Time passes.
+    Pass(u8),
+    /// So many requests are reserved, over so many upstreams.
+    Reserve(u8),
+    /// The policy changes.
+    Policy(u8),
+    /// Another router is the home from now on: entries name to it what they run.
+    TakeOver,
+    /// An upstream leaves, or comes back.
+    Change(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let value = u8::arbitrary(g);
+        match u8::arbitrary(g) % 16 {
+            0..=6 => Self::Ask(value),
+            7..=8 => Self::End(value),
+            9 => Self::Begin(value),
+            10..=11 => Self::Pass(value),
+            12..=13 => Self::Reserve(value),
+            14 => {
+                if value % 4 == 0 {
+                    Self::TakeOver
+                } else {
+                    Self::Policy(value)
+                }
+            }
+            _ => Self::Change(value),
+        }
+    }
+}
+
+fn some_policy(value: u8) -> Option<Policy> {
+    let stage = match value % 8 {
+        0..=3 => Stage::Trial,
+        4 => Stage::Moving,
+        5 => Stage::Completed,
+        6 => Stage::RolledBack(Cause::Failing),
+        _ => return None,
+    };
+    let target = version(if (value / 8).is_multiple_of(4) { "v3" } else { "v2" });
+    let rejected = if (value / 32).is_multiple_of(4) { vec![version("v3")] } else { Vec::new() };
+    Some(Policy { target, stage, rejected })
+}
+
+/// What stands at one router.
+struct Home {
+    pool: Pool,
+    policy: Option<Policy>,
+    /// What is left of the last reservation, and until when.
+    left: u32,
+    until: u64,
+    /// Whether that holds for requests that may run only once.
+    once: bool,
+}
+
+quickcheck! {
+    /// Whatever comes in which order, at whichever router: a version on trial gets nothing that wasn't reserved for it there, an
+    /// upstream that may get nothing gets nothing, and one that the fleet leaves is no better than one that it moves to.
+    fn nothing_is_given_that_the_policy_does_not_allow(plain: bool, steps: Vec<Step>) -> bool {
+        let rules = if plain { Rules::default() } else { engines() };
+        let mut homes: Vec<_> = (0..2).map(|_| {
+            let mut known = listings(3, 3, 3);
+            known[0].version = None;
+            known[5].version = Some(version("v3"));
+            let mut pool = Pool::new(rules);
+            pool.set_members(at(0), &known);
+            Home { pool, policy: None, left: 0, until: 0, once: false }
+        }).collect();
+        let (mut home, mut now, mut asked) = (0, 1_u64, 0_u64);
+        let mut repeatable = BTreeMap::new();
+        let mut running: Vec<Held> = Vec::new();
+        for step in steps {
+            let Home { pool, policy, left, until, once } = &mut homes[home];
+            let any = |value: u8| usize::from(value).checked_rem(running.len());
+            let mut released = None;
+            let answers = match step {
+                Step::Ask(value) => {
+                    asked += 1;
+                    let key = u64::from(value % 5);
+                    let parts = [(key, 700), (10 + key, 2_000), (1_000 + asked, 100)];
+                    let mut ask = ask(u128::from(asked), u64::from(value % 3), if plain { &[] } else { &parts });
+                    ask.repeatable = value % 4 != 0;
+                    if value % 7 == 0 {
+                        ask.avoid = vec!["o1".parse().unwrap()];
+                    }
+                    repeatable.insert(ask.attempt, (ask.repeatable, ask.avoid.is_empty()));
+                    pool.ask(at(now), ask)
+                }
+                Step::End(value) => {
+                    let Some(held) = any(value).map(|index| running.swap_remove(index)) else { continue };
+                    let outcomes = [Outcome::Served, Outcome::Served, Outcome::Failed, Outcome::Silent, Outcome::Abandoned];
+                    released = Some(held.attempt);
+                    pool.release(at(now), held.attempt, outcomes[usize::from(value % 5)], Some(Duration::from_millis(9)))
+                }
+                Step::Begin(value) => {
+                    let Some(index) = any(value) else { continue };
+                    pool.begun(at(now), running[index].attempt, Duration::from_millis(u64::from(value)))
+                }
+                Step::Pass(value) => {
+                    now += u64::from(value);
+                    pool.renew(at(now), &"r1".parse().unwrap(), &running);
+                    pool.tick(at(now))
+                }
+                Step::Reserve(value) => {
+                    let until_ms = now + u64::from(value) * 4;
+                    let unrepeatable = value % 8 == 0;
+                    let requests = u32::from(value % 16);
+                    pool.reserve(Reservation { unrepeatable, ..reservation(requests, until_ms, usize::from(value % 4)) });
+                    (*left, *until, *once) = (requests, until_ms, unrepeatable);
+                    Vec::new()
+                }
+                Step::Policy(value) => {
+                    let next = some_policy(value);
+                    // What was reserved for a version holds as long as that one is on trial.
+                    let target = |policy: &Option<Policy>| policy.as_ref().map(|policy| policy.target.clone());
+                    let is_trial = next.as_ref().is_some_and(|next| next.stage == Stage::Trial);
+                    if *policy != next && !(is_trial && target(policy) == target(&next)) {
+                        *left = 0;
+                    }
+                    policy.clone_from(&next);
+                    pool.set_policy(at(now), next)
+                }
+                Step::TakeOver => {
+                    home = 1 - home;
+                    let pool = &mut homes[home].pool;
+                    pool.renew(at(now), &"r1".parse().unwrap(), &running)
+                }
+                Step::Change(value) => {
+                    let mut known = listings(3, 3, 3);
+                    known[0].version = None;
+                    known[5].version = Some(version("v3"));
+                    for (index, listing) in known.iter_mut().enumerate() {
+                        listing.usable = usize::from(value) % 8 != index;
+                    }
+                    pool.set_members(at(now), &known)
+                }
+            };
+            let Home { pool, policy, left, until, once } = &mut homes[home];
+            for answer in answers {
+                let Verdict::Granted { upstream, read, source } = answer.verdict else { continue };
+                let held = Held { attempt: answer.attempt, upstream: upstream.clone(), read, customer: None, route: id::Route(0) };
+                if Some(answer.attempt) != released {
+                    running.push(held);
+                }
+                let of = |id: &id::Upstream| pool.members().find(|member| &member.id == id).and_then(|member| member.version.clone());
+                let Some(policy) = policy else { continue };
+                let admits = |id: &id::Upstream| policy.admits(of(id).as_ref());
+                let allowed = match admits(&upstream) {
+                    Any | Last => true,
+                    Nothing => false,
+                    Trial => {
+                        let (may_run_twice, first) = repeatable[&answer.attempt];
+                        let allowed = *left > 0 && now < *until && (may_run_twice || *once) && first;
+                        *left = left.saturating_sub(1);
+                        allowed
+                    }
+                };
+                if !allowed || source.is_some_and(|source| matches!(admits(&source), Trial | Nothing)) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
+
+/// The same history at two pools: what each of them decided.
+fn history(pool: &mut Pool, with_policies: bool, steps: &[(u8, u8, u8)]) -> Vec<Vec<Answer>> {
+    let mut known = listings(5, 5, 6);
+    known[4].version = None;
+    pool.set_members(at(0), &known);
+    if with_policies {
+        pool.set_policy(at(0), policy(Stage::Trial));
+    }
+    let mut decided = Vec::new();
+    for (number, (kind, key, time)) in steps.iter().enumerate() {
+        let now = at(number as u64 * 7 + u64::from(*time % 8));
+        let attempt = id::Attempt(number as u128);
+        let earlier = id::Attempt(number.saturating_sub(usize::from(*time) % 9) as u128);
+        decided.push(match kind % 10 {
+            0..=4 => {
+                let key = u64::from(key % 9);
+                let parts = [
+                    (key % 3 + 1, 900 + 700 * (key % 3) as u32),
+                    (10 + key, 300 + 900 * key as u32),
+                    (1_000 + number as u64, 120),
+                ];
+                let parts = if key == 8 { &parts[2..] } else { &parts[..] };
+                pool.ask(now, Ask { attempt, repeatable: time % 4 != 0, ..ask(0, u64::from(time % 3), parts) })
+            }
+            5 => pool.begun(now, earlier, Duration::from_millis(u64::from(*time))),
+            6 => {
+                let outcomes = [Outcome::Served, Outcome::Failed, Outcome::Silent, Outcome::Abandoned];
+                pool.release(now, earlier, outcomes[usize::from(*key % 4)], None)
+            }
+            7 if with_policies => pool.set_policy(now, some_policy(*key)),
+            8 if with_policies => {
+                pool.reserve(Reservation {
+                    until: now + Duration::from_millis(90),
+                    ..reservation(u32::from(*key % 9), 0, 2)
+                });
+                Vec::new()
+            }
+            _ => {
+                let one = usize::from(*key) % known.len();
+                known[one].revision += 1;
+                known[one].usable = *time % 3 != 0;
+                known[one].cold = Duration::from_millis(u64::from(*time % 2) * 30);
+                pool.update(now, &known[one..=one], &[])
+            }
+        });
+    }
+    decided
+}
+
+fn cold_rules() -> Rules {
+    Rules { cold: Some(Cold { pace: 10.0, bound: 20.0, time: Duration::from_millis(50) }), ..engines() }
+}
+
+quickcheck! {
+    /// Looking only at those that hold a prompt's beginning decides as looking at all does, whatever the policy.
+    fn a_short_look_decides_as_a_whole_one_under_any_policy(steps: Vec<(u8, u8, u8)>) -> bool {
+        let (mut short, mut whole) = (Pool::new(cold_rules()), Pool::new(cold_rules()).with_whole_look());
+        history(&mut short, true, &steps) == history(&mut whole, true, &steps)
+    }
+
+    /// A roll-out to a version that no upstream has changes no decision, and neither do versions without a roll-out.
+    fn without_a_version_to_try_nothing_changes(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut plain = Pool::new(cold_rules());
+        let mut ordered = Pool::new(cold_rules());
+        let target = version("v9");
+        ordered.set_policy(at(0), Some(Policy { target, stage: Stage::Trial, rejected: Vec::new() }));
+        ordered.reserve(reservation(100, 1_000_000, 3));
+        history(&mut plain, false, &steps) == history(&mut ordered, false, &steps)
+    }
+
+    /// While the fleet moves, no engine runs more than the multiple of the mean and the slack allow.
+    fn the_bound_holds_while_the_fleet_moves(steps: Vec<(u8, bool)>) -> bool {
+        let mut pool = pool(engines(), 5, 5, 64);
+        let mut running = Vec::new();
+        for (number, (key, ends)) in steps.into_iter().enumerate() {
+            let now = at(number as u64);
+            if number == 20 {
+                pool.set_policy(now, policy(Stage::Moving));
+            }
+            if ends && !running.is_empty() {
+                pool.release(now, running.remove(usize::from(key) % running.len()), Outcome::Served, None);
+                continue;
+            }
+            let attempt = id::Attempt(number as u128);
+            let want = Ask { attempt, ..ask(0, 0, &[(u64::from(key % 3), 5_000), (number as u64 + 1_000, 100)]) };
+            let before: u32 = pool.members().map(Member::running).sum();
+            if let Some(place) = place(&pool.ask(now, want)) {
+                running.push(attempt);
+                pool.begun(now, attempt, Duration::from_millis(50));
+                let held = f64::from(pool.running(&place) - 1);
+                if held > 2.0 * f64::from(before) / 10.0 + 3.0 {
+                    return false;
+                }
+            } else {
+                pool.forget(now, attempt);
+            }
+        }
+        true
+    }
+}
