A pool that nobody asks for what it saw drops it; chosen upstreams are looked at fifty times a second

Cause: a router that isn't the home gathered observations without end being asked for them, and would have told them as if they were new. Every request looked at all chosen upstreams. Upstreams that may get nothing were counted as ready.

Change: what nobody asked for in two seconds is dropped. Chosen upstreams are checked every 20 ms. Benchmarks of a decision during a trial and while the fleet moves, and of the facts. More tests: what is told once, what entries saw, a stream's time, what is on trial changes nothing of what the old version gets.

--- a/crates/stairvale-dispatch/benches/pool.rs
+++ b/crates/stairvale-dispatch/benches/pool.rs
@@ -9,6 +9,7 @@
     Ask, Listing, Outcome, Part, Pool,
     pool::{Cold, Rules},
 };
+use stairvale_rollout::{Policy, Reservation, Stage};
 use stairvale_types::{Moment, id, unit};
 
 fn main() {
@@ -92,6 +93,43 @@
     });
 }
 
+/// The same while a version is on trial that as many engines have beside these, a thirtieth of which are given a part.
+#[divan::bench(args = ENGINES, sample_count = 10, sample_size = 200)]
+fn request_on_trial(bencher: Bencher, engines: usize) {
+    with_policy(bencher, engines, Stage::Trial);
+}
+
+/// The same just after the fleet began to move to that version.
+#[divan::bench(args = ENGINES, sample_count = 10, sample_size = 200)]
+fn request_while_moving(bencher: Bencher, engines: usize) {
+    with_policy(bencher, engines, Stage::Moving);
+}
+
+fn with_policy(bencher: Bencher, engines: usize, stage: Stage) {
+    let (mut pool, mut now, mut number) = pool(engines);
+    let target: id::Version = "v2".parse().unwrap();
+    let new = |index| Listing { version: Some(target.clone()), ..listing(index) };
+    let new: Vec<_> = (engines..2 * engines).map(new).collect();
+    pool.update(Moment(now), &new, &[]);
+    let policy = Policy { target, stage, rejected: Vec::new() };
+    pool.set_policy(Moment(now), Some(policy));
+    pool.reserve(Reservation { requests: u32::MAX, until: Moment(u64::MAX), over: engines / 30, unrepeatable: false });
+    bencher.bench_local(|| {
+        number += 1;
+        now += 1_000_000 / (engines as u64 * 5);
+        step(&mut pool, now, number, engines as u64 * 5);
+        if number.is_multiple_of(64) {
+            black_box(pool.report());
+        }
+    });
+}
+
+#[divan::bench(args = ENGINES, sample_count = 10, sample_size = 200)]
+fn facts(bencher: Bencher, engines: usize) {
+    let (pool, now, _) = pool(engines);
+    bencher.bench_local(|| black_box(pool.facts(Moment(now))));
+}
+
 #[divan::bench(args = ENGINES, sample_count = 10, sample_size = 20)]
 fn change_of_one(bencher: Bencher, engines: usize) {
     let (mut pool, now, _) = pool(engines);
--- a/crates/stairvale-dispatch/src/pool/allowance/versions.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/versions.rs
@@ -4,7 +4,7 @@
 //! Each of them is given as many of the service's requests as an old one gets on average, so that what is bad under load
 //! shows, and every route gets its part.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use stairvale_rollout::{Admission, Facts, Policy, Reservation, Stage};
 use stairvale_types::{Moment, id};
@@ -20,6 +20,9 @@
 /// Of the chosen ones none gets so many more than another one, in requests, while that one has room: which of them costs least
 /// may matter, and yet each is to be tried.
 const UNEVEN: u32 = 1;
+/// Chosen upstreams are looked at again after this long, whether they can still be given anything: short beside a
+/// reservation's time, and long beside the pause between two requests of a busy service.
+const LOOK: Duration = Duration::from_millis(20);
 /// A route of which fewer requests than this count is forgotten.
 const FORGOTTEN: f64 = 0.1;
 
@@ -42,6 +45,8 @@
     left: u32,
     /// The upstreams that it is given to, with how many of it each of them got.
     chosen: Vec<(id::Upstream, u32)>,
+    /// When these were looked at last.
+    looked: Option<Moment>,
 }
 
 impl Spell {
@@ -150,7 +155,7 @@
         }
         let same = before.zip(policy.as_ref()).is_some_and(|(before, policy)| before.target == policy.target);
         if !same {
-            self.watch.clear();
+            self.watch.clear(now);
         }
         // What was reserved for one version's trial is nobody else's.
         if !same || policy.as_ref().is_none_or(|policy| policy.stage != Stage::Trial) {
@@ -173,7 +178,8 @@
             portion.seen *= KEPT;
         }
         versions.portions.retain(|_, portion| portion.seen >= FORGOTTEN);
-        versions.spell = Some(Spell { reserved: reservation, left: reservation.requests, chosen: Vec::new() });
+        versions.spell =
+            Some(Spell { reserved: reservation, left: reservation.requests, chosen: Vec::new(), looked: None });
     }
 
     /// What a roll-out's decisions need to know of the upstreams.
@@ -184,7 +190,8 @@
         let within = self.reach(now);
         for member in self.members.values() {
             // One that failed and is only being tried can't be counted on.
-            let ready = usize::from(within.reaches(member) && !member.health.is_trial());
+            let may = member.admission != Admission::Nothing;
+            let ready = usize::from(may && within.reaches(member) && !member.health.is_trial());
             if member.is_new {
                 facts.ready_new += ready;
                 facts.running_new += member.running();
@@ -215,9 +222,11 @@
     /// Chooses the upstreams that a reservation is given to, and others in place of those that can't be given anything any
     /// more: those first that weren't chosen for the longest time.
     fn choose(&mut self, now: Moment) {
-        let Some(mut spell) = self.versions.spell.take() else {
+        let due = |spell: &mut Spell| spell.looked.is_none_or(|at| now.since(at) >= LOOK);
+        let Some(mut spell) = self.versions.spell.take_if(due) else {
             return;
         };
+        spell.looked = Some(now);
         let within = self.reach(now);
         let fits = |member: &Member| {
             member.admission == Admission::Trial && within.is_near(member) && member.health.is_open(now)
--- a/crates/stairvale-dispatch/src/pool/watch.rs
+++ b/crates/stairvale-dispatch/src/pool/watch.rs
@@ -21,6 +21,8 @@
 /// Observations that are kept until they are asked for, several hundred times what comes between two times; the oldest give
 /// way, as where nobody asks.
 const KEPT: usize = 8_192;
+/// What nobody asked for in this time is dropped: who becomes the home judges by what happens then.
+const STALE: Duration = Duration::from_secs(2);
 /// Answers on a route after which it is known what they usually take.
 const ENOUGH: u32 = 10;
 /// How much one answer counts in what is usual.
@@ -67,6 +69,9 @@
 pub(super) struct Watch {
     requests: u64,
     seen: VecDeque<Observation>,
+    /// Whether it was asked for since time passed last, and when that was so last.
+    asked: bool,
+    at: Moment,
     usual: RapidHashMap<id::Route, Usual>,
 }
 
@@ -76,12 +81,22 @@
         self.requests += 1;
     }
 
-    /// Another version is ordered.
-    pub(super) fn clear(&mut self) {
+    /// Begins anew: another version is ordered, or nobody asked for what was seen.
+    pub(super) fn clear(&mut self, now: Moment) {
+        self.at = now;
         self.requests = 0;
         self.seen.clear();
     }
 
+    /// Time passes.
+    fn pass(&mut self, now: Moment) {
+        if std::mem::take(&mut self.asked) {
+            self.at = now;
+        } else if now.since(self.at) >= STALE {
+            self.clear(now);
+        }
+    }
+
     fn see(&mut self, member: &Member, route: id::Route, answer: Answer) {
         if self.seen.len() >= KEPT {
             self.seen.pop_front();
@@ -117,6 +132,7 @@
 impl Pool {
     /// What was seen since this was asked last, while a roll-out is under way.
     pub fn report(&mut self) -> Report {
+        self.watch.asked = true;
         let seen = std::mem::take(&mut self.watch.seen);
         Report { requests: std::mem::take(&mut self.watch.requests), observations: seen.into() }
     }
@@ -210,6 +226,7 @@
         if !self.versions.is_watched() {
             return;
         }
+        self.watch.pass(now);
         let is_engine = self.rules.engine.is_some();
         let watch = &self.watch;
         let late = |hold: &Hold| {
--- a/crates/stairvale-dispatch/tests/histories.rs
+++ b/crates/stairvale-dispatch/tests/histories.rs
@@ -196,8 +196,8 @@
 }
 
 /// The same history at two pools: what each of them decided.
-fn history(pool: &mut Pool, with_policies: bool, steps: &[(u8, u8, u8)]) -> Vec<Vec<Answer>> {
-    let mut known = listings(5, 5, 6);
+fn history(pool: &mut Pool, new: usize, with_policies: bool, steps: &[(u8, u8, u8)]) -> Vec<Vec<Answer>> {
+    let mut known = listings(5, new, 6);
     known[4].version = None;
     pool.set_members(at(0), &known);
     if with_policies {
@@ -233,7 +233,7 @@
                 Vec::new()
             }
             _ => {
-                let one = usize::from(*key) % known.len();
+                let one = usize::from(*key) % if with_policies { 10 } else { 5 };
                 known[one].revision += 1;
                 known[one].usable = *time % 3 != 0;
                 known[one].cold = Duration::from_millis(u64::from(*time % 2) * 30);
@@ -252,7 +252,7 @@
     /// Looking only at those that hold a prompt's beginning decides as looking at all does, whatever the policy.
     fn a_short_look_decides_as_a_whole_one_under_any_policy(steps: Vec<(u8, u8, u8)>) -> bool {
         let (mut short, mut whole) = (Pool::new(cold_rules()), Pool::new(cold_rules()).with_whole_look());
-        history(&mut short, true, &steps) == history(&mut whole, true, &steps)
+        history(&mut short, 5, true, &steps) == history(&mut whole, 5, true, &steps)
     }
 
     /// A roll-out to a version that no upstream has changes no decision, and neither do versions without a roll-out.
@@ -262,7 +262,15 @@
         let target = version("v9");
         ordered.set_policy(at(0), Some(Policy { target, stage: Stage::Trial, rejected: Vec::new() }));
         ordered.reserve(reservation(100, 1_000_000, 3));
-        history(&mut plain, false, &steps) == history(&mut ordered, false, &steps)
+        history(&mut plain, 5, false, &steps) == history(&mut ordered, 5, false, &steps)
+    }
+
+    /// While nothing is reserved, a version on trial changes nothing of what the old one gets.
+    fn a_version_on_trial_is_as_good_as_not_there(steps: Vec<(u8, u8, u8)>) -> bool {
+        let rules = Rules { multiple: 0.0, ..cold_rules() };
+        let (mut alone, mut ordered) = (Pool::new(rules), Pool::new(rules));
+        ordered.set_policy(at(0), policy(Stage::Trial));
+        history(&mut alone, 0, false, &steps) == history(&mut ordered, 5, false, &steps)
     }
 
     /// While the fleet moves, no engine runs more than the multiple of the mean and the slack allow.
--- a/crates/stairvale-dispatch/tests/rollout.rs
+++ b/crates/stairvale-dispatch/tests/rollout.rs
@@ -11,7 +11,7 @@
 
 use fleet::{ask, at, engines, is_new, listings, place, policy, pool, reservation, source, tried, version};
 use stairvale_dispatch::{
-    Ask, Outcome, Pool, Verdict,
+    Ask, Outcome, Part, Pool, Verdict,
     pool::{Cold, Rules},
 };
 use stairvale_rollout::{Cause, Policy, Reservation, Stage};
@@ -270,6 +270,18 @@
     assert!(moved.is_empty());
 }
 
+#[test]
+fn what_only_a_version_on_trial_is_known_to_hold_is_learned_from_entries() {
+    let mut pool = pool(engines(), 2, 1, 16);
+    pool.set_policy(at(1), policy(Stage::Trial));
+    let parts = [Part { id: 7, tokens: 2_000 }, Part { id: 8, tokens: 6_000 }];
+    pool.learn_prefixes(&"n0".parse().unwrap(), &parts);
+    let old: id::Upstream = "o1".parse().unwrap();
+    let seen = Some((2, old.clone()));
+    let asked = Ask { seen, ..ask(1, 0, &[(7, 2_000), (8, 6_000), (100, 100)]) };
+    assert_eq!(place(&pool.ask(at(10), asked)), Some(old));
+}
+
 #[test]
 fn nobody_waits_for_what_is_read_on_trial() {
     let mut pool = pool(engines(), 2, 1, 16);
--- a/crates/stairvale-dispatch/tests/watch.rs
+++ b/crates/stairvale-dispatch/tests/watch.rs
@@ -119,6 +119,33 @@
     }
 }
 
+#[test]
+fn what_was_told_while_it_ran_is_not_told_again() {
+    let mut pool = known(engines());
+    let upstream = place(&pool.ask(at(10_010), ask(1, 0, &[(1, 300)]))).unwrap();
+    let held = Held { attempt: id::Attempt(1), upstream, read: 300, customer: None, route: id::Route(0) };
+    pool.renew(at(11_000), &"r1".parse().unwrap(), &[held]);
+    pool.tick(at(11_010));
+    assert_eq!(told(&mut pool)[&false], [Seen::Slow]);
+    pool.begun(at(11_100), id::Attempt(1), Duration::from_millis(1_090));
+    pool.release(at(11_200), id::Attempt(1), Outcome::Failed, None);
+    assert!(told(&mut pool).is_empty());
+}
+
+#[test]
+fn a_stream_has_its_time_from_its_first_event_on() {
+    let mut pool = known(engines());
+    let upstream = place(&pool.ask(at(10_010), ask(1, 0, &[(1, 300)]))).unwrap();
+    let held = [Held { attempt: id::Attempt(1), upstream, read: 0, customer: None, route: id::Route(0) }];
+    pool.begun(at(10_110), id::Attempt(1), Duration::from_millis(100));
+    // It may take three times 50 ms and 60 more.
+    for (now, slow) in [(10_300, false), (10_400, true)] {
+        pool.renew(at(now), &"r1".parse().unwrap(), &held);
+        pool.tick(at(now));
+        assert_eq!(!told(&mut pool).is_empty(), slow, "{now}");
+    }
+}
+
 #[test]
 fn a_new_home_counts_how_the_requests_of_the_last_one_end() {
     let mut pool = pool(engines(), 1, 1, 64);
@@ -212,3 +239,29 @@
     assert_eq!(report.requests, 20_000);
     assert!(report.observations.len() < 10_000);
 }
+
+#[test]
+fn a_router_that_was_not_asked_for_long_tells_only_what_is_new() {
+    let mut pool = pool(Rules::default(), 1, 1, 8);
+    pool.set_policy(at(0), policy(Stage::Trial));
+    let one = |pool: &mut Pool, number: u64| {
+        pool.ask(at(number), ask(u128::from(number), 0, &[]));
+        pool.release(at(number), id::Attempt(u128::from(number)), Outcome::Served, Some(Duration::from_millis(5)));
+    };
+    for now in (10..5_000).step_by(50) {
+        one(&mut pool, now);
+        pool.tick(at(now));
+    }
+    one(&mut pool, 5_010);
+    let report = pool.report();
+    assert!((1..=41).contains(&report.requests), "{}", report.requests);
+    assert!(report.observations.len() <= 41);
+    // Who is asked all the time tells all of it.
+    let mut told = 0;
+    for now in (6_000..10_000).step_by(50) {
+        one(&mut pool, now);
+        pool.tick(at(now));
+        told += pool.report().requests;
+    }
+    assert_eq!(told, 80);
+}
