--- a/crates/stairvale-rollout/src/baseline.rs
+++ b/crates/stairvale-rollout/src/baseline.rs
@@ -11,15 +11,15 @@
 /// Memory for trouble that lasts.
 const SLOW: Duration = Duration::from_secs(4);
 /// A shorter memory begins with so many answers of the next longer one, so that a single bad answer in it says little.
-const PRIOR: f64 = 8.0;
+const PRIOR: f64 = 6.0;
 /// A version that fails less often than this is no worse than one that never fails: callers' retries hide it.
 const FLOOR: f64 = 0.02;
 /// Beyond this share nothing can be told from the comparison.
 const CEILING: f64 = 0.7;
 /// What is taken where the old version was never seen: far more than upstreams usually fail.
-const UNSEEN: f64 = 0.1;
+const UNSEEN: f64 = 0.05;
 /// The old version is compared with as long as it gets this part of the requests that it got some seconds before.
-const STILL: f64 = 0.5;
+const STILL: f64 = 0.7;
 /// Answers in the last seconds without which there is nothing to compare with.
 const FEWEST: f64 = 10.0;
 
@@ -71,6 +71,12 @@
         self.bad += u64::from(is_bad);
     }
 
+    /// Whether enough was seen of the old version in the last seconds to compare with it.
+    #[must_use]
+    pub fn is_known(&self, now: Moment) -> bool {
+        self.slow.at(now, SLOW).answers >= FEWEST
+    }
+
     /// Whether the old version still gets about what it got, so that trouble of both would show there.
     #[must_use]
     pub fn is_recent(&self, now: Moment) -> bool {
@@ -78,11 +84,19 @@
         slow >= FEWEST && fast * SLOW.as_secs_f64() >= STILL * slow * FAST.as_secs_f64()
     }
 
-    /// The share of bad answers that a good version might have now, in 0.02 to 0.7.
+    /// The share of bad answers that a good version might have now, in 0.02 to 0.7. The last seconds count if they are worse
+    /// than the usual for sure, and so do the last tenths of a second: else what is compared would be the worst of three by chance.
     #[must_use]
     pub fn share(&self, now: Moment) -> f64 {
         let [usual, lately, just_now] = self.shares(now);
-        (usual.share + usual.error).max(lately.share + lately.error).max(just_now.share).clamp(FLOOR, CEILING)
+        let mut share = usual.share + usual.error;
+        if lately.share - lately.error > usual.share {
+            share = share.max(lately.share + lately.error);
+        }
+        if just_now.share - just_now.error > lately.share {
+            share = share.max(just_now.share);
+        }
+        share.clamp(FLOOR, CEILING)
     }
 
     /// How much higher the share of bad answers is than it was, if that isn't chance.
--- a/crates/stairvale-rollout/src/evidence.rs
+++ b/crates/stairvale-rollout/src/evidence.rs
@@ -14,17 +14,25 @@
 /// What a sum must reach. A good version reaches it once in more than e^9, some 8,000, answers, and once in far more where it
 /// fails less often than the share that it is compared with.
 const THRESHOLD: f64 = 9.0;
-/// What it must still be without the worst upstream.
-const WITHOUT: f64 = 7.0;
+/// What it must still be without the worst upstream...
+const WITHOUT: f64 = 6.0;
+/// ... and where that one gave more than [`MOST`] of the bad answers: then the others' may be those that a route has by itself.
+const WITHOUT_WORST: f64 = 8.0;
+/// A part of the bad answers.
+const MOST: f64 = 0.6;
 /// From here on other upstreams should be tried, too.
 const SUSPICION: f64 = 3.0;
-/// Bad answers, without those of the worst upstream, below which nothing is decided.
-const FEWEST: u32 = 4;
+/// Bad answers below which nothing is decided: some upstreams that crash at once give about as many before they are left.
+const FEWEST: u32 = 14;
+/// Fewer are enough of upstreams that answered well afterwards: those haven't crashed.
+const FEWEST_OUTLIVED: u32 = 9;
+/// And those without the worst upstream's.
+const FEWEST_OTHERS: u32 = 4;
 /// Bad answers by which a version is condemned by one upstream alone, where no other was tried.
-const ALONE: u32 = 22;
+const ALONE: u32 = 25;
 /// Of the answers that a version's upstreams gave, those that came from upstreams with bad ones must be this part of what
 /// an evenly bad version would show: a zone that is cut off is a third of the upstreams.
-const SPREAD: f64 = 0.6;
+const SPREAD: f64 = 0.65;
 
 /// The sums of one stream of answers.
 #[derive(Clone, Copy, Debug, Default)]
@@ -48,6 +56,8 @@
     answers: u32,
     failed: u32,
     slow: u32,
+    /// Bad answers that were followed by a good one.
+    outlived: u32,
 }
 
 impl Seen {
@@ -93,7 +103,7 @@
         let seen = self.seen.entry(upstream.clone()).or_default();
         seen.answers += 1;
         match answer {
-            Answer::Good => {}
+            Answer::Good => seen.outlived = seen.bad(),
             Answer::Failed => seen.failed += 1,
             Answer::Slow => seen.slow += 1,
         }
@@ -111,13 +121,19 @@
         self.without.len() > 1 && self.lowest() >= SUSPICION
     }
 
-    /// How the version is bad, if it is. `caution` raises what must be reached, where there is nothing to compare with.
+    /// How the version is bad, if it is. `caution` raises what must be reached, where there is nothing to compare with;
+    /// `waiting` are bad answers that aren't weighed yet.
     #[must_use]
-    pub fn verdict(&self, caution: f64) -> Option<Cause> {
+    pub fn verdict(&self, caution: f64, waiting: u32) -> Option<Cause> {
         let bad: u32 = self.seen.values().map(|seen| seen.bad()).sum();
         let worst = self.seen.values().map(|seen| seen.bad()).max().unwrap_or(0);
+        let outlived: u32 = self.seen.values().map(|seen| seen.outlived).sum();
         let is_of_others = if self.without.len() > 1 {
-            self.lowest() >= WITHOUT * caution && bad - worst >= FEWEST && self.is_spread(bad)
+            let least = if f64::from(worst) > MOST * f64::from(bad) { WITHOUT_WORST } else { WITHOUT };
+            self.lowest() >= least * caution
+                && (bad + waiting >= FEWEST || outlived >= FEWEST_OUTLIVED)
+                && bad - worst >= FEWEST_OTHERS
+                && self.is_spread(bad)
         } else {
             bad >= ALONE
         };
--- a/crates/stairvale-rollout/src/judge.rs
+++ b/crates/stairvale-rollout/src/judge.rs
@@ -1,7 +1,7 @@
 //! Whether a version is bad, by what became of its requests beside the old version's.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -15,10 +15,12 @@
 
 /// The new version's answers are weighed so much later, when the old version has shown the trouble of the same moment, too.
 const WAIT: Duration = Duration::from_millis(500);
-/// Among so many first answers of an upstream slow ones say nothing until a later one is slow, too: it may have been cold.
+/// Among so many first answers of an upstream slow ones say nothing: it may have been cold...
 const COLD: u32 = 2;
+/// ... until later ones were slow at so many upstreams.
+const WARM: usize = 2;
 /// How much more must speak against a version where the old one gets too little to be compared with.
-const CAUTION: f64 = 5.0;
+const CAUTION: f64 = 8.0;
 /// Beyond this share nothing can be told from the comparison.
 const HIGHEST: f64 = 0.7;
 /// Answers of each route and upstream that are kept until they are weighed.
@@ -66,16 +68,12 @@
     whole: Pair,
     /// Answers of the new version that aren't weighed yet, in the order in which they came.
     waiting: VecDeque<(Moment, Observation)>,
-    /// The first answers of each upstream of the new version.
-    starts: BTreeMap<id::Upstream, Start>,
-}
-
-/// The first answers of an upstream.
-#[derive(Clone, Debug, Default)]
-struct Start {
-    answers: u32,
-    /// Slow ones that aren't weighed yet: their routes, with the share of bad answers to compare with.
-    slow: Vec<(id::Route, f64)>,
+    /// Answers of each upstream of the new version.
+    answers: BTreeMap<id::Upstream, u32>,
+    /// Slow ones among their first: where, on which route, with the share of bad answers to compare with.
+    cold: Vec<(id::Upstream, id::Route, f64)>,
+    /// Upstreams that were slow later, too.
+    warm: BTreeSet<id::Upstream>,
 }
 
 impl Judge {
@@ -118,12 +116,12 @@
     #[must_use]
     pub fn verdict(&self, now: Moment) -> Option<(id::Route, Cause)> {
         let of_route = self.routes.iter().find_map(|(route, pair)| {
-            let cause = pair.new.verdict(Self::caution(&pair.old, now))?;
+            let cause = pair.new.verdict(self.caution(&pair.old, now), self.waiting(Some(*route)))?;
             Some((*route, cause))
         });
         of_route.or_else(|| {
             let (route, _) = self.routes.iter().max_by_key(|(_, pair)| pair.new.bad())?;
-            let cause = self.whole.new.verdict(Self::caution(&self.whole.old, now))?;
+            let cause = self.whole.new.verdict(self.caution(&self.whole.old, now), self.waiting(None))?;
             Some((*route, cause))
         })
     }
@@ -140,25 +138,36 @@
         self.whole.new.doubts() || self.routes.values().any(|pair| pair.new.doubts())
     }
 
-    fn caution(old: &Baseline, now: Moment) -> f64 {
-        if old.is_recent(now) { 1.0 } else { CAUTION }
+    /// Bad answers that aren't weighed yet, of one route or of all.
+    fn waiting(&self, route: Option<id::Route>) -> u32 {
+        let bad = self.waiting.iter().filter(|(_, observation)| observation.answer != Answer::Good);
+        let bad = bad.filter(|(_, observation)| route.is_none_or(|route| observation.route == route)).count();
+        u32::try_from(bad).unwrap_or(u32::MAX)
+    }
+
+    /// What a verdict takes more than usual, on a route or on all: trouble of both versions shows at the old one only as long as
+    /// that one gets about what it got.
+    fn caution(&self, old: &Baseline, now: Moment) -> f64 {
+        if old.is_known(now) && self.whole.old.is_recent(now) { 1.0 } else { CAUTION }
     }
 
     fn weigh_first(&mut self, now: Moment) {
         let Some((_, observation)) = self.waiting.pop_front() else { return };
         let Observation { route, upstream, is_new: _, answer } = observation;
         let share = self.share(now, route);
-        let start = self.starts.entry(upstream.clone()).or_default();
-        start.answers = start.answers.saturating_add(1);
-        if answer == Answer::Slow {
-            start.slow.push((route, share));
-            if start.answers <= COLD {
+        let answers = self.answers.entry(upstream.clone()).or_default();
+        *answers = answers.saturating_add(1);
+        if answer == Answer::Slow && self.warm.len() < WARM {
+            if *answers <= COLD {
+                self.cold.push((upstream, route, share));
                 return;
             }
-            for (route, share) in std::mem::take(&mut start.slow) {
-                self.add(route, &upstream, answer, share);
+            self.warm.insert(upstream.clone());
+            if self.warm.len() >= WARM {
+                for (upstream, route, share) in std::mem::take(&mut self.cold) {
+                    self.add(route, &upstream, answer, share);
+                }
             }
-            return;
         }
         self.add(route, &upstream, answer, share);
     }
--- a/crates/stairvale-rollout/src/lib.rs
+++ b/crates/stairvale-rollout/src/lib.rs
@@ -20,6 +20,7 @@
 mod baseline;
 mod clock;
 mod evidence;
+mod holding;
 pub mod judge;
 pub mod order;
 mod outbox;
--- a/crates/stairvale-rollout/src/trial.rs
+++ b/crates/stairvale-rollout/src/trial.rs
@@ -28,7 +28,7 @@
 const FIRST: u32 = 10;
 /// Answers from which requests that may run only once are tried, too...
 const KNOWN: u64 = 8;
-/// ... and the share of them that may be bad: routes fail by themselves.
+/// ... and the share of them that may be bad beyond the old version's.
 const BEARABLE: f64 = 0.25;
 /// Without any answer for so long since the first reservation, and with nothing running, the service has none of the routes
 /// that may be repeated. Until then no more is reserved, or most of a small service's bound would run out unused.
@@ -39,14 +39,18 @@
 const ENOUGH_OF_ROUTE: u64 = 5;
 /// Share of a service's answers from which a route must have been tried.
 const COMMON: f64 = 0.05;
-/// How long what comes of the rehearsal is waited for.
-const AFTERMATH: Duration = Duration::from_millis(1_000);
-/// While there are doubts, the fleet moves only so long before the deadline.
+/// How long what comes of the rehearsal is waited for, from when it was given out.
+const AFTERMATH: Duration = Duration::from_millis(800);
+/// While something speaks against the version, be it one upstream, the fleet waits so long for more.
+const SUSPECTED_FOR: Duration = Duration::from_secs(3);
+/// While there are doubts that aren't one upstream's, it moves only so long before the deadline.
 const DOUBTED: Duration = Duration::from_millis(2_000);
 /// Time for the fleet to move, with the rehearsal, as a part of what the order allows, and its limits.
-const MOVING: f64 = 0.3;
+const MOVING: f64 = 0.33;
 const MOVING_LEAST: Duration = Duration::from_millis(2_500);
 const MOVING_MOST: Duration = Duration::from_secs(15);
+/// When something speaks against a version, so many upstreams are tried at once: one may be sick, and two must show it, too.
+const SUSPECTED: usize = 3;
 /// Half-life of the rate of requests, in seconds.
 const RATE: f64 = 2.0;
 /// Below this rate, in requests a second, nothing is reserved: it would run out unused.
@@ -108,6 +112,14 @@
         self.routes.values().map(|tally| tally.new.failed + tally.new.slow).sum()
     }
 
+    /// The share of the old version's answers that were bad: routes fail by themselves.
+    #[expect(clippy::cast_precision_loss, reason = "counts of answers are far below 2^52")]
+    fn share_of_old(&self) -> f64 {
+        let answers: u64 = self.routes.values().map(|tally| tally.old.answers).sum();
+        let bad: u64 = self.routes.values().map(|tally| tally.old.failed + tally.old.slow).sum();
+        bad as f64 / answers.max(1) as f64
+    }
+
     /// Whether enough was seen of the version to call it good. After the deadline a route that is seldom asked for by what
     /// may go there holds it up no longer.
     #[expect(clippy::cast_precision_loss, reason = "counts of answers are far below 2^52")]
@@ -136,11 +148,13 @@
     faded: Moment,
     /// Since when requests are counted.
     since: Option<Moment>,
+    /// How long the last reservation takes to be given out.
+    takes: Duration,
     /// From when the next reservation may be sent to the store.
     next: Option<Moment>,
     /// When the first one was given out.
     first: Option<Moment>,
-    /// When the rehearsal was given out, or left out.
+    /// When the rehearsal has been given out, or was left out.
     rehearsed: Option<Moment>,
     /// Whether any upstream of the version was ready.
     was_ready: bool,
@@ -164,17 +178,16 @@
 
     /// A reservation was sent to the store.
     pub fn sent(&mut self, now: Moment, plan: Plan, facts: &Facts) {
-        let rate = self.rate_of_one(now, facts) * counted(plan.over);
-        let takes = Duration::from_secs_f64(SHARED * f64::from(plan.requests) / rate.max(1.0));
         let least = if plan.unrepeatable { PACE } else { PACE_REPEATABLE };
-        self.next = Some(now + takes.clamp(least, PACE_MOST));
+        self.takes = self.time_of(now, plan, facts);
+        self.next = Some(now + self.takes.clamp(least, PACE_MOST));
     }
 
     /// A reservation stands and is given out.
     pub fn given(&mut self, now: Moment, plan: Plan) {
         self.first.get_or_insert(now);
         if plan.is_rehearsal {
-            self.rehearsed.get_or_insert(now);
+            self.rehearsed.get_or_insert(now + self.takes.min(PACE_MOST));
         }
     }
 
@@ -206,7 +219,8 @@
         }
         let each = self.rate_of_one(now, view.facts);
         let least = (SPELL * each).clamp(FEWEST, AMPLE);
-        let room = view.account.room(bounds, PROBING);
+        // What speaks against a version is looked into at once, with what was kept for the rehearsal if need be.
+        let room = view.account.room(bounds, if view.suspects { MOST } else { PROBING });
         if f64::from(room) < least {
             return Next::Wait;
         }
@@ -219,18 +233,19 @@
         } else {
             FIRST.min(full)
         };
-        let requests = room.min(most);
-        let over = spread(requests, each).max(if view.suspects { 2 } else { 1 }).min(view.facts.ready_new);
+        let requests = room.min(if view.suspects { most.min(count(AMPLE)) } else { most });
+        let over = spread(requests, each).max(if view.suspects { SUSPECTED } else { 1 }).min(view.facts.ready_new);
         Next::Reserve(Plan { requests, over, unrepeatable, is_rehearsal: false })
     }
 
     /// The version goes through the full load once, as far as the bound allows, and then the fleet moves.
     fn finish(&mut self, now: Moment, bounds: &Bounds, view: &View<'_>) -> Next {
         if let Some(rehearsed) = self.rehearsed {
-            if now.since(rehearsed) < AFTERMATH {
+            if now < rehearsed + AFTERMATH {
                 return Next::Wait;
             }
-            if !view.doubts || view.elapsed + DOUBTED >= view.over {
+            let waits = view.doubts || view.suspects && now < rehearsed + SUSPECTED_FOR;
+            if !waits || view.elapsed + DOUBTED >= view.over {
                 return Next::Move;
             }
         }
@@ -253,7 +268,14 @@
     #[expect(clippy::cast_precision_loss, reason = "counts of answers are far below 2^52")]
     fn may_be_unrepeatable(&self, view: &View<'_>) -> bool {
         let answers = view.answers();
-        (answers >= KNOWN || self.is_unrepeatable) && view.bad() as f64 <= BEARABLE * answers as f64
+        let bearable = BEARABLE + view.share_of_old();
+        (answers >= KNOWN || self.is_unrepeatable) && view.bad() as f64 <= bearable * answers as f64
+    }
+
+    /// How long the pool takes to give a reservation out.
+    fn time_of(&self, now: Moment, plan: Plan, facts: &Facts) -> Duration {
+        let rate = self.rate_of_one(now, facts) * counted(plan.over);
+        Duration::from_secs_f64(SHARED * f64::from(plan.requests) / rate.max(1.0))
     }
 
     fn is_time(&self, now: Moment) -> bool {
--- a/crates/stairvale-rollout/tests/play.rs
+++ b/crates/stairvale-rollout/tests/play.rs
@@ -9,6 +9,11 @@
 use stairvale_rollout::{Answer, Cause, Stage};
 use world::{Dice, Route, Service, good, order};
 
+/// When a version turns bad that does so late, since the order.
+const LATE: Duration = Duration::from_secs(6);
+/// Plays of each kind.
+const SEEDS: u64 = 100;
+
 fn engines() -> Vec<Route> {
     vec![
         Route { name: "digest", rate: 65.6, failing: 0.005, is_repeatable: true },
@@ -37,11 +42,7 @@
 }
 
 fn late(dice: &mut Dice, route: &Route, elapsed: Duration, is_loaded: bool) -> Answer {
-    if elapsed < Duration::from_secs(6) {
-        good(dice, route, elapsed, is_loaded)
-    } else {
-        often_failing(dice, route, elapsed, is_loaded)
-    }
+    if elapsed < LATE { good(dice, route, elapsed, is_loaded) } else { often_failing(dice, route, elapsed, is_loaded) }
 }
 
 fn on_one_route(dice: &mut Dice, route: &Route, elapsed: Duration, is_loaded: bool) -> Answer {
@@ -54,7 +55,7 @@
 
 #[test]
 fn a_good_version_of_many_engines_is_taken_in_time() {
-    for seed in 0..20 {
+    for seed in 0..SEEDS {
         let mut service = Service::new(60, 60, engines(), good, seed);
         service.order(Some(order("v2", 12.0)));
         let end = service.run_to_end(30.0);
@@ -67,7 +68,7 @@
 
 #[test]
 fn a_good_version_of_a_few_plain_upstreams_is_taken_in_time() {
-    for seed in 0..20 {
+    for seed in 0..SEEDS {
         let mut service = Service::new(3, 3, ledger(), good, seed);
         service.order(Some(order("v2", 12.0)));
         let end = service.run_to_end(30.0);
@@ -78,38 +79,52 @@
     }
 }
 
+/// What is bad in every second answer is found whatever else it is like; what fails a tenth of the time is found as far as
+/// the bound lets it be seen.
 #[test]
 fn bad_versions_are_found_early() {
     let kinds: [(&str, world::Behaviour); 5] = [
         ("half failing", often_failing),
-        ("a tenth failing", seldom_failing),
         ("slow", slow),
         ("late", late),
         ("one route", on_one_route),
+        ("a tenth failing", seldom_failing),
     ];
     for (name, behaviour) in kinds {
-        for (old, routes) in [(60, engines())] {
-            let mut most = 0;
-            let mut missed = Vec::new();
-            for seed in 0..20 {
+        for (old, routes) in [(60, engines()), (3, ledger())] {
+            let (mut most, mut over, mut missed) = (0, 0, Vec::new());
+            for seed in 0..SEEDS {
                 let mut service = Service::new(old, old, routes.clone(), behaviour, seed);
                 service.order(Some(order("v2", 12.0)));
+                if name == "late" {
+                    // Until then its bad answers are those that a route has by itself.
+                    service.run(LATE.as_secs_f64());
+                    service.bad = 0;
+                }
                 let end = service.run_to_end(30.0);
                 match service.stage() {
-                    Some(Stage::RolledBack(Cause::Failing | Cause::Slow)) => {}
+                    Some(Stage::RolledBack(Cause::Failing | Cause::Slow)) => {
+                        let bad = service.bad_at_verdict.unwrap();
+                        most = most.max(bad);
+                        over += u32::from(bad > 25);
+                    }
                     other => missed.push((seed, other, end)),
                 }
-                most = most.max(service.bad);
                 assert!(service.over_bound <= 0.0);
             }
-            println!("{name}, {old} upstreams: at most {most} bad answers, missed {missed:?}");
-            if (name, old) == ("a tenth failing", 3) {
-                // The bound gives this service some 140 answers of the new version. On the route that fails one time in
-                // seven by itself a tenth more isn't told from chance by so few, and of the other one they hold 25.
-                assert!(most <= 50, "{name} of {old}: {most}");
-                continue;
-            }
-            assert!(missed.is_empty() && most <= 50, "{name} of {old}: {most}, missed {missed:?}");
+            let count = missed.len();
+            println!("{name}, {old} upstreams: at most {most} bad answers, {over} over 25, missed {count} of {SEEDS}");
+            // A version that turns bad late has had half of what it may get by then, and a fifth of the three upstreams' requests
+            // are of the route that it may be bad on. The bound gives three upstreams some 140 answers of the new version in 12 s: on a route that fails one time in
+            // seven by itself a tenth more isn't told from chance, and of the other one they hold 25. Sixty engines give 250,
+            // among which a tenth is below 15 in one play of twenty.
+            let may_miss = match (name, old) {
+                ("a tenth failing", 3) => SEEDS,
+                ("a tenth failing", _) => SEEDS / 10,
+                ("late" | "one route", 3) => SEEDS / 50,
+                _ => 0,
+            };
+            assert!(count as u64 <= may_miss && most <= 50, "{name} of {old}: {most}, missed {missed:?}");
         }
     }
 }
