--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -9,7 +9,7 @@
 use stairvale_rollout::Admission;
 use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
 
-use crate::{Answer, Ask, Held, Listing, Member, Outcome, Part, Reading, Verdict, member::Hold};
+use crate::{Answer, Ask, Held, Listing, Member, Outcome, Reading, Verdict, member::Hold};
 
 mod allowance;
 mod choose;
@@ -232,39 +232,6 @@
         self.dark = dark;
     }
 
-    /// What the members hold of shared parts, as far as is known here.
-    pub fn prefixes(&self) -> impl Iterator<Item = (&id::Upstream, Vec<Part>)> {
-        let all = self.members.values().map(|member| (&member.id, member.cache.shared()));
-        all.filter(|(_, parts)| !parts.is_empty())
-    }
-
-    /// Another router that was the home, or the engine itself, says what it holds.
-    pub fn learn_prefixes(&mut self, upstream: &id::Upstream, parts: &[Part]) {
-        if let Some(member) = self.members.get_mut(upstream) {
-            member.cache.learn(parts);
-            member.known = true;
-            self.holders.follow(member);
-        }
-    }
-
-    /// Engines of which nobody has told what they hold. Each is named once.
-    pub fn unknown(&mut self) -> Vec<id::Upstream> {
-        let unknown = self.members.values_mut().filter(|member| member.memory > 0 && !member.known);
-        let unknown = unknown.map(|member| {
-            member.known = true;
-            member.id.clone()
-        });
-        unknown.collect()
-    }
-
-    /// The home granted a prompt elsewhere; this router may be the home next.
-    pub fn learn_read(&mut self, upstream: &id::Upstream, parts: &[Part]) {
-        if let Some(member) = self.members.get_mut(upstream) {
-            member.cache.read(parts);
-            self.holders.follow(member);
-        }
-    }
-
     /// An entry asks for an upstream; no answer means that the request waits.
     pub fn ask(&mut self, now: Moment, ask: Ask) -> Vec<Answer> {
         self.learn(&ask);
@@ -424,29 +391,6 @@
         answers
     }
 
-    /// What an entry saw go to an upstream is believed to be there, if nothing is known of it here.
-    fn learn(&mut self, ask: &Ask) {
-        let Some((depth, upstream)) = &ask.seen else {
-            return;
-        };
-        let parts = &ask.parts[..(*depth).min(ask.parts.len())];
-        let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
-        // Most often it is there, and nobody else need be looked at.
-        let covers = |member: &Member| member.cache.covers(parts) >= tokens;
-        let Some(last) = parts.last() else {
-            return;
-        };
-        let holders = self.holders.of(last.id).iter().filter_map(|id| self.members.get(id));
-        let mut holders = holders.filter(|member| member.serves());
-        if self.members.get(upstream).is_none_or(covers) || holders.any(covers) {
-            return;
-        }
-        if let Some(member) = self.members.get_mut(upstream) {
-            member.cache.read(parts);
-            self.holders.follow(member);
-        }
-    }
-
     fn drop_holds(&mut self, gone: impl Fn(&Hold) -> bool) {
         let mut lost = Vec::new();
         for member in self.members.values_mut().filter(|member| !member.held().is_empty()) {
