A chosen upstream carries what those do that are well

Cause: an equal part among all listed old upstreams is too little where some of them can't be reached: the others carry more.

--- a/crates/stairvale-dispatch/tests/rollout.rs
+++ b/crates/stairvale-dispatch/tests/rollout.rs
@@ -242,6 +242,22 @@
     assert!((500_000..=1_000_000).contains(&out), "{out}");
 }
 
+/// Two of four plain upstreams can't be reached: the others carry twice as much, and so does the chosen one.
+#[test]
+fn a_chosen_upstream_carries_what_those_do_that_are_well() {
+    let mut pool = pool(Rules::default(), 4, 1, 64);
+    pool.set_policy(at(1), policy(Stage::Trial));
+    for number in 0..2 {
+        place(&pool.ask(at(10), ask(number, 0, &[]))).unwrap();
+    }
+    for number in 0..2 {
+        pool.release(at(11), id::Attempt(number), Outcome::Unreachable, None);
+    }
+    pool.reserve(reservation(100, 60_000, 1));
+    let tried = tried(&mut pool, 100, 99, 20, |ask| ask);
+    assert!((32..=34).contains(&tried), "{tried} of 99 among three");
+}
+
 #[test]
 fn what_is_tried_copies_from_old_engines_and_old_ones_never_from_what_is_on_trial() {
     let mut pool = pool(engines(), 2, 2, 16);
