An upstream counts once the copy is as new as its entry, and by what its version may be given

A copy could hold an upstream of a new version and not yet the order that came before it, and so send it whatever came. Ruled out: waiting with every upstream whose entry changed until the copy has caught up. One that counts already has the same version for its whole life, so it goes on; otherwise each change of a state would take an engine out for a moment. Change: an upstream that first comes with an entry newer than the copy waits until the copy is as new. is_usable asks the policy of the service as well. An older order or record never replaces a newer one (it didn't before either; there are tests now).

--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -6,7 +6,7 @@
 };
 
 use serde::{Deserialize, Serialize};
-use stairvale_rollout::{Order, Record};
+use stairvale_rollout::{Admission, Order, Policy, Record};
 use stairvale_types::{Moment, id};
 
 use crate::{
@@ -63,6 +63,9 @@
     read: Option<Moment>,
     /// How long the store hadn't failed a reader of it, and when this router was told.
     told_calm: Option<(Moment, Duration)>,
+    /// Upstreams that came with an entry newer than this copy: the pages of a whole read are no snapshot, so an order that is
+    /// older than they are may still be missing.
+    early: BTreeSet<id::Upstream>,
     /// Upstreams whose entry vanished while the store was disturbed.
     lapsed: BTreeMap<id::Upstream, Upstream>,
     /// How many of the items say that something is gone.
@@ -120,7 +123,7 @@
     }
 
     /// Upstreams that the store names, each with the revision at which it was written, and those whose entry lapsed with the
-    /// store, with the revision at which it did.
+    /// store, with the revision at which it did. One counts only once this copy is as new as the entry that it came with.
     pub fn upstreams(&self) -> impl Iterator<Item = (&Upstream, u64)> {
         let named = self.items.values().filter_map(|item| match item.value.as_ref()? {
             Value::Upstream(upstream) => Some((upstream, item.revision)),
@@ -132,14 +135,14 @@
             let item = self.items.get(&Subject::Upstream(upstream.id.clone()));
             (upstream, item.map_or(0, |item| item.revision))
         });
-        named.chain(lapsed)
+        named.filter(|(upstream, _)| !self.early.contains(&upstream.id)).chain(lapsed)
     }
 
     /// An upstream, as [`View::upstreams`] has it.
     #[must_use]
     pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
         let named = match self.items.get(&Subject::Upstream(id.clone())).and_then(|item| item.value.as_ref()) {
-            Some(Value::Upstream(upstream)) => Some(upstream),
+            Some(Value::Upstream(upstream)) => Some(upstream).filter(|_| !self.early.contains(id)),
             Some(_) | None => None,
         };
         named.or_else(|| self.lapsed.get(id))
@@ -185,11 +188,29 @@
         })
     }
 
-    /// Whether an upstream may be sent new work.
+    /// Whether an upstream may be sent new work. One of a version on trial may: the service's home decides how much.
     #[must_use]
     pub fn is_usable(&self, upstream: &id::Upstream) -> bool {
-        let known = self.upstream(upstream);
-        known.is_some_and(|known| known.state == State::Ready && !self.is_evacuated(&known.zone))
+        let Some(known) = self.upstream(upstream) else {
+            return false;
+        };
+        let ready = known.state == State::Ready && !self.is_evacuated(&known.zone);
+        let admits = |policy: Policy| policy.admits(known.version.as_ref()) != Admission::Nothing;
+        ready && self.policy(&known.service).is_none_or(admits)
+    }
+
+    /// What the versions of a service may be given, by its order and the record of its roll-out; `None` if there never was one.
+    #[must_use]
+    pub fn policy(&self, service: &id::Service) -> Option<Policy> {
+        Policy::of(self.order(service), self.rollout(service).map(|(_, record)| record))
+    }
+
+    /// The services with an order or a record of a roll-out; one with both is named twice.
+    pub fn rollouts(&self) -> impl Iterator<Item = &id::Service> {
+        self.items.values().filter(|item| item.value.is_some()).filter_map(|item| match &item.subject {
+            Subject::Order(service) | Subject::Rollout(service) => Some(service),
+            Subject::Configuration | Subject::Upstream(_) | Subject::Router(_) | Subject::Evacuation(_) => None,
+        })
     }
 
     /// Whether nothing new is to go to the upstreams of a zone.
@@ -287,6 +308,7 @@
                     self.put(item);
                 }
                 self.revision = self.revision.max(to);
+                self.catch_up();
             }
             News::Everything { to, items } => self.replace(to, items, true),
         }
@@ -352,6 +374,20 @@
             self.forgotten = to;
             self.log.clear();
         }
+        self.catch_up();
+    }
+
+    /// Upstreams count from now on whose entries this copy is as new as.
+    fn catch_up(&mut self) {
+        if self.early.is_empty() {
+            return;
+        }
+        let (items, revision) = (&self.items, self.revision);
+        let waits =
+            |id: &id::Upstream| items.get(&Subject::Upstream(id.clone())).is_some_and(|item| item.revision > revision);
+        let (early, seen) = std::mem::take(&mut self.early).into_iter().partition(waits);
+        self.early = early;
+        self.changed.extend(<BTreeSet<_>>::into_iter(seen).map(Subject::Upstream));
     }
 
     fn put(&mut self, item: Item) {
@@ -370,6 +406,12 @@
         }
         if let Subject::Upstream(id) = &item.subject {
             let old = old.and_then(|old| old.value.clone());
+            if item.value.is_none() {
+                self.early.remove(id);
+            } else if old.is_none() && !self.lapsed.contains_key(id) && item.revision > self.revision {
+                // A later change of one that counts needn't wait: a life has one version.
+                self.early.insert(id.clone());
+            }
             self.lapse(id, old, &item);
         }
         self.log.push_back(item.clone());
--- /dev/null
+++ b/crates/stairvale-replica/tests/rollouts.rs
@@ -0,0 +1,191 @@
+//! What a copy says of upstreams while a service moves to another version.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use quickcheck::quickcheck;
+use stairvale_replica::{Item, News, State, Subject, Upstream, Value, View};
+use stairvale_rollout::{Cause, Order, Record, Stage};
+use stairvale_types::{Moment, id};
+
+fn chat() -> id::Service {
+    "chat".parse().unwrap()
+}
+
+fn upstream(name: &str, revision: u64, version: &str) -> Item {
+    let id: id::Upstream = name.parse().unwrap();
+    let value = Upstream {
+        id: id.clone(),
+        service: chat(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        slots: 4,
+        state: State::Ready,
+        cold: Duration::ZERO,
+        version: version.parse().ok(),
+    };
+    Item::new(Subject::Upstream(id), revision, Some(Value::Upstream(value)))
+}
+
+fn order(revision: u64, target: &str) -> Item {
+    let order = Order { target: target.parse().unwrap(), over: Duration::from_secs(60) };
+    Item::new(Subject::Order(chat()), revision, Some(Value::Order(order)))
+}
+
+fn record(revision: u64, order: u64, target: &str, stage: Stage) -> Item {
+    let record = Record {
+        order,
+        target: target.parse().unwrap(),
+        over: Duration::from_secs(60),
+        stage,
+        elapsed: Duration::ZERO,
+        serving: "v1".parse().ok(),
+        rejected: Vec::new(),
+        requests: 100,
+        granted: 10,
+        routes: BTreeMap::new(),
+        writer: "r1".parse().unwrap(),
+        number: revision,
+    };
+    Item::new(Subject::Rollout(chat()), revision, Some(Value::Rollout(record)))
+}
+
+fn usable(view: &View, name: &str) -> bool {
+    view.is_usable(&name.parse().unwrap())
+}
+
+fn read(view: &mut View, news: News) {
+    let revision = view.revision();
+    let now = Moment::from_millis(revision + 1);
+    assert!(view.read(now, now, news));
+}
+
+fn changes(view: &View, items: Vec<Item>) -> News {
+    let to = items.iter().map(|item| item.revision).max().unwrap_or(0).max(view.revision());
+    News::Changes { after: view.revision(), to, items }
+}
+
+#[test]
+fn an_upstream_counts_once_the_copy_is_as_new_as_its_entry() {
+    let mut view = View::default();
+    // Pages are no snapshot: the first was read at 10 and held the orders, the last one later and holds u2.
+    read(&mut view, News::Everything { to: 10, items: vec![upstream("u1", 3, "v1"), upstream("u2", 12, "v2")] });
+    assert!(usable(&view, "u1") && !usable(&view, "u2"));
+    assert_eq!(view.upstreams().count(), 1);
+    assert!(view.upstream(&"u2".parse().unwrap()).is_none());
+    view.take_changed();
+    // The order that it came with, and which the first page was too old for.
+    let news = changes(&view, vec![order(11, "v2"), upstream("u2", 12, "v2")]);
+    read(&mut view, news);
+    assert!(usable(&view, "u2"), "the home decides how much it gets");
+    assert!(
+        view.take_changed().contains(&Subject::Upstream("u2".parse().unwrap())),
+        "whoever groups upstreams hears of it"
+    );
+    assert_eq!(view.upstreams().count(), 2);
+    assert_eq!(view.policy(&chat()).unwrap().stage, Stage::Trial);
+}
+
+#[test]
+fn a_change_that_says_nothing_of_it_makes_an_early_upstream_count() {
+    let mut view = View::default();
+    read(&mut view, News::Everything { to: 10, items: vec![upstream("u1", 12, "v1")] });
+    assert!(!usable(&view, "u1"));
+    read(&mut view, News::Changes { after: 10, to: 13, items: Vec::new() });
+    assert!(usable(&view, "u1"));
+}
+
+#[test]
+fn an_upstream_that_counts_goes_on_counting_when_its_entry_changes() {
+    let mut view = View::default();
+    read(&mut view, News::Everything { to: 10, items: vec![upstream("u1", 3, "v1")] });
+    read(&mut view, News::Everything { to: 10, items: vec![upstream("u1", 12, "v1")] });
+    assert!(usable(&view, "u1"), "a life has one version");
+    // Gone and back, it may be anything.
+    assert!(view.take(News::Changes {
+        after: 10,
+        to: 13,
+        items: vec![Item::new(Subject::Upstream("u1".parse().unwrap()), 13, None)]
+    }));
+    assert!(!usable(&view, "u1"));
+    assert!(view.take(News::Everything { to: 12, items: vec![upstream("u1", 15, "v2")] }));
+    assert!(!usable(&view, "u1"));
+    assert!(view.take(News::Changes { after: 13, to: 15, items: Vec::new() }));
+    assert!(usable(&view, "u1"));
+}
+
+#[test]
+fn versions_get_what_their_stage_allows() {
+    let both = || vec![upstream("u1", 1, "v1"), upstream("u2", 3, "v2")];
+    let after = |items: Vec<Item>| {
+        let mut view = View::default();
+        let items = both().into_iter().chain(items).collect();
+        let news = changes(&view, items);
+        read(&mut view, news);
+        (usable(&view, "u1"), usable(&view, "u2"))
+    };
+    let rolled_back = Stage::RolledBack(Cause::Failing);
+    assert_eq!(after(vec![]), (true, true), "versions that differ without any order are all used");
+    assert_eq!(after(vec![order(2, "v2")]), (true, true), "the home decides how much");
+    assert_eq!(after(vec![order(2, "v2"), record(4, 2, "v2", Stage::Trial)]), (true, true));
+    assert_eq!(after(vec![order(2, "v2"), record(4, 2, "v2", Stage::Moving)]), (true, true));
+    assert_eq!(after(vec![order(2, "v2"), record(4, 2, "v2", Stage::Completed)]), (false, true));
+    assert_eq!(after(vec![order(2, "v2"), record(4, 2, "v2", rolled_back)]), (true, false));
+    // The order was taken away: rolled back, whoever wrote it or not yet.
+    assert_eq!(after(vec![record(4, 2, "v2", Stage::Moving)]), (true, false));
+    // Another version was ordered in the middle.
+    assert_eq!(after(vec![record(4, 2, "v2", Stage::Trial), order(5, "v3")]), (true, false));
+    // What was completed stays, also without its order.
+    assert_eq!(after(vec![record(4, 2, "v2", Stage::Completed)]), (false, true));
+}
+
+#[test]
+fn an_older_record_or_order_never_comes_back() {
+    let mut view = View::default();
+    let rolled_back = record(9, 2, "v2", Stage::RolledBack(Cause::Slow));
+    let news = changes(&view, vec![upstream("u1", 1, "v1"), order(2, "v2"), upstream("u2", 3, "v2"), rolled_back]);
+    read(&mut view, news);
+    assert!(!usable(&view, "u2"));
+    let old = vec![order(2, "v2"), record(5, 2, "v2", Stage::Moving), upstream("u2", 3, "v2")];
+    assert!(view.take(News::Changes { after: 2, to: 5, items: old.clone() }));
+    assert!(view.take(News::Everything { to: 5, items: old }));
+    assert!(!usable(&view, "u2"));
+    assert_eq!(view.rollout(&chat()).unwrap().0, 9);
+    // An older list that lacks it says nothing either.
+    assert!(view.take(News::Everything { to: 4, items: vec![order(2, "v2")] }));
+    assert_eq!(view.rollout(&chat()).unwrap().0, 9);
+    assert_eq!(view.rollouts().collect::<std::collections::BTreeSet<_>>().len(), 1);
+}
+
+quickcheck! {
+    /// In whatever order and however often news of one history come, what came first with a newer version never counts before the
+    /// order that is older than it is known.
+    fn no_upstream_goes_before_its_order(steps: Vec<(bool, u8, u8)>) -> bool {
+        // 1: u1 of v1; 2: the order; 3: u2 of v2; 4: the record says rolled back; 5: u3 of v2.
+        let rolled_back = record(4, 2, "v2", Stage::RolledBack(Cause::Failing));
+        let history =
+            [upstream("u1", 1, "v1"), order(2, "v2"), upstream("u2", 3, "v2"), rolled_back, upstream("u3", 5, "v2")];
+        let mut view = View::default();
+        for (whole, from, to) in steps {
+            let (from, to) = (u64::from(from % 6), u64::from(to % 6));
+            if whole {
+                // The page with orders is as of `from`, the one with upstreams as of `to`, and what is said is the earlier one.
+                let held = |item: &&Item| {
+                    let at = if matches!(item.subject, Subject::Upstream(_)) { to } else { from };
+                    item.revision <= at
+                };
+                view.take(News::Everything { to: from.min(to), items: history.iter().filter(held).cloned().collect() });
+            } else {
+                let items = history.iter().filter(|item| item.revision > from && item.revision <= to.max(from));
+                view.take(News::Changes { after: from, to: to.max(from), items: items.cloned().collect() });
+            }
+            let ordered = view.order(&chat()).is_some();
+            let over = view.policy(&chat()).is_some_and(|policy| policy.stage.is_over());
+            if usable(&view, "u2") && !ordered || usable(&view, "u3") && !over {
+                return false;
+            }
+        }
+        true
+    }
+}
