--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -15,6 +15,7 @@
 mod follow;
 mod holders;
 mod reach;
+mod rollout_stub;
 
 pub use cold::Cold;
 
@@ -86,6 +87,8 @@
     time: f64,
     /// This router's part of what the whole fleet may give to cold upstreams.
     share: cold::Share,
+    /// Stub, until the pool's own part of roll-outs is merged.
+    rollout: rollout_stub::Stub,
 }
 
 impl Pool {
@@ -110,6 +113,7 @@
             reading: Reading::default(),
             time: FIRST_TIME,
             share: cold::Share::ALL,
+            rollout: rollout_stub::Stub::default(),
         }
     }
 
