Settings for roll-outs: the share and the slack of what a version on trial gets, and the time to roll one back

Change: bounds.exposure_share (0.1; from 0 to 1), bounds.exposure_slack (0), bounds.rollback_ms (5,000; above 0). Conclusion: parts.rs checks the usual values, set ones, and that each wrong one is named.

--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -88,6 +88,12 @@
     pub cold_slack: f64,
     /// Nothing new goes to the upstreams of an evacuated zone after this many ms.
     pub evacuation_ms: u64,
+    /// The share of a service's requests since an order that a version which turns out bad may get...
+    pub exposure_share: f64,
+    /// ... and the requests beyond that.
+    pub exposure_slack: f64,
+    /// Nothing goes to a bad version later than this many ms after its 50th bad answer.
+    pub rollback_ms: u64,
 }
 
 impl Default for Bounds {
@@ -106,6 +112,9 @@
             cold_excess: 1.0,
             cold_slack: 0.0,
             evacuation_ms: 5_000,
+            exposure_share: 0.1,
+            exposure_slack: 0.0,
+            rollback_ms: 5_000,
         }
     }
 }
@@ -157,15 +166,32 @@
             ("bounds.load_slack", self.load_slack),
             ("bounds.cold_excess", self.cold_excess),
             ("bounds.cold_slack", self.cold_slack),
+            ("bounds.exposure_slack", self.exposure_slack),
         ];
         for (name, value) in natural {
             if !value.is_finite() || value < 0.0 {
                 return Err(Fault::Range(name, "a number of 0 or more is expected").into());
             }
         }
+        if !(0.0..=1.0).contains(&self.exposure_share) {
+            return Err(Fault::Range("bounds.exposure_share", "a share from 0 to 1 is expected").into());
+        }
+        if self.rollback_ms == 0 {
+            return Err(Fault::Range("bounds.rollback_ms", "a number of ms above 0 is expected").into());
+        }
         Ok(())
     }
 
+    /// What must hold while a service moves to another version.
+    #[must_use]
+    pub fn rollout(&self) -> stairvale_rollout::Bounds {
+        stairvale_rollout::Bounds {
+            share: self.exposure_share,
+            slack: self.exposure_slack,
+            rollback: Duration::from_millis(self.rollback_ms),
+        }
+    }
+
     /// How old a router's copy of the configuration may be while keys count; `None` for any age.
     #[must_use]
     pub fn trust(&self) -> Option<Duration> {
--- a/crates/stairvale-serve/tests/parts.rs
+++ b/crates/stairvale-serve/tests/parts.rs
@@ -27,6 +27,28 @@
     assert!(matches!(fault.current_context(), Fault::Syntax(_)));
 }
 
+#[test]
+fn bounds_of_roll_outs_are_read_and_checked() {
+    let bounds =
+        |text: &str| Settings::parse(&format!("{GOOD}bounds:\n{text}")).map(|settings| settings.bounds.rollout());
+    let usual = Settings::parse(GOOD).unwrap().bounds.rollout();
+    assert_eq!((usual.share, usual.slack, usual.rollback), (0.1, 0.0, Duration::from_secs(5)));
+    let set = bounds("  exposure_share: 0.05\n  exposure_slack: 50\n  rollback_ms: 2500\n").unwrap();
+    assert_eq!((set.share, set.slack, set.rollback), (0.05, 50.0, Duration::from_millis(2_500)));
+    let wrong = [
+        ("bounds.exposure_share", "1.1"),
+        ("bounds.exposure_share", "-0.1"),
+        ("bounds.exposure_share", ".nan"),
+        ("bounds.exposure_slack", "-1"),
+        ("bounds.exposure_slack", ".inf"),
+        ("bounds.rollback_ms", "0"),
+    ];
+    for (name, value) in wrong {
+        let fault = bounds(&format!("  {}: {value}\n", name.trim_start_matches("bounds."))).unwrap_err();
+        assert!(matches!(fault.current_context(), Fault::Range(named, _) if *named == name), "{name}: {value}");
+    }
+}
+
 #[test]
 fn only_whole_events_go_on() {
     let mut events = Events::default();
