Roll-outs in the serving core and on the platform's store: orders, records, verdicts and how they are written

Cause: an upstream's version wasn't read, an order was passed over, and nothing was written of one. Every router's core teaches a steward per service and hands the policy to its pool; the service's home, and nobody else, lets the steward reserve and judge. Its writes go by its own calls, and by a peer that reads the store while those fail (the way that worked is kept, the other is tried after each failure). A verdict goes to all peers at once; a router that joins is told what the store doesn't say yet. Stages are logged, with the answers by route at the router that wrote them; metrics tell what the store says. Ruled out: sending the same change again at once by the other way. Keeping an order that was overwritten by one that makes no sense: who reads everything finds none there, so it is none for all.

--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use stairvale_dispatch::Verdict;
+use stairvale_rollout::{Policy, Record, Write};
 use stairvale_table::Table;
 use stairvale_types::id;
 use stairvale_wire::Packet;
@@ -62,6 +63,26 @@
         /// How many upstreams are there.
         upstreams: usize,
     },
+    /// Write this to the store, and tell [`Core::written`](super::Core::written) what became of it.
+    Write(Write),
+    /// Write this for a peer, and tell [`Core::written_for`](super::Core::written_for) what became of it.
+    WriteFor {
+        /// The peer.
+        peer: id::Router,
+        /// Its number for the question.
+        number: u64,
+        /// The change.
+        write: Write,
+    },
+    /// A roll-out has come to another stage, by what the store says.
+    Stage {
+        /// The service.
+        service: id::Service,
+        /// What its versions may be given now.
+        policy: Policy,
+        /// What the store keeps of it, if anybody has taken it up.
+        record: Option<Box<Record>>,
+    },
     /// A peer is gone, so its stream can be closed.
     Lost(id::Router),
 }
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -24,6 +24,9 @@
             | Effect::Inspect { .. }
             | Effect::Configured(_)
             | Effect::Evacuated { .. }
+            | Effect::Write(_)
+            | Effect::WriteFor { .. }
+            | Effect::Stage { .. }
             | Effect::Lost(_) => false,
         });
         if !decided {
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -40,6 +40,8 @@
         }
         self.assign(now);
         effects.extend(self.answer_askers(now));
+        // Before upstreams: one that comes with an order gets no more than the order allows.
+        effects.extend(self.learn_rollouts(now, &changed));
         effects.extend(if whole { self.regroup(now) } else { self.regroup_some(now, &changed) });
         effects
     }
@@ -79,6 +81,7 @@
                     time: cold.time,
                 }),
             };
+            let policy = self.policy(&service.name);
             let pool = self.pools.entry(service.name.clone()).or_insert_with(|| {
                 let mut pool = Pool::new(rules);
                 // What this router gave in an earlier life, or as no home, isn't known.
@@ -90,7 +93,8 @@
             for zone in &taken_back {
                 pool.take_back(now, zone);
             }
-            let answers = pool.set_members(now, &known);
+            let mut answers = pool.set_policy(now, policy);
+            answers.extend(pool.set_members(now, &known));
             effects.extend(self.answers(answers));
         }
         self.pools.retain(|name, _| table.service(name).is_some());
@@ -159,6 +163,7 @@
                 swim::Effect::Died(router) => out.push(Effect::Lost(router)),
                 swim::Effect::Joined(router) => {
                     self.distrusted.remove(&router);
+                    out.extend(self.tell_condemned(&router));
                     joined = true;
                 }
                 swim::Effect::Leaves(_) | swim::Effect::Upstream(_) | swim::Effect::Versions { .. } => {}
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -28,8 +28,11 @@
 mod knowledge;
 mod naming;
 mod roles;
+mod rollouts;
+mod writing;
 
 use roles::Roles;
+use rollouts::Rollouts;
 
 pub use effect::{Effect, Reply};
 pub use freshness::Reading;
@@ -94,6 +97,8 @@
     blind: HashMap<id::Router, Moment>,
     /// Rises when those change.
     blind_changes: u64,
+    /// Services that move to another version.
+    rollouts: Rollouts,
     /// Who does what, as far as that was worked out.
     roles: Roles,
     /// Whom this router hears of the store from, and since when.
@@ -138,6 +143,7 @@
             evacuated: BTreeSet::new(),
             blind: HashMap::new(),
             blind_changes: 0,
+            rollouts: Rollouts::default(),
             roles: Roles::default(),
             relied: None,
             born: None,
@@ -204,7 +210,8 @@
         if !self.view.is_usable(upstream) {
             return None;
         }
-        self.view.upstream(upstream).cloned()
+        let known = self.view.upstream(upstream)?;
+        self.admits(&known.service, known.version.as_ref()).then(|| known.clone())
     }
 
     /// The router that a request of a service is placed by: its home, or who stands in for one that doesn't answer.
@@ -357,6 +364,9 @@
                 effects.extend(self.tell(after));
                 effects
             }
+            Frame::Write { number, write } => vec![Effect::WriteFor { peer: from.clone(), number, write }],
+            Frame::Written { number, written } => self.forwarded(now, number, written),
+            Frame::Condemned { service, order } => self.condemned(now, &service, order),
         }
     }
 
@@ -385,6 +395,7 @@
             // Before the first requests come, as soon as it is clear who the homes are.
             effects.extend(self.inspect(now, &service));
         }
+        effects.extend(self.tick_rollouts(now));
         effects.extend(self.greet_homes(now));
         if now >= self.next_renew {
             self.next_renew = now + RENEW;
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
 use stairvale_replica::News;
+use stairvale_rollout::{Write, Written};
 use stairvale_types::id;
 use stairvale_wire::Member;
 
@@ -103,6 +104,27 @@
     },
     /// Changes, as soon as the sender read them.
     News(News),
+    /// From a service's home whose own way to the store fails: "write this for me". It may be done twice.
+    Write {
+        /// Comes back in the answer.
+        number: u64,
+        /// The change.
+        write: Write,
+    },
+    /// The answer to a [`Frame::Write`].
+    Written {
+        /// From the question.
+        number: u64,
+        /// What became of it.
+        written: Written,
+    },
+    /// From a service's home to everybody: the version is bad that the order of this revision names.
+    Condemned {
+        /// The service.
+        service: id::Service,
+        /// The store's revision of the order.
+        order: u64,
+    },
 }
 
 /// What one router asks another about its copy of the store.
--- a/crates/stairvale-serve/src/ready.rs
+++ b/crates/stairvale-serve/src/ready.rs
@@ -7,7 +7,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::{Shared, body::Body, core::Core};
+use crate::{Shared, body::Body, core::Core, rollouts};
 
 /// Where metrics are told.
 const METRICS: &str = "/metrics";
@@ -33,7 +33,10 @@
 
 fn answer(shared: &Shared, path: &str, request: &Request<Incoming>) -> Response<Body> {
     if request.uri().path() == METRICS {
-        return Response::new(Body::whole(shared.metrics.text()));
+        let mut text = shared.metrics.text();
+        // The last line of the other metrics ends the document, so these stand before.
+        text.insert_str(0, &shared.look(|core, _| rollouts::metrics(core.view())));
+        return Response::new(Body::whole(text));
     }
     let ready = !shared.is_stopping() && shared.look(Core::is_ready);
     let status = match (request.uri().path() == path, ready) {
--- /dev/null
+++ b/crates/stairvale-serve/src/rollouts.rs
@@ -0,0 +1,96 @@
+//! What is told of roll-outs: a line in the log for each stage, and metrics by service and version.
+
+use std::fmt::Write;
+
+use stairvale_replica::View;
+use stairvale_rollout::{Cause, Policy, Record, Stage};
+use stairvale_table::Table;
+use stairvale_types::id;
+
+/// A stage's name.
+#[must_use]
+pub fn stage(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Trial => "trial",
+        Stage::Moving => "moving",
+        Stage::Completed => "completed",
+        Stage::RolledBack(_) => "rolled-back",
+    }
+}
+
+/// Why a version was rolled back; empty if it wasn't.
+#[must_use]
+pub fn cause(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Trial | Stage::Moving | Stage::Completed => "",
+        Stage::RolledBack(Cause::Failing) => "failing",
+        Stage::RolledBack(Cause::Slow) => "slow",
+        Stage::RolledBack(Cause::Withdrawn) => "withdrawn",
+        Stage::RolledBack(Cause::Missing) => "missing",
+        Stage::RolledBack(Cause::Unproven) => "unproven",
+    }
+}
+
+/// The name of a route, or its hash where the configuration no longer has it.
+fn name(table: &Table, route: id::Route) -> String {
+    let mut routes = table.document().routes.iter();
+    routes
+        .find(|known| id::Route::of(&known.name) == route)
+        .map_or_else(|| route.to_string(), |known| known.name.clone())
+}
+
+/// Tells the log that a roll-out has come to another stage: with what decided it, by route, at the router that wrote it.
+pub fn log(table: &Table, me: &id::Router, service: &id::Service, policy: &Policy, record: Option<&Record>) {
+    let (version, stage, cause) = (&policy.target, stage(policy.stage), cause(policy.stage));
+    let Some(record) = record else {
+        tracing::info!(%service, %version, stage, "a version is ordered");
+        return;
+    };
+    let (requests, granted, writer) = (record.requests, record.granted, &record.writer);
+    tracing::info!(%service, %version, stage, cause, requests, granted, %writer, "a roll-out has come to a stage");
+    if writer != me || record.stage == Stage::Trial {
+        return;
+    }
+    for (route, tally) in &record.routes {
+        let (route, old, new) = (name(table, *route), tally.old, tally.new);
+        tracing::info!(
+            %service, %version, route,
+            new = new.answers, new_failed = new.failed, new_slow = new.slow,
+            old = old.answers, old_failed = old.failed, old_slow = old.slow,
+            "answers of a route in a roll-out"
+        );
+    }
+}
+
+/// Metrics of all services with a roll-out, in the Prometheus text format: what the store says of them, so each router tells
+/// the same.
+#[must_use]
+pub fn metrics(view: &View) -> String {
+    let mut text = String::new();
+    let services: std::collections::BTreeSet<_> = view.rollouts().collect();
+    for service in services {
+        let Some(policy) = view.policy(service) else {
+            continue;
+        };
+        let (version, stage, cause) = (&policy.target, stage(policy.stage), cause(policy.stage));
+        let labels = format!("service=\"{service}\",version=\"{version}\"");
+        // Writing into a string doesn't fail.
+        let _ = writeln!(text, "stairvale_rollout_stage{{{labels},stage=\"{stage}\",cause=\"{cause}\"}} 1");
+        let Some((_, record)) = view.rollout(service).filter(|(_, record)| record.target == policy.target) else {
+            continue;
+        };
+        let _ = writeln!(text, "stairvale_rollout_service_requests{{{labels}}} {}", record.requests);
+        let _ = writeln!(text, "stairvale_rollout_granted{{{labels}}} {}", record.granted);
+        let sum = |count: fn(&stairvale_rollout::Tally) -> u64| record.routes.values().map(count).sum::<u64>();
+        let serving = record.serving.as_ref().map_or("", id::Version::as_str);
+        let old = format!("service=\"{service}\",version=\"{serving}\"");
+        for (labels, answers, bad) in [
+            (&labels, sum(|tally| tally.new.answers), sum(|tally| tally.new.failed + tally.new.slow)),
+            (&old, sum(|tally| tally.old.answers), sum(|tally| tally.old.failed + tally.old.slow)),
+        ] {
+            let _ = writeln!(text, "stairvale_rollout_answers{{{labels}}} {answers}");
+            let _ = writeln!(text, "stairvale_rollout_bad{{{labels}}} {bad}");
+        }
+    }
+    text
+}
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -26,6 +26,8 @@
     frame::Frame,
     inspect::Inspection,
     metrics::Metrics,
+    record::Due,
+    rollouts,
     upstream::Connections,
 };
 
@@ -87,6 +89,7 @@
     /// Whether a configuration is in force.
     configured: watch::Sender<bool>,
     inspections: mpsc::UnboundedSender<Inspection>,
+    records: mpsc::UnboundedSender<Due>,
     core: Mutex<Core>,
     links: Links<Frame, Inbox>,
     socket: Arc<UdpSocket>,
@@ -108,6 +111,7 @@
         core: Core,
         socket: Arc<UdpSocket>,
         inspections: mpsc::UnboundedSender<Inspection>,
+        records: mpsc::UnboundedSender<Due>,
     ) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             links: Links::new(settings.router.clone(), Inbox(weak.clone())),
@@ -119,6 +123,7 @@
             closing: watch::Sender::new(false),
             configured: watch::Sender::new(false),
             inspections,
+            records,
             core: Mutex::new(core),
             socket,
             waiting: Mutex::default(),
@@ -225,6 +230,11 @@
                     let what = if evacuated { "a zone is evacuated" } else { "a zone is used again" };
                     tracing::info!(%zone, upstreams, "{what}");
                 }
+                Effect::Write(write) => self.record(Due { write, peer: None }),
+                Effect::WriteFor { peer, number, write } => self.record(Due { write, peer: Some((peer, number)) }),
+                Effect::Stage { service, policy, record } => {
+                    rollouts::log(&self.table.load(), &self.settings.router, &service, &policy, record.as_deref());
+                }
                 Effect::Lost(router) => {
                     tracing::info!(peer = %router, "a router is gone");
                     self.links.close(&router);
@@ -233,6 +243,11 @@
         }
     }
 
+    fn record(&self, due: Due) {
+        // Nobody writes any more only when the process ends.
+        let _ = self.records.send(due);
+    }
+
     /// Sends a frame to a peer. A request that asks a home which can't be reached needn't wait for its answer.
     fn send(&self, to: &id::Router, address: SocketAddr, frame: &Frame) {
         let sent = self.links.send(to, address, frame);
--- a/crates/stairvale-serve/src/source.rs
+++ b/crates/stairvale-serve/src/source.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use stairvale_replica::{Item, News, Router};
+use stairvale_rollout::{Write, Written};
 use stairvale_types::id;
 
 /// Why the store gave nothing.
@@ -28,6 +29,17 @@
     Lapsed,
 }
 
+impl Fault {
+    /// What a change of a record came to that was answered so.
+    #[must_use]
+    pub fn written(self) -> Written {
+        match self {
+            Self::Refused => Written::Refused,
+            Self::Forgotten | Self::Cut | Self::Silent | Self::Nonsense | Self::Lapsed => Written::Unknown,
+        }
+    }
+}
+
 /// How new what is read must be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Consistency {
@@ -69,6 +81,9 @@
     fn grant(&self, keep: Duration) -> impl Future<Output = Result<Self::Lease, Fault>> + Send;
     /// Names routers in the store until the lease ends, all or none.
     fn name(&self, lease: &Self::Lease, naming: &Naming) -> impl Future<Output = Result<(), Fault>> + Send;
+    /// Writes the record of a roll-out, if it still is as expected, and with it what the operator is told of its stage: both or
+    /// nothing. After [`Fault::Refused`] nothing was done; after any other it may have been, or may be later.
+    fn record(&self, write: &Write) -> impl Future<Output = Result<Written, Fault>> + Send;
     /// Keeps a lease.
     fn renew(&self, lease: &Self::Lease) -> impl Future<Output = Result<(), Fault>> + Send;
 }
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -3,6 +3,8 @@
 // Each file of tests uses a part of it.
 #![allow(dead_code)]
 
+mod records;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
@@ -110,6 +112,9 @@
     counted: Option<BTreeMap<&'static str, usize>>,
     cut: BTreeSet<(usize, usize)>,
     cut_from_store: BTreeSet<usize>,
+    /// What is wrong with changes of records.
+    pub trouble: records::Trouble,
+    records: records::Records,
 }
 
 fn name(index: usize) -> id::Router {
@@ -139,6 +144,7 @@
         Frame::Synced { news: Some(_), .. } => "synced with news",
         Frame::Synced { .. } => "synced",
         Frame::News(_) => "news",
+        Frame::Write { .. } | Frame::Written { .. } | Frame::Condemned { .. } => "rollout",
     }
 }
 
@@ -183,6 +189,8 @@
             counted: None,
             cut: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
+            trouble: records::Trouble::None,
+            records: records::Records::default(),
         };
         for index in 0..routers {
             let core = world.core(index, zones, 1);
@@ -240,15 +248,22 @@
 
     /// An engine appears, changes its state, or goes.
     pub fn put_engine(&mut self, engine: usize, zone: usize, state: Option<State>) {
-        self.write_engine(engine, zone, state, Duration::ZERO);
+        self.write_engine(engine, zone, state, Duration::ZERO, None);
     }
 
     /// An engine says that it is cold for so much longer.
     pub fn put_cold_engine(&mut self, engine: usize, zone: usize, cold: Duration) {
-        self.write_engine(engine, zone, Some(State::Ready), cold);
+        self.write_engine(engine, zone, Some(State::Ready), cold, None);
     }
 
-    fn write_engine(&mut self, engine: usize, zone: usize, state: Option<State>, cold: Duration) {
+    fn write_engine(
+        &mut self,
+        engine: usize,
+        zone: usize,
+        state: Option<State>,
+        cold: Duration,
+        version: Option<&str>,
+    ) {
         let id: id::Upstream = format!("e{engine}").parse().unwrap();
         let value = state.map(|state| {
             Value::Upstream(Upstream {
@@ -259,7 +274,7 @@
                 slots: self.slots,
                 state,
                 cold,
-                version: None,
+                version: version.and_then(|version| version.parse().ok()),
             })
         });
         self.put(Subject::Upstream(id), value);
@@ -469,6 +484,7 @@
         while self.now < end {
             self.now += STEP;
             self.deliver();
+            self.answer_writes();
             for index in 0..self.nodes.len() {
                 if !self.nodes[index].alive {
                     continue;
@@ -556,7 +572,9 @@
                     self.nodes[index].replies.insert(attempt, reply);
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
-                Effect::Configured(_) | Effect::Evacuated { .. } | Effect::Lost(_) => {}
+                Effect::Configured(_) | Effect::Evacuated { .. } | Effect::Stage { .. } | Effect::Lost(_) => {}
+                Effect::Write(write) => self.write(index, None, write),
+                Effect::WriteFor { peer, number, write } => self.write(index, Some((peer, number)), write),
             }
         }
     }
