--- a/crates/stairvale-serve/src/core/rollouts.rs
+++ b/crates/stairvale-serve/src/core/rollouts.rs
@@ -13,7 +13,7 @@
 use crate::frame::Frame;
 
 /// What a pool holds that isn't the home's.
-const NOTHING: Reservation = Reservation { requests: 0, until: Moment::ZERO, over: 0, unrepeatable: false };
+const NOTHING: Reservation = Reservation { requests: 0, until: Moment::ZERO, over: 1, unrepeatable: false };
 
 /// All roll-outs that this router knows of.
 #[derive(Debug, Default)]
@@ -110,8 +110,8 @@
         rollout.steward.learn(now, order, record);
         let mut effects = Vec::new();
         if let Some(copy) = self.view.policy(service) {
-            let keeps = |followed: &Policy| followed.target == copy.target && !copy.stage.is_over();
-            rollout.followed = rollout.followed.take().filter(keeps);
+            // Where this copy is still behind what the steward wrote, that one says it again.
+            rollout.followed = None;
             let told = (copy.target.clone(), copy.stage);
             if rollout.told.as_ref() != Some(&told) {
                 rollout.told = Some(told);
@@ -119,8 +119,8 @@
                 effects.push(Effect::Stage { service: service.clone(), policy: copy, record });
             }
         }
-        effects.extend(self.follow(now, service));
         effects.extend(self.carry_on(now, service));
+        effects.extend(self.follow(now, service));
         effects
     }
 
