--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod records;
+pub mod traffic;
 
 use std::{
     cmp::Reverse,
