What a service's home found or did of a roll-out is told in the log, with the figures that decided it, by route

Cause: a steward says what it did now; the core had to guess it from what the store says. Change: Step::Say becomes an effect, and the shell writes one line for it and one a route, with the route's name. The line that every router writes when it hears of a stage tells no figures any more.

--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use stairvale_dispatch::Verdict;
-use stairvale_rollout::{Policy, Record, Write};
+use stairvale_rollout::{Event, Policy, Record, Write};
 use stairvale_table::Table;
 use stairvale_types::id;
 use stairvale_wire::Packet;
@@ -83,6 +83,8 @@
         /// What the store keeps of it, if anybody has taken it up.
         record: Option<Box<Record>>,
     },
+    /// Tell operators what this router as a service's home found or did.
+    Say(Box<Event>),
     /// A peer is gone, so its stream can be closed.
     Lost(id::Router),
 }
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -27,6 +27,7 @@
             | Effect::Write(_)
             | Effect::WriteFor { .. }
             | Effect::Stage { .. }
+            | Effect::Say(_)
             | Effect::Lost(_) => false,
         });
         if !decided {
--- a/crates/stairvale-serve/src/rollouts.rs
+++ b/crates/stairvale-serve/src/rollouts.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use stairvale_replica::View;
-use stairvale_rollout::{Cause, Policy, Record, Stage};
+use stairvale_rollout::{Cause, Event, Policy, Record, Stage};
 use stairvale_table::Table;
 use stairvale_types::id;
 
@@ -39,22 +39,28 @@
         .map_or_else(|| route.to_string(), |known| known.name.clone())
 }
 
-/// Tells the log that a roll-out has come to another stage: with what decided it, by route, at the router that wrote it.
-pub fn log(table: &Table, me: &id::Router, service: &id::Service, policy: &Policy, record: Option<&Record>) {
+/// Tells the log that a roll-out has come to another stage, as each router hears of it from the store.
+pub fn log(service: &id::Service, policy: &Policy, record: Option<&Record>) {
     let (version, stage, cause) = (&policy.target, stage(policy.stage), cause(policy.stage));
     let Some(record) = record else {
         tracing::info!(%service, %version, stage, "a version is ordered");
         return;
     };
-    let (requests, granted, writer) = (record.requests, record.granted, &record.writer);
-    tracing::info!(%service, %version, stage, cause, requests, granted, %writer, "a roll-out has come to a stage");
-    if writer != me || record.stage == Stage::Trial {
-        return;
-    }
-    for (route, tally) in &record.routes {
+    let (order, writer) = (record.order, &record.writer);
+    tracing::info!(%service, %version, order, stage, cause, %writer, "a roll-out has come to a stage");
+}
+
+/// Tells the log what a service's home did or found, with the figures that decided it: one line, and one for each route.
+pub fn say(table: &Table, event: &Event) {
+    let Event { service, order, target: version, stands, requests, granted, .. } = event;
+    let (stage, cause, elapsed_ms) = (stage(event.stage), cause(event.stage), event.elapsed.as_millis());
+    let found = event.found.map(|(route, _)| name(table, route)).unwrap_or_default();
+    let what = if *stands { "this router carried a roll-out on" } else { "this router found a version bad" };
+    tracing::info!(%service, %version, order, stage, cause, found, elapsed_ms, requests, granted, "{what}");
+    for (route, tally) in &event.routes {
         let (route, old, new) = (name(table, *route), tally.old, tally.new);
         tracing::info!(
-            %service, %version, route,
+            %service, %version, order, route,
             new = new.answers, new_failed = new.failed, new_slow = new.slow,
             old = old.answers, old_failed = old.failed, old_slow = old.slow,
             "answers of a route in a roll-out"
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -233,8 +233,9 @@
                 Effect::Write(write) => self.record(Due { write, peer: None }),
                 Effect::WriteFor { peer, number, write } => self.record(Due { write, peer: Some((peer, number)) }),
                 Effect::Stage { service, policy, record } => {
-                    rollouts::log(&self.table.load(), &self.settings.router, &service, &policy, record.as_deref());
+                    rollouts::log(&service, &policy, record.as_deref());
                 }
+                Effect::Say(event) => rollouts::say(&self.table.load(), &event),
                 Effect::Lost(router) => {
                     tracing::info!(peer = %router, "a router is gone");
                     self.links.close(&router);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -578,7 +578,11 @@
                     self.nodes[index].replies.insert(attempt, reply);
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
-                Effect::Configured(_) | Effect::Evacuated { .. } | Effect::Stage { .. } | Effect::Lost(_) => {}
+                Effect::Configured(_)
+                | Effect::Evacuated { .. }
+                | Effect::Stage { .. }
+                | Effect::Say(_)
+                | Effect::Lost(_) => {}
                 Effect::Write(write) => self.write(index, None, write),
                 Effect::WriteFor { peer, number, write } => self.write(index, Some((peer, number)), write),
             }
