--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -24,6 +24,10 @@
             | Effect::Inspect { .. }
             | Effect::Configured(_)
             | Effect::Evacuated { .. }
+            | Effect::Write(_)
+            | Effect::WriteFor { .. }
+            | Effect::Stage { .. }
+            | Effect::Say(_)
             | Effect::Lost(_) => false,
         });
         if !decided {
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -3,6 +3,9 @@
 // Each file of tests uses a part of it.
 #![allow(dead_code)]
 
+pub mod records;
+pub mod traffic;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
@@ -110,6 +113,9 @@
     counted: Option<BTreeMap<&'static str, usize>>,
     cut: BTreeSet<(usize, usize)>,
     cut_from_store: BTreeSet<usize>,
+    /// What is wrong with changes of records.
+    pub trouble: records::Trouble,
+    records: records::Records,
 }
 
 fn name(index: usize) -> id::Router {
@@ -139,6 +145,7 @@
         Frame::Synced { news: Some(_), .. } => "synced with news",
         Frame::Synced { .. } => "synced",
         Frame::News(_) => "news",
+        Frame::Write { .. } | Frame::Written { .. } | Frame::Condemned { .. } => "rollout",
     }
 }
 
@@ -183,6 +190,8 @@
             counted: None,
             cut: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
+            trouble: records::Trouble::None,
+            records: records::Records::default(),
         };
         for index in 0..routers {
             let core = world.core(index, zones, 1);
@@ -240,15 +249,22 @@
 
     /// An engine appears, changes its state, or goes.
     pub fn put_engine(&mut self, engine: usize, zone: usize, state: Option<State>) {
-        self.write_engine(engine, zone, state, Duration::ZERO);
+        self.write_engine(engine, zone, state, Duration::ZERO, None);
     }
 
     /// An engine says that it is cold for so much longer.
     pub fn put_cold_engine(&mut self, engine: usize, zone: usize, cold: Duration) {
-        self.write_engine(engine, zone, Some(State::Ready), cold);
+        self.write_engine(engine, zone, Some(State::Ready), cold, None);
     }
 
-    fn write_engine(&mut self, engine: usize, zone: usize, state: Option<State>, cold: Duration) {
+    fn write_engine(
+        &mut self,
+        engine: usize,
+        zone: usize,
+        state: Option<State>,
+        cold: Duration,
+        version: Option<&str>,
+    ) {
         let id: id::Upstream = format!("e{engine}").parse().unwrap();
         let value = state.map(|state| {
             Value::Upstream(Upstream {
@@ -259,7 +275,7 @@
                 slots: self.slots,
                 state,
                 cold,
-                version: None,
+                version: version.and_then(|version| version.parse().ok()),
             })
         });
         self.put(Subject::Upstream(id), value);
@@ -443,6 +459,11 @@
         self.nodes[index].alive = false;
     }
 
+    /// Whether a router runs.
+    pub fn is_alive(&self, index: usize) -> bool {
+        self.nodes[index].alive
+    }
+
     /// A killed router starts again and knows nothing.
     pub fn start(&mut self, index: usize, zones: usize) {
         let core = self.core(index, zones, self.now + 2);
@@ -469,6 +490,7 @@
         while self.now < end {
             self.now += STEP;
             self.deliver();
+            self.answer_writes();
             for index in 0..self.nodes.len() {
                 if !self.nodes[index].alive {
                     continue;
@@ -556,7 +578,13 @@
                     self.nodes[index].replies.insert(attempt, reply);
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
-                Effect::Configured(_) | Effect::Evacuated { .. } | Effect::Lost(_) => {}
+                Effect::Configured(_)
+                | Effect::Evacuated { .. }
+                | Effect::Stage { .. }
+                | Effect::Say(_)
+                | Effect::Lost(_) => {}
+                Effect::Write(write) => self.write(index, None, write),
+                Effect::WriteFor { peer, number, write } => self.write(index, Some((peer, number)), write),
             }
         }
     }
