--- a/crates/stairvale-dispatch/src/pool/allowance/versions.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/versions.rs
@@ -1,7 +1,7 @@
 //! What upstreams may be given by their versions: a roll-out's policy, and what is reserved for a version on trial.
 //!
 //! A version on trial gets no more than was reserved for it, on a few upstreams that are chosen for each reservation in turn.
-//! Each of them is given as many of the service's requests as an old one gets on average, so that what is bad under load
+//! Each of them is given as many of the service's requests as the busiest old one may get, so that what is bad under load
 //! shows, and every route gets its part.
 
 use std::{collections::BTreeMap, time::Duration};
@@ -110,6 +110,10 @@
         [part(true), part(false)]
     }
 
+    fn chosen_count(&self) -> usize {
+        self.spell.as_ref().map_or(0, |spell| spell.chosen.len())
+    }
+
     /// A request was given to a chosen one.
     pub(in crate::pool) fn give(&mut self, route: id::Route, upstream: &id::Upstream) {
         if let Some(spell) = &mut self.spell {
@@ -118,23 +122,27 @@
                 *given += 1;
             }
         }
+        let is_whole = self.chosen_count() >= self.carrying;
         let portion = self.portions.entry(route).or_default();
         portion.due -= 1.0;
-        // One of two requests of a route goes to the old version at least, to be compared with.
-        portion.rests = 2;
+        // One of two requests of a route goes to the old version at least, to be compared with; but where as many are chosen
+        // as carry the old version, they are to carry all of it for a moment.
+        portion.rests = if is_whole { 0 } else { 2 };
     }
 
     /// A request came: what the chosen ones are to get of it is shared out among the routes, half of it by how many requests
     /// they have and half of it alike.
     #[allow(clippy::cast_precision_loss)]
-    fn share_out(&mut self, now: Moment, ask: &Ask) {
-        let chosen = self.spell.as_ref().map_or(0, |spell| spell.chosen.len());
+    fn share_out(&mut self, now: Moment, ask: &Ask, multiple: f64) {
+        let chosen = self.chosen_count();
         if self.may_try(now, ask) {
             let portion = self.portions.entry(ask.route).or_default();
             portion.seen += 1.0;
             portion.rests = portion.rests.saturating_sub(1);
         }
         let part = chosen as f64 / (self.carrying + chosen).max(1) as f64;
+        // As much as the busiest old one may carry: what is bad under load is to show while little depends on it.
+        let part = (part * multiple.max(1.0)).min(1.0);
         let all: f64 = self.portions.values().map(|portion| portion.seen).sum();
         let alike = 1.0 / self.portions.len().max(1) as f64;
         let weight = |portion: &Portion| portion.seen / all + alike;
@@ -215,7 +223,7 @@
         self.watch.count();
         if self.versions.spell.as_ref().is_some_and(|spell| spell.lasts(now)) {
             self.choose(now);
-            self.versions.share_out(now, ask);
+            self.versions.share_out(now, ask, self.rules.multiple);
         }
     }
 
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -75,7 +75,8 @@
                 copies: service.engine.is_some_and(|engine| engine.copies),
                 multiple: self.bounds.load_multiple,
                 slack: self.bounds.load_slack,
-                cold: service.cold.map(|cold| Cold {
+                // Where an upstream is cold for no time at all there is nothing to be careful of.
+                cold: service.cold.filter(|cold| !cold.time.is_zero()).map(|cold| Cold {
                     pace: cold.pace,
                     bound: self.bounds.cold(cold.pace),
                     time: cold.time,
--- a/crates/stairvale-serve/tests/stewards.rs
+++ b/crates/stairvale-serve/tests/stewards.rs
@@ -8,6 +8,7 @@
 
 use quickcheck::quickcheck;
 use stairvale_rollout::{Cause, Record, Stage};
+use stairvale_table::Cold;
 use world::{World, records::Trouble, traffic::Traffic};
 
 /// By then a fleet that starts knows itself and its homes, in ms.
@@ -113,6 +114,20 @@
     assert!(only_goes_on(&world.history()));
 }
 
+/// A service of which the configuration says that its upstreams are cold for no time at all: there is no pace to keep to, and
+/// a trial that kept to none at all would never end.
+#[test]
+fn upstreams_that_are_never_cold_are_tried_as_fast_as_others() {
+    let mut world = fleet();
+    world.cold = Some(Cold { time: Duration::ZERO, pace: 0.0 });
+    world.configure();
+    let mut traffic = Traffic::default();
+    world.serve_all(&mut traffic, 1_000, |_| false);
+    order(&mut world);
+    world.serve_all(&mut traffic, 20_000, |_| false);
+    assert_eq!(stage(&world), Some(Stage::Completed), "{:?}", world.record());
+}
+
 #[test]
 fn a_bad_version_gets_its_share_at_most_and_soon_nothing() {
     let mut world = fleet();
