A chosen upstream carries what those do that are well

Cause: an equal part among all listed old upstreams is too little where some of them can't be reached: the others carry more. Change: the part is counted among those that can be reached and weren't found failing, each time the chosen ones are looked at. Tests: one of that; the test of retries asks in between other requests, since with retries alone nothing is due and the mutation "a retry is tried" was missed; the property's reservations are small enough to be used up, since "a reservation has no size" was missed.

--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -203,7 +203,6 @@
         let serving = |member: &&Member| member.admission == Admission::Any;
         self.hashes.clear();
         self.hashes.extend(self.members.values().filter(serving).map(|member| member.hash));
-        self.versions.serving = self.members.values().filter(serving).filter(|member| member.usable).count();
         self.usable = self.members.values().filter(|member| member.usable).count();
     }
 
--- a/crates/stairvale-dispatch/src/pool/allowance/versions.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/versions.rs
@@ -63,8 +63,8 @@
     /// The number of the last reservation.
     turn: u64,
     portions: BTreeMap<id::Route, Portion>,
-    /// Upstreams in use that may be given anything.
-    pub(in crate::pool) serving: usize,
+    /// Upstreams that carry what isn't tried, when the chosen ones were looked at last.
+    carrying: usize,
 }
 
 impl Versions {
@@ -99,7 +99,7 @@
             return [Vec::new(), Vec::new()];
         };
         let portion = self.portions.get(&ask.route).copied().unwrap_or_default();
-        if portion.due < DUE || (portion.rests > 0 && self.serving > 0) {
+        if portion.due < DUE || (portion.rests > 0 && self.carrying > 0) {
             return [Vec::new(), Vec::new()];
         }
         let least = spell.chosen.iter().map(|(_, given)| *given).min().unwrap_or(0);
@@ -134,7 +134,7 @@
             portion.seen += 1.0;
             portion.rests = portion.rests.saturating_sub(1);
         }
-        let part = chosen as f64 / (self.serving + chosen).max(1) as f64;
+        let part = chosen as f64 / (self.carrying + chosen).max(1) as f64;
         let all: f64 = self.portions.values().map(|portion| portion.seen).sum();
         let alike = 1.0 / self.portions.len().max(1) as f64;
         let weight = |portion: &Portion| portion.seen / all + alike;
@@ -228,6 +228,10 @@
         };
         spell.looked = Some(now);
         let within = self.reach(now);
+        let carries = |member: &&Member| {
+            member.admission == Admission::Any && within.reaches(member) && !member.health.is_trial()
+        };
+        let carrying = self.members.values().filter(carries).count();
         let fits = |member: &Member| {
             member.admission == Admission::Trial && within.is_near(member) && member.health.is_open(now)
         };
@@ -250,5 +254,6 @@
             spell.chosen.push((id, least));
         }
         self.versions.spell = Some(spell);
+        self.versions.carrying = carrying;
     }
 }
--- a/crates/stairvale-dispatch/tests/histories.rs
+++ b/crates/stairvale-dispatch/tests/histories.rs
@@ -135,8 +135,8 @@
                 Step::Reserve(value) => {
                     let until_ms = now + u64::from(value) * 4;
                     let unrepeatable = value % 8 == 0;
-                    let requests = u32::from(value % 16);
-                    pool.reserve(Reservation { unrepeatable, ..reservation(requests, until_ms, usize::from(value % 4)) });
+                    let requests = u32::from(value % 4);
+                    pool.reserve(Reservation { unrepeatable, ..reservation(requests, until_ms, usize::from(value / 4 % 4)) });
                     (*left, *until, *once) = (requests, until_ms, unrepeatable);
                     Vec::new()
                 }
--- a/crates/stairvale-dispatch/tests/rollout.rs
+++ b/crates/stairvale-dispatch/tests/rollout.rs
@@ -46,16 +46,27 @@
 
 #[test]
 fn retries_and_what_may_run_only_once_are_not_tried() {
-    let mut pool = pool(Rules::default(), 3, 3, 8);
-    pool.set_policy(at(1), policy(Stage::Trial));
-    pool.reserve(reservation(10, 1_000, 2));
-    let once = |ask| Ask { repeatable: false, ..ask };
-    let again = |ask| Ask { avoid: vec!["o0".parse().unwrap()], ..ask };
-    assert_eq!(tried(&mut pool, 0, 200, 10, once), 0);
-    assert_eq!(tried(&mut pool, 1_000, 200, 10, again), 0);
-    pool.reserve(Reservation { unrepeatable: true, ..reservation(10, 1_000, 2) });
-    assert_eq!(tried(&mut pool, 2_000, 200, 20, again), 0);
-    assert_eq!(tried(&mut pool, 3_000, 200, 20, once), 10);
+    for once in [false, true] {
+        let mut pool = pool(Rules::default(), 3, 3, 8);
+        pool.set_policy(at(1), policy(Stage::Trial));
+        pool.reserve(Reservation { unrepeatable: once, ..reservation(100, 1_000, 2) });
+        let mut tried = [0; 3];
+        for number in 0..300 {
+            let shape = (number % 3) as usize;
+            let mut ask = ask(number, 0, &[]);
+            match shape {
+                0 => {}
+                1 => ask.avoid = vec!["o0".parse().unwrap()],
+                _ => ask.repeatable = false,
+            }
+            let answers = pool.ask(at(10), ask);
+            tried[shape] += usize::from(place(&answers).is_some_and(|place| is_new(&place)));
+            pool.release(at(10), id::Attempt(number), Outcome::Served, Some(Duration::from_millis(5)));
+        }
+        assert!(tried[0] > 20, "{tried:?}");
+        assert_eq!(tried[1], 0, "they were tried before");
+        assert_eq!(tried[2] > 20, once, "{tried:?}");
+    }
 }
 
 #[test]
@@ -242,6 +253,22 @@
     assert!((500_000..=1_000_000).contains(&out), "{out}");
 }
 
+/// Two of four plain upstreams can't be reached: the others carry twice as much, and so does the chosen one.
+#[test]
+fn a_chosen_upstream_carries_what_those_do_that_are_well() {
+    let mut pool = pool(Rules::default(), 4, 1, 64);
+    pool.set_policy(at(1), policy(Stage::Trial));
+    for number in 0..2 {
+        place(&pool.ask(at(10), ask(number, 0, &[]))).unwrap();
+    }
+    for number in 0..2 {
+        pool.release(at(11), id::Attempt(number), Outcome::Unreachable, None);
+    }
+    pool.reserve(reservation(100, 60_000, 1));
+    let tried = tried(&mut pool, 100, 99, 20, |ask| ask);
+    assert!((32..=34).contains(&tried), "{tried} of 99 among three");
+}
+
 #[test]
 fn what_is_tried_copies_from_old_engines_and_old_ones_never_from_what_is_on_trial() {
     let mut pool = pool(engines(), 2, 2, 16);
