--- a/crates/stairvale-dispatch/tests/rollout.rs
+++ b/crates/stairvale-dispatch/tests/rollout.rs
@@ -46,16 +46,27 @@
 
 #[test]
 fn retries_and_what_may_run_only_once_are_not_tried() {
-    let mut pool = pool(Rules::default(), 3, 3, 8);
-    pool.set_policy(at(1), policy(Stage::Trial));
-    pool.reserve(reservation(10, 1_000, 2));
-    let once = |ask| Ask { repeatable: false, ..ask };
-    let again = |ask| Ask { avoid: vec!["o0".parse().unwrap()], ..ask };
-    assert_eq!(tried(&mut pool, 0, 200, 10, once), 0);
-    assert_eq!(tried(&mut pool, 1_000, 200, 10, again), 0);
-    pool.reserve(Reservation { unrepeatable: true, ..reservation(10, 1_000, 2) });
-    assert_eq!(tried(&mut pool, 2_000, 200, 20, again), 0);
-    assert_eq!(tried(&mut pool, 3_000, 200, 20, once), 10);
+    for once in [false, true] {
+        let mut pool = pool(Rules::default(), 3, 3, 8);
+        pool.set_policy(at(1), policy(Stage::Trial));
+        pool.reserve(Reservation { unrepeatable: once, ..reservation(100, 1_000, 2) });
+        let mut tried = [0; 3];
+        for number in 0..300 {
+            let shape = (number % 3) as usize;
+            let mut ask = ask(number, 0, &[]);
+            match shape {
+                0 => {}
+                1 => ask.avoid = vec!["o0".parse().unwrap()],
+                _ => ask.repeatable = false,
+            }
+            let answers = pool.ask(at(10), ask);
+            tried[shape] += usize::from(place(&answers).is_some_and(|place| is_new(&place)));
+            pool.release(at(10), id::Attempt(number), Outcome::Served, Some(Duration::from_millis(5)));
+        }
+        assert!(tried[0] > 20, "{tried:?}");
+        assert_eq!(tried[1], 0, "they were tried before");
+        assert_eq!(tried[2] > 20, once, "{tried:?}");
+    }
 }
 
 #[test]
