--- a/crates/stairvale-serve/tests/stewards.rs
+++ b/crates/stairvale-serve/tests/stewards.rs
@@ -282,6 +282,40 @@
     assert!(only_goes_on(&world.history()));
 }
 
+#[test]
+fn a_home_that_stood_still_gives_nothing_of_what_it_had_reserved() {
+    for pause in [600, 1_500, 2_500, 6_000] {
+        let mut world = fleet();
+        let mut traffic = Traffic::default();
+        world.serve_all(&mut traffic, 1_000, |_| false);
+        let (since, before) = (world.now, traffic.requests());
+        order(&mut world);
+        world.serve_all(&mut traffic, 3_000, |_| false);
+        assert!(to_new(&traffic, since) > 0);
+        let home = world.home(0);
+        // Right after a reservation, so that most of it is left.
+        let granted = world.record().unwrap().1.granted;
+        for _ in 0..400 {
+            if world.record().unwrap().1.granted > granted {
+                break;
+            }
+            world.serve_all(&mut traffic, 10, |_| false);
+        }
+        world.freeze(home, true);
+        world.serve_all(&mut traffic, pause, is_new);
+        world.freeze(home, false);
+        let (now, written) = (world.now, world.record().unwrap());
+        world.serve_all(&mut traffic, 50, is_new);
+        // What was reserved two seconds ago or more is lost, so nothing goes there before another reservation stands.
+        let fresh = world.record().unwrap().0 > written.0 || written.1.writer != format!("r{home}").parse().unwrap();
+        assert!(pause < 2_000 || fresh || to_new(&traffic, now) == 0, "{pause} ms");
+        world.serve_all(&mut traffic, 10_000, is_new);
+        assert!(matches!(stage(&world), Some(Stage::RolledBack(Cause::Failing))), "{pause} ms: {:?}", world.record());
+        assert!(within_bounds(&world, &traffic, since, before), "{pause} ms");
+        assert!(only_goes_on(&world.history()), "{pause} ms");
+    }
+}
+
 quickcheck! {
     /// Whatever happens to homes, ways and the store: records only go on, what is over stays so, and a bad version gets no more
     /// than the bound allows.
@@ -295,7 +329,7 @@
         let bad_from = world.now + u64::from(from % 8) * 500;
         for (router, trouble) in troubles.into_iter().take(30) {
             let index = usize::from(router) % 9;
-            match trouble % 10 {
+            match trouble % 12 {
                 0 => world.set_store_down(true),
                 1 => world.set_store_down(false),
                 2 => world.kill(world.home(index)),
@@ -305,6 +339,8 @@
                 6 => world.trouble = Trouble::Late,
                 7 => world.trouble = Trouble::Busy,
                 8 => (0..9).for_each(|other| world.set_cut(world.home(index), other, router % 2 == 0)),
+                9 => world.freeze(world.home(index), true),
+                10 => (0..9).for_each(|index| world.freeze(index, false)),
                 _ => world.trouble = Trouble::None,
             }
             let bad = world.now >= bad_from;
--- a/crates/stairvale-serve/tests/world/traffic.rs
+++ b/crates/stairvale-serve/tests/world/traffic.rs
@@ -24,6 +24,7 @@
     home: id::Router,
     asked: u64,
     sent: Option<(u64, id::Upstream)>,
+    begun: bool,
 }
 
 /// What became of requests.
@@ -58,7 +59,7 @@
         while self.now < end {
             let entry = usize::try_from(traffic.next % self.nodes.len() as u128).unwrap();
             traffic.next += 1;
-            if self.nodes[entry].alive {
+            if self.nodes[entry].alive && !self.nodes[entry].frozen {
                 traffic.asked += 1;
                 let number = 1_000_000 + traffic.next;
                 let (service, ask) = request(entry, number, &[(u64::try_from(number).unwrap(), 20)]);
@@ -67,7 +68,7 @@
                 let (home, effects) = self.nodes[entry].core.ask(now, &service, ask);
                 self.perform(entry, effects);
                 let (born, asked) = (self.nodes[entry].born, self.now);
-                traffic.under_way.push(Request { number, entry, born, home, asked, sent: None });
+                traffic.under_way.push(Request { number, entry, born, home, asked, sent: None, begun: false });
             }
             self.run(EVERY);
             let under_way = std::mem::take(&mut traffic.under_way);
@@ -86,6 +87,9 @@
         if !self.nodes[index].alive || self.nodes[index].born != request.born {
             return None;
         }
+        if self.nodes[index].frozen {
+            return Some(request);
+        }
         let attempt = id::Attempt(number);
         let Some((sent, upstream)) = request.sent.clone() else {
             let Some(upstream) = self.granted(index, number) else {
@@ -108,7 +112,8 @@
             request.sent = Some((self.now, upstream));
             return Some(request);
         };
-        if self.now == sent + FIRST {
+        if self.now >= sent + FIRST && !request.begun {
+            request.begun = true;
             let effects = self.nodes[index].core.begun(now, attempt, Duration::from_millis(FIRST));
             self.perform(index, effects);
         }
