--- a/crates/stairvale-serve/tests/stewards.rs
+++ b/crates/stairvale-serve/tests/stewards.rs
@@ -316,6 +316,42 @@
     }
 }
 
+/// Something fails, or is mended.
+fn trouble(world: &mut World, router: u8, what: u8) {
+    let index = usize::from(router) % 9;
+    match what % 12 {
+        0 => world.set_store_down(true),
+        1 => world.set_store_down(false),
+        2 => world.kill(world.home(index)),
+        3 => (0..9).for_each(|index| {
+            if !world.is_alive(index) {
+                world.start(index, 3);
+            }
+        }),
+        4 => world.set_cut(index, (index + 1) % 9, router % 2 == 0),
+        5 => world.trouble = Trouble::Lost,
+        6 => world.trouble = Trouble::Late,
+        7 => world.trouble = Trouble::Busy,
+        8 => (0..9).for_each(|other| world.set_cut(world.home(index), other, router % 2 == 0)),
+        9 => world.freeze(world.home(index), true),
+        10 => (0..9).for_each(|index| world.freeze(index, false)),
+        _ => world.trouble = Trouble::None,
+    }
+}
+
+/// All is mended.
+fn mend(world: &mut World) {
+    world.set_store_down(false);
+    world.trouble = Trouble::None;
+    for index in 0..9 {
+        world.freeze(index, false);
+        if !world.is_alive(index) {
+            world.start(index, 3);
+        }
+        (0..9).for_each(|other| world.set_cut(index, other, false));
+    }
+}
+
 quickcheck! {
     /// Whatever happens to homes, ways and the store: records only go on, what is over stays so, and a bad version gets no more
     /// than the bound allows.
@@ -327,22 +363,8 @@
         order(&mut world);
         // Bad from the start, or from some time on.
         let bad_from = world.now + u64::from(from % 8) * 500;
-        for (router, trouble) in troubles.into_iter().take(30) {
-            let index = usize::from(router) % 9;
-            match trouble % 12 {
-                0 => world.set_store_down(true),
-                1 => world.set_store_down(false),
-                2 => world.kill(world.home(index)),
-                3 => (0..9).for_each(|index| if !world.is_alive(index) { world.start(index, 3); }),
-                4 => world.set_cut(index, (index + 1) % 9, router % 2 == 0),
-                5 => world.trouble = Trouble::Lost,
-                6 => world.trouble = Trouble::Late,
-                7 => world.trouble = Trouble::Busy,
-                8 => (0..9).for_each(|other| world.set_cut(world.home(index), other, router % 2 == 0)),
-                9 => world.freeze(world.home(index), true),
-                10 => (0..9).for_each(|index| world.freeze(index, false)),
-                _ => world.trouble = Trouble::None,
-            }
+        for (router, what) in troubles.into_iter().take(30) {
+            trouble(&mut world, router, what);
             let bad = world.now >= bad_from;
             world.serve_all(&mut traffic, 500, |engine| bad && is_new(engine));
         }
@@ -350,4 +372,27 @@
         let history = world.history();
         fits && only_goes_on(&history)
     }
+
+    /// Whatever fails for a while: once it is mended the roll-out ends, the same for all, and a good version isn't found bad.
+    fn whatever_fails_a_roll_out_ends(troubles: Vec<(u8, u8)>, good: bool) -> bool {
+        let mut world = fleet_with(50.0);
+        let mut traffic = Traffic::default();
+        world.serve_all(&mut traffic, 1_000, |_| false);
+        order(&mut world);
+        let is_bad = |engine| !good && is_new(engine);
+        for (router, what) in troubles.into_iter().take(20) {
+            trouble(&mut world, router, what);
+            world.serve_all(&mut traffic, 500, is_bad);
+        }
+        mend(&mut world);
+        world.serve_all(&mut traffic, 45_000, is_bad);
+        let last = stage(&world);
+        let right = match last {
+            Some(Stage::Completed) => good,
+            Some(Stage::RolledBack(Cause::Failing | Cause::Slow)) => !good,
+            Some(Stage::RolledBack(Cause::Unproven)) => true,
+            Some(Stage::RolledBack(Cause::Withdrawn | Cause::Missing) | Stage::Trial | Stage::Moving) | None => false,
+        };
+        right && (0..9).all(|index| world.stage(index) == last) && only_goes_on(&world.history())
+    }
 }
