A request's end is looked up once

Change: what ended is handed to watch.rs after it was let go, so that an end costs no second look-up of the upstream.

--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -310,7 +310,6 @@
         // It matters only where something went wrong, and takes a look at all.
         let usual = if matches!(outcome, Outcome::Failed | Outcome::Silent) { self.usual(now, &place) } else { 0.0 };
         let mut read = Vec::new();
-        self.watch_end(now, &place, attempt, outcome, took);
         if let Some(member) = self.members.get_mut(&place) {
             let hold = member.let_go(attempt);
             // Without a first event it isn't certain that anything was read.
@@ -326,7 +325,7 @@
                 if member.admission != Admission::Trial {
                     self.time += (took - self.time) * WEIGHT;
                 }
-                if hold.is_some_and(|hold| hold.expected > 0.0) {
+                if hold.as_ref().is_some_and(|hold| hold.expected > 0.0) {
                     member.health.took(now, (took + 5.0) / (self.time + 5.0));
                 }
             }
@@ -334,6 +333,10 @@
             if matches!(outcome, Outcome::Served | Outcome::Failed | Outcome::Shed) {
                 self.answered.insert(member.zone.clone(), now);
             }
+            let is_new = member.is_new;
+            if let Some(hold) = hold {
+                self.watch_end(now, (&place, is_new), &hold, outcome, took);
+            }
         }
         self.stop_reading(&read, attempt);
         let mut answers = self.lead(now, attempt);
--- a/crates/stairvale-dispatch/src/pool/watch.rs
+++ b/crates/stairvale-dispatch/src/pool/watch.rs
@@ -10,7 +10,7 @@
 use stairvale_types::{Moment, id};
 
 use super::Pool;
-use crate::{Member, Outcome, member::Hold};
+use crate::{Outcome, member::Hold};
 
 /// An answer that takes more than so many times what it should is slow. A queue or a neighbour's long prompt doubles the
 /// time now and then; what is several times as slow by itself takes more.
@@ -97,11 +97,11 @@
         }
     }
 
-    fn see(&mut self, member: &Member, route: id::Route, answer: Answer) {
+    fn see(&mut self, (upstream, is_new): (&id::Upstream, bool), route: id::Route, answer: Answer) {
         if self.seen.len() >= KEPT {
             self.seen.pop_front();
         }
-        self.seen.push_back(Observation { route, upstream: member.id.clone(), is_new: member.is_new, answer });
+        self.seen.push_back(Observation { route, upstream: upstream.clone(), is_new, answer });
     }
 
     fn usual(&self, route: id::Route) -> Option<&Usual> {
@@ -164,26 +164,20 @@
             && let Some(route) = member.held().get(&attempt).map(|hold| hold.route)
         {
             member.tell(attempt);
-            self.watch.see(member, route, Answer::Slow);
+            self.watch.see((&member.id, member.is_new), route, Answer::Slow);
         }
     }
 
-    /// A request is about to end at a member; `took` is the time of a plain answer.
+    /// A request ended at an upstream, which may be a new one; `took` is the time of a plain answer.
     pub(super) fn watch_end(
         &mut self,
         now: Moment,
-        place: &id::Upstream,
-        attempt: id::Attempt,
+        (place, is_new): (&id::Upstream, bool),
+        hold: &Hold,
         outcome: Outcome,
         took: Option<Duration>,
     ) {
         let watched = self.versions.is_watched();
-        let Some(member) = self.members.get(place) else {
-            return;
-        };
-        let Some(hold) = member.held().get(&attempt) else {
-            return;
-        };
         let is_engine = self.rules.engine.is_some();
         let limit = self.watch.limit(hold, is_engine);
         let late = |since: Moment, most: f64| millis(now.since(since)) > most;
@@ -205,10 +199,10 @@
         let answer =
             answer.filter(|answer| watched && !hold.told && !(*answer == Answer::Slow && self.lost_source(now, hold)));
         if let Some(answer) = answer {
-            self.watch.see(member, hold.route, answer);
+            self.watch.see((place, is_new), hold.route, answer);
         }
         // What the new version takes isn't usual while it is judged.
-        if outcome == Outcome::Served && !(watched && member.is_new) {
+        if outcome == Outcome::Served && !(watched && is_new) {
             let usual = self.watch.usual.entry(hold.route).or_default();
             match (took, hold.begun) {
                 (Some(took), _) if !is_engine => usual.answered(millis(took)),
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -135,7 +135,7 @@
 mutant "a version on trial changes what is usual" crates/stairvale-dispatch/src/pool.rs \
   's/let usual = member\.admission != Admission::Trial;/let usual = true;/' stairvale-dispatch watch
 mutant "a new version is its own measure" crates/stairvale-dispatch/src/pool/watch.rs \
-  's/ \&\& !\(watched \&\& member\.is_new\)//' stairvale-dispatch watch
+  's/ \&\& !\(watched \&\& is_new\)//' stairvale-dispatch watch
 mutant "a copy from a lost engine is held against a version" crates/stairvale-dispatch/src/pool/watch.rs \
   's/is_none_or\(\|member\| !within\.can_copy\(member\)\)/is_none()/' stairvale-dispatch watch
 mutant "a late request is told twice" crates/stairvale-dispatch/src/pool/watch.rs \
