Roll-outs: the next home knows what the one before saw

Cause: plays in which the home is killed every 1.1, 2.3 or 3.7 s.

Ruled out: taking earlier homes' counts for as much as what is seen now. They don't say at which upstreams it was.

Change: counts are written once a second at least, and after half a second when much was seen of the version; they speak against a version up to just below a verdict, and the next home must find two bad upstreams itself. Little left of the bound means that the rehearsal was made; past the deadline there is none.

--- a/crates/stairvale-rollout/src/evidence.rs
+++ b/crates/stairvale-rollout/src/evidence.rs
@@ -18,6 +18,8 @@
 const WITHOUT: f64 = 6.0;
 /// ... and where that one gave more than [`MOST`] of the bad answers: then the others' may be those that a route has by itself.
 const WITHOUT_WORST: f64 = 8.0;
+/// What counts of earlier homes come to at most: below what must speak against a version without its worst upstream.
+const RECALLED: f64 = 7.0;
 /// A part of the bad answers.
 const MOST: f64 = 0.6;
 /// From here on other upstreams should be tried, too.
@@ -73,17 +75,21 @@
     /// The sums as they would be if an upstream had never been tried.
     without: BTreeMap<id::Upstream, Sums>,
     seen: BTreeMap<id::Upstream, Seen>,
+    /// Bad answers that earlier homes counted.
+    recalled: u32,
 }
 
 impl Evidence {
-    /// Begins with what earlier homes counted: half of the way to a verdict at most, since they can't say at which upstreams.
+    /// Begins with what earlier homes counted: more than without it must be seen then, and at two upstreams at least, since
+    /// counts can't say whether they are one upstream's.
     pub fn recall(&mut self, share: f64, answers: u32, bad: u32) {
         let good = f64::from(answers.saturating_sub(bad));
         let steps = Self::steps(share, true).map(|step| step * f64::from(bad));
         let back = Self::steps(share, false).map(|step| step * good);
         for (sum, (up, down)) in self.all.0.iter_mut().zip(steps.into_iter().zip(back)) {
-            *sum = (up + down).clamp(0.0, THRESHOLD / 2.0);
+            *sum = (*sum + up + down).clamp(0.0, RECALLED);
         }
+        self.recalled += bad;
     }
 
     /// An upstream of the version answered; a good version's answers would be bad in this share.
@@ -98,6 +104,7 @@
         }
         if self.all.highest() <= 0.0 {
             self.seen.clear();
+            self.recalled = 0;
             return;
         }
         let seen = self.seen.entry(upstream.clone()).or_default();
@@ -131,7 +138,7 @@
         let is_of_others = if self.without.len() > 1 {
             let least = if f64::from(worst) > MOST * f64::from(bad) { WITHOUT_WORST } else { WITHOUT };
             self.lowest() >= least * caution
-                && (bad + waiting >= FEWEST || outlived >= FEWEST_OUTLIVED)
+                && (bad + waiting + self.recalled >= FEWEST || outlived >= FEWEST_OUTLIVED)
                 && bad - worst >= FEWEST_OTHERS
                 && self.is_spread(bad)
         } else {
--- a/crates/stairvale-rollout/src/judge.rs
+++ b/crates/stairvale-rollout/src/judge.rs
@@ -87,6 +87,7 @@
             let bad = tally.new.failed + tally.new.slow;
             let [answers, bad] = [tally.new.answers, bad].map(|count| u32::try_from(count).unwrap_or(u32::MAX));
             pair.new.recall(pair.old.share(now), answers, bad);
+            judge.whole.new.recall(pair.old.share(now), answers, bad);
         }
         judge
     }
--- a/crates/stairvale-rollout/src/outbox.rs
+++ b/crates/stairvale-rollout/src/outbox.rs
@@ -9,6 +9,11 @@
     record::{Counts, Tally},
 };
 
+/// Answers of the new version that are worth a call to the store...
+const MANY: u64 = 8;
+/// ... and bad ones.
+const SOME_BAD: u64 = 2;
+
 /// What was counted and stands in no record yet, as far as is known.
 #[derive(Clone, Debug, Default)]
 pub struct Delta {
@@ -117,6 +122,15 @@
         self.counted.sum()
     }
 
+    /// Whether so much was seen of the new version, or of its failing, that the next home should know it soon.
+    #[must_use]
+    pub fn is_much(&self) -> bool {
+        let new = self.counted.latest.routes.values().map(|tally| tally.new);
+        let (answers, bad) =
+            new.fold((0, 0), |(answers, bad), counts| (answers + counts.answers, bad + counts.failed + counts.slow));
+        answers >= MANY || bad >= SOME_BAD
+    }
+
     /// Whether an answer is still to come.
     #[must_use]
     pub fn is_under_way(&self) -> bool {
--- a/crates/stairvale-rollout/src/steward.rs
+++ b/crates/stairvale-rollout/src/steward.rs
@@ -32,6 +32,11 @@
 const LAST: Duration = Duration::from_millis(800);
 /// A fleet that was told to move late gets so long all the same.
 const LEAST_MOVING: Duration = Duration::from_secs(1);
+/// What was counted is written with the next reservation, or after so long: a home may die, and the bound grows by requests
+/// that stand in the record.
+const KEEP: Duration = Duration::from_secs(1);
+/// The same where much was seen of the version.
+const KEEP_MUCH: Duration = Duration::from_millis(500);
 /// Without any old upstream for so long, and before anything was tried, the ordered version is the one that serves.
 const ONLY: Duration = Duration::from_secs(1);
 
@@ -63,6 +68,8 @@
     trial: Trial,
     outbox: Outbox,
     number: u64,
+    /// When something was sent to the store last.
+    wrote: Moment,
     not_before: Moment,
     failures: u32,
     reserving: Option<Reserving>,
@@ -96,6 +103,7 @@
             trial: Trial::default(),
             outbox: Outbox::default(),
             number: 0,
+            wrote: Moment::ZERO,
             not_before: Moment::ZERO,
             failures: 0,
             reserving: None,
@@ -337,7 +345,10 @@
             doubts: self.judge.as_ref().is_some_and(Judge::doubts),
         };
         match self.trial.next(now, &self.bounds, &view) {
-            Next::Wait => None,
+            Next::Wait => {
+                let keep = if self.outbox.is_much() { KEEP_MUCH } else { KEEP };
+                (counted.requests > 0 && now >= self.wrote + keep).then_some((record, None))
+            }
             Next::Reserve(plan) => {
                 record.granted += u64::from(plan.requests);
                 self.trial.sent(now, plan, facts);
@@ -379,6 +390,7 @@
         record.writer = self.me.clone();
         let expected = self.record.as_ref().map_or(0, |(revision, _)| *revision);
         self.reserving = plan.map(|plan| Reserving { order: record.order, plan, until: now + VALID });
+        self.wrote = now;
         self.outbox.send(expected, record.clone());
         Step::Write(Write { service: self.service.clone(), expected, record })
     }
