Tests of roll-outs that need the real steward and pool

Change: traffic that goes on while homes, ways and the store fail, and what became of it; routers of the world can stand still. Thirteen tests, two of them over any mix of those failures: records only go on, what is over stays so, a bad version gets no more than the bounds say, nor anything later than is set after its 50th bad answer; and once all is mended the roll-out ends, the same for all routers, and a good version isn't found bad.

--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod records;
+pub mod traffic;
 
 use std::{
     cmp::Reverse,
@@ -65,6 +66,8 @@
     /// When its process started; its clock begins then, as a process's does.
     born: u64,
     alive: bool,
+    /// Whether its process stands still.
+    frozen: bool,
     call: Option<Call>,
     rest_until: u64,
 }
@@ -203,6 +206,7 @@
                 stale: 0,
                 born: 0,
                 alive: true,
+                frozen: false,
                 call: None,
                 rest_until: 0,
             });
@@ -463,6 +467,11 @@
         self.nodes[index].alive
     }
 
+    /// A router's process stands still, or goes on: its clock went on all the time.
+    pub fn freeze(&mut self, index: usize, frozen: bool) {
+        self.nodes[index].frozen = frozen;
+    }
+
     /// A killed router starts again and knows nothing.
     pub fn start(&mut self, index: usize, zones: usize) {
         let core = self.core(index, zones, self.now + 2);
@@ -475,6 +484,7 @@
             stale: 0,
             born: self.now,
             alive: true,
+            frozen: false,
             call: None,
             rest_until: 0,
         };
@@ -491,7 +501,7 @@
             self.deliver();
             self.answer_writes();
             for index in 0..self.nodes.len() {
-                if !self.nodes[index].alive {
+                if !self.nodes[index].alive || self.nodes[index].frozen {
                     continue;
                 }
                 self.poll_store(index);
@@ -519,6 +529,12 @@
             if !self.nodes[to].alive {
                 continue;
             }
+            if self.nodes[to].frozen {
+                // It finds them when it goes on, in their order.
+                self.messages.insert(number, message);
+                self.queue.push(Reverse((self.now + STEP, number, to)));
+                continue;
+            }
             let now = self.local(to);
             let effects = match message {
                 Message::Frame(from, frame) => self.nodes[to].core.frame(now, &from, frame),
--- a/crates/stairvale-serve/tests/world/records.rs
+++ b/crates/stairvale-serve/tests/world/records.rs
@@ -158,7 +158,8 @@
         for (_, write) in Vec::<(u64, Write)>::into_iter(due) {
             self.swap(write);
         }
-        let (due, answers) = std::mem::take(&mut self.records.answers).into_iter().partition(|answer| answer.at <= now);
+        let due = |answer: &Answer| answer.at <= now && !self.nodes[answer.index].frozen;
+        let (due, answers) = std::mem::take(&mut self.records.answers).into_iter().partition(due);
         self.records.answers = answers;
         for Answer { index, born, peer, service, written, .. } in Vec::<Answer>::into_iter(due) {
             if !self.nodes[index].alive || self.nodes[index].born != born {
