--- a/crates/stairvale-serve/tests/stewards.rs
+++ b/crates/stairvale-serve/tests/stewards.rs
@@ -316,6 +316,35 @@
     }
 }
 
+#[test]
+fn who_is_the_home_no_longer_gives_nothing_of_what_it_had_reserved() {
+    let mut world = fleet();
+    let mut traffic = Traffic::default();
+    let first = world.home(0);
+    world.kill(first);
+    world.serve_all(&mut traffic, 6_000, |_| false);
+    order(&mut world);
+    world.serve_all(&mut traffic, 6_000, |_| false);
+    let second = world.home((first + 1) % 9);
+    assert!(second != first && to_new(&traffic, 0) > 0);
+    // The first home is back, while something is left of what the second one reserved.
+    world.start(first, 3);
+    for _ in 0..400 {
+        if world.home(second) == first {
+            break;
+        }
+        world.serve_all(&mut traffic, 50, |_| false);
+    }
+    assert_eq!(world.home(second), first);
+    world.run(50);
+    for number in 0..30 {
+        world.ask_self(second, number, &[]);
+    }
+    let places: BTreeSet<_> = (0..30).filter_map(|number| world.granted(second, number)).collect();
+    assert!(!places.is_empty());
+    assert!(NEW.iter().all(|engine| !places.contains(&format!("e{engine}").parse().unwrap())), "{places:?}");
+}
+
 /// Something fails, or is mended.
 fn trouble(world: &mut World, router: u8, what: u8) {
     let index = usize::from(router) % 9;
