--- a/crates/stairvale-dispatch/src/pool/allowance.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance.rs
@@ -88,7 +88,8 @@
         let open = member.health.is_open(chance.now);
         let able = match resort.admission {
             Admission::Any | Admission::Last => (chance.none_well || open) && chance.serves(member),
-            Admission::Trial => open && chance.within.is_near(member) && chance.suits(member),
+            // Those that are well were chosen, if there are any.
+            Admission::Trial => chance.within.is_near(member) && chance.suits(member),
             Admission::Nothing => false,
         };
         able && self.bears(chance.now, member, resort.care)
--- a/crates/stairvale-dispatch/src/pool/allowance/versions.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/versions.rs
@@ -122,7 +122,7 @@
                 *given += 1;
             }
         }
-        let is_whole = self.chosen_count() >= self.carrying;
+        let is_whole = self.carrying > 1 && self.chosen_count() >= self.carrying;
         let portion = self.portions.entry(route).or_default();
         portion.due -= 1.0;
         // One of two requests of a route goes to the old version at least, to be compared with; but where as many are chosen
@@ -199,7 +199,9 @@
         for member in self.members.values() {
             // One that failed and is only being tried can't be counted on.
             let may = member.admission != Admission::Nothing;
-            let ready = usize::from(may && within.reaches(member) && !member.health.is_trial());
+            // But whether one that is on trial fails is just what is to be found out.
+            let well = !member.health.is_trial() || member.admission == Admission::Trial;
+            let ready = usize::from(may && within.reaches(member) && well);
             if member.is_new {
                 facts.ready_new += ready;
                 facts.running_new += member.running();
@@ -240,9 +242,11 @@
             member.admission == Admission::Any && within.reaches(member) && !member.health.is_trial()
         };
         let carrying = self.members.values().filter(carries).count();
-        let fits = |member: &Member| {
-            member.admission == Admission::Trial && within.is_near(member) && member.health.is_open(now)
-        };
+        let near = |member: &Member| member.admission == Admission::Trial && within.is_near(member);
+        // Where all have failed so often that anybody else would leave them alone, they are tried all the same: two of a few
+        // failures each may be chance, and only more of them show that it is the version.
+        let any_open = self.members.values().any(|member| near(member) && member.health.is_open(now));
+        let fits = |member: &Member| near(member) && (!any_open || member.health.is_open(now));
         spell.chosen.retain(|(id, _)| self.members.get(id).is_some_and(fits));
         let lacks = spell.reserved.over.saturating_sub(spell.chosen.len());
         let mut others = Vec::new();
--- a/crates/stairvale-dispatch/tests/rollout.rs
+++ b/crates/stairvale-dispatch/tests/rollout.rs
@@ -108,6 +108,27 @@
     assert_eq!(seen.iter().collect::<BTreeSet<_>>().len(), 6, "{seen:?}");
 }
 
+/// A version all of whose upstreams fail soon leaves none that is well. It is tried on, or nobody could ever tell.
+#[test]
+fn a_version_none_of_whose_upstreams_is_well_is_tried_on() {
+    let mut pool = pool(Rules::default(), 3, 3, 6);
+    pool.set_policy(at(1), policy(Stage::Trial));
+    let mut failed = 0;
+    for number in 0..600 {
+        let now = at(10 + number * 9);
+        if number % 100 == 0 {
+            pool.reserve(reservation(20, 10 + number * 9 + 2_000, 1));
+        }
+        let place = place(&pool.ask(now, ask(u128::from(number), 0, &[]))).unwrap();
+        let outcome = if is_new(&place) { Outcome::Failed } else { Outcome::Served };
+        failed += u32::from(is_new(&place));
+        let took = (outcome == Outcome::Served).then_some(Duration::from_millis(5));
+        pool.release(now, id::Attempt(u128::from(number)), outcome, took);
+        assert_eq!(pool.facts(now).ready_new, 3);
+    }
+    assert!(failed >= 60, "{failed}");
+}
+
 #[test]
 fn another_upstream_is_chosen_for_one_that_closes_or_leaves() {
     for leaves in [false, true] {
