--- a/crates/stairvale-serve/tests/stewards.rs
+++ b/crates/stairvale-serve/tests/stewards.rs
@@ -318,7 +318,7 @@
 
 #[test]
 fn who_is_the_home_no_longer_gives_nothing_of_what_it_had_reserved() {
-    let mut world = fleet();
+    let mut world = fleet_with(1_000.0);
     let mut traffic = Traffic::default();
     let first = world.home(0);
     world.kill(first);
