A failure that an upstream answered itself is handed on when no second try takes place

Cause: a whole answer with a 5xx was dropped as soon as a second try was allowed and paid for. When that try found no place, was turned away, or ran out of time before it was sent, the caller got a 502 of ours, which says less than the upstream had said: that it ran the request and failed.

Ruled out: handing it on after a second try that may have run. What came last is then the truth, and it isn't known.

Change: the answer is kept until another upstream may have run the request. Headers of one hop have a file of their own.

Test: a_failure_that_a_runner_answered_goes_back_when_no_other_runner_takes_the_request failed with 502 in place of 500 before the change and passes with it; platform/tests/path.rs: 21 passed.

--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -17,6 +17,7 @@
     Dialect, Shared,
     body::Body,
     dialect::{Head, Mark, Order},
+    hop::strip,
     permit::{self, Permit, Want},
     problem::Problem,
     relay,
@@ -33,18 +34,6 @@
 const HELD_BACK: u64 = 1 << 20;
 /// When to come back after a request that couldn't be sent in its time.
 const COME_BACK: Duration = Duration::from_millis(300);
-/// Headers that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "proxy-authenticate",
-];
-
 /// A request that is being served.
 pub struct Exchange<D> {
     /// What the process's tasks share.
@@ -82,6 +71,16 @@
     /// Upstreams that said they don't run it.
     turned_away: u32,
     avoid: Vec<id::Upstream>,
+    /// A failure that an upstream answered itself, until another one has been asked.
+    failure: Option<Failure>,
+}
+
+/// An upstream's own answer that was held back, since another upstream may do better.
+#[derive(Debug)]
+struct Failure {
+    answer: Response<Body>,
+    /// How many upstreams it may have run at by then.
+    runs: u32,
 }
 
 /// An upstream's answer, with its head read.
@@ -183,7 +182,10 @@
 
     async fn serve(&mut self) -> Result<Served, Problem> {
         loop {
-            let reply = self.reply(None).await?;
+            let reply = match self.reply(None).await {
+                Ok(reply) => reply,
+                Err(problem) => return self.failure().map(Served::Whole).ok_or(problem),
+            };
             // Wherever it goes next, it doesn't go there again.
             self.tries.avoid.push(reply.permit.upstream.id.clone());
             if self.route.kind == Kind::Stream && reply.head.status.is_success() || is_large(&reply.head) {
@@ -195,7 +197,9 @@
             }
             let failed = reply.head.status.is_server_error();
             match self.whole(reply).await {
-                Ok(answer) if failed && self.may_repeat() => drop(answer),
+                Ok(answer) if failed && self.may_repeat() => {
+                    self.tries.failure = Some(Failure { answer, runs: self.tries.runs });
+                }
                 Ok(answer) => return Ok(Served::Whole(answer)),
                 Err(problem) => self.again(problem)?,
             }
@@ -436,6 +440,16 @@
         allowed
     }
 
+    /// The failure that the last upstream answered, if the request ran nowhere after it: it is the whole truth, which no word
+    /// of ours is.
+    fn failure(&mut self) -> Option<Response<Body>> {
+        let runs = self.tries.runs;
+        self.tries.failure.take().filter(|failure| failure.runs == runs).map(|failure| {
+            self.shared.metrics.count("failure-handed-on");
+            failure.answer
+        })
+    }
+
     /// Another try shall not go where this one was.
     pub(crate) fn avoid(&mut self, upstream: &id::Upstream) {
         self.tries.avoid.push(upstream.clone());
@@ -480,16 +494,6 @@
     length.is_some_and(|length| length > HELD_BACK)
 }
 
-/// Removes headers that concern one connection only, those that `Connection` names included.
-pub(crate) fn strip(headers: &mut HeaderMap) {
-    let named = headers.get_all(header::CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
-    let named: Vec<String> =
-        named.flat_map(|value| value.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect();
-    for name in named.iter().map(String::as_str).chain(HOP_BY_HOP) {
-        headers.remove(name);
-    }
-}
-
 pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/stairvale-serve/src/lib.rs
+++ b/crates/stairvale-serve/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod dialect;
 pub mod exchange;
 pub mod frame;
+mod hop;
 pub mod inspect;
 pub mod metrics;
 pub mod permit;
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -13,7 +13,8 @@
 use crate::{
     Dialect,
     body::{Body, Broken},
-    exchange::{Exchange, Reply, millis, strip},
+    exchange::{Exchange, Reply, millis},
+    hop::strip,
     upstream::Fault,
 };
 
