Customers' shares of a service's places

Cause: a service's home didn't know whose request it holds, so where places are few everybody pays for one customer's surge.

Change: the home keeps an account of each customer: what runs, waits, and ran lately. Where requests wait a place goes to customers within their max-min share first, then by urgency, then to who has least, then by wait. Who can't be served in its patience by its own backlog is told no, also in place of a newcomer within its share; Retry-After follows from that backlog. A request that no waiting one stands before in fact (zones, upstreams to avoid) takes a free place in place of a refusal. What waits has a file of its own (pool/queue.rs).

--- a/crates/stairvale-dispatch/src/lib.rs
+++ b/crates/stairvale-dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod pool;
 pub mod reading;
 pub mod seen;
+pub mod shares;
 
 pub use ask::{Answer, Ask, Held, Outcome, Part, Verdict};
 pub use budget::Window;
@@ -30,3 +31,4 @@
 pub use pool::Pool;
 pub use reading::Reading;
 pub use seen::Seen;
+pub use shares::Shares;
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -6,14 +6,19 @@
 };
 
 use rapidhash::RapidHashMap;
-use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
+use stairvale_types::{Moment, id, unit};
 
-use crate::{Answer, Ask, Held, Listing, Member, Outcome, Part, Reading, Verdict, member::Hold};
+use crate::{
+    Answer, Ask, Held, Listing, Member, Outcome, Part, Reading, Shares,
+    member::Hold,
+    shares::{Measure, Surplus, Weight},
+};
 
 mod choose;
 mod cold;
 mod follow;
 mod holders;
+mod queue;
 mod reach;
 
 pub use cold::Cold;
@@ -26,10 +31,6 @@
 const FIRST_TIME: f64 = 50.0;
 /// How much one answer counts in a mean.
 const WEIGHT: f64 = 0.1;
-/// The longest time that is told to come back after.
-const LONGEST_RETURN: Duration = Duration::from_secs(2);
-/// The shortest.
-const SHORTEST_RETURN: Duration = Duration::from_millis(100);
 
 /// How a service is dealt out.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -46,14 +47,6 @@
     pub cold: Option<Cold>,
 }
 
-#[derive(Clone, Debug)]
-struct Waiting {
-    ask: Ask,
-    since: Moment,
-    until: Moment,
-    number: u64,
-}
-
 /// A service at its home.
 #[derive(Debug)]
 pub struct Pool {
@@ -77,7 +70,9 @@
     usable: usize,
     /// Who reads each of the shared parts that somebody is reading now.
     readers: RapidHashMap<u64, Vec<id::Attempt>>,
-    waiting: Vec<Waiting>,
+    waiting: Vec<queue::Waiting>,
+    /// Who has how much of the places.
+    shares: Shares,
     following: Vec<follow::Follower>,
     number: u64,
     /// How long its engines take to the first event.
@@ -105,6 +100,7 @@
             usable: 0,
             readers: RapidHashMap::default(),
             waiting: Vec::new(),
+            shares: Shares::default(),
             following: Vec::new(),
             number: 0,
             reading: Reading::default(),
@@ -120,6 +116,18 @@
         self
     }
 
+    /// Tells customers apart by another measure where requests wait, as a comparison.
+    #[must_use]
+    pub fn with_measure(mut self, measure: Measure) -> Self {
+        self.shares = self.shares.with_measure(measure);
+        self
+    }
+
+    /// Sets the weights of some customers; all others have a weight of one.
+    pub fn set_weights(&mut self, weights: impl IntoIterator<Item = (id::Customer, Weight)>) {
+        self.shares.set_weights(weights);
+    }
+
     /// The configuration changed.
     pub fn set_rules(&mut self, rules: Rules) {
         self.rules = rules;
@@ -146,6 +154,12 @@
         self.waiting.len() + self.following.len()
     }
 
+    /// What each customer has of it.
+    #[must_use]
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
     /// Its upstreams.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -154,6 +168,12 @@
     // ------------------------------------------------------------------------
     // Changes.
 
+    /// Who wants more than its share since this was asked last, while requests wait, and who no longer does.
+    pub fn surpluses(&mut self, now: Moment) -> Vec<Surplus> {
+        let level = if self.waiting.is_empty() { f64::INFINITY } else { self.level(now) };
+        self.shares.surpluses(now, level)
+    }
+
     /// Sets the upstreams that exist.
     pub fn set_members(&mut self, now: Moment, known: &[Listing]) -> Vec<Answer> {
         let named: BTreeSet<_> = known.iter().map(|listing| &listing.id).collect();
@@ -261,32 +281,9 @@
         self.enter(now, ask, now)
     }
 
-    /// Places a request that was asked for some time ago, or lets it wait for what is left of its patience.
-    fn enter(&mut self, now: Moment, ask: Ask, asked: Moment) -> Vec<Answer> {
-        if self.follow(now, &ask, asked) {
-            return Vec::new();
-        }
-        if self.waiting.is_empty()
-            && let Some(answer) = self.grant(now, &ask)
-        {
-            return vec![answer];
-        }
-        let Some(wait) = self.predict(now, &ask) else {
-            return vec![refuse(&ask, Reason::NoUpstream, SHORTEST_RETURN * 5)];
-        };
-        let until = asked + ask.patience;
-        if now + wait > until {
-            return vec![refuse(&ask, Reason::Busy, wait)];
-        }
-        self.number += 1;
-        self.waiting.push(Waiting { ask, since: now, until, number: self.number });
-        self.waiting.sort_by_key(|waiting| (waiting.ask.priority, waiting.number));
-        self.serve(now)
-    }
-
     /// An entry no longer waits for an answer.
     pub fn forget(&mut self, now: Moment, attempt: id::Attempt) -> Vec<Answer> {
-        self.waiting.retain(|waiting| waiting.ask.attempt != attempt);
+        self.stop_waiting(attempt);
         self.stop_following(attempt);
         self.release(now, attempt, Outcome::Abandoned, None)
     }
@@ -325,6 +322,7 @@
         let Some(place) = self.places.remove(&attempt) else {
             return Vec::new();
         };
+        self.shares.end(now, attempt);
         // It matters only where something went wrong, and takes a look at all.
         let usual = if matches!(outcome, Outcome::Failed | Outcome::Silent) { self.usual(now, &place) } else { 0.0 };
         let mut read = Vec::new();
@@ -380,22 +378,20 @@
             };
             member.hold(item.attempt, hold);
             self.places.insert(item.attempt, item.upstream.clone());
+            self.shares.start(now, item.attempt, item.customer.as_ref());
         }
-        self.drop_holds(|hold| &hold.entry == entry && hold.named < now && now.since(hold.since) >= YOUNG);
+        self.drop_holds(now, |hold| &hold.entry == entry && hold.named < now && now.since(hold.since) >= YOUNG);
         self.serve(now)
     }
 
-    /// Lets time pass: waits end, holds that nobody names are dropped.
+    /// Lets time pass: waits end, holds that nobody names are dropped, customers that want nothing are forgotten.
     pub fn tick(&mut self, now: Moment) -> Vec<Answer> {
-        self.drop_holds(|hold| now.since(hold.named) >= HOLD_TTL);
+        self.drop_holds(now, |hold| now.since(hold.named) >= HOLD_TTL);
         self.bury();
+        self.shares.age(now);
         let mut answers = self.end_following(now);
         answers.extend(self.serve(now));
-        let expired: Vec<_> = self.waiting.extract_if(.., |waiting| waiting.until <= now).collect();
-        for waiting in expired {
-            let again = self.predict(now, &waiting.ask).unwrap_or(SHORTEST_RETURN);
-            answers.push(refuse(&waiting.ask, Reason::Busy, again));
-        }
+        answers.extend(self.end_waiting(now));
         answers
     }
 
@@ -421,11 +417,12 @@
         }
     }
 
-    fn drop_holds(&mut self, gone: impl Fn(&Hold) -> bool) {
+    fn drop_holds(&mut self, now: Moment, gone: impl Fn(&Hold) -> bool) {
         let mut lost = Vec::new();
         for member in self.members.values_mut().filter(|member| !member.held().is_empty()) {
             for attempt in member.which(&gone) {
                 self.places.remove(&attempt);
+                self.shares.end(now, attempt);
                 if let Some(hold) = member.let_go(attempt) {
                     member.cache.lose(&hold.reads, attempt);
                     self.holders.follow(member);
@@ -450,28 +447,6 @@
         }
     }
 
-    // ------------------------------------------------------------------------
-    // What waits.
-
-    /// Grants what waits, the most urgent first, as far as there is room.
-    fn serve(&mut self, now: Moment) -> Vec<Answer> {
-        let mut answers = Vec::new();
-        let mut index = 0;
-        while index < self.waiting.len() {
-            let ask = self.waiting[index].ask.clone();
-            match self.grant(now, &ask) {
-                Some(answer) => {
-                    self.waiting.remove(index);
-                    answers.push(answer);
-                }
-                // A less urgent one with the same choice would find no room either.
-                None if ask.avoid.is_empty() => break,
-                None => index += 1,
-            }
-        }
-        answers
-    }
-
     /// The share of bad outcomes among the other upstreams: the median.
     fn usual(&self, now: Moment, except: &id::Upstream) -> f64 {
         let within = self.reach(now);
@@ -480,28 +455,4 @@
         shares.sort_by(f64::total_cmp);
         shares.get(shares.len() / 2).copied().unwrap_or(0.0)
     }
-
-    /// How long a request would wait for a place; `None` if there is no upstream that could ever serve it.
-    #[allow(clippy::cast_precision_loss)]
-    fn predict(&self, now: Moment, ask: &Ask) -> Option<Duration> {
-        let within = self.reach(now);
-        let able = |member: &&Member| within.has(member) && ask.allows(&member.zone) && !ask.avoid.contains(&member.id);
-        let able: Vec<_> = self.members.values().filter(able).collect();
-        if able.is_empty() {
-            return None;
-        }
-        let open = able.iter().filter(|member| member.health.is_open(now));
-        let slots: u32 = open.map(|member| member.slots).sum();
-        let ahead = self.waiting.iter().filter(|waiting| waiting.ask.priority <= ask.priority).count() + 1;
-        let held = self.waiting.first().map_or(Duration::ZERO, |first| now.since(first.since));
-        let each = self.time / f64::from(slots.max(1));
-        let wait = Duration::from_secs_f64(ahead as f64 * each / 1e3);
-        // Something that already waits long tells that places come free more slowly than the mean says.
-        Some(wait.max(held / 2))
-    }
-}
-
-fn refuse(ask: &Ask, reason: Reason, wait: Duration) -> Answer {
-    let refusal = Refusal::new(reason, wait.clamp(SHORTEST_RETURN, LONGEST_RETURN));
-    Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict: Verdict::Refused(refusal) }
 }
