Shares follow what is wanted now; a plain upstream is given as many more as are on their way

Cause: a customer wanted the greater of what it runs and what it ran lately. With many small customers the sum of the greater ones is too much, and the surge's level came out at 9 of 42 where it held 21: its requests were refused for waits that weren't there. Cause: at each of 1,855 refusals in a trace the home counted all places as taken, and 520 requests a second were answered where 42 places of 62 ms bear 670. For the rest of the time places stand empty while requests are on their way.

Also: accounts cost less (means relative to an epoch, only active customers looked at).

--- a/crates/stairvale-dispatch/benches/pool.rs
+++ b/crates/stairvale-dispatch/benches/pool.rs
@@ -109,3 +109,45 @@
     let (mut pool, now, _) = pool(engines);
     bencher.bench_local(|| black_box(pool.tick(Moment(now))));
 }
+
+/// Customers of a plain service of seven upstreams with six places each.
+const CUSTOMERS: [u64; 3] = [1, 24, 10_000];
+
+/// One request of a customer comes, and the oldest one ends: `running` of them run or wait.
+fn turn(pool: &mut Pool, now: u64, number: u64, customers: u64, running: u64) {
+    let now = Moment(now);
+    let customer = Some(format!("c{}", number.wrapping_mul(7_919) % customers).parse().unwrap());
+    let patience = Duration::from_millis(60);
+    black_box(pool.ask(now, Ask { customer, patience, parts: Vec::new(), ..ask(number) }));
+    if number > running {
+        let took = Some(Duration::from_millis(60));
+        black_box(pool.release(now, id::Attempt(u128::from(number - running)), Outcome::Served, took));
+    }
+}
+
+fn plain() -> Pool {
+    let mut pool = Pool::new(Rules::default());
+    let known: Vec<_> = (0..7).map(|index| Listing { slots: 6, ..listing(index) }).collect();
+    pool.set_members(Moment::ZERO, &known);
+    pool
+}
+
+/// With places to spare.
+#[divan::bench(args = CUSTOMERS, sample_count = 20, sample_size = 500)]
+fn customer_with_room(bencher: Bencher, customers: u64) {
+    let (mut pool, mut number) = (plain(), 0);
+    bencher.bench_local(|| {
+        number += 1;
+        turn(&mut pool, number * 2_000, number, customers, 30);
+    });
+}
+
+/// With some ten that wait.
+#[divan::bench(args = CUSTOMERS, sample_count = 20, sample_size = 500)]
+fn customer_that_waits(bencher: Bencher, customers: u64) {
+    let (mut pool, mut number) = (plain(), 0);
+    bencher.bench_local(|| {
+        number += 1;
+        turn(&mut pool, number * 1_400, number, customers, 52);
+    });
+}
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -20,6 +20,7 @@
 mod holders;
 mod queue;
 mod reach;
+mod transit;
 
 pub use cold::Cold;
 
@@ -79,6 +80,8 @@
     reading: Reading,
     /// The mean time of a plain answer, or of an engine's request from grant to end, in ms.
     time: f64,
+    /// How much longer than that a place of a plain upstream is taken, in ms.
+    transit: f64,
     /// This router's part of what the whole fleet may give to cold upstreams.
     share: cold::Share,
 }
@@ -105,6 +108,7 @@
             number: 0,
             reading: Reading::default(),
             time: FIRST_TIME,
+            transit: 0.0,
             share: cold::Share::ALL,
         }
     }
@@ -325,8 +329,9 @@
         self.shares.end(now, attempt);
         // It matters only where something went wrong, and takes a look at all.
         let usual = if matches!(outcome, Outcome::Failed | Outcome::Silent) { self.usual(now, &place) } else { 0.0 };
-        let mut read = Vec::new();
+        let (mut read, mut held, mut is_overfull) = (Vec::new(), None, false);
         if let Some(member) = self.members.get_mut(&place) {
+            is_overfull = outcome == Outcome::Shed && member.running() > member.slots;
             let hold = member.let_go(attempt);
             // Without a first event it isn't certain that anything was read.
             read = hold.as_ref().map(|hold| hold.reads.clone()).unwrap_or_default();
@@ -337,6 +342,7 @@
                 self.holders.follow(member);
             }
             if let Some(took) = took {
+                held = hold.as_ref().filter(|hold| hold.expected > 0.0).map(|hold| (now.since(hold.since), took));
                 let took = took.as_secs_f64() * 1e3;
                 self.time += (took - self.time) * WEIGHT;
                 if hold.is_some_and(|hold| hold.expected > 0.0) {
@@ -348,6 +354,11 @@
                 self.answered.insert(member.zone.clone(), now);
             }
         }
+        if let Some((held, took)) = held {
+            self.learn_transit(held, took);
+        } else if is_overfull {
+            self.doubt_transit();
+        }
         self.stop_reading(&read, attempt);
         let mut answers = self.lead(now, attempt);
         answers.extend(self.serve(now));
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -87,7 +87,7 @@
 
     #[allow(clippy::cast_precision_loss)]
     fn has_room(&self, member: &Member, ask: &Ask, bound: f64) -> bool {
-        if member.running() >= member.slots || f64::from(member.running()) >= bound {
+        if member.running() >= self.places(member) || f64::from(member.running()) >= bound {
             return false;
         }
         if member.memory == 0 || member.held().is_empty() {
--- a/crates/stairvale-dispatch/src/pool/queue.rs
+++ b/crates/stairvale-dispatch/src/pool/queue.rs
@@ -11,7 +11,7 @@
 use super::Pool;
 use crate::{
     Answer, Ask, Member, Verdict,
-    shares::{Number, Standing},
+    shares::{Fade, Number, Queue, Standing},
 };
 
 /// The longest time that is told to come back after.
@@ -30,20 +30,26 @@
     number: u64,
 }
 
-/// When a request's turn is: what is less goes first.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+/// What turns depend on at a moment.
+#[derive(Clone, Copy)]
+struct Look {
+    level: f64,
+    fade: Fade,
+}
+
+/// When a request's turn is: what is less goes first, and of equal ones what came first.
+#[derive(Clone, Copy, Debug)]
 struct Turn {
     is_over: bool,
     priority: u8,
     score: f64,
-    number: u64,
 }
 
 impl Turn {
     /// The turn of a customer's request that `ahead` others of its own go before.
-    fn of(standing: &Standing, ahead: u32, priority: u8, number: u64) -> Self {
+    fn of(standing: &Standing, ahead: u32, priority: u8) -> Self {
         let ahead = f64::from(ahead);
-        Self { is_over: standing.is_over(ahead + 1.0), priority, score: standing.score + ahead * standing.step, number }
+        Self { is_over: standing.is_over(ahead + 1.0), priority, score: standing.score + ahead * standing.step }
     }
 }
 
@@ -65,7 +71,7 @@
         {
             return vec![answer];
         }
-        let customer = self.shares.open(now, ask.customer.as_ref());
+        let customer = self.shares.open(ask.customer.as_ref());
         self.number += 1;
         let until = asked + ask.patience;
         let waiting = Waiting { ask, customer, since: now, until, number: self.number };
@@ -79,7 +85,7 @@
                 None => vec![self.refuse(&waiting, wait.time)],
             };
         }
-        self.shares.wait(now, waiting.ask.customer.as_ref());
+        self.shares.wait(customer, waiting.ask.priority);
         self.waiting.push(waiting);
         let mut answers = self.serve(now);
         if !wait.is_last {
@@ -101,9 +107,9 @@
         if self.waiting.is_empty() {
             return answers;
         }
-        let level = self.level(now);
+        let look = self.look(now);
         let mut left_out = Vec::new();
-        while let Some(index) = self.first(now, level, &left_out) {
+        while let Some(index) = self.first(look, &left_out) {
             let ask = self.waiting[index].ask.clone();
             if let Some(answer) = self.place(now, &ask) {
                 self.take(index);
@@ -139,21 +145,28 @@
     /// A customer's new request has gone before others: the last of another customer that is over its share is told no, if
     /// it can no longer be served in its patience. Better now than when that ends.
     fn give_way(&mut self, now: Moment, new: Number) -> Option<Answer> {
-        let level = self.level(now);
-        let turns = (0..self.waiting.len()).map(|index| (index, self.turn(now, level, &self.waiting[index])));
-        let (last, turn) = turns.max_by(|a, b| order(&a.1, &b.1))?;
-        let waiting = &self.waiting[last];
-        let wait = self.predict(now, waiting)?.time;
-        if waiting.customer == new || !turn.is_over || now + wait <= waiting.until {
+        let look = self.look(now);
+        let last = self.shares.queues().map(|queue| (queue.number, self.turns(look, queue).last()));
+        let (customer, turn) = last.max_by(|a, b| order(a.1.as_ref(), b.1.as_ref()))?;
+        if customer == new || !turn?.is_over {
             return None;
         }
+        let own = self.waiting.iter().enumerate().filter(|(_, waiting)| waiting.customer == customer);
+        let last = own.max_by_key(|(_, waiting)| (waiting.ask.priority, waiting.number))?.0;
         let waiting = self.take(last);
-        Some(self.refuse(&waiting, wait))
+        match self.predict(now, &waiting) {
+            Some(wait) if now + wait.time > waiting.until => Some(self.refuse(&waiting, wait.time)),
+            Some(_) | None => {
+                self.shares.wait(customer, waiting.ask.priority);
+                self.waiting.push(waiting);
+                None
+            }
+        }
     }
 
     fn take(&mut self, index: usize) -> Waiting {
         let waiting = self.waiting.remove(index);
-        self.shares.wait_no_more(waiting.customer);
+        self.shares.wait_no_more(waiting.customer, waiting.ask.priority);
         waiting
     }
 
@@ -169,27 +182,31 @@
     pub(super) fn level(&self, now: Moment) -> f64 {
         let within = self.reach(now);
         let open = self.members.values().filter(|member| within.has(member) && member.health.is_open(now));
-        self.shares.level(now, open.map(|member| member.slots).sum())
+        self.shares.level(open.map(|member| self.places(member)).sum())
+    }
+
+    /// What turns depend on at a moment.
+    fn look(&self, now: Moment) -> Look {
+        Look { level: self.level(now), fade: self.shares.fade(now) }
     }
 
     /// The one whose turn it is.
-    fn first(&self, now: Moment, level: f64, left_out: &[u64]) -> Option<usize> {
+    fn first(&self, look: Look, left_out: &[u64]) -> Option<usize> {
         let candidates = self.waiting.iter().enumerate().filter(|(_, waiting)| !left_out.contains(&waiting.number));
         // Of a customer's own the most urgent comes first anyway, so that none need be counted.
         let turn = |waiting: &Waiting| {
-            Turn::of(&self.shares.standing(now, waiting.customer, level), 0, waiting.ask.priority, waiting.number)
+            Turn::of(&self.shares.standing(look.fade, waiting.customer, look.level), 0, waiting.ask.priority)
         };
-        let turns = candidates.map(|(index, waiting)| (index, turn(waiting)));
-        turns.min_by(|a, b| order(&a.1, &b.1)).map(|(index, _)| index)
+        let turns = candidates.map(|(index, waiting)| (index, turn(waiting), waiting.number));
+        let first = turns.min_by(|a, b| order(Some(&a.1), Some(&b.1)).then(a.2.cmp(&b.2)));
+        first.map(|(index, ..)| index)
     }
 
-    /// When a request's turn is, behind its customer's others.
-    fn turn(&self, now: Moment, level: f64, waiting: &Waiting) -> Turn {
-        let key = (waiting.ask.priority, waiting.number);
-        let own = self.waiting.iter().filter(|other| other.customer == waiting.customer);
-        let ahead = own.filter(|other| (other.ask.priority, other.number) < key).count();
-        let standing = self.shares.standing(now, waiting.customer, level);
-        Turn::of(&standing, u32::try_from(ahead).unwrap_or(u32::MAX), waiting.ask.priority, waiting.number)
+    /// The turns of all that a customer lets wait.
+    fn turns<'a>(&self, look: Look, queue: Queue<'a>) -> impl Iterator<Item = Turn> + use<'a> {
+        let standing = self.shares.standing(look.fade, queue.number, look.level);
+        let ranks = (0_u8..).zip(queue.waiting).flat_map(|(rank, count)| (0..*count).map(move |_| rank));
+        (0_u32..).zip(ranks).map(move |(ahead, rank)| Turn::of(&standing, ahead, rank))
     }
 
     /// How long a request would wait for a place; `None` if there is no upstream that could ever serve it.
@@ -203,28 +220,39 @@
             return None;
         }
         let open = able.iter().filter(|member| member.health.is_open(now));
-        let slots: u32 = open.map(|member| member.slots).sum();
-        let level = self.level(now);
-        let turn = self.turn(now, level, new);
-        let others = self.waiting.iter().filter(|other| other.number != new.number);
-        let before = |other: &&Waiting| order(&self.turn(now, level, other), &turn).is_lt();
-        let (mut ahead, mut own, mut held, mut all) = (0_u32, 0_u32, Duration::ZERO, 0_u32);
-        for other in others.inspect(|_| all += 1).filter(before) {
-            ahead += 1;
-            own += u32::from(other.customer == new.customer);
-            held = held.max(now.since(other.since));
+        let places: u32 = open.map(|member| self.places(member)).sum();
+        let look = self.look(now);
+        let standing = |number| self.shares.standing(look.fade, number, look.level);
+        let own_queue = self.shares.queues().find(|queue| queue.number == new.customer);
+        let own = own_queue.map_or(0, |queue| queue.waiting.iter().take(usize::from(ask.priority) + 1).sum());
+        let turn = Turn::of(&standing(new.customer), own, ask.priority);
+        let (mut ahead, mut all) = (own, 0);
+        for queue in self.shares.queues() {
+            all += queue.waiting.iter().sum::<u32>();
+            if queue.number != new.customer {
+                let before = |other: &Turn| order(Some(other), Some(&turn)).is_le();
+                ahead += u32::try_from(self.turns(look, queue).filter(before).count()).unwrap_or(u32::MAX);
+            }
         }
-        let share = self.shares.standing(now, new.customer, level).share.max(1.0);
-        let turns = (f64::from(ahead + 1) / f64::from(slots.max(1))).max(f64::from(own + 1) / share);
-        let time = Duration::from_secs_f64(turns * self.time / 1e3);
+        let before = |other: &&Waiting| {
+            order(Some(&Turn::of(&standing(other.customer), 0, other.ask.priority)), Some(&turn)).is_le()
+        };
+        let held = self.waiting.iter().filter(before).map(|other| now.since(other.since)).max().unwrap_or_default();
+        let share = standing(new.customer).share.max(1.0);
+        let turns = (f64::from(ahead + 1) / f64::from(places.max(1))).max(f64::from(own + 1) / share);
+        let time = Duration::from_secs_f64(turns * self.hold_time() / 1e3);
         // Something that already waits long tells that places come free more slowly than the mean says.
         Some(Wait { time: time.max(held / 2), is_last: ahead == all })
     }
 }
 
-fn order(a: &Turn, b: &Turn) -> std::cmp::Ordering {
+/// Which turn is first; nothing comes before all.
+fn order(a: Option<&Turn>, b: Option<&Turn>) -> std::cmp::Ordering {
     let keys = |turn: &Turn| (turn.is_over, turn.priority);
-    keys(a).cmp(&keys(b)).then(a.score.total_cmp(&b.score)).then(a.number.cmp(&b.number))
+    a.map(keys).cmp(&b.map(keys)).then_with(|| {
+        let score = |turn: Option<&Turn>| turn.map_or(0.0, |turn| turn.score);
+        score(a).total_cmp(&score(b))
+    })
 }
 
 fn refuse(ask: &Ask, reason: Reason, wait: Duration) -> Answer {
--- a/crates/stairvale-dispatch/src/shares.rs
+++ b/crates/stairvale-dispatch/src/shares.rs
@@ -12,6 +12,12 @@
 /// What ran counts less by half in this time. Long against one request, so that a place just taken or given back says little,
 /// and short against a surge, so that who has calmed down is soon forgiven.
 const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Means are told relative to a moment, which moves on after this long: before the numbers grow large.
+const EPOCH: Duration = Duration::from_secs(30);
+/// After so many half-lives nothing is left.
+const LIVES: f64 = 60.0;
+/// Ranks of requests that are told apart: 0 to 9.
+const RANKS: usize = 10;
 /// Below this many places, in the mean, a customer that runs and wants nothing is forgotten.
 const IDLE: f64 = 0.02;
 /// Customers that are told apart at most; those beyond are counted as one. Some 150 bytes each.
@@ -112,37 +118,55 @@
     }
 }
 
+/// What became of the means since an epoch: what ran at a moment counts by this, so that no account need be looked at for time
+/// to pass.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fade(f64);
+
 #[derive(Clone, Debug)]
 struct Account {
     customer: Option<id::Customer>,
     weight: Weight,
     running: u32,
-    waiting: u32,
-    /// The mean of what ran, as it was at `at`.
-    mean: f64,
-    at: Moment,
+    /// Requests that wait, by rank.
+    waiting: [u32; RANKS],
+    waits: u32,
+    /// By how much the mean of what ran is more than what runs, at the epoch. It falls by half in each half-life.
+    excess: f64,
     counts: Counts,
     /// When it wanted more than its share last, if that was told and its end wasn't.
     above: Option<Moment>,
+    /// Its place among those that run something or wait.
+    active: Option<usize>,
 }
 
 impl Account {
-    fn mean(&self, now: Moment) -> f64 {
-        let left = 0.5_f64.powf(now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64());
-        self.mean * left + f64::from(self.running) * (1.0 - left)
+    fn mean(&self, fade: Fade) -> f64 {
+        (f64::from(self.running) + self.excess * fade.0).max(0.0)
     }
 
-    fn settle(&mut self, now: Moment) {
-        self.mean = self.mean(now);
-        self.at = self.at.max(now);
+    /// Lets so many requests run; the mean doesn't jump.
+    fn run(&mut self, running: u32, fade: Fade) {
+        self.excess += (f64::from(self.running) - f64::from(running)) / fade.0;
+        self.running = running;
     }
 
-    /// The places that it would use if there were enough.
-    fn wants(&self, now: Moment) -> f64 {
-        f64::from(self.running + self.waiting).max(self.mean(now))
+    /// The places that it would use if there were enough. What it had lately is no part of it: the greater of both would be
+    /// too much for each of many small customers, and take from the level what nobody wants.
+    fn wants(&self) -> u32 {
+        self.running + self.waits
     }
 }
 
+/// A customer that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Queue<'a> {
+    /// Its account.
+    pub number: Number,
+    /// How many of its requests wait, by rank.
+    pub waiting: &'a [u32],
+}
+
 /// A customer wants more than its share while requests wait, or no longer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Surplus {
@@ -161,14 +185,19 @@
 pub struct Shares {
     measure: Measure,
     accounts: Vec<Option<Account>>,
-    numbers: RapidHashMap<Option<id::Customer>, Number>,
+    numbers: RapidHashMap<id::Customer, Number>,
+    /// The account of requests without a customer.
+    nameless: Option<Number>,
     free: Vec<Number>,
+    /// Those that run something or wait.
+    active: Vec<Number>,
     running: RapidHashMap<id::Attempt, Number>,
     weights: RapidHashMap<id::Customer, Weight>,
     /// Where those are counted that there is no room for.
     crowd: Option<Number>,
     /// What was counted for customers that are forgotten.
     others: Counts,
+    epoch: Moment,
 }
 
 impl Shares {
@@ -212,15 +241,34 @@
     /// Requests that wait, of all customers.
     #[must_use]
     pub fn waiting(&self) -> u32 {
-        self.live().map(|account| account.waiting).sum()
+        self.live().map(|account| account.waits).sum()
+    }
+
+    /// The customers that wait.
+    pub fn queues(&self) -> impl Iterator<Item = Queue<'_>> {
+        let waiting = self.active().filter(|(_, account)| account.waits > 0);
+        waiting.map(|(number, account)| Queue { number, waiting: &account.waiting })
+    }
+
+    /// How much of what ran at the epoch still counts.
+    #[must_use]
+    pub fn fade(&self, now: Moment) -> Fade {
+        let lives = now.since(self.epoch).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        // A process that stood still for long hasn't moved the epoch on yet; nothing of then counts.
+        Fade(0.5_f64.powf(lives.min(LIVES)))
     }
 
     /// What each customer of a weight of one may hold, if all of `places` are to be used and nobody is given more than it
     /// wants (max-min fairness). Infinite where all get what they want.
     #[must_use]
-    pub fn level(&self, now: Moment, places: u32) -> f64 {
-        let mut wants: Vec<_> = self.live().map(|account| (account.wants(now), account.weight.0)).collect();
-        wants.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
+    pub fn level(&self, places: u32) -> f64 {
+        let wants = self.active().map(|(_, account)| (f64::from(account.wants()), account.weight.0));
+        let mut wants: Vec<_> = wants.collect();
+        let all: f64 = wants.iter().map(|(want, _)| want).sum();
+        if all <= f64::from(places) {
+            return f64::INFINITY;
+        }
+        wants.sort_unstable_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
         let mut left = f64::from(places);
         let mut weights: f64 = wants.iter().map(|(_, weight)| weight).sum();
         for (want, weight) in wants {
@@ -235,7 +283,7 @@
 
     /// How a customer stands at a level.
     #[must_use]
-    pub fn standing(&self, now: Moment, number: Number, level: f64) -> Standing {
+    pub fn standing(&self, fade: Fade, number: Number, level: f64) -> Standing {
         let nobody = Standing { running: 0.0, score: 0.0, step: 1.0, share: level };
         let Some(account) = self.accounts.get(number.0).and_then(Option::as_ref) else {
             return nobody;
@@ -244,8 +292,8 @@
         let (places, step) = match self.measure {
             Measure::Rank => return Standing { share: f64::INFINITY, step: 0.0, ..nobody },
             Measure::Places => (running, 1.0),
-            Measure::Work => (account.mean(now), 0.0),
-            Measure::Both => (f64::midpoint(running, account.mean(now)), 0.5),
+            Measure::Work => (account.mean(fade), 0.0),
+            Measure::Both => (f64::midpoint(running, account.mean(fade)), 0.5),
         };
         let Weight(weight) = account.weight;
         Standing { running, score: places / weight, step: step / weight, share: level * weight }
@@ -267,26 +315,27 @@
     // Changes.
 
     /// The account of a customer, which is opened if there is none.
-    pub fn open(&mut self, now: Moment, customer: Option<&id::Customer>) -> Number {
-        let customer = customer.cloned();
-        if let Some(number) = self.numbers.get(&customer) {
-            return *number;
+    pub fn open(&mut self, customer: Option<&id::Customer>) -> Number {
+        let known = customer.map_or(self.nameless, |customer| self.numbers.get(customer).copied());
+        if let Some(number) = known {
+            return number;
         }
         if self.len() >= MOST
             && let Some(crowd) = self.crowd
         {
             return crowd;
         }
-        let weight = customer.as_ref().and_then(|customer| self.weights.get(customer)).copied();
+        let weight = customer.and_then(|customer| self.weights.get(customer)).copied();
         let account = Account {
-            customer: customer.clone(),
+            customer: customer.cloned(),
             weight: weight.unwrap_or(Weight::ONE),
             running: 0,
-            waiting: 0,
-            mean: 0.0,
-            at: now,
+            waiting: [0; RANKS],
+            waits: 0,
+            excess: 0.0,
             counts: Counts::default(),
             above: None,
+            active: None,
         };
         let number = self.free.pop().unwrap_or(Number(self.accounts.len()));
         if number.0 == self.accounts.len() {
@@ -297,19 +346,22 @@
             // The last one is everybody's from now on.
             self.crowd = Some(number);
         }
-        self.numbers.insert(customer, number);
+        match customer {
+            Some(customer) => drop(self.numbers.insert(customer.clone(), number)),
+            None => self.nameless = Some(number),
+        }
         number
     }
 
     /// A request of a customer runs from now on.
     pub fn start(&mut self, now: Moment, attempt: id::Attempt, customer: Option<&id::Customer>) {
-        let number = self.open(now, customer);
+        let number = self.open(customer);
+        let fade = self.fade(now);
         if let Some(before) = self.running.insert(attempt, number) {
-            self.stop(now, before);
+            self.stop(fade, before);
         }
         self.change(number, |account| {
-            account.settle(now);
-            account.running += 1;
+            account.run(account.running + 1, fade);
             account.counts.served += 1;
         });
     }
@@ -317,30 +369,30 @@
     /// A request no longer runs.
     pub fn end(&mut self, now: Moment, attempt: id::Attempt) {
         if let Some(number) = self.running.remove(&attempt) {
-            self.stop(now, number);
+            self.stop(self.fade(now), number);
         }
     }
 
-    fn stop(&mut self, now: Moment, number: Number) {
-        self.change(number, |account| {
-            account.settle(now);
-            account.running = account.running.saturating_sub(1);
-        });
+    fn stop(&mut self, fade: Fade, number: Number) {
+        self.change(number, |account| account.run(account.running.saturating_sub(1), fade));
     }
 
     /// A request of a customer waits.
-    pub fn wait(&mut self, now: Moment, customer: Option<&id::Customer>) -> Number {
-        let number = self.open(now, customer);
+    pub fn wait(&mut self, number: Number, priority: u8) {
         self.change(number, |account| {
-            account.waiting += 1;
+            account.waiting[rank(priority)] += 1;
+            account.waits += 1;
             account.counts.waited += 1;
         });
-        number
     }
 
     /// A request that waited does so no longer.
-    pub fn wait_no_more(&mut self, number: Number) {
-        self.change(number, |account| account.waiting = account.waiting.saturating_sub(1));
+    pub fn wait_no_more(&mut self, number: Number, priority: u8) {
+        self.change(number, |account| {
+            let waiting = &mut account.waiting[rank(priority)];
+            *waiting = waiting.saturating_sub(1);
+            account.waits = account.waiting.iter().sum();
+        });
     }
 
     /// A request was refused.
@@ -350,17 +402,25 @@
 
     /// Forgets customers that want nothing.
     pub fn age(&mut self, now: Moment) {
+        let fade = self.fade(now);
         for (place, slot) in self.accounts.iter_mut().enumerate() {
             let idle = |account: &mut Account| {
-                account.running == 0 && account.waiting == 0 && account.mean(now) < IDLE && account.above.is_none()
+                account.active.is_none() && account.mean(fade) < IDLE && account.above.is_none()
             };
             if let Some(account) = slot.take_if(idle) {
                 self.others.add(account.counts);
-                self.numbers.remove(&account.customer);
+                match account.customer {
+                    Some(customer) => drop(self.numbers.remove(&customer)),
+                    None => self.nameless = None,
+                }
                 self.free.push(Number(place));
                 self.crowd.take_if(|crowd| crowd.0 == place);
             }
         }
+        if now.since(self.epoch) >= EPOCH {
+            self.accounts.iter_mut().flatten().for_each(|account| account.excess *= fade.0);
+            self.epoch = now;
+        }
     }
 
     /// Who wants more than its share since this was asked last, and who hasn't for a while.
@@ -368,7 +428,7 @@
         let mut changed = Vec::new();
         for account in self.accounts.iter_mut().flatten() {
             let share = level * account.weight.0;
-            let is_above = account.wants(now) > share.max(1.0) + EPSILON;
+            let is_above = f64::from(account.wants()) > share.max(1.0) + EPSILON;
             let ended = account.above.is_some_and(|last| now.since(last) >= CALM) && !is_above;
             let began = is_above && account.above.is_none();
             if is_above {
@@ -390,9 +450,33 @@
         self.accounts.iter().flatten()
     }
 
+    fn active(&self) -> impl Iterator<Item = (Number, &Account)> {
+        self.active.iter().filter_map(|number| Some((*number, self.accounts.get(number.0)?.as_ref()?)))
+    }
+
     fn change(&mut self, number: Number, change: impl FnOnce(&mut Account)) {
-        if let Some(account) = self.accounts.get_mut(number.0).and_then(Option::as_mut) {
-            change(account);
+        let Some(account) = self.accounts.get_mut(number.0).and_then(Option::as_mut) else {
+            return;
+        };
+        change(account);
+        match (account.wants() > 0, account.active) {
+            (true, None) => {
+                account.active = Some(self.active.len());
+                self.active.push(number);
+            }
+            (false, Some(place)) => {
+                account.active = None;
+                self.active.swap_remove(place);
+                let moved = self.active.get(place).and_then(|moved| self.accounts.get_mut(moved.0)?.as_mut());
+                if let Some(moved) = moved {
+                    moved.active = Some(place);
+                }
+            }
+            (true, Some(_)) | (false, None) => {}
         }
     }
 }
+
+fn rank(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
--- a/crates/stairvale-dispatch/tests/day/mod.rs
+++ b/crates/stairvale-dispatch/tests/day/mod.rs
@@ -8,48 +8,10 @@
     time::Duration,
 };
 
-use stairvale_dispatch::{Ask, Held, Listing, Outcome, Pool, Verdict, pool::Rules, shares::Measure};
+use stairvale_dispatch::{Held, Outcome, Pool, Verdict, pool::Rules, shares::Measure};
 use stairvale_types::{Moment, id};
 
-pub fn at(millis: u64) -> Moment {
-    Moment::from_millis(millis)
-}
-
-pub fn name(customer: u128) -> id::Customer {
-    format!("c{customer}").parse().unwrap()
-}
-
-pub fn members(count: usize, slots: u32) -> Vec<Listing> {
-    let listing = |i: usize| Listing {
-        id: format!("e{i}").parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        slots,
-        usable: true,
-        cold: Duration::ZERO,
-        revision: 1,
-        version: None,
-    };
-    (0..count).map(listing).collect()
-}
-
-pub fn ask(number: u128, customer: u128) -> Ask {
-    Ask {
-        attempt: id::Attempt(number),
-        entry: "r1".parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        customer: Some(name(customer)),
-        route: id::Route(0),
-        priority: 2,
-        repeatable: true,
-        parts: Vec::new(),
-        output: 0,
-        objective: Duration::from_millis(300),
-        patience: Duration::from_millis(60),
-        avoid: Vec::new(),
-        within: None,
-        seen: None,
-    }
-}
+use crate::asks::{ask, at, members, name};
 
 /// What the largest customer does from second 5 to second 12.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/stairvale-dispatch/tests/shares.rs
+++ b/crates/stairvale-dispatch/tests/shares.rs
@@ -2,11 +2,13 @@
 
 #![allow(clippy::unwrap_used, clippy::cast_precision_loss)]
 
+mod asks;
 mod day;
 
 use std::time::Duration;
 
-use day::{Day, Surge, ask, at, members, name};
+use asks::{ask, at, members, name};
+use day::{Day, Surge};
 use quickcheck::quickcheck;
 use stairvale_dispatch::{
     Answer, Held, Outcome, Pool, Shares, Verdict,
@@ -202,8 +204,10 @@
                 pool.ask(at(now), stairvale_dispatch::Ask { patience, ..ask(number, customer) });
             }
             let held = pool.members().flat_map(|member| member.held().iter());
-            let oldest = held.min_by_key(|(attempt, hold)| (hold.since, attempt.0)).map(|(attempt, _)| *attempt);
-            pool.release(at(now + 5), oldest.unwrap(), Outcome::Served, Some(Duration::from_millis(60)));
+            let oldest = held.min_by_key(|(attempt, hold)| (hold.since, attempt.0));
+            let (oldest, since) = oldest.map(|(attempt, hold)| (*attempt, hold.since)).unwrap();
+            // Nothing of that time is spent on the way.
+            pool.release(at(now + 5), oldest, Outcome::Served, Some(at(now + 5).since(since)));
         }
     };
     run(&mut pool, 0, 0);
@@ -273,7 +277,7 @@
     }
     assert_eq!(pool.waiting(), 0);
     assert_eq!(granted(&pool.ask(at(60_001), ask(200, 0))), [200]);
-    let level = pool.shares().level(at(60_001), 4);
+    let level = pool.shares().level(4);
     assert!(level.is_infinite(), "{level}");
 }
 
@@ -327,7 +331,7 @@
         shares.start(at(0), id::Attempt(number as u128), Some(&name(customer)));
     }
     for (places, expected) in [(9, f64::INFINITY), (8, 5.0), (6, 3.0), (4, 1.5), (3, 1.0)] {
-        let level = shares.level(at(0), places);
+        let level = shares.level(places);
         assert!(level == expected, "{places} places: {level}");
     }
 }
