Customers' counts in the metrics, and a line when one surges

Cause: where one customer's requests are refused since it sends more than its share, an operator had no way to see it.

Ruled out: counts at the entries, which know an answer of the home's and not why.

Tests: stairvale-serve core 26 and parts 7 passed, two of them new. Figures: none; the lines' cost wasn't measured apart.

--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use stairvale_dispatch::Verdict;
+use stairvale_dispatch::{Verdict, shares::Surplus};
 use stairvale_table::Table;
 use stairvale_types::id;
 use stairvale_wire::Packet;
@@ -62,6 +62,13 @@
         /// How many upstreams are there.
         upstreams: usize,
     },
+    /// A customer wants more than its share of a service's places while requests wait, or no longer.
+    Surplus {
+        /// The service.
+        service: id::Service,
+        /// Who, and how much.
+        surplus: Surplus,
+    },
     /// A peer is gone, so its stream can be closed.
     Lost(id::Router),
 }
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -2,13 +2,16 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Verdict};
+use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Verdict, shares::Counts};
 use stairvale_placement::pick;
 use stairvale_types::{Moment, id};
 
 use super::{Core, Effect, Reply};
 use crate::frame::Frame;
 
+/// Customers by name, with what was counted for them; `None` for requests without one.
+pub type Named = Vec<(Option<id::Customer>, Counts)>;
+
 impl Core {
     pub(super) fn asked(&mut self, now: Moment, from: &id::Router, service: &id::Service, ask: Ask) -> Vec<Effect> {
         let attempt = ask.attempt;
@@ -24,6 +27,7 @@
             | Effect::Inspect { .. }
             | Effect::Configured(_)
             | Effect::Evacuated { .. }
+            | Effect::Surplus { .. }
             | Effect::Lost(_) => false,
         });
         if !decided {
@@ -53,6 +57,27 @@
         effects
     }
 
+    /// Lets time pass for a service's pool.
+    pub(super) fn tick_pool(&mut self, now: Moment, service: &id::Service) -> Vec<Effect> {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return Vec::new();
+        };
+        let answers = pool.tick(now);
+        let surpluses = pool.surpluses(now).into_iter();
+        let told = surpluses.map(|surplus| Effect::Surplus { service: service.clone(), surplus }).collect::<Vec<_>>();
+        let mut effects = self.answers(answers);
+        effects.extend(told);
+        effects
+    }
+
+    /// What was counted here, as the home of services, for the largest customers of each, and for all others together.
+    pub fn customers(&self, most: usize) -> impl Iterator<Item = (&id::Service, Named, Counts)> {
+        self.pools.iter().map(move |(service, pool)| {
+            let (named, others) = pool.shares().counts(most);
+            (service, named, others)
+        })
+    }
+
     /// An engine said what it holds.
     pub fn inspected(&mut self, service: &id::Service, upstream: &id::Upstream, parts: Vec<Part>) -> Vec<Effect> {
         if let Some(pool) = self.pools.get_mut(service) {
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -33,6 +33,7 @@
 
 pub use effect::{Effect, Reply};
 pub use freshness::Reading;
+pub use home::Named;
 
 /// How often entries name what they hold.
 const RENEW: Duration = Duration::from_millis(500);
@@ -380,8 +381,7 @@
         }
         self.share_out(now);
         for service in self.pools.keys().cloned().collect::<Vec<_>>() {
-            let answers = self.pools.get_mut(&service).map(|pool| pool.tick(now));
-            effects.extend(self.answers(answers.unwrap_or_default()));
+            effects.extend(self.tick_pool(now, &service));
             // Before the first requests come, as soon as it is clear who the homes are.
             effects.extend(self.inspect(now, &service));
         }
--- a/crates/stairvale-serve/src/metrics.rs
+++ b/crates/stairvale-serve/src/metrics.rs
@@ -15,6 +15,10 @@
     metrics::{counter::Counter, family::Family},
     registry::Registry,
 };
+use stairvale_dispatch::shares::Counts;
+use stairvale_types::id;
+
+use crate::core::Named;
 
 /// What a counter is about.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -53,6 +57,24 @@
     }
 }
 
+/// What was counted of customers, by service, in the Prometheus text format. Those without a name have an empty one.
+pub fn customers<'a>(services: impl Iterator<Item = (&'a id::Service, Named, Counts)>) -> String {
+    let mut text = String::new();
+    let mut write = |name: &str, labels: &str, counts: Counts| {
+        for (what, count) in [("served", counts.served), ("waited", counts.waited), ("refused", counts.refused)] {
+            let _ = writeln!(text, "stairvale_{name}_requests{{{labels},what=\"{what}\"}} {count}");
+        }
+    };
+    for (service, named, others) in services {
+        for (customer, counts) in named {
+            let customer = customer.as_ref().map_or("", id::Customer::as_str);
+            write("customer", &format!("service=\"{service}\",customer=\"{customer}\""), counts);
+        }
+        write("other_customers", &format!("service=\"{service}\""), others);
+    }
+    text
+}
+
 /// A process's metrics.
 #[derive(Debug)]
 pub struct Metrics {
--- a/crates/stairvale-serve/src/ready.rs
+++ b/crates/stairvale-serve/src/ready.rs
@@ -7,11 +7,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::{Shared, body::Body, core::Core};
+use crate::{Shared, body::Body, core::Core, metrics};
 
 /// Where metrics are told.
 const METRICS: &str = "/metrics";
 
+/// Customers of a service that are named in metrics: enough to see who surges, few enough for whoever stores them.
+const NAMED: usize = 8;
+
 /// Answers the balancer and whoever reads metrics, until the task is dropped.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener, path: &'static str) {
     loop {
@@ -33,7 +36,8 @@
 
 fn answer(shared: &Shared, path: &str, request: &Request<Incoming>) -> Response<Body> {
     if request.uri().path() == METRICS {
-        return Response::new(Body::whole(shared.metrics.text()));
+        let customers = shared.look(|core, _| metrics::customers(core.customers(NAMED)));
+        return Response::new(Body::whole(customers + &shared.metrics.text()));
     }
     let ready = !shared.is_stopping() && shared.look(Core::is_ready);
     let status = match (request.uri().path() == path, ready) {
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -225,6 +225,15 @@
                     let what = if evacuated { "a zone is evacuated" } else { "a zone is used again" };
                     tracing::info!(%zone, upstreams, "{what}");
                 }
+                Effect::Surplus { service, surplus } => {
+                    let customer = surplus.customer.as_ref().map_or("", id::Customer::as_str);
+                    let (running, share) = (surplus.running, surplus.share);
+                    if surplus.is_above {
+                        tracing::info!(%service, customer, running, share, "a customer wants more than its share");
+                    } else {
+                        tracing::info!(%service, customer, running, "a customer wants no more than its share");
+                    }
+                }
                 Effect::Lost(router) => {
                     tracing::info!(peer = %router, "a router is gone");
                     self.links.close(&router);
--- a/crates/stairvale-serve/tests/core.rs
+++ b/crates/stairvale-serve/tests/core.rs
@@ -497,3 +497,26 @@
         assert!(late.is_empty(), "{late:?}, of which were cut off: {cut:?}");
     }
 }
+
+#[test]
+fn a_home_tells_once_that_a_customer_surges_and_once_that_it_no_longer_does() {
+    let mut world = settled(2, 1, 1);
+    let home = world.ask(0, 1, &[]);
+    let home = world.index(&home);
+    // More than one engine runs, none of which has a customer's name.
+    for number in 2..200 {
+        world.ask(home, number, &[]);
+    }
+    world.run(60);
+    assert_eq!(world.surpluses, [true]);
+    for number in 1..200 {
+        world.finish(home, number);
+    }
+    world.run(3_000);
+    assert_eq!(world.surpluses, [true, false]);
+    let customers: Vec<_> = world.nodes[home].core.customers(8).collect();
+    assert_eq!(customers.len(), 1);
+    let (_, named, others) = &customers[0];
+    let counted = named.iter().map(|(_, counts)| counts.served + counts.refused).sum::<u64>();
+    assert!(counted + others.served + others.refused >= 199, "{customers:?}");
+}
--- a/crates/stairvale-serve/tests/parts.rs
+++ b/crates/stairvale-serve/tests/parts.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use stairvale_serve::{Settings, core::Reply, permit, relay::Events, settings::Fault};
+use stairvale_dispatch::shares::Counts;
+use stairvale_serve::{Settings, core::Reply, metrics, permit, relay::Events, settings::Fault};
 
 const GOOD: &str = "router: r1\nzone: a\ncallers: 127.0.0.1:8080\nready: 127.0.0.1:8081\npeers: 127.0.0.1:8082\n\
                     store: 127.0.0.1:9000\n";
@@ -85,3 +86,16 @@
     assert_eq!(reply_after(51), Some(Reply::Waits));
     assert_eq!(reply_after(200), None);
 }
+
+#[test]
+fn metrics_name_some_customers_and_count_the_others_together() {
+    let service = "app".parse().unwrap();
+    let counts = Counts { served: 7, waited: 2, refused: 1 };
+    let named = vec![(Some("acme".parse().unwrap()), counts), (None, Counts { served: 3, ..Counts::default() })];
+    let text = metrics::customers([(&service, named, Counts { refused: 4, ..Counts::default() })].into_iter());
+    let lines: Vec<_> = text.lines().collect();
+    assert_eq!(lines.len(), 9);
+    assert_eq!(lines[0], "stairvale_customer_requests{service=\"app\",customer=\"acme\",what=\"served\"} 7");
+    assert_eq!(lines[3], "stairvale_customer_requests{service=\"app\",customer=\"\",what=\"served\"} 3");
+    assert_eq!(lines[8], "stairvale_other_customers_requests{service=\"app\",what=\"refused\"} 4");
+}
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -106,6 +106,8 @@
     names: HashMap<usize, (Naming, u64)>,
     /// Frames that carried changes of the store from one router to another.
     pub told: usize,
+    /// Whether a customer went above its share, or was no longer, each time that a home told.
+    pub surpluses: Vec<bool>,
     /// Bytes sent, by what they are about, if that is counted.
     counted: Option<BTreeMap<&'static str, usize>>,
     cut: BTreeSet<(usize, usize)>,
@@ -180,6 +182,7 @@
             zones,
             names: HashMap::new(),
             told: 0,
+            surpluses: Vec::new(),
             counted: None,
             cut: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
@@ -556,6 +559,7 @@
                     self.nodes[index].replies.insert(attempt, reply);
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
+                Effect::Surplus { surplus, .. } => self.surpluses.push(surplus.is_above),
                 Effect::Configured(_) | Effect::Evacuated { .. } | Effect::Lost(_) => {}
             }
         }
