--- a/crates/stairvale-dispatch/src/lib.rs
+++ b/crates/stairvale-dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod reading;
 pub mod seen;
 pub mod shares;
+pub mod weight;
 
 pub use ask::{Answer, Ask, Held, Outcome, Part, Verdict};
 pub use budget::Window;
@@ -32,3 +33,4 @@
 pub use reading::Reading;
 pub use seen::Seen;
 pub use shares::Shares;
+pub use weight::Weight;
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -9,9 +9,9 @@
 use stairvale_types::{Moment, id, unit};
 
 use crate::{
-    Answer, Ask, Held, Listing, Member, Outcome, Part, Reading, Shares,
+    Answer, Ask, Held, Listing, Member, Outcome, Part, Reading, Shares, Weight,
     member::Hold,
-    shares::{Measure, Surplus, Weight},
+    shares::{Measure, Surplus},
 };
 
 mod choose;
--- a/crates/stairvale-dispatch/src/shares.rs
+++ b/crates/stairvale-dispatch/src/shares.rs
@@ -9,6 +9,8 @@
 use rapidhash::RapidHashMap;
 use stairvale_types::{Moment, id};
 
+use crate::Weight;
+
 /// What ran counts less by half in this time. Long against one request, so that a place just taken or given back says little,
 /// and short against a surge, so that who has calmed down is soon forgiven.
 const HALF_LIFE: Duration = Duration::from_millis(1_500);
@@ -27,39 +29,6 @@
 /// What is smaller is a rounding error.
 const EPSILON: f64 = 1e-9;
 
-/// How much of the places a customer may have beside the others: twice the weight, twice the places.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-pub struct Weight(f64);
-
-impl Weight {
-    /// What a customer has that nothing is said of.
-    pub const ONE: Self = Self(1.0);
-    /// The least.
-    pub const LEAST: f64 = 0.01;
-    /// The most.
-    pub const MOST: f64 = 100.0;
-
-    /// A weight from 0.01 to 100.
-    ///
-    /// # Errors
-    /// [`Absurd`] for anything else: zero would mean never to be served.
-    pub fn new(weight: f64) -> Result<Self, Absurd> {
-        if (Self::LEAST..=Self::MOST).contains(&weight) { Ok(Self(weight)) } else { Err(Absurd(weight)) }
-    }
-}
-
-/// This is no weight.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Absurd(pub f64);
-
-impl std::fmt::Display for Absurd {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} is no weight: from {} to {}", self.0, Weight::LEAST, Weight::MOST)
-    }
-}
-
-impl std::error::Error for Absurd {}
-
 /// By what customers are told apart where requests wait (docs/design/shares.md compares them).
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Measure {
@@ -262,23 +231,28 @@
     /// wants (max-min fairness). Infinite where all get what they want.
     #[must_use]
     pub fn level(&self, places: u32) -> f64 {
-        let wants = self.active().map(|(_, account)| (f64::from(account.wants()), account.weight.0));
-        let mut wants: Vec<_> = wants.collect();
-        let all: f64 = wants.iter().map(|(want, _)| want).sum();
-        if all <= f64::from(places) {
+        let wants = || self.active().map(|(_, account)| (f64::from(account.wants()), account.weight.get()));
+        let places = f64::from(places);
+        if wants().map(|(want, _)| want).sum::<f64>() <= places {
             return f64::INFINITY;
         }
-        wants.sort_unstable_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
-        let mut left = f64::from(places);
-        let mut weights: f64 = wants.iter().map(|(_, weight)| weight).sum();
-        for (want, weight) in wants {
-            if want / weight > left / weights {
-                return left / weights;
+        // What those leave who want less raises the level, so that some more want less: a few rounds, without sorting.
+        let mut level = 0.0;
+        loop {
+            let (mut left, mut weights) = (places, 0.0);
+            for (want, weight) in wants() {
+                if want <= level * weight {
+                    left -= want;
+                } else {
+                    weights += weight;
+                }
+            }
+            let next = left / weights;
+            if next <= level + EPSILON {
+                return next;
             }
-            left -= want;
-            weights -= weight;
+            level = next;
         }
-        f64::INFINITY
     }
 
     /// How a customer stands at a level.
@@ -295,7 +269,7 @@
             Measure::Work => (account.mean(fade), 0.0),
             Measure::Both => (f64::midpoint(running, account.mean(fade)), 0.5),
         };
-        let Weight(weight) = account.weight;
+        let weight = account.weight.get();
         Standing { running, score: places / weight, step: step / weight, share: level * weight }
     }
 
@@ -427,7 +401,7 @@
     pub fn surpluses(&mut self, now: Moment, level: f64) -> Vec<Surplus> {
         let mut changed = Vec::new();
         for account in self.accounts.iter_mut().flatten() {
-            let share = level * account.weight.0;
+            let share = level * account.weight.get();
             let is_above = f64::from(account.wants()) > share.max(1.0) + EPSILON;
             let ended = account.above.is_some_and(|last| now.since(last) >= CALM) && !is_above;
             let began = is_above && account.above.is_none();
