Bytes are counted by kind and by the zones that they pass between

Cause: which bytes cross between zones was reckoned, not counted.

Change: `Traffic` counts bytes of the application that a router writes to upstreams and peers and that upstreams answer it, as `stairvale_bytes_total{kind,zone,other_zone}`, and says the totals in one log line every 10 s (about 1 kB), since a metric isn't always scraped. Frames are written once and counted where they are handed to the stream; a peer's zone is looked up by its address once.

--- a/crates/stairvale-link/src/links.rs
+++ b/crates/stairvale-link/src/links.rs
@@ -125,19 +125,18 @@
 
     /// Sends a frame; `false` if the peer can't be reached now.
     pub fn send(&self, to: &id::Router, address: SocketAddr, frame: &F) -> bool {
-        codec::encode(frame).is_ok_and(|bytes| self.send_bytes(to, address, bytes))
+        Self::write(frame).is_some_and(|bytes| self.send_written(to, address, bytes))
     }
 
-    /// Sends one frame to many peers; gives how many can't be reached now. It is written once, and its bytes are shared for as
-    /// long as they wait for any of them.
-    pub fn send_all(&self, to: &[(id::Router, SocketAddr)], frame: &F) -> usize {
-        let Ok(bytes) = codec::encode(frame) else {
-            return to.len();
-        };
-        to.iter().filter(|(peer, address)| !self.send_bytes(peer, *address, bytes.clone())).count()
+    /// A frame as it is sent, for [`Self::send_written`]; `None` if it is larger than any may be. Written once, its bytes are
+    /// shared by all peers that it goes to, for as long as they wait for any of them.
+    #[must_use]
+    pub fn write(frame: &F) -> Option<Bytes> {
+        codec::encode(frame).ok()
     }
 
-    fn send_bytes(&self, to: &id::Router, address: SocketAddr, bytes: Bytes) -> bool {
+    /// Sends a frame that was written before; `false` if the peer can't be reached now.
+    pub fn send_written(&self, to: &id::Router, address: SocketAddr, bytes: Bytes) -> bool {
         let mut links = self.lock();
         if let Some(link) = links.get_mut(to).filter(|link| link.address == address) {
             match &mut link.state {
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -167,6 +167,12 @@
         self.swim.live().count()
     }
 
+    /// The availability zone of the router at an address, if there is one that is known to live.
+    #[must_use]
+    pub fn zone_at(&self, address: SocketAddr) -> Option<id::Zone> {
+        self.swim.live().find(|member| member.address == address).map(|member| member.zone.clone())
+    }
+
     /// Requests of a service that run, by what this router knows as its home.
     #[must_use]
     pub fn running_at_home(&self, service: &id::Service) -> u32 {
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use stairvale_dispatch::{Ask, Outcome};
-use stairvale_table::{Kind, Route};
+use stairvale_table::{self as table, Route};
 use stairvale_types::{Refusal, id, outcome::Reason};
 
 use crate::{
@@ -20,6 +20,7 @@
     permit::{self, Permit, Want},
     problem::Problem,
     relay,
+    traffic::{self, Kind},
     upstream::{Connection, Fault},
 };
 
@@ -186,7 +187,7 @@
             let reply = self.reply(None).await?;
             // Wherever it goes next, it doesn't go there again.
             self.tries.avoid.push(reply.permit.upstream.id.clone());
-            if self.route.kind == Kind::Stream && reply.head.status.is_success() || is_large(&reply.head) {
+            if self.route.kind == table::Kind::Stream && reply.head.status.is_success() || is_large(&reply.head) {
                 match self.first_piece(reply).await {
                     Ok((reply, first)) => return Ok(Served::Stream(Box::new(reply), first)),
                     Err(problem) => self.again(problem)?,
@@ -204,11 +205,10 @@
 
     /// Waits for a stream's first piece, so that a failure before it can be told as one.
     async fn first_piece(&mut self, mut reply: Reply) -> Result<(Reply, Option<Bytes>), Problem> {
-        let limit = self.try_limit();
-        let piece = tokio::time::timeout(limit, relay::next(&mut reply.body)).await;
-        match piece {
+        match tokio::time::timeout(self.try_limit(), relay::next(&mut reply.body)).await {
             Ok(Ok(piece)) => {
                 reply.permit.begun();
+                self.shared.passed(Kind::Answer, &reply.permit, piece.as_ref().map_or(0, Bytes::len));
                 self.shared.metrics.answered(self.came.elapsed());
                 Ok((reply, piece))
             }
@@ -225,7 +225,9 @@
             Ok(Ok(collected)) => collected,
             Ok(Err(error)) => return Err(self.missed(&Fault::of(&error), permit)),
             Err(_) => return Err(self.missed(&Fault::Silent, permit)),
-        };
+        }
+        .to_bytes();
+        self.shared.passed(Kind::Answer, &permit, collected.len());
         self.shared.upstreams.keep(connection, &head.headers);
         tracing::info!(
             id = self.head.id, route = self.route.name, upstream = %permit.upstream.id, status = head.status.as_u16(),
@@ -240,7 +242,7 @@
         }
         strip(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
-        Ok(Response::from_parts(head, Body::whole(collected.to_bytes())))
+        Ok(Response::from_parts(head, Body::whole(collected)))
     }
 
     // ------------------------------------------------------------------------
@@ -315,6 +317,7 @@
 
     async fn send(&mut self, permit: Permit, last_event: Option<&str>) -> Result<Reply, Missed> {
         let request = self.request(&permit, last_event);
+        self.shared.passed(Kind::Request, &permit, traffic::request_head(&request) + self.body.len());
         let (id, address) = (permit.upstream.id.clone(), permit.upstream.address);
         let sending = self.shared.upstreams.send(&id, address, request);
         let Ok(sent) = tokio::time::timeout(self.try_limit(), sending).await else {
@@ -333,6 +336,7 @@
             }
         };
         let (head, body) = answer.into_parts();
+        self.shared.passed(Kind::Answer, &permit, traffic::answer_head(&head.headers));
         match self.dialect.judge(&self.head.id, &head) {
             Mark::Answer | Mark::Unfit => {
                 self.tries.runs += 1;
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -105,6 +105,27 @@
     News(News),
 }
 
+impl Frame {
+    /// Its name in metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Ask { .. } => "frame-ask",
+            Self::Decided { .. } => "frame-decided",
+            Self::Waits { .. } => "frame-waits",
+            Self::Forget { .. } => "frame-forget",
+            Self::Begun { .. } => "frame-begun",
+            Self::Release { .. } => "frame-release",
+            Self::Renew { .. } => "frame-renew",
+            Self::Prefixes { .. } => "frame-prefixes",
+            Self::Read { .. } => "frame-read",
+            Self::Sync(_) => "frame-sync",
+            Self::Synced { .. } => "frame-synced",
+            Self::News(_) => "frame-news",
+        }
+    }
+}
+
 /// What one router asks another about its copy of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sync {
--- a/crates/stairvale-serve/src/inspect.rs
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -10,7 +10,10 @@
 use stairvale_types::id;
 use tokio::sync::mpsc;
 
-use crate::{Dialect, Shared};
+use crate::{
+    Dialect, Shared,
+    traffic::{self, Kind},
+};
 
 /// An engine that doesn't say by then isn't asked again.
 const TIMEOUT: Duration = Duration::from_millis(600);
@@ -53,11 +56,15 @@
     address: SocketAddr,
 ) -> Option<Vec<Part>> {
     let path = dialect.inventory_path()?;
-    let request =
-        Request::get(path).header(http::header::HOST, address.to_string()).body(Full::new(Bytes::new())).ok()?;
+    let request = Request::get(path).header(http::header::HOST, address.to_string());
+    let request = request.body(Full::new(Bytes::new())).ok()?;
+    let asked = traffic::request_head(&request);
     let (answer, connection) = shared.upstreams.send(upstream, address, request).await.ok()?;
     let (head, body) = answer.into_parts();
     let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
+    let zone = shared.look(|core, _| core.view().upstream(upstream).map(|known| known.zone.clone()));
+    let bytes = asked + traffic::answer_head(&head.headers) + body.len();
+    shared.metrics.traffic.count(Kind::Inventory, zone.as_ref(), bytes);
     if !head.status.is_success() {
         return None;
     }
--- a/crates/stairvale-serve/src/lib.rs
+++ b/crates/stairvale-serve/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod settings;
 pub mod shared;
 pub mod source;
+pub mod traffic;
 pub mod upstream;
 pub mod watch;
 
--- a/crates/stairvale-serve/src/metrics.rs
+++ b/crates/stairvale-serve/src/metrics.rs
@@ -15,6 +15,9 @@
     metrics::{counter::Counter, family::Family},
     registry::Registry,
 };
+use stairvale_types::id;
+
+use crate::traffic::Traffic;
 
 /// What a counter is about.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -57,6 +60,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     events: Family<Label, Counter>,
+    /// Bytes that passed.
+    pub traffic: Traffic,
     first: Latency,
     placing: Latency,
     /// Requests that are being served.
@@ -74,14 +79,15 @@
     }
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Nothing yet, of a router in a zone.
+    #[must_use]
+    pub fn new(zone: id::Zone) -> Self {
         let (first, placing) = (Latency::new("first_byte"), Latency::new("placing"));
-        Self { events: Family::default(), first, placing, in_flight: AtomicU64::new(0), dropped: OnceLock::new() }
+        let (in_flight, dropped) = (AtomicU64::new(0), OnceLock::new());
+        Self { events: Family::default(), traffic: Traffic::new(zone), first, placing, in_flight, dropped }
     }
-}
 
-impl Metrics {
     /// Counts an event.
     pub fn count(&self, event: &'static str) {
         self.events.get_or_create(&Label { event }).inc();
@@ -108,6 +114,8 @@
     pub fn text(&self) -> String {
         let mut registry = Registry::with_prefix("stairvale");
         registry.register("events", "What happened", self.events.clone());
+        let help = "Bytes of the application that this router sent, or upstreams answered, by kind and zones";
+        registry.register("bytes", help, self.traffic.family());
         let mut text = String::new();
         for latency in [&self.first, &self.placing] {
             latency.write(&mut text);
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -7,13 +7,14 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use stairvale_dispatch::Outcome;
-use stairvale_table::Kind;
+use stairvale_table as table;
 use tokio::sync::mpsc;
 
 use crate::{
     Dialect,
     body::{Body, Broken},
     exchange::{Exchange, Reply, millis, strip},
+    traffic::Kind,
     upstream::Fault,
 };
 
@@ -85,7 +86,7 @@
     let (sender, receiver) = mpsc::channel(WAITING);
     let mut head = reply.head.clone();
     strip(&mut head.headers);
-    if exchange.route.kind == Kind::Stream {
+    if exchange.route.kind == table::Kind::Stream {
         head.headers.remove(header::CONTENT_LENGTH);
     }
     let relay = Relay { exchange, sender, events: Events::default() };
@@ -188,6 +189,7 @@
             }
             match piece {
                 Ok(Some(piece)) => {
+                    self.exchange.shared.passed(Kind::Answer, &reply.permit, piece.len());
                     if !self.forward(piece).await {
                         return End::Left;
                     }
@@ -210,7 +212,7 @@
 
     /// `false` if the caller has left.
     async fn forward(&mut self, piece: Bytes) -> bool {
-        let piece = if self.exchange.route.kind == Kind::Stream && self.exchange.route.resumable {
+        let piece = if self.exchange.route.kind == table::Kind::Stream && self.exchange.route.resumable {
             self.events.take(&piece)
         } else {
             piece
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -18,7 +18,7 @@
     task::{JoinHandle, JoinSet},
 };
 
-use crate::{Dialect, Settings, Shared, Source, caller, control, core::Core, inspect, ready, watch};
+use crate::{Dialect, Settings, Shared, Source, caller, control, core::Core, inspect, ready, traffic, watch};
 
 /// The balancer asks each second and takes a router out after two misses: by then it sends nobody new.
 const NOTICE: Duration = Duration::from_millis(2_300);
@@ -139,6 +139,7 @@
         for listener in [Some(readiness), metrics].into_iter().flatten() {
             tasks.spawn(ready::listen(shared.clone(), listener, dialect.ready_path()));
         }
+        tasks.spawn(traffic::log(shared.clone()));
         let accepting = tokio::spawn(caller::listen(shared.clone(), dialect, callers));
         tracing::info!(router = %shared.settings.router, zone = %shared.settings.zone, "started");
         Ok(Self { shared, accepting, tasks })
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -11,6 +11,7 @@
 };
 
 use arc_swap::ArcSwap;
+use bytes::Bytes;
 use stairvale_link::{Links, Sink};
 use stairvale_table::Table;
 use stairvale_types::{Moment, id};
@@ -26,6 +27,8 @@
     frame::Frame,
     inspect::Inspection,
     metrics::Metrics,
+    permit::Permit,
+    traffic::Kind,
     upstream::Connections,
 };
 
@@ -111,9 +114,9 @@
     ) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             links: Links::new(settings.router.clone(), Inbox(weak.clone())),
+            metrics: Metrics::new(settings.zone.clone()),
             settings,
             table: ArcSwap::default(),
-            metrics: Metrics::default(),
             upstreams: Connections::default(),
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(false),
@@ -192,12 +195,14 @@
             match effect {
                 Effect::Frame { to, address, frame } => self.send(&to, address, &frame),
                 Effect::Frames { to, frame } => {
-                    for _ in 0..self.links.send_all(&to, &frame) {
-                        self.metrics.count("frame-dropped");
+                    let bytes = Links::<Frame, Inbox>::write(&frame);
+                    for (to, address) in to {
+                        self.send_written(&to, address, &frame, bytes.clone());
                     }
                 }
                 Effect::Datagram { to, packet } => {
                     if let Ok(bytes) = codec::pack(&packet) {
+                        self.count_to(Kind::Datagram, to, bytes.len());
                         // Datagrams may be lost; the next probe says the same.
                         let _ = self.socket.try_send_to(&bytes, to);
                     }
@@ -235,10 +240,7 @@
 
     /// Sends a frame to a peer. A request that asks a home which can't be reached needn't wait for its answer.
     fn send(&self, to: &id::Router, address: SocketAddr, frame: &Frame) {
-        let sent = self.links.send(to, address, frame);
-        if !sent {
-            self.metrics.count("frame-dropped");
-        }
+        let sent = self.send_written(to, address, frame, Links::<Frame, Inbox>::write(frame));
         if let Frame::Ask { ask, .. } = frame
             && let Some(waiter) = self.waiting().get_mut(&ask.attempt)
         {
@@ -249,6 +251,28 @@
         }
     }
 
+    /// Sends a frame that is written already, unless it is too large; `false` if the peer can't be reached now.
+    fn send_written(&self, to: &id::Router, address: SocketAddr, frame: &Frame, bytes: Option<Bytes>) -> bool {
+        let size = bytes.as_ref().map_or(0, Bytes::len);
+        let sent = bytes.is_some_and(|bytes| self.links.send_written(to, address, bytes));
+        if sent {
+            self.count_to(Kind::Frame(frame.name()), address, size);
+        } else {
+            self.metrics.count("frame-dropped");
+        }
+        sent
+    }
+
+    /// Counts what passed between this router and an upstream.
+    pub fn passed(&self, kind: Kind, permit: &Permit, bytes: usize) {
+        self.metrics.traffic.count(kind, Some(&permit.upstream.zone), bytes);
+    }
+
+    /// Counts what goes to a peer.
+    fn count_to(&self, kind: Kind, to: SocketAddr, bytes: usize) {
+        self.metrics.traffic.count_to(kind, to, bytes, || self.look(|core, _| core.zone_at(to)));
+    }
+
     /// The stream to a peer broke: what was asked of it is asked of others.
     fn unanswered(&self, home: &id::Router) {
         for waiter in self.waiting().values().filter(|waiter| waiter.home.as_ref() == Some(home)) {
