--- a/crates/stairvale-serve/src/core/entry.rs
+++ b/crates/stairvale-serve/src/core/entry.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// A home decided after all: its answer was held up on its way, as by a packet that was lost and sent again, and to pass it
+    /// over for longer would only lead to routers that know less.
+    pub(super) fn trust(&mut self, home: &id::Router) {
+        self.distrusted.remove(home);
+    }
+
     /// A request no longer waits for a home's answer.
     pub fn forget(
         &mut self,
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -73,7 +73,7 @@
     /// The home of each service that was told last what runs here.
     homes: HashMap<id::Service, id::Router>,
     /// Who was told, by this router as a service's home, what the service's upstreams hold.
-    heirs: HashMap<id::Service, id::Router>,
+    heirs: HashMap<id::Service, Vec<id::Router>>,
     syncs: HashMap<u64, Moment>,
     /// Who asked while this router's own copy wasn't known to be the newest yet.
     askers: HashMap<id::Router, Sync>,
@@ -322,8 +322,16 @@
     pub fn frame(&mut self, now: Moment, from: &id::Router, frame: Frame) -> Vec<Effect> {
         match frame {
             Frame::Ask { service, ask } => self.asked(now, from, &service, ask),
-            Frame::Decided { attempt, verdict } => vec![Effect::Reply { attempt, reply: Reply::Decided(verdict) }],
-            Frame::Waits { attempt } => vec![Effect::Reply { attempt, reply: Reply::Waits }],
+            Frame::Decided { attempt, verdict } => {
+                if verdict.is_some() {
+                    self.trust(from);
+                }
+                vec![Effect::Reply { attempt, reply: Reply::Decided(verdict) }]
+            }
+            Frame::Waits { attempt } => {
+                self.trust(from);
+                vec![Effect::Reply { attempt, reply: Reply::Waits }]
+            }
             Frame::Forget { service, attempt } => {
                 let answers = self.pools.get_mut(&service).map(|pool| pool.forget(now, attempt));
                 self.answers(answers.unwrap_or_default())
