Copies between two zones stop where they are late, and one at a time tries again

Cause: in a cut engines go on being told to copy from beyond it: the home hears of a cut after 1.3 s and more, and where a cut refuses, open connections go on, so that a source's engine seems well.

Ruled out: silent engines as the sign (they answer over open connections); 504s as signs (82 of 100 are requests that may not run again).

Change: `pool/paths.rs` learns from late first events of requests that copied. `Hold` keeps the source's zone. Where a way is shut the sources of other zones are looked at, too.

--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -22,8 +22,8 @@
     pub tokens: u32,
     /// The time to the first event that was expected, in ms.
     pub expected: f64,
-    /// Whether it copies from another engine first.
-    pub copies: bool,
+    /// The zone of the engine that it copies from first, if it does.
+    pub copies: Option<id::Zone>,
     /// The shared parts of its prompt that nobody had read there before; none once its first event has come.
     pub reads: Vec<u64>,
 }
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod follow;
 mod holders;
+mod paths;
 mod reach;
 
 pub use cold::Cold;
@@ -69,6 +70,8 @@
     places: RapidHashMap<id::Attempt, id::Upstream>,
     /// Who holds each shared part.
     holders: holders::Holders,
+    /// Between which zones copies are late.
+    paths: paths::Paths,
     /// Whether every decision looks at all members.
     whole_look: bool,
     /// The hashes of the members' ids.
@@ -100,6 +103,7 @@
             answered: BTreeMap::new(),
             places: RapidHashMap::default(),
             holders: holders::Holders::default(),
+            paths: paths::Paths::default(),
             whole_look: false,
             hashes: Vec::new(),
             usable: 0,
@@ -303,12 +307,14 @@
         self.answered.insert(member.zone.clone(), now);
         let took = took.as_secs_f64() * 1e3;
         // Only what was read while nothing else was tells how long reading takes.
-        if self.rules.engine.is_some() && member.ahead() == 0 && !copies {
+        if self.rules.engine.is_some() && member.ahead() == 0 && copies.is_none() {
             self.reading.observe(f64::from(read), took);
         }
         // How long a copy takes is no matter of this engine alone.
-        if expected > 0.0 && !copies {
-            member.health.took(now, (took + 20.0) / (expected + 20.0));
+        match copies {
+            Some(from) => self.paths.end(now, &from, &member.zone, took, expected),
+            None if expected > 0.0 => member.health.took(now, (took + 20.0) / (expected + 20.0)),
+            None => {}
         }
         self.stop_reading(&reads, attempt);
         self.lead(now, attempt)
@@ -375,7 +381,7 @@
                 read: item.read,
                 tokens: item.read,
                 expected: 0.0,
-                copies: false,
+                copies: None,
                 reads: Vec::new(),
             };
             member.hold(item.attempt, hold);
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -123,7 +123,7 @@
         let bid = cheapest?;
         let Bid { expected, read, .. } = bid;
         let (upstream, source) = (bid.upstream.clone(), bid.source.cloned());
-        self.hold(now, ask, &upstream, read, expected, source.is_some());
+        self.hold(now, ask, &upstream, read, expected, source.as_ref());
         let verdict = Verdict::Granted { upstream, read, source };
         Some(Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict })
     }
@@ -171,12 +171,24 @@
         lateness(time, ask.objective) + self.reading.time(lacks * COPY) - TRIAL
     }
 
-    fn hold(&mut self, now: Moment, ask: &Ask, upstream: &id::Upstream, read: u32, expected: f64, copies: bool) {
+    fn hold(
+        &mut self,
+        now: Moment,
+        ask: &Ask,
+        upstream: &id::Upstream,
+        read: u32,
+        expected: f64,
+        source: Option<&id::Upstream>,
+    ) {
+        let copies = source.and_then(|source| self.members.get(source)).map(|source| source.zone.clone());
         let expected = if self.rules.engine.is_some() { expected } else { self.time };
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let Some(member) = self.members.get_mut(upstream) else {
             return;
         };
+        if let Some(from) = &copies {
+            self.paths.begin(now, from, &member.zone);
+        }
         let reads = member.cache.begin(&ask.parts, ask.attempt);
         self.holders.follow(member);
         member.health.given(now);
@@ -217,6 +229,13 @@
             }
             most
         };
+        if !self.paths.are_well() {
+            // The best ones of all may lie where some can't copy from.
+            let of = |zone| two(&mut self.members.values().filter(|member| &member.zone == zone));
+            let mut most: Vec<_> = self.zones().into_iter().flat_map(of).collect();
+            most.sort_by(|a, b| b.cmp(a));
+            return most;
+        }
         // Nobody holds more than those that hold all.
         let most = two(&mut full.iter().copied());
         if most.len() == 2 { most } else { two(&mut self.members.values()) }
@@ -248,7 +267,7 @@
         let prompt: u32 = ask.parts.iter().map(|part| part.tokens).sum();
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let covered = member.cache.covers(&ask.parts);
-        let mut source = covers.iter().find(|(_, id)| *id != &member.id);
+        let mut source = covers.iter().find(|(_, id)| *id != &member.id && self.can_pass(now, id, member));
         let mut copied = source.map_or(0, |(tokens, _)| tokens.saturating_sub(covered));
         if copied < COPY_LEAST {
             (source, copied) = (None, 0);
--- /dev/null
+++ b/crates/stairvale-dispatch/tests/paths.rs
@@ -0,0 +1,128 @@
+//! Whether engines can copy from another zone is learnt from how long copies take.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use stairvale_dispatch::{Answer, Ask, Listing, Outcome, Part, Pool, Verdict, pool::Rules};
+use stairvale_types::{Moment, id, unit};
+
+/// A prompt's beginning, in tokens.
+const BEGINNING: u32 = 8_000;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn ask(number: u128, prompt: u64) -> Ask {
+    let own = Part { id: 1_000 + u64::try_from(number).unwrap(), tokens: 500 };
+    Ask {
+        attempt: id::Attempt(number),
+        entry: "r1".parse().unwrap(),
+        zone: "near".parse().unwrap(),
+        customer: None,
+        route: id::Route(0),
+        priority: 1,
+        repeatable: true,
+        parts: vec![Part { id: prompt, tokens: BEGINNING }, own],
+        output: 50,
+        objective: Duration::from_millis(500),
+        patience: Duration::from_millis(100),
+        avoid: Vec::new(),
+        within: None,
+        seen: None,
+    }
+}
+
+fn source(answers: &[Answer]) -> Option<id::Upstream> {
+    answers.iter().find_map(|answer| match &answer.verdict {
+        Verdict::Granted { source, .. } => source.clone(),
+        Verdict::Refused(_) => None,
+    })
+}
+
+/// Engines of these zones in order; the prompts 1 to 20 are at the first `holders` of them.
+fn pool(zones: &[&str], holders: usize) -> (Pool, Vec<id::Upstream>) {
+    let listing = |(index, zone): (usize, &&str)| Listing {
+        id: format!("e{index}").parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        slots: 16,
+        usable: true,
+        cold: Duration::ZERO,
+        revision: 1,
+        version: None,
+    };
+    let known: Vec<_> = zones.iter().enumerate().map(listing).collect();
+    let rules = Rules { engine: Some(unit::Tokens(400_000)), copies: true, multiple: 0.0, slack: 3.0, cold: None };
+    let mut pool = Pool::new(rules);
+    pool.set_members(at(0), &known);
+    let ids: Vec<_> = known.into_iter().map(|listing| listing.id).collect();
+    for (holder, prompt) in (0..holders).flat_map(|holder| (1..=20).map(move |prompt| (holder, prompt))) {
+        pool.learn_read(&ids[holder], &ask(u128::from(prompt), prompt).parts);
+    }
+    (pool, ids)
+}
+
+/// Asks for a prompt at the last engine; its first event comes so much later, if it does. Gives whom it copied from.
+fn copy(pool: &mut Pool, ids: &[id::Upstream], now: u64, prompt: u64, took: Option<u64>) -> Option<id::Upstream> {
+    let number = 100_000 + u128::from(now) * 100 + u128::from(prompt);
+    let mut ask = ask(number, prompt);
+    ask.avoid = ids[..ids.len() - 1].to_vec();
+    let from = source(&pool.ask(at(now), ask));
+    if let Some(took) = took {
+        pool.begun(at(now + took), id::Attempt(number), Duration::from_millis(took));
+        pool.release(at(now + took), id::Attempt(number), Outcome::Served, None);
+    }
+    from
+}
+
+#[test]
+fn after_copies_from_a_zone_were_late_one_at_a_time_tries_again() {
+    let (mut pool, ids) = pool(&["far", "near"], 1);
+    let far = Some(ids[0].clone());
+    assert_eq!(copy(&mut pool, &ids, 1_000, 1, Some(900)), far);
+    assert_eq!(copy(&mut pool, &ids, 2_000, 2, Some(900)), far, "one alone says little");
+    assert_eq!(copy(&mut pool, &ids, 2_950, 3, Some(300)), None, "it is read rather than waited for");
+    assert_eq!(copy(&mut pool, &ids, 3_300, 4, Some(300)), None);
+    assert_eq!(copy(&mut pool, &ids, 4_000, 5, None), far, "one tries");
+    assert_eq!(copy(&mut pool, &ids, 4_010, 6, Some(300)), None, "and the others wait for what becomes of it");
+    assert_eq!(copy(&mut pool, &ids, 5_900, 7, Some(300)), None, "it is tried less often from time to time");
+    assert_eq!(copy(&mut pool, &ids, 6_100, 8, Some(100)), far);
+    assert_eq!(copy(&mut pool, &ids, 6_300, 9, Some(100)), far, "and all copy again once one came in time");
+    assert_eq!(copy(&mut pool, &ids, 6_500, 10, Some(100)), far);
+}
+
+#[test]
+fn late_copies_with_good_ones_between_them_close_nothing() {
+    let (mut pool, ids) = pool(&["far", "near"], 1);
+    for step in 0..8 {
+        let took = if step % 2 == 0 { 900 } else { 100 };
+        assert_eq!(copy(&mut pool, &ids, 1_000 * (step + 1), step + 1, Some(took)), Some(ids[0].clone()));
+    }
+}
+
+#[test]
+fn late_copies_from_one_zone_do_not_keep_from_copying_elsewhere() {
+    // The first two hold all; each alone would be told as a source, and the third one holds all, too.
+    let (mut pool, ids) = pool(&["other", "far", "far", "near"], 3);
+    let mut sources = Vec::new();
+    for step in 0..12 {
+        let from = copy(&mut pool, &ids, 1_000 + 20 * step, step + 1, None);
+        sources.push(from.clone());
+        if from.as_ref().is_some_and(|from| from != &ids[0]) {
+            let number = 100_000 + u128::from(1_000 + 20 * step) * 100 + u128::from(step + 1);
+            pool.begun(at(1_000 + 20 * step + 10), id::Attempt(number), Duration::from_millis(900));
+            pool.release(at(1_000 + 20 * step + 10), id::Attempt(number), Outcome::Served, None);
+        }
+    }
+    assert_eq!(sources.iter().filter(|from| from.as_ref().is_some_and(|from| from != &ids[0])).count(), 2);
+    assert!(sources[3..].iter().all(|from| from.as_ref() == Some(&ids[0])), "{sources:?}");
+}
+
+#[test]
+fn a_late_copy_within_a_zone_says_nothing_of_ways_between_zones() {
+    let (mut pool, ids) = pool(&["near", "near"], 1);
+    for step in 0..4 {
+        assert_eq!(copy(&mut pool, &ids, 1_000 * (step + 1), step + 1, Some(900)), Some(ids[0].clone()));
+    }
+}
