A zone that is cut off asks one of its own that knows its engines

Cause: routers of a cut-off zone asked two homes that couldn't hear them, 80 ms each, and then decided each for itself, by what it had seen itself, for 1.3 s and more until the fleet's routers were held to be gone.

Ruled out: probing the other routers of a silent home's zone (docs/POLICY.md).

Change: `core/heirs.rs`. With a home that is silent its zone is passed over; with homes of two other zones silent, a router asks its own zone's stand-in. The home tells each zone's stand-in what the zone's engines hold and are granted. A router decides by itself after three homes.

Tests: tests/heirs.rs, the new one seen failing on the code before.

--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -3,7 +3,6 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Verdict};
-use stairvale_placement::pick;
 use stairvale_types::{Moment, id};
 
 use super::{Core, Effect, Reply};
@@ -46,23 +45,19 @@
         let mut effects = self.answers(answers);
         effects.extend(self.inspect(now, service));
         if let Some(upstream) = place.filter(|_| parts.len() > 1) {
-            effects.extend(self.tell_heirs(service, &Frame::Read { service: service.clone(), upstream, parts }));
+            let frame = Frame::Read { service: service.clone(), upstream: upstream.clone(), parts };
+            effects.extend(self.tell_heirs(service, &upstream, &frame));
         }
         effects
     }
 
-    /// Sends a frame to the routers that were told what a service's upstreams hold.
-    fn tell_heirs(&self, service: &id::Service, frame: &Frame) -> Vec<Effect> {
-        let heirs = self.heirs.get(service).into_iter().flatten();
-        heirs.flat_map(|heir| self.send(heir, frame.clone())).collect()
-    }
-
     /// An engine said what it holds.
     pub fn inspected(&mut self, service: &id::Service, upstream: &id::Upstream, parts: Vec<Part>) -> Vec<Effect> {
         if let Some(pool) = self.pools.get_mut(service) {
             pool.learn_prefixes(upstream, &parts);
         }
-        self.tell_heirs(service, &Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), parts })
+        let frame = Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), parts };
+        self.tell_heirs(service, upstream, &frame)
     }
 
     /// Asks engines what they hold, as a home that nobody told. Who only stands in for a home that doesn't answer leaves
@@ -79,50 +74,6 @@
         asked.collect()
     }
 
-    /// Tells the next homes of each service what this router knows of it as the home: all of it to a new one.
-    pub(super) fn inherit(&mut self) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        for (service, pool) in self.pools.iter().filter(|(_, pool)| pool.has_engines()) {
-            let strong = self.strong(self.present());
-            let Some(home) = pick(service.hash64(), strong.iter().copied()) else {
-                continue;
-            };
-            let told = self.heirs.get(service);
-            let heirs = if home == &self.me {
-                self.heirs_of(service, strong)
-            } else {
-                // Only who was the home has something to tell.
-                told.map(|_| home.clone()).into_iter().collect()
-            };
-            if heirs.is_empty() {
-                self.heirs.remove(service);
-                continue;
-            }
-            for heir in heirs.iter().filter(|heir| told.is_none_or(|told| !told.contains(heir))) {
-                for (upstream, parts) in pool.prefixes() {
-                    let frame = Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), parts };
-                    effects.extend(self.send(heir, frame));
-                }
-            }
-            self.heirs.insert(service.clone(), heirs);
-        }
-        effects
-    }
-
-    /// Who is asked when this router, as a service's home, isn't: the next one of all; and if that is in the same zone, the
-    /// first one elsewhere, too, since what takes the way to one of a zone often takes the way to all of it. Whoever else is
-    /// asked knows nothing of prompts, and has engines read all of them again.
-    fn heirs_of(&self, service: &id::Service, mut strong: Vec<(u64, &id::Router)>) -> Vec<id::Router> {
-        let near = |router: &id::Router| self.swim.peer(router).is_none_or(|peer| peer.zone == self.zone);
-        strong.retain(|(_, router)| **router != self.me);
-        let mut heirs: Vec<_> = pick(service.hash64(), strong.iter().copied()).cloned().into_iter().collect();
-        if heirs.iter().all(near) {
-            strong.retain(|(_, router)| !near(router));
-            heirs.extend(pick(service.hash64(), strong.into_iter()).cloned());
-        }
-        heirs
-    }
-
     pub(super) fn began(
         &mut self,
         now: Moment,
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -10,7 +10,6 @@
 
 use stairvale_dispatch::{Held, Pool, Seen, Window};
 use stairvale_membership::{Swim, swim};
-use stairvale_placement::pick;
 use stairvale_replica::{News, Upstream, View};
 use stairvale_table::Table;
 use stairvale_types::{Moment, id};
@@ -24,11 +23,13 @@
 mod effect;
 mod entry;
 mod freshness;
+mod heirs;
 mod home;
 mod knowledge;
 mod naming;
 mod roles;
 
+use heirs::Heirs;
 use roles::Roles;
 
 pub use effect::{Effect, Reply};
@@ -73,7 +74,7 @@
     /// The home of each service that was told last what runs here.
     homes: HashMap<id::Service, id::Router>,
     /// Who was told, by this router as a service's home, what the service's upstreams hold.
-    heirs: HashMap<id::Service, Vec<id::Router>>,
+    heirs: HashMap<id::Service, Heirs>,
     syncs: HashMap<u64, Moment>,
     /// Who asked while this router's own copy wasn't known to be the newest yet.
     askers: HashMap<id::Router, Sync>,
@@ -213,18 +214,6 @@
         self.view.upstream(upstream).cloned()
     }
 
-    /// The router that a request of a service is placed by: its home, or who stands in for one that doesn't answer.
-    fn home(&self, now: Moment, service: &id::Service) -> id::Router {
-        let distrusts = |router: &id::Router| self.distrusted.get(router).is_some_and(|until| *until > now);
-        let home = if self.distrusted.is_empty() || !self.roles.any_home(distrusts) {
-            self.standing_home(service)
-        } else {
-            let trusted = self.present().filter(|member| !distrusts(&member.router));
-            pick(service.hash64(), self.strong(trusted).into_iter())
-        };
-        home.unwrap_or(&self.me).clone()
-    }
-
     /// The service's home, as far as this router knows.
     #[must_use]
     pub fn home_of(&self, service: &id::Service) -> Option<id::Router> {
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -17,8 +17,9 @@
 const ANSWER_MOST: Duration = Duration::from_millis(120);
 /// Time to read what came while this process stood still.
 const CATCH_UP: Duration = Duration::from_millis(5);
-/// Homes that are asked before this router decides by itself.
-const HOMES: usize = 2;
+/// Homes that are asked before this router decides by itself: the home, its heir in another zone, and who decides for this zone
+/// if it is cut off.
+const HOMES: usize = 3;
 /// When to come back if nobody can decide.
 const COME_BACK: Duration = Duration::from_millis(500);
 
--- a/crates/stairvale-serve/tests/heirs.rs
+++ b/crates/stairvale-serve/tests/heirs.rs
@@ -21,6 +21,17 @@
     [prompt[0], (9_000 + u64::try_from(number).unwrap(), 20)]
 }
 
+/// A request that a home was asked for runs where it was granted, and ends; gives its place.
+fn serve(world: &mut World, entry: usize, number: u128, home: &id::Router) -> id::Upstream {
+    let upstream = world.granted(entry, number).unwrap();
+    let (attempt, route) = (id::Attempt(number), id::Route(0));
+    let held = Held { attempt, upstream: upstream.clone(), read: 0, customer: None, route };
+    world.nodes[entry].core.start(&"chat".parse().unwrap(), held, home, &[]);
+    world.end(entry, number);
+    world.run(50);
+    upstream
+}
+
 #[test]
 fn when_all_of_the_homes_zone_are_late_a_router_of_another_zone_knows_what_engines_hold() {
     for (routers, zones) in [(8, 2), (9, 3), (10, 2), (12, 3), (12, 4), (16, 2), (16, 4)] {
@@ -39,12 +50,7 @@
             let asked = world.ask(entry, number, &again(prompt, number));
             assert_ne!(world.index(&asked) % zones, home % zones);
             world.run(50);
-            let granted = world.granted(entry, number).unwrap();
-            let (attempt, route) = (id::Attempt(number), id::Route(0));
-            let held = Held { attempt, upstream: granted.clone(), read: 0, customer: None, route };
-            world.nodes[entry].core.start(&"chat".parse().unwrap(), held, &asked, &[]);
-            world.end(entry, number);
-            world.run(50);
+            let granted = serve(&mut world, entry, number, &asked);
             assert_eq!(&granted, place, "{routers} routers in {zones} zones, prompt {number}");
         }
     }
@@ -109,3 +115,69 @@
         assert_ne!(world.index(&asked), home, "leaves: {leaves}");
     }
 }
+
+/// Asks as a router does whose homes say nothing where they are in another zone: passes them over, one after the other. Gives the
+/// one that can hear it, and how many couldn't.
+fn ask_through_a_cut(
+    world: &mut World,
+    zones: usize,
+    entry: usize,
+    number: u128,
+    prompt: &[(u64, u32)],
+) -> (usize, usize) {
+    for tries in 0..10 {
+        let asked = world.ask(entry, number, prompt);
+        let asked = world.index(&asked);
+        if asked % zones == entry % zones {
+            return (asked, tries);
+        }
+        world.distrust(entry, asked);
+    }
+    panic!("router {entry} finds nobody");
+}
+
+#[test]
+fn routers_of_a_zone_that_is_cut_off_ask_one_of_their_own_that_knows_its_engines() {
+    let mut played = 0;
+    for (routers, zones) in [(9, 3), (11, 3), (12, 3), (13, 3), (12, 4), (14, 4), (16, 4), (17, 4)] {
+        // Without this one's strength it would be the home in each of them.
+        let strengths = (0..routers).map(|index| if index == 0 { 12 } else { 50 }).collect();
+        let mut world = World::with_strengths(strengths, zones, 2 * zones);
+        world.run(SETTLE);
+        let home = world.ask(0, 0, &[]);
+        let home = world.index(&home);
+        // The world's requests prefer engines of zone 0.
+        let cut = 0;
+        if home % zones == cut {
+            continue;
+        }
+        played += 1;
+        let entry = (home + 1) % routers;
+        let places: Vec<_> =
+            (1..).zip(prompts()).map(|(number, prompt)| world.serve(entry, number, &prompt).unwrap()).collect();
+        world.run(1_000);
+        let ways = (0..routers).flat_map(|a| (0..routers).map(move |b| (a, b)));
+        for (a, b) in ways.filter(|(a, b)| (a % zones == cut) != (b % zones == cut)) {
+            world.set_cut(a, b, true);
+        }
+        let inside: Vec<_> = (0..routers).filter(|index| index % zones == cut).collect();
+        let mut asked = std::collections::BTreeSet::new();
+        let mut known = 0;
+        for ((number, prompt), place) in (100..).zip(prompts()).zip(&places) {
+            let engine: usize = place.as_str()[1..].parse().unwrap();
+            if engine % zones != cut {
+                continue;
+            }
+            known += 1;
+            let entry = inside[known % inside.len()];
+            let (home, tries) = ask_through_a_cut(&mut world, zones, entry, number, &again(prompt, number));
+            assert!(tries <= 2, "{tries} homes were asked in vain");
+            asked.insert(home);
+            world.run(20);
+            let home = format!("r{home}").parse().unwrap();
+            assert_eq!(&serve(&mut world, entry, number, &home), place, "{routers} routers, {zones} zones");
+        }
+        assert!(known > 1 && asked.len() == 1, "{known} prompts, decided by {asked:?}");
+    }
+    assert!(played > 3, "{played} fleets have their home elsewhere");
+}
