--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -19,6 +19,7 @@
 mod choose;
 mod follow;
 mod holders;
+mod paths;
 mod queue;
 mod transit;
 mod watch;
@@ -64,6 +65,8 @@
     places: RapidHashMap<id::Attempt, id::Upstream>,
     /// Who holds each shared part.
     holders: holders::Holders,
+    /// Between which zones copies are late.
+    paths: paths::Paths,
     /// Whether every decision looks at all members.
     whole_look: bool,
     /// The hashes of the members' ids.
@@ -103,6 +106,7 @@
             answered: BTreeMap::new(),
             places: RapidHashMap::default(),
             holders: holders::Holders::default(),
+            paths: paths::Paths::default(),
             whole_look: false,
             hashes: Vec::new(),
             usable: 0,
@@ -278,19 +282,20 @@
             return Vec::new();
         };
         let Hold { reads, read, expected, .. } = &hold;
-        let copies = hold.source.is_some();
         member.cache.finish(reads);
         self.answered.insert(member.zone.clone(), now);
         let took = took.as_secs_f64() * 1e3;
         // Only what was read while nothing else was tells how long reading takes.
         // What is on trial doesn't tell what is usual.
         let usual = member.admission != Admission::Trial;
-        if self.rules.engine.is_some() && member.ahead() == 0 && !copies && usual {
+        if self.rules.engine.is_some() && member.ahead() == 0 && hold.copies.is_none() && usual {
             self.reading.observe(f64::from(*read), took);
         }
         // How long a copy takes is no matter of this engine alone.
-        if *expected > 0.0 && !copies {
-            member.health.took(now, (took + 20.0) / (expected + 20.0));
+        match &hold.copies {
+            Some(from) => self.paths.end(now, from, &member.zone, took, *expected),
+            None if *expected > 0.0 => member.health.took(now, (took + 20.0) / (expected + 20.0)),
+            None => {}
         }
         self.stop_reading(reads, attempt);
         self.watch_begin(now, attempt, &hold, took);
@@ -378,6 +383,7 @@
                 output: 0,
                 begun: None,
                 told: false,
+                copies: None,
                 reads: Vec::new(),
             };
             member.hold(item.attempt, hold);
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -10,7 +10,6 @@
 
 use stairvale_dispatch::{Held, Pool, Seen, Window};
 use stairvale_membership::{Swim, swim};
-use stairvale_placement::pick;
 use stairvale_replica::{News, Upstream, View};
 use stairvale_table::Table;
 use stairvale_types::{Moment, id};
@@ -24,6 +23,7 @@
 mod effect;
 mod entry;
 mod freshness;
+mod heirs;
 mod home;
 mod knowledge;
 mod naming;
@@ -31,6 +31,7 @@
 mod rollouts;
 mod writing;
 
+use heirs::Heirs;
 use roles::Roles;
 use rollouts::Rollouts;
 
@@ -77,7 +78,7 @@
     /// The home of each service that was told last what runs here.
     homes: HashMap<id::Service, id::Router>,
     /// Who was told, by this router as a service's home, what the service's upstreams hold.
-    heirs: HashMap<id::Service, id::Router>,
+    heirs: HashMap<id::Service, Heirs>,
     syncs: HashMap<u64, Moment>,
     /// Who asked while this router's own copy wasn't known to be the newest yet.
     askers: HashMap<id::Router, Sync>,
@@ -174,6 +175,12 @@
         self.swim.live().count()
     }
 
+    /// The availability zone of the router at an address, if there is one that is known to live.
+    #[must_use]
+    pub fn zone_at(&self, address: SocketAddr) -> Option<id::Zone> {
+        self.swim.live().find(|member| member.address == address).map(|member| member.zone.clone())
+    }
+
     /// Requests of a service that run, by what this router knows as its home.
     #[must_use]
     pub fn running_at_home(&self, service: &id::Service) -> u32 {
@@ -215,18 +222,6 @@
         self.admits(&known.service, known.version.as_ref()).then(|| known.clone())
     }
 
-    /// The router that a request of a service is placed by: its home, or who stands in for one that doesn't answer.
-    fn home(&self, now: Moment, service: &id::Service) -> id::Router {
-        let distrusts = |router: &id::Router| self.distrusted.get(router).is_some_and(|until| *until > now);
-        let home = if self.distrusted.is_empty() || !self.roles.any_home(distrusts) {
-            self.standing_home(service)
-        } else {
-            let trusted = self.present().filter(|member| !distrusts(&member.router));
-            pick(service.hash64(), self.strong(trusted).into_iter())
-        };
-        home.unwrap_or(&self.me).clone()
-    }
-
     /// The service's home, as far as this router knows.
     #[must_use]
     pub fn home_of(&self, service: &id::Service) -> Option<id::Router> {
@@ -324,8 +319,16 @@
     pub fn frame(&mut self, now: Moment, from: &id::Router, frame: Frame) -> Vec<Effect> {
         match frame {
             Frame::Ask { service, ask } => self.asked(now, from, &service, ask),
-            Frame::Decided { attempt, verdict } => vec![Effect::Reply { attempt, reply: Reply::Decided(verdict) }],
-            Frame::Waits { attempt } => vec![Effect::Reply { attempt, reply: Reply::Waits }],
+            Frame::Decided { attempt, verdict } => {
+                if verdict.is_some() {
+                    self.trust(from);
+                }
+                vec![Effect::Reply { attempt, reply: Reply::Decided(verdict) }]
+            }
+            Frame::Waits { attempt } => {
+                self.trust(from);
+                vec![Effect::Reply { attempt, reply: Reply::Waits }]
+            }
             Frame::Forget { service, attempt } => {
                 let answers = self.pools.get_mut(&service).map(|pool| pool.forget(now, attempt));
                 self.answers(answers.unwrap_or_default())
