--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -561,6 +561,16 @@
         }
     }
 
+    /// Messages sent so far from one router to another.
+    pub fn messages(&self) -> usize {
+        usize::try_from(self.sent).unwrap()
+    }
+
+    /// Whether a router runs.
+    pub fn is_alive(&self, index: usize) -> bool {
+        self.nodes[index].alive
+    }
+
     /// A router got no answer from another one as a home.
     pub fn distrust(&mut self, index: usize, home: usize) {
         let now = self.local(index);
@@ -690,6 +700,70 @@
     }
 }
 
+/// A caller at a router, whose request the process asks homes for as long as it isn't placed: each is given a while to answer,
+/// and after two of them the router decides by itself.
+pub struct Caller {
+    index: usize,
+    /// The number of its first attempt.
+    first: u128,
+    /// Attempts so far.
+    rounds: u128,
+    /// What was asked, of whom and when.
+    asked: Option<(u128, id::Router, u64)>,
+}
+
+/// What a home is given to answer, in ms, and how many are asked before the router decides by itself.
+const PATIENCE: u64 = 120;
+const HOMES: u128 = 2;
+
+impl Caller {
+    /// Of this router.
+    pub fn new(index: usize) -> Self {
+        Self { index, first: 0, rounds: 0, asked: None }
+    }
+
+    /// Its how-many-eth request.
+    pub fn with_number(self, number: u64) -> Self {
+        Self { first: u128::from(number) * 1_000, ..self }
+    }
+
+    /// The router's index.
+    pub fn router(&self) -> usize {
+        self.index
+    }
+
+    /// Looks whether the request is placed, and asks if nobody is asked yet.
+    pub fn call(&mut self, world: &mut World) -> bool {
+        if !world.is_alive(self.index) || world.version(self.index) == 0 || !world.trusts(self.index) {
+            self.asked = None;
+            return false;
+        }
+        if let Some((number, home, since)) = &self.asked {
+            let placed = world.granted(self.index, *number);
+            if let Some(engine) = placed {
+                return world.nodes[self.index].core.place(&engine).is_some();
+            }
+            let unable = matches!(world.nodes[self.index].replies.get(&id::Attempt(*number)), Some(Reply::Decided(_)));
+            if !unable && world.now - since < PATIENCE {
+                return false;
+            }
+            let now = world.local(self.index);
+            world.nodes[self.index].core.distrust(now, home);
+        }
+        let number = 1_000_000 * (self.index as u128 + 1) + self.first + self.rounds;
+        self.rounds += 1;
+        let parts = [(u64::try_from(number).unwrap(), 200)];
+        let home = if self.rounds.is_multiple_of(HOMES + 1) {
+            world.ask_self(self.index, number, &parts);
+            name(self.index)
+        } else {
+            world.ask(self.index, number, &parts)
+        };
+        self.asked = Some((number, home, world.now));
+        world.granted(self.index, number).is_some()
+    }
+}
+
 fn request(index: usize, number: u128, parts: &[(u64, u32)]) -> (id::Service, Ask) {
     let ask = Ask {
         attempt: id::Attempt(number),
