--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -108,6 +108,12 @@
     pub told: usize,
     /// Bytes sent, by what they are about, if that is counted.
     counted: Option<BTreeMap<&'static str, usize>>,
+    /// The same of what went to another zone.
+    crossed: BTreeMap<&'static str, usize>,
+    /// The same by sender, whatever it was about.
+    senders: HashMap<usize, usize>,
+    /// The way between two routers of different zones, in ms.
+    pub far: u64,
     cut: BTreeSet<(usize, usize)>,
     cut_from_store: BTreeSet<usize>,
 }
@@ -181,6 +187,9 @@
             names: HashMap::new(),
             told: 0,
             counted: None,
+            crossed: BTreeMap::new(),
+            senders: HashMap::new(),
+            far: WAY,
             cut: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
         };
@@ -443,6 +452,13 @@
         self.nodes[index].alive = false;
     }
 
+    /// A router is told to stop; it still runs until it is killed.
+    pub fn stop(&mut self, index: usize) {
+        let now = self.local(index);
+        let effects = self.nodes[index].core.leave(now);
+        self.perform(index, effects);
+    }
+
     /// A killed router starts again and knows nothing.
     pub fn start(&mut self, index: usize, zones: usize) {
         let core = self.core(index, zones, self.now + 2);
@@ -516,17 +532,34 @@
         }
         self.sent += 1;
         self.messages.insert(self.sent, message);
-        self.queue.push(Reverse((self.now + WAY, self.sent, to)));
+        let way = if from % self.zones == to % self.zones { WAY } else { self.far };
+        self.queue.push(Reverse((self.now + way, self.sent, to)));
     }
 
     /// Begins to count bytes sent, by what they are about; gives what was counted.
     pub fn recount(&mut self) -> BTreeMap<&'static str, usize> {
+        self.crossed.clear();
+        self.senders.clear();
         self.counted.replace(BTreeMap::new()).unwrap_or_default()
     }
 
-    fn count(&mut self, frame: &Frame, times: usize) {
+    /// Bytes that went to another zone since they were counted anew, by what they are about.
+    pub fn crossed(&self) -> &BTreeMap<&'static str, usize> {
+        &self.crossed
+    }
+
+    /// The most bytes that one router has sent since they were counted anew.
+    pub fn busiest(&self) -> usize {
+        self.senders.values().copied().max().unwrap_or(0)
+    }
+
+    fn count(&mut self, from: usize, to: SocketAddr, kind: &'static str, bytes: usize) {
         if let Some(counted) = &mut self.counted {
-            *counted.entry(kind(frame)).or_default() += times * codec::encode(frame).unwrap().len();
+            *counted.entry(kind).or_default() += bytes;
+            *self.senders.entry(from).or_default() += bytes;
+            if at(to).is_some_and(|to| to % self.zones != from % self.zones) {
+                *self.crossed.entry(kind).or_default() += bytes;
+            }
         }
     }
 
@@ -536,20 +569,19 @@
             match effect {
                 Effect::Frame { address, frame, .. } => {
                     self.told += usize::from(matches!(&*frame, Frame::News(_) | Frame::Synced { news: Some(_), .. }));
-                    self.count(&frame, 1);
+                    self.count(index, address, kind(&frame), codec::encode(&*frame).unwrap().len());
                     self.send(index, address, Message::Frame(name(index), *frame));
                 }
                 Effect::Frames { to, frame } => {
                     self.told += to.len();
-                    self.count(&frame, to.len());
+                    let bytes = codec::encode(&*frame).unwrap().len();
                     for (_, address) in to {
+                        self.count(index, address, kind(&frame), bytes);
                         self.send(index, address, Message::Frame(name(index), (*frame).clone()));
                     }
                 }
                 Effect::Datagram { to, packet } => {
-                    if let Some(counted) = &mut self.counted {
-                        *counted.entry("datagram").or_default() += codec::pack(&packet).unwrap().len();
-                    }
+                    self.count(index, to, "datagram", codec::pack(&packet).unwrap().len());
                     self.send(index, to, Message::Packet(address(index), packet));
                 }
                 Effect::Reply { attempt, reply } => {
