News of routers goes to other zones a few times from each router of a zone, and a weak one that leaves tells its own zone

Each router told each piece of news 32 times at 300 routers, three in four of them to another zone, and one that left told all others at once, with all news that fitted. What a packet says of its receiver (which it can refute) goes wherever the receiver is.

--- a/crates/stairvale-membership/src/swim.rs
+++ b/crates/stairvale-membership/src/swim.rs
@@ -44,6 +44,9 @@
 const REVIVE_EVERY: u64 = 5;
 /// News is passed on this many times the logarithm of the fleet's size.
 const SPREAD: u32 = 4;
+/// The routers of a zone together pass news on to other zones this many times as often as one of them passes it on at all, and
+/// each at least this often: each zone hears of it from several routers of each other one, and then tells itself.
+const FAR: u32 = 2;
 /// Peers that are told at once about something important.
 const RUMOUR: usize = 3;
 
@@ -106,7 +109,10 @@
 #[derive(Clone, Debug)]
 struct News {
     update: Update,
+    /// How often it is still passed on...
     left: u32,
+    /// ... and of these to other zones at most.
+    far: u32,
 }
 
 /// One router's view of the others.
@@ -290,8 +296,14 @@
         self.me.status = Status::Leaving;
         self.me.incarnation.0 += 1;
         self.enqueue(Update::Member(self.me.clone()));
-        let addresses: Vec<_> = self.live_peers().map(|member| member.address).collect();
-        addresses.into_iter().map(|to| self.packet(to, Body::News)).collect()
+        // Who may do work for others is missed everywhere at once. The others are gone from their zone's balancer alone, and
+        // each telling all others at once would take more than all else where all are restarted one after the other.
+        let strongest = self.live_peers().map(|member| member.strength).max().unwrap_or(0);
+        let works = self.me.strength * 2 >= strongest;
+        let told = self.live_peers().filter(|member| works || member.zone == self.me.zone);
+        let addresses: Vec<_> = told.map(|member| member.address).collect();
+        let packet = self.bare_packet(Body::News);
+        addresses.into_iter().map(|to| Effect::Send { to, packet: packet.clone() }).collect()
     }
 
     /// A stream to a peer broke: probe it next.
@@ -541,7 +553,10 @@
         self.news.retain(|news| !same_subject(&news.update, &update));
         let size = u32::try_from(self.peers.len() + 2).unwrap_or(u32::MAX);
         let left = SPREAD * size.ilog2().max(1);
-        self.news.push(News { update, left });
+        let here = self.live_peers().filter(|member| member.zone == self.me.zone).count() + 1;
+        let here = u32::try_from(here).unwrap_or(u32::MAX);
+        let far = (left * FAR / here).clamp(FAR, left);
+        self.news.push(News { update, left, far });
     }
 
     fn rumour(&mut self) -> Vec<Effect> {
@@ -550,10 +565,9 @@
         told.into_iter().map(|to| self.packet(to, Body::News)).collect()
     }
 
-    /// A packet with as much news as fits, the least spread first. This router itself always stands first.
-    fn packet(&mut self, to: SocketAddr, body: Body) -> Effect {
-        self.news.sort_by_key(|news| std::cmp::Reverse(news.left));
-        let mut packet = Packet {
+    /// A packet that tells of this router alone.
+    fn bare_packet(&self, body: Body) -> Packet {
+        Packet {
             version: VERSION,
             from: self.me.router.clone(),
             generation: self.generation,
@@ -561,20 +575,29 @@
             words: self.words,
             body,
             updates: vec![Update::Member(self.me.clone())],
-        };
+        }
+    }
+
+    /// A packet with as much news as fits, the least spread first. This router itself always stands first.
+    fn packet(&mut self, to: SocketAddr, body: Body) -> Effect {
+        self.news.sort_by_key(|news| std::cmp::Reverse(news.left));
+        let mut packet = self.bare_packet(body);
+        let receiver = self.peers.values().find(|peer| peer.member.address == to);
+        let far = receiver.is_some_and(|peer| peer.member.zone != self.me.zone);
         // Whom the receiver suspects or holds dead is told so, and can refute.
         let blamed = self.peers.values().find(|peer| peer.member.address == to && peer.member.status != Status::Alive);
         packet.updates.extend(blamed.map(|peer| Update::Member(peer.member.clone())));
         // The envelope's tag and the coding's slack stay below the limit.
         const RESERVE: usize = 64;
         let mut size = codec::pack(&packet).map_or(0, |bytes| bytes.len());
-        for news in &mut self.news {
+        for news in self.news.iter_mut().filter(|news| !far || news.far > 0) {
             let bytes = codec::pack(&news.update).map_or(usize::MAX, |bytes| bytes.len());
             if size.saturating_add(bytes) > codec::MAX_PACKET - RESERVE {
                 break;
             }
             size += bytes;
             news.left -= 1;
+            news.far = if far { news.far - 1 } else { news.far };
             packet.updates.push(news.update.clone());
         }
         self.news.retain(|news| news.left > 0);
--- a/crates/stairvale-membership/tests/membership.rs
+++ b/crates/stairvale-membership/tests/membership.rs
@@ -252,6 +252,79 @@
     assert!([0, 1, 3, 4].into_iter().all(|number| net.live(number) == 4));
 }
 
+/// A router of zone `a` that knows as many others in zones `a` and `b`, all weak but for the first of them.
+fn among_zones(strength: u32) -> Swim {
+    const EACH: u16 = 30;
+    let me = Member { strength, ..member(0) };
+    let mut swim = Swim::new(me, Settings::default(), 7);
+    let others = (1..=EACH * 2).map(|number| {
+        let zone = if number <= EACH { "a" } else { "b" }.parse().unwrap();
+        let strength = if number == 1 { 50 } else { 12 };
+        Member { zone, strength, ..member(number) }
+    });
+    swim.learn_members(Moment::ZERO, others.collect());
+    swim
+}
+
+/// Packets that a router sends in ten seconds in which everybody answers: those of them that tell of `subject`, to its own zone
+/// and beyond.
+fn tellings(swim: &mut Swim, subject: &id::Router) -> (usize, usize) {
+    let (mut near, mut far) = (0, 0);
+    for step in 1..=1_000_u64 {
+        let now = Moment::from_millis(step * 10);
+        for effect in swim.tick(now) {
+            let Effect::Send { to, packet } = effect else {
+                continue;
+            };
+            let tells =
+                packet.updates.iter().any(|update| matches!(update, wire::Update::Member(m) if &m.router == subject));
+            let beyond = to.port() > address(30).port();
+            near += usize::from(tells && !beyond);
+            far += usize::from(tells && beyond);
+            if let wire::packet::Body::Ping { probe } = packet.body {
+                let from = member(to.port() - address(0).port());
+                let body = wire::packet::Body::Ack { probe };
+                swim.receive(now, to, Packet { from: from.router, body, updates: Vec::new(), ..packet });
+            }
+        }
+    }
+    (near, far)
+}
+
+#[test]
+fn news_goes_to_other_zones_from_several_routers_rather_than_many_times_from_each() {
+    let mut swim = among_zones(12);
+    let news = Member { status: Status::Leaving, incarnation: id::Incarnation(2), ..member(9) };
+    let packet = Packet {
+        version: wire::VERSION,
+        from: member(2).router,
+        generation: 0,
+        vms: 0,
+        words: 0,
+        body: wire::packet::Body::News,
+        updates: vec![wire::Update::Member(news.clone())],
+    };
+    swim.receive(Moment::ZERO, address(2), packet);
+    let (near, far) = tellings(&mut swim, &news.router);
+    assert!(near >= 8, "{near} times in its zone");
+    assert!((1..=2).contains(&far), "{far} times beyond it, of {near}");
+}
+
+#[test]
+fn a_weak_router_that_leaves_tells_its_zone_and_a_strong_one_everybody() {
+    let told = |strength| {
+        let mut swim = among_zones(strength);
+        let sent = swim.leave();
+        let bytes = sent.iter().map(|effect| match effect {
+            Effect::Send { packet, .. } => wire::codec::pack(packet).unwrap().len(),
+            _ => 0,
+        });
+        assert!(bytes.max().unwrap() < 150, "only what is urgent");
+        sent.len()
+    };
+    assert_eq!((told(12), told(50)), (30, 60));
+}
+
 #[test]
 fn packets_fit_an_ethernet_frame_whatever_the_news() {
     let mut swim = Swim::new(member(0), Settings::default(), 1).with_seeds(vec![address(1)]);
