--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -115,6 +115,12 @@
     pub surpluses: Vec<bool>,
     /// Bytes sent, by what they are about, if that is counted.
     counted: Option<BTreeMap<&'static str, usize>>,
+    /// The same of what went to another zone.
+    crossed: BTreeMap<&'static str, usize>,
+    /// The same by sender, whatever it was about.
+    senders: HashMap<usize, usize>,
+    /// The way between two routers of different zones, in ms.
+    pub far: u64,
     cut: BTreeSet<(usize, usize)>,
     cut_from_store: BTreeSet<usize>,
     /// What is wrong with changes of records.
@@ -193,6 +199,9 @@
             told: 0,
             surpluses: Vec::new(),
             counted: None,
+            crossed: BTreeMap::new(),
+            senders: HashMap::new(),
+            far: WAY,
             cut: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
             trouble: records::Trouble::None,
@@ -465,16 +474,18 @@
         self.nodes[index].alive = false;
     }
 
-    /// Whether a router runs.
-    pub fn is_alive(&self, index: usize) -> bool {
-        self.nodes[index].alive
-    }
-
     /// A router's process stands still, or goes on: its clock went on all the time.
     pub fn freeze(&mut self, index: usize, frozen: bool) {
         self.nodes[index].frozen = frozen;
     }
 
+    /// A router is told to stop; it still runs until it is killed.
+    pub fn stop(&mut self, index: usize) {
+        let now = self.local(index);
+        let effects = self.nodes[index].core.leave(now);
+        self.perform(index, effects);
+    }
+
     /// A killed router starts again and knows nothing.
     pub fn start(&mut self, index: usize, zones: usize) {
         let core = self.core(index, zones, self.now + 2);
@@ -556,17 +567,34 @@
         }
         self.sent += 1;
         self.messages.insert(self.sent, message);
-        self.queue.push(Reverse((self.now + WAY, self.sent, to)));
+        let way = if from % self.zones == to % self.zones { WAY } else { self.far };
+        self.queue.push(Reverse((self.now + way, self.sent, to)));
     }
 
     /// Begins to count bytes sent, by what they are about; gives what was counted.
     pub fn recount(&mut self) -> BTreeMap<&'static str, usize> {
+        self.crossed.clear();
+        self.senders.clear();
         self.counted.replace(BTreeMap::new()).unwrap_or_default()
     }
 
-    fn count(&mut self, frame: &Frame, times: usize) {
+    /// Bytes that went to another zone since they were counted anew, by what they are about.
+    pub fn crossed(&self) -> &BTreeMap<&'static str, usize> {
+        &self.crossed
+    }
+
+    /// The most bytes that one router has sent since they were counted anew.
+    pub fn busiest(&self) -> usize {
+        self.senders.values().copied().max().unwrap_or(0)
+    }
+
+    fn count(&mut self, from: usize, to: SocketAddr, kind: &'static str, bytes: usize) {
         if let Some(counted) = &mut self.counted {
-            *counted.entry(kind(frame)).or_default() += times * codec::encode(frame).unwrap().len();
+            *counted.entry(kind).or_default() += bytes;
+            *self.senders.entry(from).or_default() += bytes;
+            if at(to).is_some_and(|to| to % self.zones != from % self.zones) {
+                *self.crossed.entry(kind).or_default() += bytes;
+            }
         }
     }
 
@@ -576,20 +604,19 @@
             match effect {
                 Effect::Frame { address, frame, .. } => {
                     self.told += usize::from(matches!(&*frame, Frame::News(_) | Frame::Synced { news: Some(_), .. }));
-                    self.count(&frame, 1);
+                    self.count(index, address, kind(&frame), codec::encode(&*frame).unwrap().len());
                     self.send(index, address, Message::Frame(name(index), *frame));
                 }
                 Effect::Frames { to, frame } => {
                     self.told += to.len();
-                    self.count(&frame, to.len());
+                    let bytes = codec::encode(&*frame).unwrap().len();
                     for (_, address) in to {
+                        self.count(index, address, kind(&frame), bytes);
                         self.send(index, address, Message::Frame(name(index), (*frame).clone()));
                     }
                 }
                 Effect::Datagram { to, packet } => {
-                    if let Some(counted) = &mut self.counted {
-                        *counted.entry("datagram").or_default() += codec::pack(&packet).unwrap().len();
-                    }
+                    self.count(index, to, "datagram", codec::pack(&packet).unwrap().len());
                     self.send(index, to, Message::Packet(address(index), packet));
                 }
                 Effect::Reply { attempt, reply } => {
@@ -608,6 +635,16 @@
         }
     }
 
+    /// Messages sent so far from one router to another.
+    pub fn messages(&self) -> usize {
+        usize::try_from(self.sent).unwrap()
+    }
+
+    /// Whether a router runs.
+    pub fn is_alive(&self, index: usize) -> bool {
+        self.nodes[index].alive
+    }
+
     /// A router got no answer from another one as a home.
     pub fn distrust(&mut self, index: usize, home: usize) {
         let now = self.local(index);
@@ -737,6 +774,70 @@
     }
 }
 
+/// A caller at a router, whose request the process asks homes for as long as it isn't placed: each is given a while to answer,
+/// and after two of them the router decides by itself.
+pub struct Caller {
+    index: usize,
+    /// The number of its first attempt.
+    first: u128,
+    /// Attempts so far.
+    rounds: u128,
+    /// What was asked, of whom and when.
+    asked: Option<(u128, id::Router, u64)>,
+}
+
+/// What a home is given to answer, in ms, and how many are asked before the router decides by itself.
+const PATIENCE: u64 = 120;
+const HOMES: u128 = 2;
+
+impl Caller {
+    /// Of this router.
+    pub fn new(index: usize) -> Self {
+        Self { index, first: 0, rounds: 0, asked: None }
+    }
+
+    /// Its how-many-eth request.
+    pub fn with_number(self, number: u64) -> Self {
+        Self { first: u128::from(number) * 1_000, ..self }
+    }
+
+    /// The router's index.
+    pub fn router(&self) -> usize {
+        self.index
+    }
+
+    /// Looks whether the request is placed, and asks if nobody is asked yet.
+    pub fn call(&mut self, world: &mut World) -> bool {
+        if !world.is_alive(self.index) || world.version(self.index) == 0 || !world.trusts(self.index) {
+            self.asked = None;
+            return false;
+        }
+        if let Some((number, home, since)) = &self.asked {
+            let placed = world.granted(self.index, *number);
+            if let Some(engine) = placed {
+                return world.nodes[self.index].core.place(&engine).is_some();
+            }
+            let unable = matches!(world.nodes[self.index].replies.get(&id::Attempt(*number)), Some(Reply::Decided(_)));
+            if !unable && world.now - since < PATIENCE {
+                return false;
+            }
+            let now = world.local(self.index);
+            world.nodes[self.index].core.distrust(now, home);
+        }
+        let number = 1_000_000 * (self.index as u128 + 1) + self.first + self.rounds;
+        self.rounds += 1;
+        let parts = [(u64::try_from(number).unwrap(), 200)];
+        let home = if self.rounds.is_multiple_of(HOMES + 1) {
+            world.ask_self(self.index, number, &parts);
+            name(self.index)
+        } else {
+            world.ask(self.index, number, &parts)
+        };
+        self.asked = Some((number, home, world.now));
+        world.granted(self.index, number).is_some()
+    }
+}
+
 fn request(index: usize, number: u128, parts: &[(u64, u32)]) -> (id::Service, Ask) {
     let ask = Ask {
         attempt: id::Attempt(number),
