A trial that is short of answers goes before its rehearsal; the fleet moves only to upstreams that can carry the service

Cause: with no requests allowed beyond the share, eighty requests a second and ten seconds, a good version was completed 0.55 s late in the library's own world (6 s over real sockets): little more than half of the bound is used before the rehearsal, and that was fewer answers than the version is called good by. Another: nothing looked at how many upstreams came, so a fleet would have moved to three of sixty, and had the others stopped.

Change: once it is time to move, what is kept for the rehearsal may be used to see enough. The fleet moves only where at least half as many new upstreams are ready as old ones; otherwise the roll-out ends as unproven.

--- a/crates/stairvale-rollout/src/trial.rs
+++ b/crates/stairvale-rollout/src/trial.rs
@@ -41,6 +41,9 @@
 const ENOUGH_OF_ROUTE: u64 = 5;
 /// Share of a service's answers from which a route must have been tried.
 const COMMON: f64 = 0.05;
+/// The fleet moves to as many upstreams as carry the service now, divided by this: a zone may be evacuated or away, and a crash
+/// may have taken some.
+const MANNED: usize = 2;
 /// How long what comes of the rehearsal is waited for, from when it was given out.
 const AFTERMATH: Duration = Duration::from_millis(800);
 /// While something speaks against the version, be it one upstream, the fleet waits so long for more.
@@ -122,6 +125,12 @@
         bad as f64 / answers.max(1) as f64
     }
 
+    /// Whether the version's upstreams could carry the service: a few early ones would fall over when all requests go there, and the
+    /// old ones stop when that is over.
+    fn is_manned(&self) -> bool {
+        self.facts.ready_new * MANNED >= self.facts.ready_old
+    }
+
     /// Whether enough was seen of the version to call it good. After the deadline a route that is seldom asked for by what
     /// may go there holds it up no longer.
     #[expect(clippy::cast_precision_loss, reason = "counts of answers are far below 2^52")]
@@ -202,7 +211,7 @@
             return Next::Missing;
         }
         let is_due = view.elapsed >= view.over.saturating_sub(moving(view.over));
-        if is_due && view.is_enough() {
+        if is_due && view.is_enough() && view.is_manned() {
             return self.finish(now, bounds, view);
         }
         if view.elapsed >= 2 * view.over {
@@ -222,7 +231,9 @@
         let each = self.rate_of_one(now, view.facts);
         let least = (SPELL * each).clamp(FEWEST, AMPLE);
         // What speaks against a version is looked into at once, with what was kept for the rehearsal if need be.
-        let room = view.account.room(bounds, if view.suspects { MOST } else { PROBING });
+        // When it is time to move and too little was seen, that goes before a rehearsal.
+        let is_due = view.elapsed >= view.over.saturating_sub(moving(view.over));
+        let room = view.account.room(bounds, if view.suspects || is_due { MOST } else { PROBING });
         if f64::from(room) < least {
             return Next::Wait;
         }
--- a/crates/stairvale-rollout/tests/outcomes.rs
+++ b/crates/stairvale-rollout/tests/outcomes.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use stairvale_rollout::{Answer, Cause, Facts, Policy, Stage, Step, Steward, Written};
+use stairvale_rollout::{Answer, Bounds, Cause, Facts, Policy, Stage, Step, Steward, Written};
 use stairvale_types::Moment;
 use world::{Dice, Route, Service, TICK, bounds, good, order, version};
 
@@ -155,6 +155,40 @@
     assert!(end > Duration::from_secs(11) && end < Duration::from_secs(13), "{end:?}");
 }
 
+/// Eighty requests a second for ten seconds, of which a tenth is a few dozen answers: as few as the version is called good by.
+#[test]
+fn a_good_version_is_completed_in_time_without_any_slack() {
+    let rates = [("a", 50.0, true), ("b", 30.0, false)];
+    let routes = rates.map(|(name, rate, is_repeatable)| Route { name, rate, failing: 0.005, is_repeatable });
+    let mut late = Vec::new();
+    for seed in 0..20 {
+        let mut service = Service::new(3, 3, routes.to_vec(), good, seed);
+        let without = Bounds { slack: 0.0, ..bounds() };
+        service.steward = Steward::new("r1".parse().unwrap(), "app".parse().unwrap(), without);
+        service.order(Some(order("v2", 10.0)));
+        service.run_to_end(30.0);
+        let record = record(&service);
+        assert!(record.granted <= record.requests / 10, "{record:?}");
+        if record.stage != Stage::Completed || record.elapsed > record.over {
+            late.push((seed, record.stage, record.elapsed));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// Two of six, which do well: they couldn't carry the service, and the old ones would be stopped.
+#[test]
+fn the_fleet_moves_only_to_as_many_upstreams_as_can_carry_the_service() {
+    let mut service = service();
+    service.facts.ready_new = 2;
+    service.order(Some(order("v2", 12.0)));
+    service.run(13.0);
+    assert_eq!(service.stage(), Some(Stage::Trial));
+    service.facts.ready_new = 3;
+    service.run(6.0);
+    assert!(matches!(service.stage(), Some(Stage::Moving | Stage::Completed)), "{:?}", service.stage());
+}
+
 #[test]
 fn a_service_without_traffic_is_unproven_after_twice_the_time() {
     let mut service = service();
