--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -35,6 +35,8 @@
     pub begun: Option<Moment>,
     /// Whether it was told that it is slow.
     pub told: bool,
+    /// The zone of the engine that it copies from first, if it does.
+    pub copies: Option<id::Zone>,
     /// The shared parts of its prompt that nobody had read there before; none once its first event has come.
     pub reads: Vec<u64>,
 }
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -7,14 +7,21 @@
 
 use rapidhash::RapidHashMap;
 use stairvale_rollout::Admission;
-use stairvale_types::{Moment, Refusal, id, outcome::Reason, unit};
+use stairvale_types::{Moment, id, unit};
 
-use crate::{Answer, Ask, Held, Listing, Member, Outcome, Reading, Verdict, member::Hold};
+use crate::{
+    Answer, Ask, Held, Listing, Member, Outcome, Reading, Shares, Weight,
+    member::Hold,
+    shares::{Measure, Surplus},
+};
 
 mod allowance;
 mod choose;
 mod follow;
 mod holders;
+mod paths;
+mod queue;
+mod transit;
 mod watch;
 
 pub use allowance::cold::Cold;
@@ -27,10 +34,6 @@
 const FIRST_TIME: f64 = 50.0;
 /// How much one answer counts in a mean.
 const WEIGHT: f64 = 0.1;
-/// The longest time that is told to come back after.
-const LONGEST_RETURN: Duration = Duration::from_secs(2);
-/// The shortest.
-const SHORTEST_RETURN: Duration = Duration::from_millis(100);
 
 /// How a service is dealt out.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -47,14 +50,6 @@
     pub cold: Option<Cold>,
 }
 
-#[derive(Clone, Debug)]
-struct Waiting {
-    ask: Ask,
-    since: Moment,
-    until: Moment,
-    number: u64,
-}
-
 /// A service at its home.
 #[derive(Debug)]
 pub struct Pool {
@@ -70,6 +65,8 @@
     places: RapidHashMap<id::Attempt, id::Upstream>,
     /// Who holds each shared part.
     holders: holders::Holders,
+    /// Between which zones copies are late.
+    paths: paths::Paths,
     /// Whether every decision looks at all members.
     whole_look: bool,
     /// The hashes of the members' ids.
@@ -78,13 +75,17 @@
     usable: usize,
     /// Who reads each of the shared parts that somebody is reading now.
     readers: RapidHashMap<u64, Vec<id::Attempt>>,
-    waiting: Vec<Waiting>,
+    waiting: Vec<queue::Waiting>,
+    /// Who has how much of the places.
+    shares: Shares,
     following: Vec<follow::Follower>,
     number: u64,
     /// How long its engines take to the first event.
     reading: Reading,
     /// The mean time of a plain answer, or of an engine's request from grant to end, in ms.
     time: f64,
+    /// How much longer than that a place of a plain upstream is taken, in ms.
+    transit: f64,
     /// This router's part of what the whole fleet may give to cold upstreams.
     share: allowance::cold::Share,
     /// What its upstreams may be given by their versions.
@@ -105,15 +106,18 @@
             answered: BTreeMap::new(),
             places: RapidHashMap::default(),
             holders: holders::Holders::default(),
+            paths: paths::Paths::default(),
             whole_look: false,
             hashes: Vec::new(),
             usable: 0,
             readers: RapidHashMap::default(),
             waiting: Vec::new(),
+            shares: Shares::default(),
             following: Vec::new(),
             number: 0,
             reading: Reading::default(),
             time: FIRST_TIME,
+            transit: 0.0,
             share: allowance::cold::Share::ALL,
             versions: allowance::versions::Versions::default(),
             watch: watch::Watch::default(),
@@ -127,6 +131,18 @@
         self
     }
 
+    /// Tells customers apart by another measure where requests wait, as a comparison.
+    #[must_use]
+    pub fn with_measure(mut self, measure: Measure) -> Self {
+        self.shares = self.shares.with_measure(measure);
+        self
+    }
+
+    /// Sets the weights of some customers; all others have a weight of one.
+    pub fn set_weights(&mut self, weights: impl IntoIterator<Item = (id::Customer, Weight)>) {
+        self.shares.set_weights(weights);
+    }
+
     /// The configuration changed.
     pub fn set_rules(&mut self, rules: Rules) {
         self.rules = rules;
@@ -153,6 +169,12 @@
         self.waiting.len() + self.following.len()
     }
 
+    /// What each customer has of it.
+    #[must_use]
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
     /// Its upstreams.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -161,6 +183,12 @@
     // ------------------------------------------------------------------------
     // Changes.
 
+    /// Who wants more than its share since this was asked last, while requests wait, and who no longer does.
+    pub fn surpluses(&mut self, now: Moment) -> Vec<Surplus> {
+        let level = if self.waiting.is_empty() { f64::INFINITY } else { self.level(now) };
+        self.shares.surpluses(now, level)
+    }
+
     /// Sets the upstreams that exist.
     pub fn set_members(&mut self, now: Moment, known: &[Listing]) -> Vec<Answer> {
         let named: BTreeSet<_> = known.iter().map(|listing| &listing.id).collect();
@@ -238,32 +266,9 @@
         self.enter(now, ask, now)
     }
 
-    /// Places a request that was asked for some time ago, or lets it wait for what is left of its patience.
-    fn enter(&mut self, now: Moment, ask: Ask, asked: Moment) -> Vec<Answer> {
-        if self.follow(now, &ask, asked) {
-            return Vec::new();
-        }
-        if self.waiting.is_empty()
-            && let Some(answer) = self.grant(now, &ask)
-        {
-            return vec![answer];
-        }
-        let Some(wait) = self.predict(now, &ask) else {
-            return vec![refuse(&ask, Reason::NoUpstream, SHORTEST_RETURN * 5)];
-        };
-        let until = asked + ask.patience;
-        if now + wait > until {
-            return vec![refuse(&ask, Reason::Busy, wait)];
-        }
-        self.number += 1;
-        self.waiting.push(Waiting { ask, since: now, until, number: self.number });
-        self.waiting.sort_by_key(|waiting| (waiting.ask.priority, waiting.number));
-        self.serve(now)
-    }
-
     /// An entry no longer waits for an answer.
     pub fn forget(&mut self, now: Moment, attempt: id::Attempt) -> Vec<Answer> {
-        self.waiting.retain(|waiting| waiting.ask.attempt != attempt);
+        self.stop_waiting(attempt);
         self.stop_following(attempt);
         self.release(now, attempt, Outcome::Abandoned, None)
     }
@@ -277,19 +282,20 @@
             return Vec::new();
         };
         let Hold { reads, read, expected, .. } = &hold;
-        let copies = hold.source.is_some();
         member.cache.finish(reads);
         self.answered.insert(member.zone.clone(), now);
         let took = took.as_secs_f64() * 1e3;
         // Only what was read while nothing else was tells how long reading takes.
         // What is on trial doesn't tell what is usual.
         let usual = member.admission != Admission::Trial;
-        if self.rules.engine.is_some() && member.ahead() == 0 && !copies && usual {
+        if self.rules.engine.is_some() && member.ahead() == 0 && hold.copies.is_none() && usual {
             self.reading.observe(f64::from(*read), took);
         }
         // How long a copy takes is no matter of this engine alone.
-        if *expected > 0.0 && !copies {
-            member.health.took(now, (took + 20.0) / (expected + 20.0));
+        match &hold.copies {
+            Some(from) => self.paths.end(now, from, &member.zone, took, *expected),
+            None if *expected > 0.0 => member.health.took(now, (took + 20.0) / (expected + 20.0)),
+            None => {}
         }
         self.stop_reading(reads, attempt);
         self.watch_begin(now, attempt, &hold, took);
@@ -307,10 +313,12 @@
         let Some(place) = self.places.remove(&attempt) else {
             return Vec::new();
         };
+        self.shares.end(now, attempt);
         // It matters only where something went wrong, and takes a look at all.
         let usual = if matches!(outcome, Outcome::Failed | Outcome::Silent) { self.usual(now, &place) } else { 0.0 };
-        let mut read = Vec::new();
+        let (mut read, mut held, mut is_overfull) = (Vec::new(), None, false);
         if let Some(member) = self.members.get_mut(&place) {
+            is_overfull = outcome == Outcome::Shed && member.running() > member.slots;
             let hold = member.let_go(attempt);
             // Without a first event it isn't certain that anything was read.
             read = hold.as_ref().map(|hold| hold.reads.clone()).unwrap_or_default();
@@ -321,6 +329,7 @@
                 self.holders.follow(member);
             }
             if let Some(took) = took {
+                held = hold.as_ref().filter(|hold| hold.expected > 0.0).map(|hold| (now.since(hold.since), took));
                 let took = took.as_secs_f64() * 1e3;
                 if member.admission != Admission::Trial {
                     self.time += (took - self.time) * WEIGHT;
@@ -338,6 +347,11 @@
                 self.watch_end(now, (&place, is_new), &hold, outcome, took);
             }
         }
+        if let Some((held, took)) = held {
+            self.learn_transit(held, took);
+        } else if is_overfull {
+            self.doubt_transit();
+        }
         self.stop_reading(&read, attempt);
         let mut answers = self.lead(now, attempt);
         answers.extend(self.serve(now));
@@ -369,35 +383,35 @@
                 output: 0,
                 begun: None,
                 told: false,
+                copies: None,
                 reads: Vec::new(),
             };
             member.hold(item.attempt, hold);
             self.places.insert(item.attempt, item.upstream.clone());
+            self.shares.start(now, item.attempt, item.customer.as_ref());
         }
-        self.drop_holds(|hold| &hold.entry == entry && hold.named < now && now.since(hold.since) >= YOUNG);
+        self.drop_holds(now, |hold| &hold.entry == entry && hold.named < now && now.since(hold.since) >= YOUNG);
         self.serve(now)
     }
 
-    /// Lets time pass: waits end, holds that nobody names are dropped.
+    /// Lets time pass: waits end, holds that nobody names are dropped, customers that want nothing are forgotten.
     pub fn tick(&mut self, now: Moment) -> Vec<Answer> {
-        self.drop_holds(|hold| now.since(hold.named) >= HOLD_TTL);
+        self.drop_holds(now, |hold| now.since(hold.named) >= HOLD_TTL);
         self.watch_running(now);
         self.bury();
+        self.shares.age(now);
         let mut answers = self.end_following(now);
         answers.extend(self.serve(now));
-        let expired: Vec<_> = self.waiting.extract_if(.., |waiting| waiting.until <= now).collect();
-        for waiting in expired {
-            let again = self.predict(now, &waiting.ask).unwrap_or(SHORTEST_RETURN);
-            answers.push(refuse(&waiting.ask, Reason::Busy, again));
-        }
+        answers.extend(self.end_waiting(now));
         answers
     }
 
-    fn drop_holds(&mut self, gone: impl Fn(&Hold) -> bool) {
+    fn drop_holds(&mut self, now: Moment, gone: impl Fn(&Hold) -> bool) {
         let mut lost = Vec::new();
         for member in self.members.values_mut().filter(|member| !member.held().is_empty()) {
             for attempt in member.which(&gone) {
                 self.places.remove(&attempt);
+                self.shares.end(now, attempt);
                 if let Some(hold) = member.let_go(attempt) {
                     member.cache.lose(&hold.reads, attempt);
                     self.holders.follow(member);
@@ -422,28 +436,6 @@
         }
     }
 
-    // ------------------------------------------------------------------------
-    // What waits.
-
-    /// Grants what waits, the most urgent first, as far as there is room.
-    fn serve(&mut self, now: Moment) -> Vec<Answer> {
-        let mut answers = Vec::new();
-        let mut index = 0;
-        while index < self.waiting.len() {
-            let ask = self.waiting[index].ask.clone();
-            match self.grant(now, &ask) {
-                Some(answer) => {
-                    self.waiting.remove(index);
-                    answers.push(answer);
-                }
-                // A less urgent one with the same choice would find no room either.
-                None if ask.avoid.is_empty() => break,
-                None => index += 1,
-            }
-        }
-        answers
-    }
-
     /// The share of bad outcomes among the other upstreams: the median.
     fn usual(&self, now: Moment, except: &id::Upstream) -> f64 {
         let within = self.reach(now);
@@ -452,28 +444,4 @@
         shares.sort_by(f64::total_cmp);
         shares.get(shares.len() / 2).copied().unwrap_or(0.0)
     }
-
-    /// How long a request would wait for a place; `None` if there is no upstream that could ever serve it.
-    #[allow(clippy::cast_precision_loss)]
-    fn predict(&self, now: Moment, ask: &Ask) -> Option<Duration> {
-        let within = self.reach(now);
-        let able = |member: &&Member| within.has(member) && ask.allows(&member.zone) && !ask.avoid.contains(&member.id);
-        let able: Vec<_> = self.members.values().filter(able).collect();
-        if able.is_empty() {
-            return None;
-        }
-        let open = able.iter().filter(|member| member.health.is_open(now));
-        let slots: u32 = open.map(|member| member.slots).sum();
-        let ahead = self.waiting.iter().filter(|waiting| waiting.ask.priority <= ask.priority).count() + 1;
-        let held = self.waiting.first().map_or(Duration::ZERO, |first| now.since(first.since));
-        let each = self.time / f64::from(slots.max(1));
-        let wait = Duration::from_secs_f64(ahead as f64 * each / 1e3);
-        // Something that already waits long tells that places come free more slowly than the mean says.
-        Some(wait.max(held / 2))
-    }
-}
-
-fn refuse(ask: &Ask, reason: Reason, wait: Duration) -> Answer {
-    let refusal = Refusal::new(reason, wait.clamp(SHORTEST_RETURN, LONGEST_RETURN));
-    Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict: Verdict::Refused(refusal) }
 }
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -102,7 +102,7 @@
 
     #[allow(clippy::cast_precision_loss)]
     fn has_room(&self, member: &Member, ask: &Ask, bound: f64) -> bool {
-        if member.running() >= member.slots || f64::from(member.running()) >= bound {
+        if member.running() >= self.places(member) || f64::from(member.running()) >= bound {
             return false;
         }
         if member.memory == 0 || member.held().is_empty() {
@@ -192,11 +192,15 @@
         (read, expected, due): (u32, f64, f64),
         source: Option<id::Upstream>,
     ) {
+        let copies = source.as_ref().and_then(|source| self.members.get(source)).map(|source| source.zone.clone());
         let expected = if self.rules.engine.is_some() { expected } else { self.time };
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let Some(member) = self.members.get_mut(upstream) else {
             return;
         };
+        if let Some(from) = &copies {
+            self.paths.begin(now, from, &member.zone);
+        }
         let reads = member.cache.begin(&ask.parts, ask.attempt);
         self.holders.follow(member);
         member.health.given(now);
@@ -211,6 +215,7 @@
             expected,
             due,
             source,
+            copies,
             route: ask.route,
             output: ask.output,
             begun: None,
@@ -242,6 +247,13 @@
             }
             most
         };
+        if !self.paths.are_well() {
+            // The best ones of all may lie where some can't copy from.
+            let of = |zone| two(&mut self.members.values().filter(|member| &member.zone == zone));
+            let mut most: Vec<_> = self.zones().into_iter().flat_map(of).collect();
+            most.sort_by(|a, b| b.cmp(a));
+            return most;
+        }
         // Nobody holds more than those that hold all.
         let most = two(&mut full.iter().copied());
         if most.len() == 2 { most } else { two(&mut self.members.values()) }
@@ -273,7 +285,7 @@
         let prompt: u32 = ask.parts.iter().map(|part| part.tokens).sum();
         let own = ask.parts.last().map_or(0, |part| part.tokens);
         let covered = member.cache.covers(&ask.parts);
-        let mut source = covers.iter().find(|(_, id)| *id != &member.id);
+        let mut source = covers.iter().find(|(_, id)| *id != &member.id && self.can_pass(now, id, member));
         let mut copied = source.map_or(0, |(tokens, _)| tokens.saturating_sub(covered));
         if copied < COPY_LEAST {
             (source, copied) = (None, 0);
--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use stairvale_dispatch::Verdict;
+use stairvale_dispatch::{Verdict, shares::Surplus};
 use stairvale_rollout::{Event, Policy, Record, Write};
 use stairvale_table::Table;
 use stairvale_types::id;
@@ -85,6 +85,13 @@
     },
     /// Tell operators what this router as a service's home found or did.
     Say(Box<Event>),
+    /// A customer wants more than its share of a service's places while requests wait, or no longer.
+    Surplus {
+        /// The service.
+        service: id::Service,
+        /// Who, and how much.
+        surplus: Surplus,
+    },
     /// A peer is gone, so its stream can be closed.
     Lost(id::Router),
 }
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -2,13 +2,15 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Verdict};
-use stairvale_placement::pick;
+use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Verdict, shares::Counts};
 use stairvale_types::{Moment, id};
 
 use super::{Core, Effect, Reply};
 use crate::frame::Frame;
 
+/// Customers by name, with what was counted for them; `None` for requests without one.
+pub type Named = Vec<(Option<id::Customer>, Counts)>;
+
 impl Core {
     pub(super) fn asked(&mut self, now: Moment, from: &id::Router, service: &id::Service, ask: Ask) -> Vec<Effect> {
         let attempt = ask.attempt;
@@ -28,6 +30,7 @@
             | Effect::WriteFor { .. }
             | Effect::Stage { .. }
             | Effect::Say(_)
+            | Effect::Surplus { .. }
             | Effect::Lost(_) => false,
         });
         if !decided {
@@ -49,23 +52,41 @@
         });
         let mut effects = self.answers(answers);
         effects.extend(self.inspect(now, service));
-        if let Some(upstream) = place.filter(|_| parts.len() > 1)
-            && let Some(heir) = self.heirs.get(service).cloned()
-        {
-            effects.extend(self.send(&heir, Frame::Read { service: service.clone(), upstream, parts }));
+        if let Some(upstream) = place.filter(|_| parts.len() > 1) {
+            let frame = Frame::Read { service: service.clone(), upstream: upstream.clone(), parts };
+            effects.extend(self.tell_heirs(service, &upstream, &frame));
         }
         effects
     }
 
+    /// Lets time pass for a service's pool.
+    pub(super) fn tick_pool(&mut self, now: Moment, service: &id::Service) -> Vec<Effect> {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return Vec::new();
+        };
+        let answers = pool.tick(now);
+        let surpluses = pool.surpluses(now).into_iter();
+        let told = surpluses.map(|surplus| Effect::Surplus { service: service.clone(), surplus }).collect::<Vec<_>>();
+        let mut effects = self.answers(answers);
+        effects.extend(told);
+        effects
+    }
+
+    /// What was counted here, as the home of services, for the largest customers of each, and for all others together.
+    pub fn customers(&self, most: usize) -> impl Iterator<Item = (&id::Service, Named, Counts)> {
+        self.pools.iter().map(move |(service, pool)| {
+            let (named, others) = pool.shares().counts(most);
+            (service, named, others)
+        })
+    }
+
     /// An engine said what it holds.
     pub fn inspected(&mut self, service: &id::Service, upstream: &id::Upstream, parts: Vec<Part>) -> Vec<Effect> {
         if let Some(pool) = self.pools.get_mut(service) {
             pool.learn_prefixes(upstream, &parts);
         }
-        let Some(heir) = self.heirs.get(service).cloned() else {
-            return Vec::new();
-        };
-        self.send(&heir, Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), parts })
+        let frame = Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), parts };
+        self.tell_heirs(service, upstream, &frame)
     }
 
     /// Asks engines what they hold, as a home that nobody told. Who only stands in for a home that doesn't answer leaves
@@ -82,37 +103,6 @@
         asked.collect()
     }
 
-    /// Tells the next home of each service what this router knows of it as the home: all of it to a new one.
-    pub(super) fn inherit(&mut self) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        for (service, pool) in self.pools.iter().filter(|(_, pool)| pool.has_engines()) {
-            let mut order = self.strong(self.present());
-            let Some(home) = pick(service.hash64(), order.iter().copied()).cloned() else {
-                continue;
-            };
-            let heir = if home == self.me {
-                order.retain(|(_, router)| **router != home);
-                pick(service.hash64(), order.iter().copied()).cloned()
-            } else {
-                // Only who was the home has something to tell.
-                Some(home).filter(|_| self.heirs.contains_key(service))
-            };
-            let Some(heir) = heir else {
-                self.heirs.remove(service);
-                continue;
-            };
-            if self.heirs.get(service) == Some(&heir) {
-                continue;
-            }
-            for (upstream, parts) in pool.prefixes() {
-                let frame = Frame::Prefixes { service: service.clone(), upstream: upstream.clone(), parts };
-                effects.extend(self.send(&heir, frame));
-            }
-            self.heirs.insert(service.clone(), heir);
-        }
-        effects
-    }
-
     pub(super) fn began(
         &mut self,
         now: Moment,
--- a/crates/stairvale-serve/src/lib.rs
+++ b/crates/stairvale-serve/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod dialect;
 pub mod exchange;
 pub mod frame;
+mod hop;
 pub mod inspect;
 pub mod metrics;
 pub mod permit;
@@ -30,6 +31,7 @@
 pub mod settings;
 pub mod shared;
 pub mod source;
+pub mod traffic;
 pub mod upstream;
 pub mod watch;
 
--- a/crates/stairvale-serve/src/metrics.rs
+++ b/crates/stairvale-serve/src/metrics.rs
@@ -15,6 +15,10 @@
     metrics::{counter::Counter, family::Family},
     registry::Registry,
 };
+use stairvale_dispatch::shares::Counts;
+use stairvale_types::id;
+
+use crate::{core::Named, traffic::Traffic};
 
 /// What a counter is about.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -53,10 +57,30 @@
     }
 }
 
+/// What was counted of customers, by service, in the Prometheus text format. Those without a name have an empty one.
+pub fn customers<'a>(services: impl Iterator<Item = (&'a id::Service, Named, Counts)>) -> String {
+    let mut text = String::new();
+    let mut write = |name: &str, labels: &str, counts: Counts| {
+        for (what, count) in [("served", counts.served), ("waited", counts.waited), ("refused", counts.refused)] {
+            let _ = writeln!(text, "stairvale_{name}_requests{{{labels},what=\"{what}\"}} {count}");
+        }
+    };
+    for (service, named, others) in services {
+        for (customer, counts) in named {
+            let customer = customer.as_ref().map_or("", id::Customer::as_str);
+            write("customer", &format!("service=\"{service}\",customer=\"{customer}\""), counts);
+        }
+        write("other_customers", &format!("service=\"{service}\""), others);
+    }
+    text
+}
+
 /// A process's metrics.
 #[derive(Debug)]
 pub struct Metrics {
     events: Family<Label, Counter>,
+    /// Bytes that passed.
+    pub traffic: Traffic,
     first: Latency,
     placing: Latency,
     /// Requests that are being served.
@@ -74,14 +98,15 @@
     }
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Nothing yet, of a router in a zone.
+    #[must_use]
+    pub fn new(zone: id::Zone) -> Self {
         let (first, placing) = (Latency::new("first_byte"), Latency::new("placing"));
-        Self { events: Family::default(), first, placing, in_flight: AtomicU64::new(0), dropped: OnceLock::new() }
+        let (in_flight, dropped) = (AtomicU64::new(0), OnceLock::new());
+        Self { events: Family::default(), traffic: Traffic::new(zone), first, placing, in_flight, dropped }
     }
-}
 
-impl Metrics {
     /// Counts an event.
     pub fn count(&self, event: &'static str) {
         self.events.get_or_create(&Label { event }).inc();
@@ -108,6 +133,8 @@
     pub fn text(&self) -> String {
         let mut registry = Registry::with_prefix("stairvale");
         registry.register("events", "What happened", self.events.clone());
+        let help = "Bytes of the application that this router sent, or upstreams answered, by kind and zones";
+        registry.register("bytes", help, self.traffic.family());
         let mut text = String::new();
         for latency in [&self.first, &self.placing] {
             latency.write(&mut text);
--- a/crates/stairvale-serve/src/ready.rs
+++ b/crates/stairvale-serve/src/ready.rs
@@ -7,11 +7,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::{Shared, body::Body, core::Core, rollouts};
+use crate::{Shared, body::Body, core::Core, metrics, rollouts};
 
 /// Where metrics are told.
 const METRICS: &str = "/metrics";
 
+/// Customers of a service that are named in metrics: enough to see who surges, few enough for whoever stores them.
+const NAMED: usize = 8;
+
 /// Answers the balancer and whoever reads metrics, until the task is dropped.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener, path: &'static str) {
     loop {
@@ -33,10 +36,9 @@
 
 fn answer(shared: &Shared, path: &str, request: &Request<Incoming>) -> Response<Body> {
     if request.uri().path() == METRICS {
-        let mut text = shared.metrics.text();
         // The last line of the other metrics ends the document, so these stand before.
-        text.insert_str(0, &shared.look(|core, _| rollouts::metrics(core.view())));
-        return Response::new(Body::whole(text));
+        let more = shared.look(|core, _| metrics::customers(core.customers(NAMED)) + &rollouts::metrics(core.view()));
+        return Response::new(Body::whole(more + &shared.metrics.text()));
     }
     let ready = !shared.is_stopping() && shared.look(Core::is_ready);
     let status = match (request.uri().path() == path, ready) {
--- a/crates/stairvale-serve/tests/stewards.rs
+++ b/crates/stairvale-serve/tests/stewards.rs
@@ -333,7 +333,7 @@
 
 #[test]
 fn who_is_the_home_no_longer_gives_nothing_of_what_it_had_reserved() {
-    let mut world = fleet();
+    let mut world = fleet_with(1_000.0);
     let mut traffic = Traffic::default();
     let first = world.home(0);
     world.kill(first);
@@ -342,14 +342,24 @@
     world.serve_all(&mut traffic, 6_000, |_| false);
     let second = world.home((first + 1) % 9);
     assert!(second != first && to_new(&traffic, 0) > 0);
-    // The first home is back, while something is left of what the second one reserved.
+    // Nothing asks for a while, so something is left of what the second one reserves; and the first home is back.
+    let granted = world.record().unwrap().1.granted;
+    for _ in 0..600 {
+        if world.record().unwrap().1.granted > granted {
+            break;
+        }
+        world.run(5);
+    }
+    assert!(world.record().unwrap().1.granted > granted, "something was reserved while nothing asked");
     world.start(first, 3);
+    let started = world.now;
     for _ in 0..400 {
         if world.home(second) == first {
             break;
         }
-        world.serve_all(&mut traffic, 50, |_| false);
+        world.run(5);
     }
+    assert!(world.now - started < 1_500, "what was reserved still counts");
     assert_eq!(world.home(second), first);
     world.run(50);
     for number in 0..30 {
