--- a/crates/stairvale-serve/tests/zones.rs
+++ b/crates/stairvale-serve/tests/zones.rs
@@ -1,6 +1,7 @@
 //! What routers say to each other across zones before thousands of upstreams, by kind: where all start at once, where they are
 //! restarted one after the other, and where a zone is lost.
 
+// What was counted is told where a test is run with its output.
 #![allow(clippy::unwrap_used, clippy::print_stdout)]
 
 mod world;
