A router that has just started takes a condemnation before it has a copy of the store

Cause: a router that starts while the store is away is told by those whom it meets which version was found bad. Since it takes its copy from its zone's strong routers in turn, that word now comes before the copy, and it was dropped, as one about a service that isn't known: the version could have been sent requests by it.

Ruled out: telling it again later; what came once would have to be acknowledged.

Change: it is remembered for 64 services at most, whether they are known or not.

--- a/crates/stairvale-serve/src/core/rollouts.rs
+++ b/crates/stairvale-serve/src/core/rollouts.rs
@@ -15,6 +15,10 @@
 /// What a pool holds that isn't the home's.
 const NOTHING: Reservation = Reservation { requests: 0, until: Moment::ZERO, over: 1, unrepeatable: false };
 
+/// Services of which it is remembered that a version was found bad, before the store says so: several times as many as a fleet
+/// rolls out at once.
+const CONDEMNED: usize = 64;
+
 /// All roll-outs that this router knows of.
 #[derive(Debug, Default)]
 pub(super) struct Rollouts {
@@ -221,9 +225,9 @@
 
     /// A peer found a version bad.
     pub(super) fn condemned(&mut self, now: Moment, service: &id::Service, order: u64) -> Vec<Effect> {
-        // Only services that are known here are remembered.
-        let known = self.rollouts.services.contains_key(service) || self.pools.contains_key(service);
-        if !known || self.rollouts.condemned.get(service).is_some_and(|known| *known >= order) {
+        // Who has just started may be told of it before it has a copy of the store.
+        let room = self.rollouts.condemned.contains_key(service) || self.rollouts.condemned.len() < CONDEMNED;
+        if !room || self.rollouts.condemned.get(service).is_some_and(|known| *known >= order) {
             return Vec::new();
         }
         self.rollouts.condemned.insert(service.clone(), order);
