What a review of the joined roll-outs found: the version that serves, re-orders, condemnations, records, conflicts

Each was found by reading, in the joined code, by one who didn't write it.

- Ordering the version that serves, to end a trial, left the service with nothing until the home had written so: v1 counted as on trial and v2 as rejected.
It goes on serving now.
- A version that was ordered again took over what its share of all earlier requests would have allowed, thousands at once after a long roll-out without upstreams.
What it got counts on; what it didn't get doesn't.
- A home could condemn a later order of the same version than the one that it had judged: the steward names the order.
- A condemnation is forgotten once the store says so, so that 64 of them don't fill up over a long life.
- A conflict that teaches nothing is retried after a pause.
- A record that can't be read was dropped by whoever read everything, which opened what it had closed.
- An entry that knows that a granted upstream leaves avoids it in its next question.
The short look of a decision is left only while a way between zones is shut, and not after any late copy.

Left open, in docs/PLATFORM.md: other versions after a completed roll-out, an order that is taken away before anybody took it up, the head of the queue that blocks smaller requests, late homes that are never passed over.

--- a/crates/stairvale-dispatch/src/pool/paths.rs
+++ b/crates/stairvale-dispatch/src/pool/paths.rs
@@ -43,9 +43,9 @@
 }
 
 impl Paths {
-    /// Whether nothing is late anywhere, so that nobody need ask.
+    /// Whether no way is shut, so that nobody need ask.
     pub(super) fn are_well(&self) -> bool {
-        self.between.is_empty()
+        self.between.values().all(|path| path.late < ENOUGH)
     }
 
     /// Whether engines of a zone can copy from another one's, as far as is known.
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -366,8 +366,9 @@
             self.put(item);
         }
         for subject in missing {
-            // The configuration is never taken away, so a list without it is incomplete.
-            if subject != Subject::Configuration {
+            // The configuration and the records of roll-outs are never taken away, so a list without them is incomplete, or has one
+            // that can't be read.
+            if subject != Subject::Configuration && !matches!(subject, Subject::Rollout(_)) {
                 self.put(Item { subject, revision: to, value: None, sure });
             }
         }
--- a/crates/stairvale-replica/tests/rollouts.rs
+++ b/crates/stairvale-replica/tests/rollouts.rs
@@ -158,6 +158,19 @@
     assert_eq!(view.rollouts().collect::<std::collections::BTreeSet<_>>().len(), 1);
 }
 
+/// A record that can't be read is missing where everything is read. Nobody takes one away, so the one that was known stands.
+#[test]
+fn a_whole_read_without_a_record_does_not_open_what_it_closed() {
+    let mut view = View::default();
+    let rolled_back = record(9, 2, "v2", Stage::RolledBack(Cause::Slow));
+    let news = changes(&view, vec![upstream("u1", 1, "v1"), order(2, "v2"), upstream("u2", 3, "v2"), rolled_back]);
+    read(&mut view, news);
+    let items = vec![upstream("u1", 1, "v1"), upstream("u2", 3, "v2")];
+    read(&mut view, News::Everything { to: 20, items });
+    assert!(usable(&view, "u1") && !usable(&view, "u2"));
+    assert_eq!(view.rollout(&chat()).unwrap().0, 9);
+}
+
 quickcheck! {
     /// In whatever order and however often news of one history come, what came first with a newer version never counts before the
     /// order that is older than it is known.
--- a/crates/stairvale-rollout/src/policy.rs
+++ b/crates/stairvale-rollout/src/policy.rs
@@ -46,7 +46,12 @@
         if revision <= record.order || order.target == record.target {
             return Some(Self { target: record.target.clone(), stage: record.stage, rejected });
         }
-        // An order that nobody has taken up yet: what was on trial before it is over.
+        // An order that nobody has taken up yet: what was on trial before it is over...
+        if record.stage != Stage::Completed && record.serving.as_ref() == Some(&order.target) {
+            // ... and so is the roll-out as such, since it is the version that served all the time.
+            let stage = Stage::RolledBack(Cause::Withdrawn);
+            return Some(Self { target: record.target.clone(), stage, rejected });
+        }
         rejected.retain(|version| version != &order.target);
         if record.stage != Stage::Completed {
             rejected.push(record.target.clone());
--- a/crates/stairvale-rollout/src/start.rs
+++ b/crates/stairvale-rollout/src/start.rs
@@ -16,6 +16,7 @@
     elapsed: Duration,
     last: Option<&Record>,
     facts: &Facts,
+    share: f64,
 ) -> Record {
     let (revision, Order { target, over }) = order;
     let Some(last) = last else {
@@ -29,6 +30,8 @@
             Stage::RolledBack(_) => {
                 record.stage = Stage::Trial;
                 record.routes.clear();
+                // What it got counts on; what it might have got beyond that, of requests of long ago, doesn't.
+                record.requests = record.requests.min(behind(record.granted, share));
                 record.rejected.retain(|version| version != target);
             }
         }
@@ -58,6 +61,17 @@
     last.target != record.target || last.order != record.order && last.stage.is_over()
 }
 
+/// The requests of a service of which so many are the share that a version may get.
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a number from 0, cut to what fits"
+)]
+fn behind(granted: u64, share: f64) -> u64 {
+    (granted as f64 / share).ceil().max(0.0) as u64
+}
+
 fn fresh(
     me: &id::Router,
     (revision, order): (u64, &Order),
--- a/crates/stairvale-rollout/src/steward.rs
+++ b/crates/stairvale-rollout/src/steward.rs
@@ -174,8 +174,14 @@
             // Also one's own may stand there, when it was handed on and done twice. Nothing is given then: an earlier life of this
             // router might have written the very same, and given it.
             Written::Conflict(Some((revision, record))) => {
-                self.failures = 0;
+                let known = self.record.as_ref().map(|(revision, _)| *revision);
                 self.adopt(now, revision, &record);
+                if known == self.record.as_ref().map(|(revision, _)| *revision) {
+                    // A store that shows less than it did: nothing is learned by asking it again at once.
+                    self.put_off(now);
+                } else {
+                    self.failures = 0;
+                }
             }
             Written::Conflict(None) => {
                 self.outbox.forget();
@@ -207,6 +213,12 @@
         self.trial.restart();
     }
 
+    /// The revision of the order whose version this router, or one that told it, found bad last.
+    #[must_use]
+    pub fn condemns(&self) -> Option<u64> {
+        self.condemned.map(|(order, ..)| order)
+    }
+
     /// A peer found the version bad that an order of this revision names.
     pub fn condemned(&mut self, order: u64) {
         if self.condemned.is_none_or(|(known, ..)| known < order) {
@@ -291,7 +303,7 @@
         let elapsed = self.clock.age(now);
         if let Some(order) = self.unseen_order() {
             let last = self.record.as_ref().map(|(_, record)| record);
-            let mut record = start::record(&self.me, order, elapsed, last, facts);
+            let mut record = start::record(&self.me, order, elapsed, last, facts, self.bounds.share);
             let is_anew = last.is_none_or(|last| start::is_anew(last, &record));
             if let (false, Some(cause)) = (record.stage.is_over(), self.is_condemned(record.order)) {
                 record.stage = Stage::RolledBack(cause);
--- a/crates/stairvale-serve/src/core/rollouts.rs
+++ b/crates/stairvale-serve/src/core/rollouts.rs
@@ -112,6 +112,12 @@
             Rollout { steward, leads: false, followed: None, told: None }
         });
         rollout.steward.learn(now, order, record);
+        if record
+            .is_some_and(|(_, record)| record.stage.is_over() && condemned.is_some_and(|order| order <= record.order))
+        {
+            // The store says so itself.
+            self.rollouts.condemned.remove(service);
+        }
         let mut effects = Vec::new();
         if let Some(copy) = self.view.policy(service) {
             // Where this copy is still behind what the steward wrote, that one says it again.
@@ -123,8 +129,9 @@
                 effects.push(Effect::Stage { service: service.clone(), policy: copy, record });
             }
         }
-        effects.extend(self.carry_on(now, service));
+        // What the pool tells the steward is to be by the newest versions.
         effects.extend(self.follow(now, service));
+        effects.extend(self.carry_on(now, service));
         effects
     }
 
@@ -185,7 +192,7 @@
             }
             Step::Follow(policy) => {
                 let mut effects = match policy.stage {
-                    Stage::RolledBack(Cause::Failing | Cause::Slow) => self.condemn(service, &policy),
+                    Stage::RolledBack(Cause::Failing | Cause::Slow) => self.condemn(service),
                     Stage::RolledBack(Cause::Withdrawn | Cause::Missing | Cause::Unproven)
                     | Stage::Trial
                     | Stage::Moving
@@ -204,11 +211,9 @@
     // Verdicts.
 
     /// This router as a service's home found a version bad. All peers are told, since the store may be away.
-    fn condemn(&mut self, service: &id::Service, policy: &Policy) -> Vec<Effect> {
-        let order = self.view.order(service).filter(|(_, order)| order.target == policy.target);
-        let record = self.view.rollout(service).filter(|(_, record)| record.target == policy.target);
-        let record = record.map(|(_, record)| record.order);
-        let Some(order) = order.map(|(order, _)| order).max(record) else {
+    fn condemn(&mut self, service: &id::Service) -> Vec<Effect> {
+        // Of the order itself: one that came later may name the same version, mended.
+        let Some(order) = self.rollouts.services.get(service).and_then(|rollout| rollout.steward.condemns()) else {
             return Vec::new();
         };
         if self.rollouts.condemned.get(service).is_some_and(|known| *known >= order) {
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -112,7 +112,7 @@
 ///
 /// # Errors
 /// A [`Refusal`] if there is no place now.
-pub async fn get(shared: &Arc<Shared>, want: Want<'_>) -> Result<Permit, Refusal> {
+pub async fn get(shared: &Arc<Shared>, mut want: Want<'_>) -> Result<Permit, Refusal> {
     let patience = (want.objective / ANSWER_SHARE).clamp(ANSWER_LEAST, ANSWER_MOST);
     for round in 0..=HOMES {
         let attempt = id::Attempt(uuid::Uuid::new_v4().as_u128());
@@ -148,6 +148,8 @@
                 let Some(place) = place else {
                     // It began to leave in between, by what this router knows.
                     shared.metrics.count("granted-gone");
+                    // The home may not know it yet, and would choose it again.
+                    want.ask.avoid.push(upstream);
                     continue;
                 };
                 asking.open = false;
