An upstream that ended under a request is told in the log, with what the request asks for

Cause: logs couldn't tell whether attempts were the same request, nor an upstream that ended from an answer that broke off. Ruled out: naming the caller's attempt (each has a new id); hashing with a fast hash, since a customer could then make a request that is taken for another customer's. Change: each request has a fingerprint (method, path, customer, body). Where a run breaks off, one connection to the upstream's address tells whether somebody still listens there; a connection that can be made is kept. One line and one count for each that has ended. No decision changes.

--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use stairvale_dispatch::{Ask, Outcome};
+use stairvale_replica::Upstream;
 use stairvale_table::{self as table, Route};
 use stairvale_types::{Refusal, id, outcome::Reason};
 
@@ -17,6 +18,7 @@
     Dialect, Shared,
     body::Body,
     dialect::{Head, Mark, Order},
+    fingerprint,
     hop::strip,
     permit::{self, Permit, Want},
     problem::Problem,
@@ -61,6 +63,8 @@
     pub came: Instant,
     /// When nobody waits for it any longer.
     pub until: Instant,
+    /// What tells it from others, once its body is known.
+    pub fingerprint: id::Fingerprint,
     tries: Tries,
 }
 
@@ -133,6 +137,7 @@
             within: None,
             came,
             until,
+            fingerprint: id::Fingerprint::default(),
             tries,
         };
         let regions = exchange.route.regions.clone();
@@ -171,6 +176,7 @@
     /// Serves it.
     pub async fn run(mut self) -> Response<Body> {
         self.shared.change(|core, now| core.count(now, &self.service));
+        self.fingerprint = fingerprint::of(&self.parts, self.customer.as_ref(), &self.body);
         match self.serve().await {
             Ok(Served::Whole(answer)) => answer,
             Ok(Served::Stream(reply, first)) => relay::start(self, *reply, first),
@@ -216,8 +222,8 @@
                 self.shared.metrics.answered(self.came.elapsed());
                 Ok((reply, piece))
             }
-            Ok(Err(fault)) => Err(self.missed(&fault, reply.permit)),
-            Err(_) => Err(self.missed(&Fault::Silent, reply.permit)),
+            Ok(Err(fault)) => Err(self.missed(&fault, reply.permit).await),
+            Err(_) => Err(self.missed(&Fault::Silent, reply.permit).await),
         }
     }
 
@@ -227,8 +233,8 @@
         let collected = tokio::time::timeout(self.try_limit(), body.collect()).await;
         let collected = match collected {
             Ok(Ok(collected)) => collected,
-            Ok(Err(error)) => return Err(self.missed(&Fault::of(&error), permit)),
-            Err(_) => return Err(self.missed(&Fault::Silent, permit)),
+            Ok(Err(error)) => return Err(self.missed(&Fault::of(&error), permit).await),
+            Err(_) => return Err(self.missed(&Fault::Silent, permit).await),
         }
         .to_bytes();
         self.shared.passed(Kind::Answer, &permit, collected.len());
@@ -326,7 +332,7 @@
         let sending = self.shared.upstreams.send(&id, address, request);
         let Ok(sent) = tokio::time::timeout(self.try_limit(), sending).await else {
             self.tries.runs += 1;
-            return Err(Missed::MayHaveRun(self.missed(&Fault::Silent, permit)));
+            return Err(Missed::MayHaveRun(self.missed(&Fault::Silent, permit).await));
         };
         let (answer, connection) = match sent {
             Ok(sent) => sent,
@@ -336,7 +342,7 @@
             }
             Err(fault @ (Fault::Broken | Fault::Silent)) => {
                 self.tries.runs += 1;
-                return Err(Missed::MayHaveRun(self.missed(&fault, permit)));
+                return Err(Missed::MayHaveRun(self.missed(&fault, permit).await));
             }
         };
         let (head, body) = answer.into_parts();
@@ -364,17 +370,33 @@
     }
 
     /// An upstream that may have run it didn't answer. What else idles there is no better than the connection that failed.
-    fn missed(&self, fault: &Fault, permit: Permit) -> Problem {
+    async fn missed(&self, fault: &Fault, permit: Permit) -> Problem {
         self.shared.upstreams.forget(&permit.upstream.id);
-        let (outcome, problem) = match fault {
+        match fault {
             Fault::Silent => {
                 self.shared.metrics.count("upstream-silent");
-                (Outcome::Silent, Problem::Late)
+                permit.end(Outcome::Silent);
+                Problem::Late
             }
-            Fault::Broken | Fault::Unreachable | Fault::Unsent => (Outcome::Failed, Problem::Broken),
-        };
-        permit.end(outcome);
-        problem
+            Fault::Broken | Fault::Unreachable | Fault::Unsent => {
+                self.broke_off(permit).await;
+                Problem::Broken
+            }
+        }
+    }
+
+    /// An upstream broke off a run. Whether it lives on is looked at before the run counts as ended: only an upstream that has
+    /// ended may have ended because of the request.
+    pub(crate) async fn broke_off(&self, permit: Permit) {
+        let Upstream { id, address, .. } = &permit.upstream;
+        if self.shared.upstreams.has_ended(id, *address).await {
+            self.shared.metrics.count("upstream-ended");
+            tracing::info!(
+                id = self.head.id, route = self.route.name, fingerprint = %self.fingerprint, upstream = %id,
+                ran_ms = millis(permit.held()), "an upstream ended under a request"
+            );
+        }
+        permit.end(Outcome::Failed);
     }
 
     /// Reads a refusal to its end, so that its connection can be used again.
--- a/crates/stairvale-serve/src/lib.rs
+++ b/crates/stairvale-serve/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod core;
 pub mod dialect;
 pub mod exchange;
+pub mod fingerprint;
 pub mod frame;
 mod hop;
 pub mod inspect;
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -128,7 +128,7 @@
                     permit.end(Outcome::Served);
                     self.exchange.shared.upstreams.keep(connection, &head.headers);
                 }
-                End::Broken => permit.end(Outcome::Failed),
+                End::Broken => self.exchange.broke_off(permit).await,
                 End::Silent => permit.end(Outcome::Silent),
                 End::Late | End::Left => permit.end(Outcome::Abandoned),
             }
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -125,11 +125,28 @@
         }
     }
 
+    /// Whether an upstream has ended: nobody listens at its address any more. One that says nothing at all may be behind a cut,
+    /// and counts as living. A connection that can be made is kept for the next request.
+    pub async fn has_ended(&self, upstream: &id::Upstream, address: SocketAddr) -> bool {
+        match connect(address).await {
+            Ok(tcp) => {
+                if let Ok(connection) = prepare(upstream, tcp).await {
+                    self.keep_for(connection, IDLE);
+                }
+                false
+            }
+            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        }
+    }
+
     /// Keeps a connection whose answer was whole.
     pub fn keep(&self, connection: Connection, headers: &HeaderMap) {
-        let Some(idle) = idle_time(headers) else {
-            return;
-        };
+        if let Some(idle) = idle_time(headers) {
+            self.keep_for(connection, idle);
+        }
+    }
+
+    fn keep_for(&self, connection: Connection, idle: Duration) {
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = all.entry(connection.upstream.clone()).or_default();
         let now = Instant::now();
@@ -187,8 +204,15 @@
 }
 
 async fn open(upstream: &id::Upstream, address: SocketAddr) -> Result<Connection, Fault> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let tcp = connecting.await.ok().and_then(Result::ok).ok_or(Fault::Unreachable)?;
+    let tcp = connect(address).await.map_err(|_| Fault::Unreachable)?;
+    prepare(upstream, tcp).await
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?
+}
+
+async fn prepare(upstream: &id::Upstream, tcp: TcpStream) -> Result<Connection, Fault> {
     watch_over(&tcp, SILENCE).map_err(|_| Fault::Unreachable)?;
     let (sender, connection) =
         http1::Builder::new().handshake(TokioIo::new(tcp)).await.map_err(|_| Fault::Unreachable)?;
--- a/crates/stairvale-types/src/id.rs
+++ b/crates/stairvale-types/src/id.rs
@@ -175,6 +175,10 @@
     /// What tells a request from another one with the same idempotency key, by the hash of its method, path and body.
     Print, u64, "{:016x}"
 }
+number! {
+    /// What a request asks for and who asks: whoever sends the same again has the same, whatever the attempt's id.
+    Fingerprint, u64, "{:016x}"
+}
 
 impl Route {
     /// The route of this name.
