--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -12,7 +12,13 @@
 step documentation
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked --quiet
 step tests
-cargo test --workspace --locked
+# Tests that are known to fail stand in KNOWN-RED.txt, one a line: its name, then why. Just these are passed over, and told.
+known=()
+if [ -s KNOWN-RED.txt ]; then
+  printf 'known to fail, and not run:\n%s\n' "$(cat KNOWN-RED.txt)"
+  while read -r name _; do known+=(--skip "${name%:}"); done < KNOWN-RED.txt
+fi
+cargo test --workspace --locked -- ${known[@]+--exact "${known[@]}"}
 if [ -x spec/check.sh ]; then
   step specification
   spec/check.sh
