A request under which upstreams end is known by what it asks for, and goes nowhere for a while

Cause: retry budget and limit on tries count what one attempt costs. A caller's next attempt has a new id, so nothing knew that it was the same request, at any router. Class: state that belongs to a request was kept by its attempt. Ruled out: the fleet's own retries as the cause (the request of the incident may run once only); load or memory (in the test the upstreams are idle). A fixed count of three as the rule (half of the upstreams ending by themselves would make it refuse innocent requests). The home of a service keeps which requests its upstreams ended under and tells its heirs; a request that is the cause by more than chance is told to all routers and to the store, and refused (503, when to come back) for two minutes, then tried once. An upstream that has ended is left alone at once, as one that can't be reached.

--- a/crates/stairvale-dispatch/benches/pool.rs
+++ b/crates/stairvale-dispatch/benches/pool.rs
@@ -41,6 +41,7 @@
         zone: format!("z{}", number % 3).parse().unwrap(),
         customer: None,
         route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
         priority: 1,
         repeatable: true,
         parts: vec![
--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -27,6 +27,8 @@
     pub customer: Option<id::Customer>,
     /// Its route.
     pub route: id::Route,
+    /// What it asks for.
+    pub fingerprint: id::Fingerprint,
     /// The request's rank: 0 is the most urgent.
     pub priority: u8,
     /// Whether it may run a second time.
@@ -110,6 +112,8 @@
     Unreachable,
     /// The address belongs to another upstream by now.
     Gone,
+    /// The upstream ended while it ran: it broke off, and nobody listens there any more.
+    Ended,
     /// The entry stopped it for reasons of its own.
     Abandoned,
 }
@@ -127,4 +131,6 @@
     pub customer: Option<id::Customer>,
     /// Its route.
     pub route: id::Route,
+    /// What it asks for.
+    pub fingerprint: id::Fingerprint,
 }
--- a/crates/stairvale-dispatch/src/health.rs
+++ b/crates/stairvale-dispatch/src/health.rs
@@ -122,7 +122,7 @@
     pub fn observe(&mut self, now: Moment, outcome: Outcome, usual: f64) {
         self.fade(now);
         match outcome {
-            Outcome::Silent | Outcome::Unreachable | Outcome::Gone => self.silent = true,
+            Outcome::Silent | Outcome::Unreachable | Outcome::Gone | Outcome::Ended => self.silent = true,
             Outcome::Served | Outcome::Failed | Outcome::Shed => self.silent = false,
             // It says nothing of the upstream.
             Outcome::Abandoned => {}
@@ -134,7 +134,7 @@
                 self.bad += 1.0;
                 self.failed(now, usual);
             }
-            Outcome::Unreachable | Outcome::Gone => self.close(now, 1),
+            Outcome::Unreachable | Outcome::Gone | Outcome::Ended => self.close(now, 1),
             Outcome::Shed => {
                 self.trying = false;
                 self.closed_until = self.closed_until.max(now + FULL);
--- a/crates/stairvale-dispatch/src/lib.rs
+++ b/crates/stairvale-dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod reading;
 pub mod seen;
 pub mod shares;
+pub mod suspects;
 pub mod weight;
 
 pub use ask::{Answer, Ask, Held, Outcome, Part, Verdict};
@@ -33,4 +34,5 @@
 pub use reading::Reading;
 pub use seen::Seen;
 pub use shares::Shares;
+pub use suspects::Suspects;
 pub use weight::Weight;
--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -29,6 +29,8 @@
     pub source: Option<id::Upstream>,
     /// Its route.
     pub route: id::Route,
+    /// What it asks for.
+    pub fingerprint: id::Fingerprint,
     /// Tokens that it may make; 0 if that isn't known.
     pub output: u32,
     /// When its first event came.
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -10,9 +10,10 @@
 use stairvale_types::{Moment, id, unit};
 
 use crate::{
-    Answer, Ask, Held, Listing, Member, Outcome, Reading, Shares, Weight,
+    Answer, Ask, Held, Listing, Member, Outcome, Reading, Shares, Suspects, Weight,
     member::Hold,
     shares::{Measure, Surplus},
+    suspects::Evidence,
 };
 
 mod allowance;
@@ -20,6 +21,7 @@
 mod follow;
 mod holders;
 mod paths;
+mod quarantine;
 mod queue;
 mod transit;
 mod watch;
@@ -92,6 +94,12 @@
     versions: allowance::versions::Versions,
     /// What became of requests at either version.
     watch: watch::Watch,
+    /// Requests that its upstreams ended under.
+    suspects: Suspects,
+    /// What was learnt of them here and not told yet.
+    evidence: Vec<Evidence>,
+    /// Those that were found to be the cause, and not told yet.
+    found: Vec<id::Fingerprint>,
 }
 
 impl Pool {
@@ -121,6 +129,9 @@
             share: allowance::cold::Share::ALL,
             versions: allowance::versions::Versions::default(),
             watch: watch::Watch::default(),
+            suspects: Suspects::default(),
+            evidence: Vec::new(),
+            found: Vec::new(),
         }
     }
 
@@ -344,6 +355,7 @@
             }
             let is_new = member.is_new;
             if let Some(hold) = hold {
+                self.suspect(now, &place, &hold, outcome);
                 self.watch_end(now, (&place, is_new), &hold, outcome, took);
             }
         }
@@ -380,6 +392,7 @@
                 due: 0.0,
                 source: None,
                 route: item.route,
+                fingerprint: item.fingerprint,
                 output: 0,
                 begun: None,
                 told: false,
@@ -399,6 +412,7 @@
         self.drop_holds(now, |hold| now.since(hold.named) >= HOLD_TTL);
         self.watch_running(now);
         self.bury();
+        self.judge_suspects(now);
         self.shares.age(now);
         let mut answers = self.end_following(now);
         answers.extend(self.serve(now));
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -8,6 +8,7 @@
 use super::{
     Pool,
     allowance::{Chance, Resort, reach::Reach},
+    quarantine::Sphere,
 };
 use crate::{Answer, Ask, Member, Part, Verdict, cache, member::Hold};
 
@@ -80,6 +81,8 @@
 struct Look<'a> {
     /// The most that one upstream may run.
     bound: f64,
+    /// Where it may go by what is suspected of it.
+    sphere: Sphere,
     /// Who could be copied from, with tokens that it holds.
     covers: Vec<(u32, &'a id::Upstream)>,
     order: Order,
@@ -119,6 +122,7 @@
         let full = self.full_holders(ask);
         let look = Look {
             bound,
+            sphere: self.sphere(ask),
             covers: self.covers(ask, &within, &full),
             order: self.order(&ask.parts),
             chance: Chance::new(self, now, ask, &within),
@@ -149,8 +153,11 @@
     /// The cheapest of some members.
     fn best<'a>(&self, look: &Look<'a>, members: &[&'a Member], resort: Resort) -> Option<Bid<'a>> {
         let Chance { now, ask, .. } = look.chance;
-        let candidate =
-            |member: &Member| self.allows(&look.chance, member, resort) && self.has_room(member, ask, look.bound);
+        let candidate = |member: &Member| {
+            look.sphere.has(member)
+                && self.allows(&look.chance, member, resort)
+                && self.has_room(member, ask, look.bound)
+        };
         let mut best: Option<(Bid<'a>, u64)> = None;
         for member in members.iter().filter(|member| candidate(member)) {
             let score = look.order.score(member);
@@ -217,6 +224,7 @@
             source,
             copies,
             route: ask.route,
+            fingerprint: ask.fingerprint,
             output: ask.output,
             begun: None,
             told: false,
--- a/crates/stairvale-dispatch/src/pool/queue.rs
+++ b/crates/stairvale-dispatch/src/pool/queue.rs
@@ -63,6 +63,10 @@
 impl Pool {
     /// Places a request that was asked for some time ago, or lets it wait for what is left of its patience.
     pub(super) fn enter(&mut self, now: Moment, ask: Ask, asked: Moment) -> Vec<Answer> {
+        if self.suspects.is_pending(ask.fingerprint) {
+            // Within a moment it is known whether it may go anywhere.
+            return vec![refuse(&ask, Reason::Busy, SHORTEST_RETURN)];
+        }
         if self.follow(now, &ask, asked) {
             return Vec::new();
         }
@@ -114,7 +118,7 @@
             if let Some(answer) = self.place(now, &ask) {
                 self.take(index);
                 answers.push(answer);
-            } else if ask.avoid.is_empty() && ask.within.is_none() {
+            } else if ask.avoid.is_empty() && ask.within.is_none() && self.suspects.ends(ask.fingerprint) == 0 {
                 // One that comes later with the same choice would find no room either.
                 break;
             } else {
--- a/crates/stairvale-dispatch/src/pool/watch.rs
+++ b/crates/stairvale-dispatch/src/pool/watch.rs
@@ -188,7 +188,7 @@
             (None, _, _) => false,
         };
         let answer = match outcome {
-            Outcome::Failed | Outcome::Silent => Some(Answer::Failed),
+            Outcome::Failed | Outcome::Silent | Outcome::Ended => Some(Answer::Failed),
             // Where no word of the first event came, the end says nothing of when that was.
             Outcome::Served if is_late && (!is_engine || hold.begun.is_some()) => Some(Answer::Slow),
             Outcome::Served => Some(Answer::Good),
--- a/crates/stairvale-dispatch/tests/asks/mod.rs
+++ b/crates/stairvale-dispatch/tests/asks/mod.rs
@@ -35,6 +35,7 @@
         zone: "a".parse().unwrap(),
         customer: Some(name(customer)),
         route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
         priority: 2,
         repeatable: true,
         parts: Vec::new(),
--- a/crates/stairvale-dispatch/tests/cold.rs
+++ b/crates/stairvale-dispatch/tests/cold.rs
@@ -45,6 +45,7 @@
         zone: "a".parse().unwrap(),
         customer: None,
         route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
         priority: 1,
         repeatable: true,
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
--- a/crates/stairvale-dispatch/tests/day/mod.rs
+++ b/crates/stairvale-dispatch/tests/day/mod.rs
@@ -135,7 +135,14 @@
                         events.push(Reverse((micros + (took * 1e6) as u64, Event::End(number))));
                         let read = u32::try_from(micros).unwrap();
                         let customer = Some(name(customer as u128));
-                        let held = Held { attempt: answer.attempt, upstream, read, customer, route: id::Route(0) };
+                        let held = Held {
+                            attempt: answer.attempt,
+                            upstream,
+                            read,
+                            customer,
+                            route: id::Route(0),
+                            fingerprint: id::Fingerprint::default(),
+                        };
                         running.insert(number, held);
                     }
                     Verdict::Refused(_) => day.refused_beside_a_free_place += u32::from(running.len() < 42),
--- a/crates/stairvale-dispatch/tests/fleet/mod.rs
+++ b/crates/stairvale-dispatch/tests/fleet/mod.rs
@@ -52,6 +52,7 @@
         zone: "a".parse().unwrap(),
         customer: None,
         route: id::Route(route),
+        fingerprint: id::Fingerprint::default(),
         priority: 1,
         repeatable: true,
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
--- a/crates/stairvale-dispatch/tests/histories.rs
+++ b/crates/stairvale-dispatch/tests/histories.rs
@@ -169,7 +169,7 @@
             let Home { pool, policy, left, until, once } = &mut homes[home];
             for answer in answers {
                 let Verdict::Granted { upstream, read, source } = answer.verdict else { continue };
-                let held = Held { attempt: answer.attempt, upstream: upstream.clone(), read, customer: None, route: id::Route(0) };
+                let held = Held { attempt: answer.attempt, upstream: upstream.clone(), read, customer: None, route: id::Route(0), fingerprint: id::Fingerprint::default() };
                 if Some(answer.attempt) != released {
                     running.push(held);
                 }
--- a/crates/stairvale-dispatch/tests/paths.rs
+++ b/crates/stairvale-dispatch/tests/paths.rs
@@ -22,6 +22,7 @@
         zone: "near".parse().unwrap(),
         customer: None,
         route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
         priority: 1,
         repeatable: true,
         parts: vec![Part { id: prompt, tokens: BEGINNING }, own],
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -45,6 +45,7 @@
         zone: "a".parse().unwrap(),
         customer: None,
         route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
         priority: 1,
         repeatable: true,
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
@@ -429,6 +430,7 @@
         read: 0,
         customer: None,
         route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
     }];
     pool.renew(at(3_000), &entry, &held);
     pool.tick(at(5_000));
@@ -446,6 +448,7 @@
         read: 0,
         customer: None,
         route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
     }];
     pool.renew(at(1), &"r2".parse().unwrap(), &held);
     assert!(pool.ask(at(2), ask(1, &[])).is_empty(), "the only slot is taken");
--- a/crates/stairvale-dispatch/tests/shares.rs
+++ b/crates/stairvale-dispatch/tests/shares.rs
@@ -290,6 +290,7 @@
             read: 0,
             customer: Some(name(0)),
             route: id::Route(0),
+            fingerprint: id::Fingerprint::default(),
         })
         .collect();
     pool.renew(at(1), &"r1".parse().unwrap(), &held);
--- a/crates/stairvale-dispatch/tests/watch.rs
+++ b/crates/stairvale-dispatch/tests/watch.rs
@@ -106,7 +106,14 @@
             let upstream = place(&pool.ask(at(10_010), ask(1, 0, parts))).unwrap();
             pool.tick(at(11_000));
             if named {
-                let held = Held { attempt: id::Attempt(1), upstream, read: 300, customer: None, route: id::Route(0) };
+                let held = Held {
+                    attempt: id::Attempt(1),
+                    upstream,
+                    read: 300,
+                    customer: None,
+                    route: id::Route(0),
+                    fingerprint: id::Fingerprint::default(),
+                };
                 pool.renew(at(11_000), &"r1".parse().unwrap(), &[held]);
             }
             pool.tick(at(11_010));
@@ -123,7 +130,14 @@
 fn what_was_told_while_it_ran_is_not_told_again() {
     let mut pool = known(engines());
     let upstream = place(&pool.ask(at(10_010), ask(1, 0, &[(1, 300)]))).unwrap();
-    let held = Held { attempt: id::Attempt(1), upstream, read: 300, customer: None, route: id::Route(0) };
+    let held = Held {
+        attempt: id::Attempt(1),
+        upstream,
+        read: 300,
+        customer: None,
+        route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
+    };
     pool.renew(at(11_000), &"r1".parse().unwrap(), &[held]);
     pool.tick(at(11_010));
     assert_eq!(told(&mut pool)[&false], [Seen::Slow]);
@@ -136,7 +150,14 @@
 fn a_stream_has_its_time_from_its_first_event_on() {
     let mut pool = known(engines());
     let upstream = place(&pool.ask(at(10_010), ask(1, 0, &[(1, 300)]))).unwrap();
-    let held = [Held { attempt: id::Attempt(1), upstream, read: 0, customer: None, route: id::Route(0) }];
+    let held = [Held {
+        attempt: id::Attempt(1),
+        upstream,
+        read: 0,
+        customer: None,
+        route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
+    }];
     pool.begun(at(10_110), id::Attempt(1), Duration::from_millis(100));
     // It may take three times 50 ms and 60 more.
     for (now, slow) in [(10_300, false), (10_400, true)] {
@@ -156,6 +177,7 @@
         read: 0,
         customer: None,
         route: id::Route(7),
+        fingerprint: id::Fingerprint::default(),
     };
     pool.renew(at(10), &"r1".parse().unwrap(), &[held(1, "o0"), held(2, "n0"), held(3, "n0")]);
     pool.release(at(900), id::Attempt(1), Outcome::Served, None);
--- a/crates/stairvale-replica/src/item.rs
+++ b/crates/stairvale-replica/src/item.rs
@@ -22,6 +22,8 @@
     Order(id::Service),
     /// How far the fleet has come with that.
     Rollout(id::Service),
+    /// A request that upstreams end because of.
+    Quarantine(id::Fingerprint),
 }
 
 /// Something that the store holds, or that it no longer does.
@@ -60,6 +62,8 @@
     Order(Order),
     /// How far it has come.
     Rollout(Record),
+    /// A request goes nowhere for this long from when it was written.
+    Quarantine(Duration),
 }
 
 /// One life of an upstream.
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -120,7 +120,12 @@
     pub fn document(&self) -> Option<&std::sync::Arc<stairvale_table::Document>> {
         match self.items.get(&Subject::Configuration)?.value.as_ref()? {
             Value::Configuration(document) => Some(document),
-            Value::Upstream(_) | Value::Router(_) | Value::Evacuation | Value::Order(_) | Value::Rollout(_) => None,
+            Value::Upstream(_)
+            | Value::Router(_)
+            | Value::Evacuation
+            | Value::Order(_)
+            | Value::Rollout(_)
+            | Value::Quarantine(_) => None,
         }
     }
 
@@ -129,9 +134,12 @@
     pub fn upstreams(&self) -> impl Iterator<Item = (&Upstream, u64)> {
         let named = self.items.values().filter_map(|item| match item.value.as_ref()? {
             Value::Upstream(upstream) => Some((upstream, item.revision)),
-            Value::Configuration(_) | Value::Router(_) | Value::Evacuation | Value::Order(_) | Value::Rollout(_) => {
-                None
-            }
+            Value::Configuration(_)
+            | Value::Router(_)
+            | Value::Evacuation
+            | Value::Order(_)
+            | Value::Rollout(_)
+            | Value::Quarantine(_) => None,
         });
         let lapsed = self.lapsed.values().map(|upstream| {
             let item = self.items.get(&Subject::Upstream(upstream.id.clone()));
@@ -174,9 +182,12 @@
     pub fn router(&self, id: &id::Router) -> Option<&crate::Router> {
         match self.items.get(&Subject::Router(id.clone()))?.value.as_ref()? {
             Value::Router(router) => Some(router),
-            Value::Configuration(_) | Value::Upstream(_) | Value::Evacuation | Value::Order(_) | Value::Rollout(_) => {
-                None
-            }
+            Value::Configuration(_)
+            | Value::Upstream(_)
+            | Value::Evacuation
+            | Value::Order(_)
+            | Value::Rollout(_)
+            | Value::Quarantine(_) => None,
         }
     }
 
@@ -184,9 +195,12 @@
     pub fn routers(&self) -> impl Iterator<Item = &crate::Router> {
         self.items.values().filter_map(|item| match item.value.as_ref()? {
             Value::Router(router) => Some(router),
-            Value::Configuration(_) | Value::Upstream(_) | Value::Evacuation | Value::Order(_) | Value::Rollout(_) => {
-                None
-            }
+            Value::Configuration(_)
+            | Value::Upstream(_)
+            | Value::Evacuation
+            | Value::Order(_)
+            | Value::Rollout(_)
+            | Value::Quarantine(_) => None,
         })
     }
 
@@ -211,7 +225,11 @@
     pub fn rollouts(&self) -> impl Iterator<Item = &id::Service> {
         self.items.values().filter(|item| item.value.is_some()).filter_map(|item| match &item.subject {
             Subject::Order(service) | Subject::Rollout(service) => Some(service),
-            Subject::Configuration | Subject::Upstream(_) | Subject::Router(_) | Subject::Evacuation(_) => None,
+            Subject::Configuration
+            | Subject::Upstream(_)
+            | Subject::Router(_)
+            | Subject::Evacuation(_)
+            | Subject::Quarantine(_) => None,
         })
     }
 
@@ -229,7 +247,8 @@
             | Subject::Upstream(_)
             | Subject::Router(_)
             | Subject::Order(_)
-            | Subject::Rollout(_) => None,
+            | Subject::Rollout(_)
+            | Subject::Quarantine(_) => None,
         })
     }
 
@@ -239,9 +258,12 @@
         let item = self.items.get(&Subject::Order(service.clone()))?;
         match item.value.as_ref()? {
             Value::Order(order) => Some((item.revision, order)),
-            Value::Configuration(_) | Value::Upstream(_) | Value::Router(_) | Value::Evacuation | Value::Rollout(_) => {
-                None
-            }
+            Value::Configuration(_)
+            | Value::Upstream(_)
+            | Value::Router(_)
+            | Value::Evacuation
+            | Value::Rollout(_)
+            | Value::Quarantine(_) => None,
         }
     }
 
@@ -251,9 +273,26 @@
         let item = self.items.get(&Subject::Rollout(service.clone()))?;
         match item.value.as_ref()? {
             Value::Rollout(record) => Some((item.revision, record)),
-            Value::Configuration(_) | Value::Upstream(_) | Value::Router(_) | Value::Evacuation | Value::Order(_) => {
-                None
-            }
+            Value::Configuration(_)
+            | Value::Upstream(_)
+            | Value::Router(_)
+            | Value::Evacuation
+            | Value::Order(_)
+            | Value::Quarantine(_) => None,
+        }
+    }
+
+    /// How long a request is to go nowhere, from when that was written.
+    #[must_use]
+    pub fn quarantine(&self, fingerprint: id::Fingerprint) -> Option<Duration> {
+        match self.items.get(&Subject::Quarantine(fingerprint))?.value.as_ref()? {
+            Value::Quarantine(length) => Some(*length),
+            Value::Configuration(_)
+            | Value::Upstream(_)
+            | Value::Router(_)
+            | Value::Evacuation
+            | Value::Order(_)
+            | Value::Rollout(_) => None,
         }
     }
 
--- a/crates/stairvale-router/src/problem.rs
+++ b/crates/stairvale-router/src/problem.rs
@@ -120,7 +120,8 @@
                 | Reason::NoUpstream
                 | Reason::Platform
                 | Reason::NotReady
-                | Reason::Budget => StatusCode::SERVICE_UNAVAILABLE,
+                | Reason::Budget
+                | Reason::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             },
             Self::Unknown(Unknown::Broken) => StatusCode::BAD_GATEWAY,
             Self::Unknown(Unknown::Deadline) => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -1,6 +1,6 @@
 //! What a router decides to do.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use stairvale_dispatch::{Verdict, shares::Surplus};
 use stairvale_rollout::{Event, Policy, Record, Write};
@@ -92,6 +92,15 @@
         /// Who, and how much.
         surplus: Surplus,
     },
+    /// Upstreams end because of a request: tell operators, and write it to the store.
+    Quarantined {
+        /// The service.
+        service: id::Service,
+        /// The request.
+        fingerprint: id::Fingerprint,
+        /// How long it goes nowhere.
+        length: Duration,
+    },
     /// A peer is gone, so its stream can be closed.
     Lost(id::Router),
 }
--- a/crates/stairvale-serve/src/core/heirs.rs
+++ b/crates/stairvale-serve/src/core/heirs.rs
@@ -32,6 +32,11 @@
         let there = zone.and_then(|zone| self.zones.get(zone)).filter(|router| !self.whole.contains(router));
         self.whole.iter().chain(there)
     }
+
+    /// All of them.
+    pub(super) fn all(&self) -> impl Iterator<Item = &id::Router> {
+        self.whole.iter().chain(self.zones.values().filter(|router| !self.whole.contains(router)))
+    }
 }
 
 impl Core {
@@ -107,7 +112,7 @@
     }
 
     /// The heirs of this router as a service's home.
-    fn heirs_of(&self, service: &id::Service) -> Heirs {
+    pub(super) fn heirs_of(&self, service: &id::Service) -> Heirs {
         let others = || self.present().filter(|member| member.router != self.me);
         let mut whole: Vec<_> = self.stand_in(service, others()).cloned().into_iter().collect();
         if whole.iter().all(|heir| self.zone_of(heir) == Some(&self.zone)) {
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -31,6 +31,7 @@
             | Effect::Stage { .. }
             | Effect::Say(_)
             | Effect::Surplus { .. }
+            | Effect::Quarantined { .. }
             | Effect::Lost(_) => false,
         });
         if !decided {
@@ -41,6 +42,9 @@
 
     pub(super) fn decide(&mut self, now: Moment, service: &id::Service, ask: Ask) -> Vec<Effect> {
         let attempt = ask.attempt;
+        if let Some(answer) = self.turn_away(now, &ask) {
+            return self.answers(vec![answer]);
+        }
         let Some(pool) = self.pools.get_mut(service) else {
             return vec![Effect::Reply { attempt, reply: Reply::Decided(None) }];
         };
@@ -69,6 +73,7 @@
         let told = surpluses.map(|surplus| Effect::Surplus { service: service.clone(), surplus }).collect::<Vec<_>>();
         let mut effects = self.answers(answers);
         effects.extend(told);
+        effects.extend(self.spread_suspicion(now, service));
         effects
     }
 
@@ -123,7 +128,9 @@
         took: Option<Duration>,
     ) -> Vec<Effect> {
         let answers = self.pools.get_mut(service).map(|pool| pool.release(now, attempt, outcome, took));
-        self.answers(answers.unwrap_or_default())
+        let mut effects = self.answers(answers.unwrap_or_default());
+        effects.extend(self.spread_suspicion(now, service));
+        effects
     }
 
     pub(super) fn answers(&mut self, answers: Vec<Answer>) -> Vec<Effect> {
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -39,6 +39,7 @@
             effects.extend(self.presume(now));
         }
         self.assign(now);
+        self.learn_quarantines(now, &changed);
         effects.extend(self.answer_askers(now));
         // Before upstreams: one that comes with an order gets no more than the order allows.
         effects.extend(self.learn_rollouts(now, &changed));
@@ -165,6 +166,7 @@
                 swim::Effect::Joined(router) => {
                     self.distrusted.remove(&router);
                     out.extend(self.tell_condemned(&router));
+                    out.extend(self.tell_quarantines(now, &router));
                     joined = true;
                 }
                 swim::Effect::Leaves(_) | swim::Effect::Upstream(_) | swim::Effect::Versions { .. } => {}
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -27,11 +27,13 @@
 mod home;
 mod knowledge;
 mod naming;
+mod quarantine;
 mod roles;
 mod rollouts;
 mod writing;
 
 use heirs::Heirs;
+use quarantine::Quarantine;
 use roles::Roles;
 use rollouts::Rollouts;
 
@@ -103,6 +105,8 @@
     blind_changes: u64,
     /// Services that move to another version.
     rollouts: Rollouts,
+    /// Requests that go nowhere.
+    quarantine: Quarantine,
     /// Who does what, as far as that was worked out.
     roles: Roles,
     /// Whom this router hears of the store from, and since when.
@@ -149,6 +153,7 @@
             blind: HashMap::new(),
             blind_changes: 0,
             rollouts: Rollouts::default(),
+            quarantine: Quarantine::default(),
             roles: Roles::default(),
             relied: None,
             born: None,
@@ -374,6 +379,16 @@
             Frame::Write { number, write } => vec![Effect::WriteFor { peer: from.clone(), number, write }],
             Frame::Written { number, written } => self.forwarded(now, number, written),
             Frame::Condemned { service, order } => self.condemned(now, &service, order),
+            Frame::Evidence { service, evidence } => {
+                if let Some(pool) = self.pools.get_mut(&service) {
+                    pool.learn_evidence(now, &evidence);
+                }
+                Vec::new()
+            }
+            Frame::Quarantined { fingerprint, left, length } => {
+                self.keep_away(now, fingerprint, left, length);
+                Vec::new()
+            }
         }
     }
 
--- a/crates/stairvale-serve/src/core/rollouts.rs
+++ b/crates/stairvale-serve/src/core/rollouts.rs
@@ -85,7 +85,11 @@
             .iter()
             .filter_map(|subject| match subject {
                 Subject::Order(service) | Subject::Rollout(service) => Some(service.clone()),
-                Subject::Configuration | Subject::Upstream(_) | Subject::Router(_) | Subject::Evacuation(_) => None,
+                Subject::Configuration
+                | Subject::Upstream(_)
+                | Subject::Router(_)
+                | Subject::Evacuation(_)
+                | Subject::Quarantine(_) => None,
             })
             .collect();
         services.iter().flat_map(|service| self.learn_rollout(now, service)).collect()
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -264,8 +264,11 @@
             if self.left().is_zero() {
                 return Err(self.unsent(Reason::Deadline));
             }
+            self.check_quarantine()?;
             let permit = self.place().await?;
             self.check_key()?;
+            // It may have waited while others like it ended upstreams.
+            self.check_quarantine()?;
             let upstream = permit.upstream.id.clone();
             match self.send(permit, last_event).await {
                 Ok(reply) => return Ok(reply),
@@ -299,6 +302,15 @@
         Err(if self.tries.runs > 0 { Problem::Broken } else { problem })
     }
 
+    /// Whether upstreams end when they run it, by what the fleet has seen so far.
+    fn check_quarantine(&self) -> Result<(), Problem> {
+        let Some(left) = self.shared.look(|core, now| core.quarantined(now, self.fingerprint)) else {
+            return Ok(());
+        };
+        let refused = Problem::Refused(Refusal::new(Reason::Quarantined, left));
+        Err(if self.tries.runs > 0 { Problem::Broken } else { refused })
+    }
+
     async fn place(&mut self) -> Result<Permit, Problem> {
         let patience = self.route.objective / REFUSE_WITHIN;
         let patience = patience.saturating_sub(self.came.elapsed()).max(patience / 4).min(self.left());
@@ -308,6 +320,7 @@
             zone: self.shared.settings.zone.clone(),
             customer: self.customer.clone(),
             route: id::Route::of(&self.route.name),
+            fingerprint: self.fingerprint,
             priority: self.priority,
             repeatable: self.route.is_repeatable(),
             parts: self.head.parts.clone(),
@@ -389,14 +402,17 @@
     /// ended may have ended because of the request.
     pub(crate) async fn broke_off(&self, permit: Permit) {
         let Upstream { id, address, .. } = &permit.upstream;
-        if self.shared.upstreams.has_ended(id, *address).await {
+        let outcome = if self.shared.upstreams.has_ended(id, *address).await {
             self.shared.metrics.count("upstream-ended");
             tracing::info!(
                 id = self.head.id, route = self.route.name, fingerprint = %self.fingerprint, upstream = %id,
                 ran_ms = millis(permit.held()), "an upstream ended under a request"
             );
-        }
-        permit.end(Outcome::Failed);
+            Outcome::Ended
+        } else {
+            Outcome::Failed
+        };
+        permit.end(outcome);
     }
 
     /// Reads a refusal to its end, so that its connection can be used again.
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
+use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict, suspects::Evidence};
 use stairvale_replica::News;
 use stairvale_rollout::{Write, Written};
 use stairvale_types::id;
@@ -125,6 +125,22 @@
         /// The store's revision of the order.
         order: u64,
     },
+    /// From a service's home to whoever may be the next one: what it learnt of a request that upstreams end under.
+    Evidence {
+        /// The service.
+        service: id::Service,
+        /// What it learnt.
+        evidence: Evidence,
+    },
+    /// From a service's home to everybody: upstreams end because of a request, which is to go nowhere for a while.
+    Quarantined {
+        /// The request.
+        fingerprint: id::Fingerprint,
+        /// How much longer it is kept from upstreams.
+        left: Duration,
+        /// For how long it is in all.
+        length: Duration,
+    },
 }
 
 impl Frame {
@@ -146,6 +162,8 @@
             Self::Write { .. } => "frame-write",
             Self::Written { .. } => "frame-written",
             Self::Condemned { .. } => "frame-condemned",
+            Self::Evidence { .. } => "frame-evidence",
+            Self::Quarantined { .. } => "frame-quarantined",
             Self::News(_) => "frame-news",
         }
     }
--- a/crates/stairvale-serve/src/lib.rs
+++ b/crates/stairvale-serve/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod permit;
 pub mod problem;
+pub mod quarantine;
 pub mod ready;
 pub mod record;
 pub mod relay;
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -153,7 +153,8 @@
                     continue;
                 };
                 asking.open = false;
-                let held = Held { attempt, upstream, read, customer: want.ask.customer.clone(), route: want.ask.route };
+                let (customer, route, fingerprint) = (want.ask.customer.clone(), want.ask.route, want.ask.fingerprint);
+                let held = Held { attempt, upstream, read, customer, route, fingerprint };
                 let (since, source) = shared.change(|core, now| {
                     core.start(want.service, held, &asking.home, &want.ask.parts);
                     (now, source.and_then(|source| core.address(&source)))
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -18,7 +18,9 @@
     task::{JoinHandle, JoinSet},
 };
 
-use crate::{Dialect, Settings, Shared, Source, caller, control, core::Core, inspect, ready, record, traffic, watch};
+use crate::{
+    Dialect, Settings, Shared, Source, caller, control, core::Core, inspect, quarantine, ready, record, traffic, watch,
+};
 
 /// The balancer asks each second and takes a router out after two misses: by then it sends nobody new.
 const NOTICE: Duration = Duration::from_millis(2_300);
@@ -130,13 +132,15 @@
         let source = Arc::new(source);
         let (inspections, due) = mpsc::unbounded_channel();
         let (records, records_due) = mpsc::unbounded_channel();
-        let shared = share(settings, socket.clone(), inspections, records);
+        let (quarantines, quarantines_due) = mpsc::unbounded_channel();
+        let shared = share(settings, socket.clone(), inspections, records, quarantines);
         let mut tasks = JoinSet::new();
         tasks.spawn(control::run(shared.clone(), socket));
         tasks.spawn(inspect::run(shared.clone(), dialect.clone(), due));
         tasks.spawn(stairvale_link::listen(peers, shared.inbox()));
         tasks.spawn(watch::read(shared.clone(), source.clone()));
         tasks.spawn(record::run(shared.clone(), source.clone(), records_due));
+        tasks.spawn(quarantine::run(shared.clone(), source.clone(), quarantines_due));
         tasks.spawn(watch::name(shared.clone(), source));
         for listener in [Some(readiness), metrics].into_iter().flatten() {
             tasks.spawn(ready::listen(shared.clone(), listener, dialect.ready_path()));
@@ -188,6 +192,7 @@
     socket: Arc<UdpSocket>,
     inspections: mpsc::UnboundedSender<inspect::Inspection>,
     records: mpsc::UnboundedSender<record::Due>,
+    quarantines: mpsc::UnboundedSender<quarantine::Term>,
 ) -> Arc<Shared> {
     let seed = uuid::Uuid::new_v4().as_u64_pair().0;
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
@@ -202,7 +207,7 @@
         strength: settings.strength(),
     };
     let core = Core::new(me, settings.seeds.clone(), settings.bounds, seed);
-    Shared::new(settings, core, socket, inspections, records)
+    Shared::new(settings, core, socket, inspections, records, quarantines)
 }
 
 /// A planned stop: not ready to the balancer, homes handed over, no new callers after a while, all in flight finishes.
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -28,6 +28,7 @@
     inspect::Inspection,
     metrics::Metrics,
     permit::Permit,
+    quarantine::Term,
     record::Due,
     rollouts,
     traffic::Kind,
@@ -93,6 +94,7 @@
     configured: watch::Sender<bool>,
     inspections: mpsc::UnboundedSender<Inspection>,
     records: mpsc::UnboundedSender<Due>,
+    quarantines: mpsc::UnboundedSender<Term>,
     core: Mutex<Core>,
     links: Links<Frame, Inbox>,
     socket: Arc<UdpSocket>,
@@ -115,6 +117,7 @@
         socket: Arc<UdpSocket>,
         inspections: mpsc::UnboundedSender<Inspection>,
         records: mpsc::UnboundedSender<Due>,
+        quarantines: mpsc::UnboundedSender<Term>,
     ) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             links: Links::new(settings.router.clone(), Inbox(weak.clone())),
@@ -127,6 +130,7 @@
             configured: watch::Sender::new(false),
             inspections,
             records,
+            quarantines,
             core: Mutex::new(core),
             socket,
             waiting: Mutex::default(),
@@ -250,6 +254,14 @@
                         tracing::info!(%service, customer, running, "a customer wants no more than its share");
                     }
                 }
+                Effect::Quarantined { service, fingerprint, length } => {
+                    self.metrics.count("quarantined");
+                    let for_s = length.as_secs();
+                    tracing::warn!(%service, %fingerprint, for_s, "upstreams end under a request, which goes nowhere now");
+                    let since = tokio::time::Instant::now();
+                    // Nobody writes any more only when the process ends.
+                    let _ = self.quarantines.send(Term { fingerprint, length, since });
+                }
                 Effect::Lost(router) => {
                     tracing::info!(peer = %router, "a router is gone");
                     self.links.close(&router);
--- a/crates/stairvale-serve/src/source.rs
+++ b/crates/stairvale-serve/src/source.rs
@@ -81,6 +81,13 @@
     fn grant(&self, keep: Duration) -> impl Future<Output = Result<Self::Lease, Fault>> + Send;
     /// Names routers in the store until the lease ends, all or none.
     fn name(&self, lease: &Self::Lease, naming: &Naming) -> impl Future<Output = Result<(), Fault>> + Send;
+    /// Writes for how long a request is to go nowhere. It stands there until the lease ends.
+    fn quarantine(
+        &self,
+        lease: &Self::Lease,
+        fingerprint: id::Fingerprint,
+        length: Duration,
+    ) -> impl Future<Output = Result<(), Fault>> + Send;
     /// Writes the record of a roll-out, if it still is as expected, and with it what the operator is told of its stage: both or
     /// nothing. After [`Fault::Refused`] nothing was done; after any other it may have been, or may be later.
     fn record(&self, write: &Write) -> impl Future<Output = Result<Written, Fault>> + Send;
--- a/crates/stairvale-serve/tests/heirs.rs
+++ b/crates/stairvale-serve/tests/heirs.rs
@@ -25,7 +25,14 @@
 fn serve(world: &mut World, entry: usize, number: u128, home: &id::Router) -> id::Upstream {
     let upstream = world.granted(entry, number).unwrap();
     let (attempt, route) = (id::Attempt(number), id::Route(0));
-    let held = Held { attempt, upstream: upstream.clone(), read: 0, customer: None, route };
+    let held = Held {
+        attempt,
+        upstream: upstream.clone(),
+        read: 0,
+        customer: None,
+        route,
+        fingerprint: id::Fingerprint::default(),
+    };
     world.nodes[entry].core.start(&"chat".parse().unwrap(), held, home, &[]);
     world.end(entry, number);
     world.run(50);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -111,6 +111,8 @@
     names: HashMap<usize, (Naming, u64)>,
     /// Frames that carried changes of the store from one router to another.
     pub told: usize,
+    /// Requests that were found to be the cause of upstreams' ends.
+    pub found: Vec<id::Fingerprint>,
     /// Whether a customer went above its share, or was no longer, each time that a home told.
     pub surpluses: Vec<bool>,
     /// Bytes sent, by what they are about, if that is counted.
@@ -156,6 +158,7 @@
         Frame::Synced { .. } => "synced",
         Frame::News(_) => "news",
         Frame::Write { .. } | Frame::Written { .. } | Frame::Condemned { .. } => "rollout",
+        Frame::Evidence { .. } | Frame::Quarantined { .. } => "quarantine",
     }
 }
 
@@ -197,6 +200,7 @@
             zones,
             names: HashMap::new(),
             told: 0,
+            found: Vec::new(),
             surpluses: Vec::new(),
             counted: None,
             crossed: BTreeMap::new(),
@@ -623,6 +627,12 @@
                     self.nodes[index].replies.insert(attempt, reply);
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
+                Effect::Quarantined { fingerprint, length, .. } => {
+                    self.found.push(fingerprint);
+                    if !self.cut_from_store.contains(&index) {
+                        self.put(Subject::Quarantine(fingerprint), Some(Value::Quarantine(length)));
+                    }
+                }
                 Effect::Surplus { surplus, .. } => self.surpluses.push(surplus.is_above),
                 Effect::Configured(_)
                 | Effect::Evacuated { .. }
@@ -663,6 +673,43 @@
         home
     }
 
+    /// A request at a router of which it matters what it asks for; gives the home that was asked.
+    pub fn ask_for(&mut self, index: usize, number: u128, fingerprint: id::Fingerprint) -> id::Router {
+        let (service, ask) = request(index, number, &[]);
+        let now = self.local(index);
+        let (home, effects) = self.nodes[index].core.ask(now, &service, Ask { fingerprint, ..ask });
+        self.perform(index, effects);
+        home
+    }
+
+    /// Such a request was placed, and its upstream ends; gives that.
+    pub fn start_for(
+        &mut self,
+        index: usize,
+        number: u128,
+        home: &id::Router,
+        fingerprint: id::Fingerprint,
+    ) -> Option<id::Upstream> {
+        let upstream = self.granted(index, number)?;
+        let held = Held {
+            attempt: id::Attempt(number),
+            upstream: upstream.clone(),
+            read: 0,
+            customer: None,
+            route: id::Route(0),
+            fingerprint,
+        };
+        self.nodes[index].core.start(&"chat".parse().unwrap(), held, home, &[]);
+        Some(upstream)
+    }
+
+    /// A request that runs ends this way.
+    pub fn end_as(&mut self, index: usize, number: u128, outcome: Outcome) {
+        let now = self.local(index);
+        let effects = self.nodes[index].core.end(now, id::Attempt(number), outcome, None);
+        self.perform(index, effects);
+    }
+
     /// A request at a router that decides by itself, since no home answered.
     pub fn ask_self(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) {
         let (service, ask) = request(index, number, parts);
@@ -690,6 +737,7 @@
             read: 0,
             customer: None,
             route: id::Route(0),
+            fingerprint: id::Fingerprint::default(),
         };
         self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
         Some(upstream)
@@ -707,7 +755,14 @@
     pub fn finish(&mut self, index: usize, number: u128) {
         if let Some(upstream) = self.granted(index, number) {
             let home = self.nodes[index].core.home_of(&"chat".parse().unwrap()).unwrap();
-            let held = Held { attempt: id::Attempt(number), upstream, read: 0, customer: None, route: id::Route(0) };
+            let held = Held {
+                attempt: id::Attempt(number),
+                upstream,
+                read: 0,
+                customer: None,
+                route: id::Route(0),
+                fingerprint: id::Fingerprint::default(),
+            };
             self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
             self.end(index, number);
         }
@@ -738,6 +793,7 @@
                     read: 0,
                     customer: None,
                     route: id::Route(0),
+                    fingerprint: id::Fingerprint::default(),
                 };
                 self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
                 self.end(index, number);
@@ -845,6 +901,7 @@
         zone: "z0".parse().unwrap(),
         customer: None,
         route: id::Route(0),
+        fingerprint: id::Fingerprint::default(),
         priority: 0,
         repeatable: false,
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
--- a/crates/stairvale-serve/tests/world/traffic.rs
+++ b/crates/stairvale-serve/tests/world/traffic.rs
@@ -107,7 +107,14 @@
             }
             traffic.sent.entry(upstream.clone()).or_default().push(self.now);
             let route = id::Route(u64::try_from((number - 1_000_000) % 2).unwrap());
-            let held = Held { attempt, upstream: upstream.clone(), read: 20, customer: None, route };
+            let held = Held {
+                attempt,
+                upstream: upstream.clone(),
+                read: 20,
+                customer: None,
+                route,
+                fingerprint: id::Fingerprint::default(),
+            };
             self.nodes[index].core.start(&"chat".parse().unwrap(), held, &request.home, &[]);
             request.sent = Some((self.now, upstream));
             return Some(request);
--- a/crates/stairvale-types/src/outcome.rs
+++ b/crates/stairvale-types/src/outcome.rs
@@ -22,12 +22,22 @@
     NotReady,
     /// Failed tries have used up the retry budget.
     Budget,
+    /// Upstreams end when they run this request.
+    Quarantined,
 }
 
 impl Reason {
     /// Every reason, for counters.
-    pub const ALL: [Self; 7] =
-        [Self::Busy, Self::Deadline, Self::Limit, Self::NoUpstream, Self::Platform, Self::NotReady, Self::Budget];
+    pub const ALL: [Self; 8] = [
+        Self::Busy,
+        Self::Deadline,
+        Self::Limit,
+        Self::NoUpstream,
+        Self::Platform,
+        Self::NotReady,
+        Self::Budget,
+        Self::Quarantined,
+    ];
 
     /// A word for headers, logs and metrics.
     #[must_use]
@@ -40,6 +50,7 @@
             Self::Platform => "platform",
             Self::NotReady => "not-ready",
             Self::Budget => "budget",
+            Self::Quarantined => "quarantined",
         }
     }
 }
