--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -519,7 +519,7 @@
         self.shared.metrics.count(problem.word());
         let (version, age) = self.shared.look(|core, now| (core.table().version(), core.view().age(now)));
         tracing::info!(
-            id = self.head.id, route = self.route.name, service = %self.service, version, age_ms = age.map(millis),
+            id = self.head.id, route = self.route.name, service = %self.service, fingerprint = %self.fingerprint, version, age_ms = age.map(millis),
             runs = self.tries.runs, turned_away = self.tries.turned_away, avoided = ?self.tries.avoid,
             ms = millis(self.came.elapsed()), status = problem.status().as_u16(), reason = problem.word(), "not served"
         );
