--- /dev/null
+++ b/crates/stairvale-clock/src/lib.rs
@@ -0,0 +1,15 @@
+//! The clock of a router's process, which goes on while its VM is suspended.
+//!
+//! A VM may be suspended for seconds. The steady clock of the system (`CLOCK_MONOTONIC`, Rust's `Instant`) stands still meanwhile,
+//! and so do the runtime's timers: a copy of the configuration would look as fresh afterwards as before, and a request would be
+//! waited for beyond its deadline. [`Clock`] counts that time, and [`Clock::before`] ends a wait by it.
+//!
+//! ```
+//! let clock = stairvale_clock::Clock::start();
+//! let before = clock.now();
+//! assert!(clock.now() >= before);
+//! ```
+
+mod clock;
+
+pub use clock::{Clock, Late};
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -4,7 +4,7 @@
     convert::Infallible,
     pin::pin,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,7 +13,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use stairvale_link::watch_over;
-use stairvale_types::{Refusal, outcome::Reason};
+use stairvale_types::{Moment, Refusal, outcome::Reason};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
@@ -84,7 +84,7 @@
     dialect: D,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let came = Instant::now();
+    let came = shared.now();
     let flight = Flight::new(shared.clone());
     let (parts, body) = request.into_parts();
     let head = dialect.read(&parts);
@@ -135,7 +135,7 @@
     parts: request::Parts,
     body: Incoming,
     head: Head,
-    came: Instant,
+    came: Moment,
 ) -> Result<Exchange<D>, Problem> {
     shared.until_configured(head.deadline.map_or(Duration::MAX, |deadline| deadline / START_SHARE)).await;
     let table = shared.table.load_full();
@@ -160,7 +160,7 @@
     let limits = table.document().limits;
     let exchange = Exchange::new(shared.clone(), dialect.clone(), route.clone(), service, head, parts, came);
     let reading = read(body, limits.body_bytes);
-    let body = tokio::time::timeout(exchange.left(), reading).await.unwrap_or(Err(Problem::Body))?;
+    let body = shared.clock.before(exchange.until, reading).await.unwrap_or(Err(Problem::Body))?;
     let exchange = exchange.with_body(body);
     Ok(match customer {
         Some(customer) => exchange.with_customer(customer),
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -1,9 +1,6 @@
 //! One request on its way: placed, sent, and where that is allowed sent again elsewhere.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header, request, response};
@@ -12,7 +9,7 @@
 use stairvale_dispatch::{Ask, Outcome};
 use stairvale_replica::Upstream;
 use stairvale_table::{self as table, Route};
-use stairvale_types::{Refusal, id, outcome::Reason};
+use stairvale_types::{Moment, Refusal, id, outcome::Reason};
 
 use crate::{
     Dialect, Shared,
@@ -60,9 +57,9 @@
     /// The only zones whose upstreams it may go to; `None` for any.
     pub within: Option<Vec<id::Zone>>,
     /// When it came.
-    pub came: Instant,
+    pub came: Moment,
     /// When nobody waits for it any longer.
-    pub until: Instant,
+    pub until: Moment,
     /// What tells it from others, once its body is known.
     pub fingerprint: id::Fingerprint,
     tries: Tries,
@@ -119,7 +116,7 @@
         service: id::Service,
         head: Head,
         parts: request::Parts,
-        came: Instant,
+        came: Moment,
     ) -> Self {
         let limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let until = came + limit;
@@ -215,11 +212,11 @@
 
     /// Waits for a stream's first piece, so that a failure before it can be told as one.
     async fn first_piece(&mut self, mut reply: Reply) -> Result<(Reply, Option<Bytes>), Problem> {
-        match tokio::time::timeout(self.try_limit(), relay::next(&mut reply.body)).await {
+        match self.shared.clock.before(self.try_until(), relay::next(&mut reply.body)).await {
             Ok(Ok(piece)) => {
                 reply.permit.begun();
                 self.shared.passed(Kind::Answer, &reply.permit, piece.as_ref().map_or(0, Bytes::len));
-                self.shared.metrics.answered(self.came.elapsed());
+                self.shared.metrics.answered(self.age());
                 Ok((reply, piece))
             }
             Ok(Err(fault)) => Err(self.missed(&fault, reply.permit).await),
@@ -230,7 +227,7 @@
     /// Reads a plain answer to its end before any of it goes back.
     async fn whole(&mut self, reply: Reply) -> Result<Response<Body>, Problem> {
         let Reply { mut head, body, connection, permit } = reply;
-        let collected = tokio::time::timeout(self.try_limit(), body.collect()).await;
+        let collected = self.shared.clock.before(self.try_until(), body.collect()).await;
         let collected = match collected {
             Ok(Ok(collected)) => collected,
             Ok(Err(error)) => return Err(self.missed(&Fault::of(&error), permit).await),
@@ -241,9 +238,9 @@
         self.shared.upstreams.keep(connection, &head.headers);
         tracing::info!(
             id = self.head.id, route = self.route.name, upstream = %permit.upstream.id, status = head.status.as_u16(),
-            tries = self.tries.runs, ms = millis(self.came.elapsed()), "answered"
+            tries = self.tries.runs, ms = millis(self.age()), "answered"
         );
-        self.shared.metrics.answered(self.came.elapsed());
+        self.shared.metrics.answered(self.age());
         match head.status {
             // Its time was over, and how short that was is not its fault.
             StatusCode::GATEWAY_TIMEOUT => permit.end(Outcome::Abandoned),
@@ -313,7 +310,7 @@
 
     async fn place(&mut self) -> Result<Permit, Problem> {
         let patience = self.route.objective / REFUSE_WITHIN;
-        let patience = patience.saturating_sub(self.came.elapsed()).max(patience / 4).min(self.left());
+        let patience = patience.saturating_sub(self.age()).max(patience / 4).min(self.left());
         let ask = Ask {
             attempt: id::Attempt(0),
             entry: self.shared.settings.router.clone(),
@@ -332,9 +329,9 @@
             seen: self.shared.look(|core, _| core.seen(&self.head.parts)),
         };
         let want = Want { service: &self.service, ask, objective: self.route.objective };
-        let asked = Instant::now();
+        let asked = self.shared.now();
         let permit = permit::get(&self.shared, want).await;
-        self.shared.metrics.placed(asked.elapsed());
+        self.shared.metrics.placed(self.shared.now().since(asked));
         permit.map_err(|refusal| if self.tries.runs > 0 { Problem::Broken } else { Problem::Refused(refusal) })
     }
 
@@ -343,7 +340,7 @@
         self.shared.passed(Kind::Request, &permit, traffic::request_head(&request) + self.body.len());
         let (id, address) = (permit.upstream.id.clone(), permit.upstream.address);
         let sending = self.shared.upstreams.send(&id, address, request);
-        let Ok(sent) = tokio::time::timeout(self.try_limit(), sending).await else {
+        let Ok(sent) = self.shared.clock.before(self.try_until(), sending).await else {
             self.tries.runs += 1;
             return Err(Missed::MayHaveRun(self.missed(&Fault::Silent, permit).await));
         };
@@ -501,14 +498,18 @@
 
     /// What is left of its time.
     pub(crate) fn left(&self) -> Duration {
-        self.until.saturating_duration_since(Instant::now())
+        self.until.since(self.shared.now())
+    }
+
+    /// How long ago it came.
+    pub(crate) fn age(&self) -> Duration {
+        self.shared.now().since(self.came)
     }
 
-    /// How long one upstream is waited for.
-    fn try_limit(&self) -> Duration {
-        let left = self.left();
+    /// Until when one upstream is waited for.
+    fn try_until(&self) -> Moment {
         let others = self.route.is_repeatable() && self.tries.runs + 1 < self.route.attempts;
-        if others { left.min(self.route.objective * SILENCE) } else { left }
+        if others { self.until.min(self.shared.now() + self.route.objective * SILENCE) } else { self.until }
     }
 
     fn unsent(&self, reason: Reason) -> Problem {
@@ -521,7 +522,7 @@
         tracing::info!(
             id = self.head.id, route = self.route.name, service = %self.service, fingerprint = %self.fingerprint, version, age_ms = age.map(millis),
             runs = self.tries.runs, turned_away = self.tries.turned_away, avoided = ?self.tries.avoid,
-            ms = millis(self.came.elapsed()), status = problem.status().as_u16(), reason = problem.word(), "not served"
+            ms = millis(self.age()), status = problem.status().as_u16(), reason = problem.word(), "not served"
         );
     }
 }
--- a/crates/stairvale-serve/src/quarantine.rs
+++ b/crates/stairvale-serve/src/quarantine.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use stairvale_types::id;
-use tokio::{sync::mpsc, time::Instant};
+use stairvale_types::{Moment, id};
+use tokio::sync::mpsc;
 
 use crate::{Shared, Source, source::Fault};
 
@@ -12,6 +12,9 @@
 /// The longest pause.
 const LONGEST: Duration = Duration::from_secs(8);
 
+/// The shortest lease that the users' store grants.
+const LEAST_LEASE: Duration = Duration::from_secs(1);
+
 /// A request that goes nowhere.
 #[derive(Clone, Copy, Debug)]
 pub struct Term {
@@ -20,7 +23,7 @@
     /// For how long, from when it was found.
     pub length: Duration,
     /// When it was found.
-    pub since: Instant,
+    pub since: Moment,
 }
 
 /// Writes what is due, one after the other, until the task is dropped. What the store doesn't take is tried again as long as it
@@ -28,10 +31,11 @@
 pub async fn run<S: Source>(shared: Arc<Shared>, source: Arc<S>, mut due: mpsc::UnboundedReceiver<Term>) {
     while let Some(term) = due.recv().await {
         let mut pause = FIRST;
-        while let Err(fault) = write(&*source, term).await {
+        let left = || term.length.saturating_sub(shared.now().since(term.since));
+        while let Err(fault) = write(&*source, term, left()).await {
             tracing::info!(fingerprint = %term.fingerprint, %fault, "the store doesn't take what goes nowhere");
             shared.metrics.count("quarantine-fault");
-            if term.since.elapsed() >= term.length {
+            if left().is_zero() {
                 break;
             }
             tokio::time::sleep(pause).await;
@@ -40,7 +44,7 @@
     }
 }
 
-async fn write<S: Source>(source: &S, term: Term) -> Result<(), Fault> {
-    let lease = source.grant(term.length.saturating_sub(term.since.elapsed()).max(FIRST * 2)).await?;
+async fn write<S: Source>(source: &S, term: Term, left: Duration) -> Result<(), Fault> {
+    let lease = source.grant(left.max(LEAST_LEASE)).await?;
     source.quarantine(&lease, term.fingerprint, term.length).await
 }
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -177,12 +177,13 @@
                 return End::Late;
             }
             let silence = self.silence();
+            let clock = &self.exchange.shared.clock;
             let piece = tokio::select! {
-                piece = next(&mut reply.body) => piece,
+                piece = clock.before(clock.now() + left.min(silence), next(&mut reply.body)) => piece,
                 () = self.sender.closed() => return End::Left,
-                () = tokio::time::sleep(left.min(silence)) => {
-                    return if silence < left { End::Silent } else { End::Late };
-                }
+            };
+            let Ok(piece) = piece else {
+                return if silence < left { End::Silent } else { End::Late };
             };
             if !begun {
                 begun = true;
@@ -222,7 +223,7 @@
             return true;
         }
         // A caller that reads nothing until its time is over has left as well.
-        let sent = tokio::time::timeout(self.exchange.left(), self.sender.send(Ok(piece))).await;
+        let sent = self.exchange.shared.clock.before(self.exchange.until, self.sender.send(Ok(piece))).await;
         sent.is_ok_and(|sent| sent.is_ok())
     }
 
@@ -230,7 +231,7 @@
         let exchange = &self.exchange;
         tracing::info!(
             id = exchange.head.id, route = exchange.route.name, upstream = %reply.permit.upstream.id,
-            read = reply.permit.read, ms = millis(exchange.came.elapsed()), end = ?end, "streamed"
+            read = reply.permit.read, ms = millis(exchange.age()), end = ?end, "streamed"
         );
     }
 }
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -7,11 +7,12 @@
         Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use stairvale_clock::Clock;
 use stairvale_link::{Links, Sink};
 use stairvale_table::Table;
 use stairvale_types::{Moment, id};
@@ -84,6 +85,8 @@
     pub table: ArcSwap<Table>,
     /// What is counted.
     pub metrics: Metrics,
+    /// What time it is.
+    pub clock: Clock,
     /// Connections to upstreams.
     pub upstreams: Connections,
     /// Whether the process stops.
@@ -99,7 +102,6 @@
     links: Links<Frame, Inbox>,
     socket: Arc<UdpSocket>,
     waiting: Mutex<HashMap<id::Attempt, Waiter>>,
-    started: Instant,
 }
 
 impl std::fmt::Debug for Shared {
@@ -119,12 +121,14 @@
         records: mpsc::UnboundedSender<Due>,
         quarantines: mpsc::UnboundedSender<Term>,
     ) -> Arc<Self> {
+        let clock = Clock::start();
         Arc::new_cyclic(|weak| Self {
             links: Links::new(settings.router.clone(), Inbox(weak.clone())),
             metrics: Metrics::new(settings.zone.clone()),
             settings,
             table: ArcSwap::default(),
-            upstreams: Connections::default(),
+            upstreams: Connections::new(clock.clone()),
+            clock,
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(false),
             configured: watch::Sender::new(false),
@@ -134,7 +138,6 @@
             core: Mutex::new(core),
             socket,
             waiting: Mutex::default(),
-            started: Instant::now(),
         })
     }
 
@@ -144,10 +147,10 @@
         Inbox(Arc::downgrade(self))
     }
 
-    /// Now, on this process's steady clock.
+    /// Now, on this process's clock.
     #[must_use]
     pub fn now(&self) -> Moment {
-        Moment(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     /// Whether the process stops.
@@ -159,7 +162,7 @@
     /// Waits until a configuration is in force, for `limit` at most, and no longer than a process needs to learn it after
     /// its start: a request that comes in that time is served a moment later rather than sent away.
     pub async fn until_configured(&self, limit: Duration) {
-        let left = START.saturating_sub(self.started.elapsed()).min(limit);
+        let left = START.saturating_sub(self.now().since(Moment::ZERO)).min(limit);
         let mut configured = self.configured.subscribe();
         if !left.is_zero() && !*configured.borrow() {
             // Whether it came or not, the request is judged by what is known then.
@@ -258,7 +261,7 @@
                     self.metrics.count("quarantined");
                     let for_s = length.as_secs();
                     tracing::warn!(%service, %fingerprint, for_s, "upstreams end under a request, which goes nowhere now");
-                    let since = tokio::time::Instant::now();
+                    let since = self.now();
                     // Nobody writes any more only when the process ends.
                     let _ = self.quarantines.send(Term { fingerprint, length, since });
                 }
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -9,7 +9,7 @@
     io,
     net::SocketAddr,
     sync::{Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -17,8 +17,9 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use stairvale_clock::Clock;
 use stairvale_link::watch_over;
-use stairvale_types::id;
+use stairvale_types::{Moment, id};
 use tokio::{net::TcpStream, task::AbortHandle};
 
 /// A connection that takes longer is given up.
@@ -84,16 +85,23 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    until: Instant,
+    until: Moment,
 }
 
 /// Idle connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Connections {
+    clock: Clock,
     idle: Mutex<HashMap<id::Upstream, Vec<Idle>>>,
 }
 
 impl Connections {
+    /// None yet.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, idle: Mutex::default() }
+    }
+
     /// Sends a request and waits for the answer's head.
     ///
     /// # Errors
@@ -149,7 +157,7 @@
     fn keep_for(&self, connection: Connection, idle: Duration) {
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = all.entry(connection.upstream.clone()).or_default();
-        let now = Instant::now();
+        let now = self.clock.now();
         kept.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
         if kept.len() < KEPT {
             kept.push(Idle { connection, until: now + idle });
@@ -168,7 +176,7 @@
 
     /// Closes what idled too long, and all connections to upstreams that are gone.
     pub fn sweep(&self, known: impl Fn(&id::Upstream) -> bool) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         all.retain(|upstream, kept| {
             kept.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
@@ -179,7 +187,7 @@
     fn take(&self, upstream: &id::Upstream) -> Option<Connection> {
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = all.get_mut(upstream)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         while let Some(Idle { connection, until }) = kept.pop() {
             if until > now && connection.sender.is_ready() {
                 return Some(connection);
