Time goes on while a VM is suspended

Cause: Instant and the runtime's timers stand still while a VM is suspended, so ages of copies, keys, holds, leases and windows came out too short, and requests were waited for beyond their time. Ruled out: looking for a jump at each use (the clock itself counts it); ending waits at once on waking (what came meanwhile is read first, for 5 ms). Change: the process's clock reads CLOCK_BOOTTIME (rustix). Waits of requests end by it: the control loop notices a difference to the steady clock of over 100 ms, says so (one warning, event "suspended"), and all that wait look at their time again. Requests, connections, leases of names, claims of the own interface and the store's time use it, too; what stays with Instant says why. Conclusion: mended; a request that waited for a place over a suspension is looked at again before it is sent.

--- a/crates/stairvale-clock/src/lib.rs
+++ b/crates/stairvale-clock/src/lib.rs
@@ -7,7 +7,8 @@
 //! ```
 //! let clock = stairvale_clock::Clock::start();
 //! let before = clock.now();
-//! assert!(clock.now() >= before);
+//! clock.suspend(std::time::Duration::from_secs(3));
+//! assert!(clock.now().since(before).as_secs() >= 3);
 //! ```
 
 mod clock;
--- a/crates/stairvale-clock/tests/clock.rs
+++ b/crates/stairvale-clock/tests/clock.rs
@@ -10,6 +10,17 @@
 
 use stairvale_clock::{Clock, Late};
 
+#[test]
+fn time_passes_while_the_machine_is_suspended() {
+    let clock = Clock::start();
+    let before = clock.now();
+    clock.suspend(Duration::from_secs(10));
+    let passed = clock.now().since(before);
+    assert!(passed >= Duration::from_secs(10) && passed < Duration::from_secs(11), "{passed:?}");
+    // Clones are the same clock.
+    assert!(clock.clone().now().since(before) >= Duration::from_secs(10));
+}
+
 #[test]
 fn a_wait_ends_by_the_time_that_passed_while_the_machine_was_suspended() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/crates/stairvale-link/src/links.rs
+++ b/crates/stairvale-link/src/links.rs
@@ -75,6 +75,7 @@
         self.stream.reserve_capacity(bytes.len());
         if self.stream.capacity() >= bytes.len() {
             self.stalled = None;
+        // While this VM was suspended it could not see whether the peer takes anything, so that time doesn't count.
         } else if self.stalled.get_or_insert_with(Instant::now).elapsed() > STALLED {
             return false;
         }
@@ -179,6 +180,7 @@
         }
         let mut links = self.lock();
         if let Some(link) = links.get_mut(&to).filter(|link| link.number == number) {
+            // A pause before the next try: it may as well begin anew after a suspension.
             link.state = State::Broken(Instant::now());
             drop(links);
             self.sink.broken(&to);
--- a/crates/stairvale-router/src/caller.rs
+++ b/crates/stairvale-router/src/caller.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -19,7 +19,7 @@
 };
 use stairvale_control::{Input, io};
 use stairvale_permit::request::Grant;
-use stairvale_types::{Class, Reason, Refusal, id, unit};
+use stairvale_types::{Class, Moment, Reason, Refusal, id, unit};
 use stairvale_wire::Profile;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -78,14 +78,14 @@
         _ => {}
     }
     let attempt = id::Attempt(uuid::Uuid::new_v4().as_u128());
-    let begun = Instant::now();
+    let begun = shared.now();
     let result = serve(&shared, &client, request, attempt, begun).await;
     let mut response = result.unwrap_or_else(|problem| {
         shared.metrics.problem(&problem);
         problem.respond(None)
     });
     if response.status().is_success() {
-        shared.metrics.first_byte(begun.elapsed());
+        shared.metrics.first_byte(shared.now().since(begun));
     }
     if let Ok(value) = HeaderValue::try_from(attempt.to_string()) {
         response.headers_mut().insert("stairvale-request", value);
@@ -104,7 +104,7 @@
     client: &Client,
     request: Request<Incoming>,
     attempt: id::Attempt,
-    begun: Instant,
+    begun: Moment,
 ) -> Result<Response<Body>, Problem> {
     let snapshot = shared.snapshot.load_full();
     if snapshot.generation.0 == 0 {
@@ -161,7 +161,7 @@
     /// What goes to the upstream.
     pub call: Call,
     /// When an answer is of no use any more.
-    pub deadline: Instant,
+    pub deadline: Moment,
     /// Upstreams that failed it.
     pub avoid: Vec<id::Upstream>,
     /// How long it waited for permits, all attempts together.
@@ -177,7 +177,7 @@
         headers: http::HeaderMap,
         body: Bytes,
         attempt: id::Attempt,
-        begun: Instant,
+        begun: Moment,
     ) -> Self {
         let customer = &head.account.customer;
         let profile = Profile {
@@ -230,10 +230,10 @@
         wish.attempt = permit.attempt();
         wish.avoid.clone_from(&self.avoid);
         wish.retry = self.attempts > 1;
-        wish.deadline = self.deadline.saturating_duration_since(Instant::now());
-        let begun = Instant::now();
+        wish.deadline = self.deadline.since(shared.now());
+        let begun = shared.now();
         let decision = shared.ask(|reply| Command::Request(wish, reply)).await;
-        let waited = begun.elapsed();
+        let waited = shared.now().since(begun);
         shared.metrics.permit(waited);
         self.waited += waited;
         let grant = decision.ok_or_else(|| Refusal::new(Reason::NotReady, RETRY_NOT_READY))??;
@@ -303,7 +303,7 @@
         }
         Err(Refusal::new(Reason::NoUpstream, RETRY_NOT_READY).into())
     };
-    let result: Result<Result<_, Problem>, _> = tokio::time::timeout_at(deadline.into(), work).await;
+    let result: Result<Result<_, Problem>, _> = shared.clock.before(deadline, work).await;
     result.unwrap_or_else(|_| {
         if offered.load(Ordering::Relaxed) {
             return Err(Unknown::Deadline.into());
--- a/crates/stairvale-router/src/control.rs
+++ b/crates/stairvale-router/src/control.rs
@@ -63,7 +63,13 @@
     loop {
         tokio::select! {
             biased;
-            _ = ticks.tick() => this.handle(Input::Tick),
+            _ = ticks.tick() => {
+                if let Some(span) = this.shared.clock.notice() {
+                    let ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+                    tracing::warn!(ms, "the VM was suspended; what is known is as much older, and so is what is under way");
+                }
+                this.handle(Input::Tick);
+            }
             command = commands.recv() => match command {
                 Some(command) => this.command(command),
                 None => return,
--- a/crates/stairvale-router/src/once.rs
+++ b/crates/stairvale-router/src/once.rs
@@ -5,7 +5,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use stairvale_control::Input;
-use stairvale_types::{Reason, Refusal, id};
+use stairvale_types::{Moment, Reason, Refusal, id};
 use stairvale_wire::{ClaimVerdict, Stored};
 
 use crate::{
@@ -45,13 +45,13 @@
     key: id::Key,
     attempt: id::Attempt,
     fence: u64,
-    since: Instant,
+    since: Moment,
     offered: Arc<AtomicBool>,
 }
 
 impl Claim {
     async fn take(shared: &Arc<Shared>, key: id::Key, attempt: id::Attempt) -> Result<Self, Answered> {
-        let since = Instant::now();
+        let since = shared.now();
         let offered = Arc::default();
         let mut claim = Self { shared: shared.clone(), key, attempt, fence: 0, since, offered };
         let verdict = shared.ask(|reply| Command::Claim(key, attempt, reply)).await;
@@ -135,7 +135,7 @@
                 Err(_) if refused => return Err(Unknown::Broken.into()),
                 Err(refusal) => return Err(refusal.into()),
             };
-            if claim.is_some_and(|claim| claim.since.elapsed() >= SEND_BY) {
+            if claim.is_some_and(|claim| shared.now().since(claim.since) >= SEND_BY) {
                 return Err(nothing_left(refused, Reason::Deadline));
             }
             ready.prepare(shared, &grant, false);
@@ -159,7 +159,7 @@
         }
         Err(nothing_left(refused, Reason::NoUpstream))
     };
-    let result = tokio::time::timeout_at(deadline.into(), work).await;
+    let result = shared.clock.before(deadline, work).await;
     result
         .unwrap_or_else(|_| {
             if offered.load(Ordering::Relaxed) {
--- a/crates/stairvale-router/src/peers.rs
+++ b/crates/stairvale-router/src/peers.rs
@@ -80,6 +80,7 @@
     /// Opens a stream, unless the last one broke a moment ago.
     fn open(&mut self, to: &id::Router, address: SocketAddr) -> bool {
         if self.links.remove(to).is_some() {
+            // It may as well begin anew after a suspension.
             self.paused.insert(to.clone(), Instant::now());
         }
         self.paused.retain(|_, since| since.elapsed() < PAUSE);
--- a/crates/stairvale-router/src/relay.rs
+++ b/crates/stairvale-router/src/relay.rs
@@ -1,9 +1,6 @@
 //! An engine's stream on its way to the caller: whole events only, cut streams resumed, ended only by the end marker.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -79,7 +76,7 @@
 
     async fn run(mut self, shared: &Shared, first: Event, sender: mpsc::Sender<Result<Bytes, Broken>>) {
         let mut event = first;
-        let mut last = Instant::now();
+        let mut last = shared.now();
         loop {
             self.delivered = event.id.unwrap_or(self.delivered);
             self.done = event.done;
@@ -105,8 +102,9 @@
                 Self::tell_broken(&sender).await;
                 return;
             };
-            shared.metrics.between_tokens(last.elapsed());
-            last = Instant::now();
+            let now = shared.now();
+            shared.metrics.between_tokens(now.since(last));
+            last = now;
             event = next;
         }
     }
--- a/crates/stairvale-router/src/run.rs
+++ b/crates/stairvale-router/src/run.rs
@@ -6,6 +6,7 @@
 };
 
 use error_stack::{Report, ResultExt};
+use stairvale_clock::Clock;
 use stairvale_control::{Input, node};
 use stairvale_types::id;
 use tokio::{
@@ -100,8 +101,9 @@
 }
 
 fn share(settings: Settings, commands: mpsc::UnboundedSender<Command>) -> Arc<Shared> {
+    let clock = Clock::start();
     Arc::new(Shared {
-        store: stairvale_store::Client::new(settings.platform.clone()),
+        store: stairvale_store::Client::new(settings.platform.clone(), clock.clone()),
         audit: audit::Trail::new(settings.router.clone()),
         snapshot: Arc::new(Snapshot::default()).into(),
         commands,
@@ -109,7 +111,7 @@
         faults: Cuts::default(),
         ready: false.into(),
         in_flight: 0.into(),
-        started: Instant::now(),
+        clock,
         settings,
     })
 }
@@ -118,8 +120,7 @@
 async fn stop(shared: &Shared, refuse_callers: impl FnOnce()) {
     tracing::info!("stopping");
     shared.tell(Input::Leave);
-    let grace_over = Instant::now() + shared.settings.balancer_grace;
-    tokio::time::sleep_until(grace_over.into()).await;
+    tokio::time::sleep(shared.settings.balancer_grace).await;
     refuse_callers();
     let mut quiet_since = None;
     loop {
--- a/crates/stairvale-router/src/shared.rs
+++ b/crates/stairvale-router/src/shared.rs
@@ -7,10 +7,10 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::Instant,
 };
 
 use arc_swap::ArcSwap;
+use stairvale_clock::Clock;
 use stairvale_config::{Customer, Document, Generation, Manifest, Service};
 use stairvale_control::{Fleet, Input, explain, io::Request, stats::Stats};
 use stairvale_permit::request::Grant;
@@ -171,8 +171,8 @@
     pub ready: AtomicBool,
     /// Requests in flight.
     pub in_flight: AtomicUsize,
-    /// When the process started; its moments count from here.
-    pub started: Instant,
+    /// What time it is.
+    pub clock: Clock,
 }
 
 impl Shared {
@@ -185,7 +185,7 @@
     /// Now.
     #[must_use]
     pub fn now(&self) -> Moment {
-        Moment::ZERO + self.started.elapsed()
+        self.clock.now()
     }
 
     /// Whether callers may come.
--- a/crates/stairvale-serve/src/control.rs
+++ b/crates/stairvale-serve/src/control.rs
@@ -5,7 +5,7 @@
 use stairvale_wire::codec;
 use tokio::net::UdpSocket;
 
-use crate::{Shared, core::Core};
+use crate::{Shared, core::Core, exchange::millis};
 
 /// How often time is told to the core.
 const TICK: Duration = Duration::from_millis(50);
@@ -18,10 +18,16 @@
 pub async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; codec::MAX_PACKET * 2];
     let mut ticks = 0_u32;
+    // The runtime's own time: a tick that comes late hands in the moment at which it comes.
     let mut next = tokio::time::Instant::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep_until(next) => {
+                if let Some(span) = shared.clock.notice() {
+                    shared.metrics.count("suspended");
+                    let ms = millis(span);
+                    tracing::warn!(ms, "the VM was suspended; what is known is as much older, and so is what is under way");
+                }
                 shared.with(Core::tick);
                 ticks = ticks.wrapping_add(1);
                 if ticks.is_multiple_of(SWEEP) {
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -264,8 +264,11 @@
             self.check_quarantine()?;
             let permit = self.place().await?;
             self.check_key()?;
-            // It may have waited while others like it ended upstreams.
+            // It may have waited while others like it ended upstreams, or the VM was suspended.
             self.check_quarantine()?;
+            if self.left().is_zero() {
+                return Err(self.unsent(Reason::Deadline));
+            }
             let upstream = permit.upstream.id.clone();
             match self.send(permit, last_event).await {
                 Ok(reply) => return Ok(reply),
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     path::PathBuf,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use error_stack::{Report, ResultExt};
@@ -213,7 +213,7 @@
 /// A planned stop: not ready to the balancer, homes handed over, no new callers after a while, all in flight finishes.
 async fn stop(shared: &Shared, refuse_callers: impl FnOnce()) {
     tracing::info!("stopping");
-    let began = Instant::now();
+    let began = shared.now();
     shared.stopping.store(true, Ordering::Relaxed);
     shared.with(Core::leave);
     let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s);
@@ -227,7 +227,7 @@
         let in_flight = shared.metrics.in_flight.load(Ordering::Relaxed);
         idle = if in_flight == 0 { idle + 1 } else { 0 };
         // The last answer may still be on its way out.
-        if idle >= 2 || began.elapsed() >= last {
+        if idle >= 2 || shared.now().since(began) >= last {
             tracing::info!(in_flight, "stopped");
             return;
         }
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use stairvale_types::Moment;
 
 use crate::{
     Shared, Source,
@@ -110,7 +110,7 @@
             (names.reader_since, names.due_since, pause) = (None, None, NAMES_LOOK);
             continue;
         }
-        pause = match names.keep(due, all, settles).await {
+        pause = match names.keep(shared.now(), due, all, settles).await {
             Ok(true) => SEEN,
             Ok(false) => NAMES_LOOK,
             Err(fault) => {
@@ -126,22 +126,21 @@
 struct Names<S: Source> {
     source: Arc<S>,
     /// The lease that they were written under, and when it is to be renewed.
-    lease: Option<(S::Lease, Instant)>,
+    lease: Option<(S::Lease, Moment)>,
     /// Since when this router reads for the fleet.
-    reader_since: Option<Instant>,
+    reader_since: Option<Moment>,
     /// Since when something is to be changed.
-    due_since: Option<Instant>,
+    due_since: Option<Moment>,
 }
 
 impl<S: Source> Names<S> {
     /// Writes what is due, renews the lease, or takes over all names; tells whether names were written.
-    async fn keep(&mut self, due: Naming, all: Naming, settles: Duration) -> Result<bool, Fault> {
-        let now = Instant::now();
+    async fn keep(&mut self, now: Moment, due: Naming, all: Naming, settles: Duration) -> Result<bool, Fault> {
         let reader_since = *self.reader_since.get_or_insert(now);
         if due.is_empty() {
             self.due_since = None;
-        } else if now - *self.due_since.get_or_insert(now) >= settles {
-            return self.write(due).await;
+        } else if now.since(*self.due_since.get_or_insert(now)) >= settles {
+            return self.write(now, due).await;
         }
         match &self.lease {
             Some((lease, renew)) if *renew <= now => match self.source.renew(lease).await {
@@ -149,20 +148,20 @@
                     self.lease = Some((lease.clone(), now + KEEP / RENEWALS));
                     Ok(false)
                 }
-                Err(Fault::Lapsed) => self.write(all).await,
+                Err(Fault::Lapsed) => self.write(now, all).await,
                 Err(fault) => Err(fault),
             },
-            None if now - reader_since >= ADOPT && !all.is_empty() => self.write(all).await,
+            None if now.since(reader_since) >= ADOPT && !all.is_empty() => self.write(now, all).await,
             Some(_) | None => Ok(false),
         }
     }
 
-    async fn write(&mut self, naming: Naming) -> Result<bool, Fault> {
+    async fn write(&mut self, now: Moment, naming: Naming) -> Result<bool, Fault> {
         let lease = match self.lease.take() {
             Some((lease, _)) => lease,
             None => self.source.grant(KEEP).await?,
         };
-        let renew = Instant::now() + KEEP / RENEWALS;
+        let renew = now + KEEP / RENEWALS;
         // A lease that is over is taken anew next time.
         self.source.name(&lease, &naming).await?;
         tracing::info!(named = naming.put.len(), removed = naming.remove.len(), "routers are named in the store");
--- a/crates/stairvale-store/src/client.rs
+++ b/crates/stairvale-store/src/client.rs
@@ -5,7 +5,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
@@ -17,6 +17,8 @@
     rt::TokioExecutor,
 };
 use serde::de::DeserializeOwned;
+use stairvale_clock::Clock;
+use stairvale_types::Moment;
 
 use crate::{
     Error,
@@ -40,23 +42,24 @@
 }
 
 /// What the platform's clock said, and when.
-#[derive(Debug, Default)]
-struct Clock {
-    heard: std::sync::Mutex<Option<(u64, Instant)>>,
+#[derive(Debug)]
+struct Time {
+    clock: Clock,
+    heard: std::sync::Mutex<Option<(u64, Moment)>>,
 }
 
-impl Clock {
+impl Time {
     fn hear(&self, date: SystemTime) {
         let millis = date.duration_since(UNIX_EPOCH).map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(0));
         if let Ok(mut heard) = self.heard.lock() {
-            *heard = Some((millis, Instant::now()));
+            *heard = Some((millis, self.clock.now()));
         }
     }
 
     fn now_ms(&self) -> Option<u64> {
         let heard = *self.heard.lock().ok()?;
         let (millis, at) = heard?;
-        let passed = u64::try_from(at.elapsed().as_millis()).unwrap_or(0);
+        let passed = u64::try_from(self.clock.now().since(at).as_millis()).unwrap_or(0);
         Some(millis + passed)
     }
 }
@@ -68,17 +71,18 @@
     http: legacy::Client<HttpConnector, Full<Bytes>>,
     sent: Arc<AtomicU64>,
     calls: Arc<AtomicU64>,
-    clock: Arc<Clock>,
+    time: Arc<Time>,
 }
 
 impl Client {
     /// A client of the platform at `base`, such as `http://10.0.0.2:9000`.
     #[must_use]
-    pub fn new(base: Uri) -> Self {
+    pub fn new(base: Uri, clock: Clock) -> Self {
         let mut builder = legacy::Client::builder(TokioExecutor::new());
         // A call that was sent is never sent again below us: only the caller knows whether that is harmless.
         builder.retry_canceled_requests(false);
-        Self { base, http: builder.build_http(), sent: Arc::default(), calls: Arc::default(), clock: Arc::default() }
+        let time = Arc::new(Time { clock, heard: std::sync::Mutex::default() });
+        Self { base, http: builder.build_http(), sent: Arc::default(), calls: Arc::default(), time }
     }
 
     // ------------------------------------------------------------------------
@@ -101,7 +105,7 @@
     /// Routers agree on it far better than on their own clocks.
     #[must_use]
     pub fn now_ms(&self) -> Option<u64> {
-        self.clock.now_ms()
+        self.time.now_ms()
     }
 
     // ------------------------------------------------------------------------
@@ -221,7 +225,7 @@
         let answer = self.http.request(request).await.map_err(|error| Report::new(kind(&error)))?;
         let date = answer.headers().get(http::header::DATE).and_then(|date| date.to_str().ok());
         if let Some(date) = date.and_then(|date| httpdate::parse_http_date(date).ok()) {
-            self.clock.hear(date);
+            self.time.hear(date);
         }
         let status = answer.status();
         let body = answer.into_body().collect().await.map_err(|_| Report::new(Error::Lost))?;
--- a/crates/stairvale-store/src/lib.rs
+++ b/crates/stairvale-store/src/lib.rs
@@ -4,7 +4,7 @@
 //! didn't is [`Error::Refused`].
 //!
 //! ```
-//! let client = stairvale_store::Client::new("http://127.0.0.1:9000".parse().unwrap());
+//! let client = stairvale_store::Client::new("http://127.0.0.1:9000".parse().unwrap(), stairvale_clock::Clock::start());
 //! assert_eq!(client.sent_bytes(), 0);
 //! ```
 
