Lives of an upstream under one name are told apart by their start

Cause: an upstream's id stood for one life of it, so what was believed of the earlier life was believed of the later one, and a request that ran in it was waited for until its time was over. Ruled out: comparing starts to say which life counts (clocks step back; the store's order of entries says it); a second key beside the id in each map (every fact that is kept by upstream is of a life, so the id is the life). Change: id::Upstream is a life, written NAME or NAME@START; the store's subjects are names.

--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -57,6 +57,8 @@
 pub struct Pool {
     rules: Rules,
     members: BTreeMap<id::Upstream, Member>,
+    /// The present life of each name.
+    lives: BTreeMap<id::Upstream, id::Upstream>,
     /// Upstreams that are gone and may still run something.
     leaving: BTreeSet<id::Upstream>,
     /// Zones none of whose routers is heard of.
@@ -109,6 +111,7 @@
         Self {
             rules,
             members: BTreeMap::new(),
+            lives: BTreeMap::new(),
             leaving: BTreeSet::new(),
             dark: BTreeSet::new(),
             answered: BTreeMap::new(),
@@ -202,17 +205,19 @@
 
     /// Sets the upstreams that exist.
     pub fn set_members(&mut self, now: Moment, known: &[Listing]) -> Vec<Answer> {
-        let named: BTreeSet<_> = known.iter().map(|listing| &listing.id).collect();
-        let gone: Vec<_> = self.members.keys().filter(|id| !named.contains(id)).cloned().collect();
+        let named: BTreeSet<_> = known.iter().map(|listing| listing.id.name()).collect();
+        let gone: Vec<_> = self.lives.keys().filter(|name| !named.contains(*name)).cloned().collect();
         self.update(now, known, &gone)
     }
 
-    /// Takes what the store says of some upstreams, and that others have gone.
+    /// Takes what the store says of some upstreams, and the names of others that have gone.
     pub fn update(&mut self, now: Moment, known: &[Listing], gone: &[id::Upstream]) -> Vec<Answer> {
+        let mut answers = Vec::new();
         let memory = self.rules.engine.map_or(0, |memory| u64::from(memory.0));
         let cold = self.rules.cold.map_or(Duration::ZERO, |cold| cold.time);
         let first = self.members.is_empty();
         for listing in known {
+            answers.extend(self.begin_life(now, &listing.id));
             let member = self.members.entry(listing.id.clone()).or_insert_with(|| {
                 let mut member = Member::new(listing.id.clone(), listing.zone.clone(), listing.slots, memory);
                 if !first {
@@ -226,15 +231,33 @@
             self.versions.place(member);
             self.holders.follow(member);
         }
-        for id in gone {
-            if let Some(member) = self.members.get_mut(id) {
-                member.go();
-                self.leaving.insert(id.clone());
+        for name in gone {
+            if let Some(life) = self.lives.remove(name) {
+                self.leave(life);
             }
         }
         self.bury();
         self.recount();
-        self.serve(now)
+        answers.extend(self.serve(now));
+        answers
+    }
+
+    fn leave(&mut self, life: id::Upstream) {
+        if let Some(member) = self.members.get_mut(&life) {
+            member.go();
+            self.leaving.insert(life);
+        }
+    }
+
+    /// A life is the present one of its name from now on. What ran in an earlier one has ended with it, and nothing that is known
+    /// of that one is true of this.
+    fn begin_life(&mut self, now: Moment, life: &id::Upstream) -> Vec<Answer> {
+        let Some(earlier) = self.lives.insert(life.name(), life.clone()).filter(|earlier| earlier != life) else {
+            return Vec::new();
+        };
+        let held: Vec<_> = self.members.get(&earlier).map_or_else(Vec::new, |member| member.which(|_| true));
+        self.leave(earlier);
+        held.into_iter().flat_map(|attempt| self.release(now, attempt, Outcome::Abandoned, None)).collect()
     }
 
     /// Counts the members anew.
--- /dev/null
+++ b/crates/stairvale-dispatch/tests/lives.rs
@@ -0,0 +1,96 @@
+//! Lives of an upstream under one name.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use stairvale_dispatch::{Answer, Ask, Listing, Outcome, Part, Pool, Verdict, pool::Rules};
+use stairvale_types::{Moment, id, unit};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn listing(upstream: &str, revision: u64) -> Listing {
+    Listing {
+        id: upstream.parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        slots: 8,
+        usable: true,
+        cold: Duration::ZERO,
+        revision,
+        version: None,
+    }
+}
+
+fn ask(number: u128) -> Ask {
+    Ask {
+        attempt: id::Attempt(number),
+        entry: "r1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        customer: None,
+        route: id::Route(0),
+        fingerprint: id::Fingerprint(u64::try_from(number).unwrap()),
+        priority: 1,
+        repeatable: true,
+        parts: vec![Part { id: 7, tokens: 6_000 }, Part { id: 100 + u64::try_from(number).unwrap(), tokens: 100 }],
+        output: 50,
+        objective: Duration::from_millis(500),
+        patience: Duration::from_millis(100),
+        avoid: Vec::new(),
+        within: None,
+        seen: None,
+    }
+}
+
+fn granted(answers: &[Answer]) -> (id::Upstream, u32) {
+    match &answers[0].verdict {
+        Verdict::Granted { upstream, read, .. } => (upstream.clone(), *read),
+        Verdict::Refused(refusal) => panic!("{refusal}"),
+    }
+}
+
+fn pool() -> Pool {
+    let rules = Rules { engine: Some(unit::Tokens(100_000)), copies: true, multiple: 2.0, slack: 3.0, cold: None };
+    let mut pool = Pool::new(rules);
+    pool.set_members(at(0), &[listing("e0@1000", 1)]);
+    pool
+}
+
+#[test]
+fn a_later_life_holds_nothing_and_runs_nothing_of_an_earlier_one() {
+    let mut pool = pool();
+    let (upstream, read) = granted(&pool.ask(at(10), ask(1)));
+    assert_eq!(read, 6_100);
+    pool.begun(at(300), id::Attempt(1), Duration::from_millis(290));
+    assert_eq!(granted(&pool.ask(at(310), ask(2))).1, 100, "the shared part is there");
+    pool.update(at(400), &[listing("e0@2000", 2)], &[]);
+    assert_eq!(pool.running(&upstream), 0);
+    assert_eq!(pool.members().count(), 1);
+    let (later, read) = granted(&pool.ask(at(410), ask(3)));
+    assert_eq!(later.to_string(), "e0@2000");
+    assert_eq!(read, 6_100, "it holds nothing");
+    // Words of the earlier life that come late say nothing of the later one.
+    pool.release(at(420), id::Attempt(2), Outcome::Failed, None);
+    pool.learn_prefixes(&upstream, &[Part { id: 9, tokens: 50_000 }]);
+    assert_eq!(pool.running(&later), 1);
+}
+
+#[test]
+fn how_an_earlier_life_did_says_nothing_of_a_later_one() {
+    let mut pool = pool();
+    for number in 0..6 {
+        pool.ask(at(number * 10), ask(u128::from(number)));
+        pool.release(at(number * 10 + 5), id::Attempt(u128::from(number)), Outcome::Silent, None);
+    }
+    pool.update(at(100), &[listing("e0@2000", 2)], &[]);
+    let member = pool.members().next().unwrap();
+    assert!(!member.health.is_silent() && member.health.is_open(at(101)));
+}
+
+#[test]
+fn a_name_that_goes_takes_its_present_life_along() {
+    let mut pool = pool();
+    pool.update(at(100), &[], &["e0".parse().unwrap()]);
+    assert_eq!(pool.members().count(), 0);
+}
--- a/crates/stairvale-replica/src/item.rs
+++ b/crates/stairvale-replica/src/item.rs
@@ -12,7 +12,7 @@
 pub enum Subject {
     /// The configuration.
     Configuration,
-    /// A life of an upstream.
+    /// An upstream, by its name: what is said of it tells the life that it is about.
     Upstream(id::Upstream),
     /// A router.
     Router(id::Router),
@@ -69,7 +69,7 @@
 /// One life of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Upstream {
-    /// Its id, which no other life has.
+    /// The life that this is about.
     pub id: id::Upstream,
     /// The service it belongs to.
     pub service: id::Service,
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -65,10 +65,10 @@
     read: Option<Moment>,
     /// How long the store hadn't failed a reader of it, and when this router was told.
     told_calm: Option<(Moment, Duration)>,
-    /// Upstreams that came with an entry newer than this copy: the pages of a whole read are no snapshot, so an order that is
+    /// Names of upstreams that came with an entry newer than this copy: the pages of a whole read are no snapshot, so an order that is
     /// older than they are may still be missing.
     early: BTreeSet<id::Upstream>,
-    /// Upstreams whose entry vanished while the store was disturbed.
+    /// Upstreams whose entry vanished while the store was disturbed, by name.
     lapsed: BTreeMap<id::Upstream, Upstream>,
     /// How many of the items say that something is gone.
     gone: usize,
@@ -76,6 +76,8 @@
     buried: u64,
     /// What changed since that was asked for last.
     changed: BTreeSet<Subject>,
+    /// Lives that began under a name that stood for another one, since that was asked for last.
+    begun: Vec<id::Upstream>,
     /// Rises when the routers change that the store names.
     names: u64,
 }
@@ -142,27 +144,31 @@
             | Value::Quarantine(_) => None,
         });
         let lapsed = self.lapsed.values().map(|upstream| {
-            let item = self.items.get(&Subject::Upstream(upstream.id.clone()));
+            let item = self.items.get(&Subject::Upstream(upstream.id.name()));
             (upstream, item.map_or(0, |item| item.revision))
         });
-        named.filter(|(upstream, _)| !self.early.contains(&upstream.id)).chain(lapsed)
+        named.filter(|(upstream, _)| !self.early.contains(&upstream.id.name())).chain(lapsed)
     }
 
-    /// An upstream, as [`View::upstreams`] has it.
+    /// A life of an upstream, as [`View::upstreams`] has it; `None` if its name is gone, or stands for another life by now.
     #[must_use]
     pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
-        let named = match self.items.get(&Subject::Upstream(id.clone())).and_then(|item| item.value.as_ref()) {
-            Some(Value::Upstream(upstream)) => Some(upstream).filter(|_| !self.early.contains(id)),
-            Some(_) | None => None,
-        };
-        named.or_else(|| self.lapsed.get(id))
+        self.present(&id.name()).filter(|known| known.id == *id)
     }
 
-    /// An upstream with the revision at which it was written, as [`View::upstreams`] has it.
+    /// The present life of an upstream's name, with the revision at which it was written, as [`View::upstreams`] has it.
     #[must_use]
-    pub fn written(&self, id: &id::Upstream) -> Option<(&Upstream, u64)> {
-        let item = self.items.get(&Subject::Upstream(id.clone()));
-        Some((self.upstream(id)?, item.map_or(0, |item| item.revision)))
+    pub fn written(&self, name: &id::Upstream) -> Option<(&Upstream, u64)> {
+        let item = self.items.get(&Subject::Upstream(name.clone()));
+        Some((self.present(name)?, item.map_or(0, |item| item.revision)))
+    }
+
+    fn present(&self, name: &id::Upstream) -> Option<&Upstream> {
+        let named = match self.items.get(&Subject::Upstream(name.clone())).and_then(|item| item.value.as_ref()) {
+            Some(Value::Upstream(upstream)) => Some(upstream).filter(|_| !self.early.contains(name)),
+            Some(_) | None => None,
+        };
+        named.or_else(|| self.lapsed.get(name))
     }
 
     /// How many things are remembered, those that are gone included.
@@ -397,6 +403,11 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Lives that began under a name that stood for another one, since this was called last.
+    pub fn take_begun(&mut self) -> Vec<id::Upstream> {
+        std::mem::take(&mut self.begun)
+    }
+
     fn replace(&mut self, to: u64, items: Vec<Item>, sure: bool) {
         let named: BTreeSet<_> = items.iter().map(|item| item.subject.clone()).collect();
         let known = self.items.values().filter(|item| item.value.is_some() && item.revision <= to);
@@ -448,6 +459,11 @@
         }
         if let Subject::Upstream(id) = &item.subject {
             let old = old.and_then(|old| old.value.clone());
+            if let (Some(Value::Upstream(earlier)), Some(Value::Upstream(present))) = (&old, &item.value)
+                && earlier.id != present.id
+            {
+                self.begun.push(present.id.clone());
+            }
             if item.value.is_none() {
                 self.early.remove(id);
             } else if old.is_none() && !self.lapsed.contains_key(id) && item.revision > self.revision {
--- a/crates/stairvale-replica/src/written.rs
+++ b/crates/stairvale-replica/src/written.rs
@@ -73,9 +73,9 @@
         let (mut upstreams, mut others) = (Vec::with_capacity(items.len()), Vec::new());
         for item in items {
             match (&item.subject, &item.value) {
-                (Subject::Upstream(id), Some(Value::Upstream(upstream))) if *id == upstream.id => {
+                (Subject::Upstream(name), Some(Value::Upstream(upstream))) if *name == upstream.id.name() => {
                     upstreams.push(Row {
-                        id: id.clone(),
+                        id: upstream.id.clone(),
                         revision: item.revision,
                         sure: item.sure,
                         service: names.place(upstream.service.as_str()),
@@ -133,7 +133,12 @@
                 version: row.version.map(|place| find(&versions, place)).transpose()?,
             };
             let value = Some(Value::Upstream(upstream));
-            items.push(Item { subject: Subject::Upstream(row.id), revision: row.revision, value, sure: row.sure });
+            items.push(Item {
+                subject: Subject::Upstream(row.id.name()),
+                revision: row.revision,
+                value,
+                sure: row.sure,
+            });
         }
         Ok(Self::Everything { to, items })
     }
--- a/crates/stairvale-replica/tests/view.rs
+++ b/crates/stairvale-replica/tests/view.rs
@@ -323,3 +323,26 @@
         true
     }
 }
+
+/// Lives of one name: the present one is that of the newest entry, whichever copy says so first.
+#[test]
+fn of_two_lives_of_a_name_only_the_newest_entry_counts() {
+    let entry = |revision, start: u64| {
+        let value = upstream(&format!("e0@{start}"), State::Ready);
+        Item::new(Subject::Upstream("e0".parse().unwrap()), revision, Some(value))
+    };
+    let mut view = View::default();
+    view.take(News::Everything { to: 5, items: vec![entry(5, 2_000)] });
+    let (earlier, present) = ("e0@1000".parse().unwrap(), "e0@2000".parse().unwrap());
+    assert!(view.is_usable(&present) && !view.is_usable(&earlier) && !view.is_usable(&"e0".parse().unwrap()));
+    // An older copy, as of a router that was cut off, doesn't bring the earlier life back.
+    view.take(News::Changes { after: 3, to: 4, items: vec![entry(4, 1_000)] });
+    assert!(view.is_usable(&present) && !view.is_usable(&earlier));
+    // What a lapsed entry said of an earlier life ends with the next one.
+    view.disturb(Moment::from_millis(10));
+    let gone = Item { sure: false, ..Item::new(Subject::Upstream("e0".parse().unwrap()), 6, None) };
+    view.take(News::Changes { after: 5, to: 6, items: vec![gone] });
+    assert!(view.is_usable(&present), "it may be back");
+    view.take(News::Changes { after: 6, to: 7, items: vec![entry(7, 3_000)] });
+    assert!(!view.is_usable(&present) && view.is_usable(&"e0@3000".parse().unwrap()));
+}
--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -52,6 +52,10 @@
         /// Where it is.
         address: SocketAddr,
     },
+    /// A life of an upstream has begun under a name that stood for another one: tell operators.
+    Begun(id::Upstream),
+    /// The life of the upstream that runs this request is over: another one of the same name has begun.
+    Over(id::Attempt),
     /// Another configuration is in force.
     Configured(Arc<Table>),
     /// Nothing new goes to the upstreams of a zone from now on, or they are used again.
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -24,6 +24,8 @@
             | Effect::Frames { .. }
             | Effect::Reply { .. }
             | Effect::Inspect { .. }
+            | Effect::Begun(_)
+            | Effect::Over(_)
             | Effect::Configured(_)
             | Effect::Evacuated { .. }
             | Effect::Write(_)
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -40,6 +40,8 @@
         }
         self.assign(now);
         self.learn_quarantines(now, &changed);
+        effects.extend(self.view.take_begun().into_iter().map(Effect::Begun));
+        effects.extend(self.end_lives(&changed));
         effects.extend(self.answer_askers(now));
         // Before upstreams: one that comes with an order gets no more than the order allows.
         effects.extend(self.learn_rollouts(now, &changed));
@@ -127,6 +129,21 @@
         self.answers(answers)
     }
 
+    /// Tells requests that run at an upstream whose name stands for a later life now: their answer can't come any more.
+    fn end_lives(&self, changed: &BTreeSet<Subject>) -> Vec<Effect> {
+        let mut over = Vec::new();
+        for subject in changed {
+            if let Subject::Upstream(name) = subject
+                && let Some((present, _)) = self.view.written(name)
+            {
+                let earlier = |id: &id::Upstream| id != &present.id && id.name() == *name;
+                let running = self.running.values().filter(|running| earlier(&running.held.upstream));
+                over.extend(running.map(|running| Effect::Over(running.held.attempt)));
+            }
+        }
+        over
+    }
+
     fn listing(&self, upstream: &Upstream, revision: u64) -> Listing {
         Listing {
             id: upstream.id.clone(),
--- a/crates/stairvale-serve/src/dialect.rs
+++ b/crates/stairvale-serve/src/dialect.rs
@@ -57,6 +57,15 @@
     pub last_event: Option<&'a str>,
 }
 
+/// What an engine says that it holds of prompts.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Inventory {
+    /// When the life started that says so, in milliseconds of Unix time, if it tells.
+    pub start: Option<u64>,
+    /// What it holds.
+    pub parts: Vec<Part>,
+}
+
 /// What an upstream's answer is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mark {
@@ -90,7 +99,7 @@
     /// The path at which an engine says what it holds of prompts, if it does.
     fn inventory_path(&self) -> Option<&'static str>;
     /// Reads what it says.
-    fn inventory(&self, body: &[u8]) -> Option<Vec<Part>>;
+    fn inventory(&self, body: &[u8]) -> Option<Inventory>;
     /// The path at which the balancer asks whether a router is ready.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -212,28 +212,25 @@
 
     /// Waits for a stream's first piece, so that a failure before it can be told as one.
     async fn first_piece(&mut self, mut reply: Reply) -> Result<(Reply, Option<Bytes>), Problem> {
-        match self.shared.clock.before(self.try_until(), relay::next(&mut reply.body)).await {
-            Ok(Ok(piece)) => {
+        match self.hear(&reply.permit, relay::next(&mut reply.body)).await {
+            Ok(piece) => {
                 reply.permit.begun();
                 self.shared.passed(Kind::Answer, &reply.permit, piece.as_ref().map_or(0, Bytes::len));
                 self.shared.metrics.answered(self.age());
                 Ok((reply, piece))
             }
-            Ok(Err(fault)) => Err(self.missed(&fault, reply.permit).await),
-            Err(_) => Err(self.missed(&Fault::Silent, reply.permit).await),
+            Err(fault) => Err(self.missed(&fault, reply.permit).await),
         }
     }
 
     /// Reads a plain answer to its end before any of it goes back.
     async fn whole(&mut self, reply: Reply) -> Result<Response<Body>, Problem> {
         let Reply { mut head, body, connection, permit } = reply;
-        let collected = self.shared.clock.before(self.try_until(), body.collect()).await;
-        let collected = match collected {
-            Ok(Ok(collected)) => collected,
-            Ok(Err(error)) => return Err(self.missed(&Fault::of(&error), permit).await),
-            Err(_) => return Err(self.missed(&Fault::Silent, permit).await),
-        }
-        .to_bytes();
+        let reading = async { body.collect().await.map_err(|error| Fault::of(&error)) };
+        let collected = match self.hear(&permit, reading).await {
+            Ok(collected) => collected.to_bytes(),
+            Err(fault) => return Err(self.missed(&fault, permit).await),
+        };
         self.shared.passed(Kind::Answer, &permit, collected.len());
         self.shared.upstreams.keep(connection, &head.headers);
         tracing::info!(
@@ -343,17 +340,13 @@
         self.shared.passed(Kind::Request, &permit, traffic::request_head(&request) + self.body.len());
         let (id, address) = (permit.upstream.id.clone(), permit.upstream.address);
         let sending = self.shared.upstreams.send(&id, address, request);
-        let Ok(sent) = self.shared.clock.before(self.try_until(), sending).await else {
-            self.tries.runs += 1;
-            return Err(Missed::MayHaveRun(self.missed(&Fault::Silent, permit).await));
-        };
-        let (answer, connection) = match sent {
+        let (answer, connection) = match self.hear(&permit, sending).await {
             Ok(sent) => sent,
             Err(Fault::Unreachable | Fault::Unsent) => {
                 permit.end(Outcome::Unreachable);
                 return Err(Missed::NotRun);
             }
-            Err(fault @ (Fault::Broken | Fault::Silent)) => {
+            Err(fault @ (Fault::Broken | Fault::Ended | Fault::Silent)) => {
                 self.tries.runs += 1;
                 return Err(Missed::MayHaveRun(self.missed(&fault, permit).await));
             }
@@ -391,6 +384,10 @@
                 permit.end(Outcome::Silent);
                 Problem::Late
             }
+            Fault::Ended => {
+                self.ended(permit);
+                Problem::Broken
+            }
             Fault::Broken | Fault::Unreachable | Fault::Unsent => {
                 self.broke_off(permit).await;
                 Problem::Broken
@@ -402,17 +399,30 @@
     /// ended may have ended because of the request.
     pub(crate) async fn broke_off(&self, permit: Permit) {
         let Upstream { id, address, .. } = &permit.upstream;
-        let outcome = if self.shared.upstreams.has_ended(id, *address).await {
-            self.shared.metrics.count("upstream-ended");
-            tracing::info!(
-                id = self.head.id, route = self.route.name, fingerprint = %self.fingerprint, upstream = %id,
-                ran_ms = millis(permit.held()), "an upstream ended under a request"
-            );
-            Outcome::Ended
+        if self.shared.upstreams.has_ended(id, *address).await {
+            self.ended(permit);
         } else {
-            Outcome::Failed
-        };
-        permit.end(outcome);
+            permit.end(Outcome::Failed);
+        }
+    }
+
+    /// An upstream ended while the request ran there.
+    pub(crate) fn ended(&self, permit: Permit) {
+        self.shared.metrics.count("upstream-ended");
+        tracing::info!(
+            id = self.head.id, route = self.route.name, fingerprint = %self.fingerprint, upstream = %permit.upstream.id,
+            ran_ms = millis(permit.held()), "an upstream ended under a request"
+        );
+        permit.end(Outcome::Ended);
+    }
+
+    /// Waits for what an upstream says, for as long as this try may take and its life lasts.
+    async fn hear<T>(&self, permit: &Permit, work: impl Future<Output = Result<T, Fault>>) -> Result<T, Fault> {
+        tokio::select! {
+            biased;
+            heard = self.shared.clock.before(self.try_until(), work) => heard.unwrap_or(Err(Fault::Silent)),
+            () = permit.life_over() => Err(Fault::Ended),
+        }
     }
 
     /// Reads a refusal to its end, so that its connection can be used again.
--- a/crates/stairvale-serve/src/inspect.rs
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -70,5 +70,8 @@
     }
     // Not kept: with thousands of engines, most of which this router never sends anything to, they would be as many.
     drop(connection);
-    dialect.inventory(&body)
+    let inventory = dialect.inventory(&body)?;
+    // Another life at the same address says nothing of this one; its entry is on its way.
+    let is_same = inventory.start.zip(upstream.start()).is_none_or(|(its, known)| its == known);
+    is_same.then_some(inventory.parts)
 }
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -5,7 +5,7 @@
 use stairvale_dispatch::{Ask, Held, Outcome, Verdict};
 use stairvale_replica::Upstream;
 use stairvale_types::{Moment, Refusal, id, outcome::Reason};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::{Shared, core::Reply};
 
@@ -37,6 +37,7 @@
     since: Moment,
     outcome: Outcome,
     took: Option<Duration>,
+    over: Arc<Notify>,
 }
 
 impl Permit {
@@ -57,6 +58,11 @@
         self.took = Some(self.shared.now().since(self.since));
     }
 
+    /// Waits until the life of the upstream is over, since another one of its name has begun.
+    pub async fn life_over(&self) {
+        self.over.notified().await;
+    }
+
     /// How long ago it was granted.
     #[must_use]
     pub fn held(&self) -> Duration {
@@ -66,6 +72,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        self.shared.run_no_more(self.attempt);
         self.shared.with(|core, now| core.end(now, self.attempt, self.outcome, self.took));
     }
 }
@@ -159,8 +166,9 @@
                     core.start(want.service, held, &asking.home, &want.ask.parts);
                     (now, source.and_then(|source| core.address(&source)))
                 });
+                let over = shared.run(attempt);
                 let (shared, outcome) = (shared.clone(), Outcome::Abandoned);
-                return Ok(Permit { shared, attempt, upstream: place, read, source, since, outcome, took: None });
+                return Ok(Permit { shared, attempt, upstream: place, read, source, since, outcome, took: None, over });
             }
             Some(Verdict::Refused(refusal)) => {
                 asking.open = false;
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -108,6 +108,7 @@
 enum End {
     Whole,
     Broken,
+    Ended,
     Silent,
     Late,
     Left,
@@ -129,10 +130,11 @@
                     self.exchange.shared.upstreams.keep(connection, &head.headers);
                 }
                 End::Broken => self.exchange.broke_off(permit).await,
+                End::Ended => self.exchange.ended(permit),
                 End::Silent => permit.end(Outcome::Silent),
                 End::Late | End::Left => permit.end(Outcome::Abandoned),
             }
-            if !matches!(end, End::Broken | End::Silent) || self.events.last().is_none() {
+            if !matches!(end, End::Broken | End::Ended | End::Silent) || self.events.last().is_none() {
                 break end;
             }
             self.exchange.avoid(&upstream);
@@ -181,6 +183,7 @@
             let piece = tokio::select! {
                 piece = clock.before(clock.now() + left.min(silence), next(&mut reply.body)) => piece,
                 () = self.sender.closed() => return End::Left,
+                () = reply.permit.life_over() => return End::Ended,
             };
             let Ok(piece) = piece else {
                 return if silence < left { End::Silent } else { End::Late };
@@ -199,6 +202,7 @@
                 Ok(None) if self.events.is_partial() => return End::Broken,
                 Ok(None) => return End::Whole,
                 Err(Fault::Silent) => return End::Silent,
+                Err(Fault::Ended) => return End::Ended,
                 Err(Fault::Broken | Fault::Unreachable | Fault::Unsent) => return End::Broken,
             }
         }
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -19,7 +19,7 @@
 use stairvale_wire::codec;
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
 };
 
 use crate::{
@@ -102,6 +102,8 @@
     links: Links<Frame, Inbox>,
     socket: Arc<UdpSocket>,
     waiting: Mutex<HashMap<id::Attempt, Waiter>>,
+    /// Tells requests that the life of their upstream is over.
+    running: Mutex<HashMap<id::Attempt, Arc<Notify>>>,
 }
 
 impl std::fmt::Debug for Shared {
@@ -138,6 +140,7 @@
             core: Mutex::new(core),
             socket,
             waiting: Mutex::default(),
+            running: Mutex::default(),
         })
     }
 
@@ -201,6 +204,18 @@
         self.waiting().remove(&attempt);
     }
 
+    /// A request runs from now on; what is given tells when the life of its upstream is over.
+    pub fn run(&self, attempt: id::Attempt) -> Arc<Notify> {
+        let over: Arc<Notify> = Arc::default();
+        self.running().insert(attempt, over.clone());
+        over
+    }
+
+    /// It runs no more.
+    pub fn run_no_more(&self, attempt: id::Attempt) {
+        self.running().remove(&attempt);
+    }
+
     /// Does what the core says.
     pub fn perform(&self, effects: Vec<Effect>) {
         for effect in effects {
@@ -228,6 +243,15 @@
                     // Nobody listens any more only when the process ends.
                     let _ = self.inspections.send(Inspection { service, upstream, address });
                 }
+                Effect::Begun(life) => {
+                    self.metrics.count("upstream-reborn");
+                    tracing::info!(upstream = %life, "an upstream came back under its name; nothing is believed of its earlier life");
+                }
+                Effect::Over(attempt) => {
+                    if let Some(over) = self.running().get(&attempt) {
+                        over.notify_one();
+                    }
+                }
                 Effect::Configured(table) => {
                     tracing::info!(version = table.version(), "a configuration is in force");
                     for region in
@@ -324,6 +348,10 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn running(&self) -> MutexGuard<'_, HashMap<id::Attempt, Arc<Notify>>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn waiting(&self) -> MutexGuard<'_, HashMap<id::Attempt, Waiter>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -46,6 +46,9 @@
     /// The connection broke, or what came is no answer; the request may have run.
     #[error("the upstream broke off")]
     Broken,
+    /// The upstream has ended: another life of its name has begun; the request may have run.
+    #[error("the upstream has ended")]
+    Ended,
     /// The upstream acknowledged nothing for too long; the request may have run.
     #[error("the upstream is silent")]
     Silent,
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -635,6 +635,8 @@
                 }
                 Effect::Surplus { surplus, .. } => self.surpluses.push(surplus.is_above),
                 Effect::Configured(_)
+                | Effect::Begun(_)
+                | Effect::Over(_)
                 | Effect::Evacuated { .. }
                 | Effect::Stage { .. }
                 | Effect::Say(_)
--- a/crates/stairvale-types/src/id.rs
+++ b/crates/stairvale-types/src/id.rs
@@ -24,6 +24,9 @@
     /// A number that is not hexadecimal or too large.
     #[error("a hexadecimal number is expected")]
     Number,
+    /// The start of a life that is no whole number of milliseconds.
+    #[error("the start of a life is a whole number of milliseconds")]
+    Start,
 }
 
 fn check(text: &str) -> Result<(), Error> {
@@ -42,6 +45,9 @@
 
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
+        name! { $(#[$doc])* $name, check }
+    };
+    ($(#[$doc:meta])* $name:ident, $check:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -73,7 +79,7 @@
             type Err = Error;
 
             fn from_str(text: &str) -> Result<Self, Error> {
-                check(text)?;
+                $check(text)?;
                 Ok(Self(text.into()))
             }
         }
@@ -119,8 +125,11 @@
     Service
 }
 name! {
-    /// A back end that runs requests: an engine of a model service, or a VM of a plain service.
-    Upstream
+    /// One life of a back end that runs requests: an engine of a model service, or a VM of a plain service.
+    ///
+    /// It is written `NAME`, or `NAME@START` where it is known when that life started, in milliseconds of Unix time. Lives of one
+    /// name that started at different times are different upstreams: nothing that is known of one is true of another.
+    Upstream, check_life
 }
 
 name! {
@@ -128,6 +137,43 @@
     Version
 }
 
+/// What stands between the name of an upstream and the start of its life.
+const START: char = '@';
+
+/// A name, or a name and a start.
+fn check_life(text: &str) -> Result<(), Error> {
+    let Some((name, start)) = text.split_once(START) else {
+        return check(text);
+    };
+    check(name)?;
+    // Written in one way only, so that a life has one id.
+    let number: u64 = start.parse().map_err(|_| Error::Start)?;
+    if number.to_string() == start { Ok(()) } else { Err(Error::Start) }
+}
+
+impl Upstream {
+    /// The name, which other lives may have, too.
+    #[must_use]
+    pub fn name(&self) -> Self {
+        match self.0.split_once(START) {
+            Some((name, _)) => Self(name.into()),
+            None => self.clone(),
+        }
+    }
+
+    /// When this life started, in milliseconds of Unix time, where that is known.
+    #[must_use]
+    pub fn start(&self) -> Option<u64> {
+        self.0.split_once(START)?.1.parse().ok()
+    }
+
+    /// The life of this name that started then.
+    #[must_use]
+    pub fn with_start(&self, start: u64) -> Self {
+        Self(format!("{}{START}{start}", self.name()).into())
+    }
+}
+
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $int:ty, $format:literal) => {
         $(#[$doc])*
