--- a/crates/stairvale-replica/src/item.rs
+++ b/crates/stairvale-replica/src/item.rs
@@ -64,6 +64,8 @@
     Rollout(Record),
     /// A request goes nowhere for this long from when it was written.
     Quarantine(Duration),
+    /// Something that can't be read: it says nothing, but that what stood there before is over.
+    Unreadable,
 }
 
 /// One life of an upstream.
--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -127,7 +127,8 @@
             | Value::Evacuation
             | Value::Order(_)
             | Value::Rollout(_)
-            | Value::Quarantine(_) => None,
+            | Value::Quarantine(_)
+            | Value::Unreadable => None,
         }
     }
 
@@ -141,7 +142,8 @@
             | Value::Evacuation
             | Value::Order(_)
             | Value::Rollout(_)
-            | Value::Quarantine(_) => None,
+            | Value::Quarantine(_)
+            | Value::Unreadable => None,
         });
         let lapsed = self.lapsed.values().map(|upstream| {
             let item = self.items.get(&Subject::Upstream(upstream.id.name()));
@@ -193,7 +195,8 @@
             | Value::Evacuation
             | Value::Order(_)
             | Value::Rollout(_)
-            | Value::Quarantine(_) => None,
+            | Value::Quarantine(_)
+            | Value::Unreadable => None,
         }
     }
 
@@ -206,7 +209,8 @@
             | Value::Evacuation
             | Value::Order(_)
             | Value::Rollout(_)
-            | Value::Quarantine(_) => None,
+            | Value::Quarantine(_)
+            | Value::Unreadable => None,
         })
     }
 
@@ -269,7 +273,8 @@
             | Value::Router(_)
             | Value::Evacuation
             | Value::Rollout(_)
-            | Value::Quarantine(_) => None,
+            | Value::Quarantine(_)
+            | Value::Unreadable => None,
         }
     }
 
@@ -284,7 +289,8 @@
             | Value::Router(_)
             | Value::Evacuation
             | Value::Order(_)
-            | Value::Quarantine(_) => None,
+            | Value::Quarantine(_)
+            | Value::Unreadable => None,
         }
     }
 
@@ -298,7 +304,8 @@
             | Value::Router(_)
             | Value::Evacuation
             | Value::Order(_)
-            | Value::Rollout(_) => None,
+            | Value::Rollout(_)
+            | Value::Unreadable => None,
         }
     }
 
--- a/crates/stairvale-serve/src/source.rs
+++ b/crates/stairvale-serve/src/source.rs
@@ -91,6 +91,8 @@
     /// Writes the record of a roll-out, if it still is as expected, and with it what the operator is told of its stage: both or
     /// nothing. After [`Fault::Refused`] nothing was done; after any other it may have been, or may be later.
     fn record(&self, write: &Write) -> impl Future<Output = Result<Written, Fault>> + Send;
+    /// How many changes of entries couldn't be read since this was asked last; each counts once.
+    fn take_unreadable(&self) -> usize;
     /// Keeps a lease.
     fn renew(&self, lease: &Self::Lease) -> impl Future<Output = Result<(), Fault>> + Send;
 }
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -60,6 +60,9 @@
             Some(Reading::Stale) => source.everything(Consistency::Stale).await,
             Some(Reading::Changes(wait)) => source.changes(revision, wait).await,
         };
+        for _ in 0..source.take_unreadable() {
+            shared.metrics.count("entry-unreadable");
+        }
         let stale = reading == Some(Reading::Stale) && !forgotten;
         let fault = match news {
             Ok(news) => {
