--- /dev/null
+++ b/crates/stairvale-membership/src/swim/probe.rs
@@ -0,0 +1,114 @@
+//! Probing peers, one each period, by helpers where one doesn't answer, and burying those that don't.
+
+use std::net::SocketAddr;
+
+use rand::seq::{IndexedRandom, SliceRandom};
+use stairvale_types::{Moment, id};
+use stairvale_wire::{Member, Status, Update, packet::Body};
+
+use super::{BURIAL, Effect, Favour, Peer, Probe, REVIVE_EVERY, Swim, is_live};
+
+impl Swim {
+    pub(super) fn start_probe(&mut self, now: Moment) -> Vec<Effect> {
+        self.number += 1;
+        let number = self.number;
+        let mut effects = self.knock(number);
+        if self.round.is_empty() {
+            self.round = self.live_peers().map(|member| member.router.clone()).collect();
+            self.round.shuffle(&mut self.rng);
+        }
+        let Some(target) = self.round.pop() else {
+            return effects;
+        };
+        let Some(peer) = self.peers.get(&target).filter(|peer| is_live(peer.member.status)) else {
+            return effects;
+        };
+        let to = peer.member.address;
+        self.probe = Some(Probe { target, number, sent: now, helped: false });
+        effects.push(self.packet(to, Body::Ping { probe: number }));
+        effects
+    }
+
+    /// Tries addresses that nobody has answered from, and now and then a dead router.
+    pub(super) fn knock(&mut self, number: u64) -> Vec<Effect> {
+        let known: Vec<_> = self.peers.values().map(|peer| peer.member.address).collect();
+        self.seeds.retain(|seed| !known.contains(seed));
+        let mut to: Vec<SocketAddr> = Vec::new();
+        to.extend(self.seeds.choose(&mut self.rng));
+        if number.is_multiple_of(REVIVE_EVERY) {
+            let dead = self.peers.values().filter(|peer| peer.member.status == Status::Dead);
+            let dead: Vec<_> = dead.map(|peer| peer.member.address).collect();
+            to.extend(dead.choose(&mut self.rng));
+        }
+        to.into_iter().map(|to| self.packet(to, Body::Ping { probe: 0 })).collect()
+    }
+
+    pub(super) fn ask_helpers(&mut self, now: Moment) -> Vec<Effect> {
+        let timeout = self.settings.timeout;
+        let Some(probe) = self.probe.as_mut().filter(|p| !p.helped && now.since(p.sent) >= timeout) else {
+            return Vec::new();
+        };
+        probe.helped = true;
+        let probe = probe.clone();
+        let others: Vec<_> = self.live_peers().filter(|m| m.router != probe.target).map(|m| m.address).collect();
+        let helpers: Vec<_> = others.choose_multiple(&mut self.rng, self.settings.helpers).copied().collect();
+        let body = Body::Indirect { probe: probe.number, target: probe.target };
+        helpers.into_iter().map(|to| self.packet(to, body.clone())).collect()
+    }
+
+    pub(super) fn judge_probe(&mut self, now: Moment) -> Vec<Effect> {
+        let Some(probe) = self.probe.take() else {
+            return Vec::new();
+        };
+        let Some(peer) = self.peers.get(&probe.target) else {
+            return Vec::new();
+        };
+        if peer.member.status != Status::Alive {
+            return Vec::new();
+        }
+        let member = Member { status: Status::Suspect, ..peer.member.clone() };
+        self.learn(now, Update::Member(member))
+    }
+
+    pub(super) fn acked(&mut self, now: Moment, number: u64, from: SocketAddr, name: &id::Router) -> Vec<Effect> {
+        if let Some(index) = self.favours.iter().position(|favour| favour.number == number && number != 0) {
+            let favour = self.favours.swap_remove(index);
+            return vec![self.packet(favour.asker, Body::Ack { probe: favour.theirs })];
+        }
+        if let Some(target) = self.probe.as_ref().filter(|probe| probe.number == number).map(|probe| &probe.target) {
+            let replaced =
+                self.peers.get(target).filter(|peer| &peer.member.router != name && peer.member.address == from);
+            // Another router has its address: it is gone.
+            if let Some(gone) = replaced.map(|peer| Member { status: Status::Dead, ..peer.member.clone() }) {
+                self.probe = None;
+                return self.learn(now, Update::Member(gone));
+            }
+            self.probe = None;
+        }
+        // A suspect that answers refutes by its own update, which rides on the same packet.
+        Vec::new()
+    }
+
+    pub(super) fn favour(&mut self, now: Moment, asker: SocketAddr, theirs: u64, target: &id::Router) -> Vec<Effect> {
+        let Some(address) = self.peers.get(target).map(|peer| peer.member.address) else {
+            return Vec::new();
+        };
+        self.number += 1;
+        let until = now + self.settings.every;
+        self.favours.push(Favour { number: self.number, theirs, asker, until });
+        vec![self.packet(address, Body::Ping { probe: self.number })]
+    }
+
+    pub(super) fn bury(&mut self, now: Moment) -> Vec<Effect> {
+        let suspicion = self.settings.suspicion;
+        let overdue = |peer: &&Peer| peer.member.status == Status::Suspect && now.since(peer.since) >= suspicion;
+        let overdue: Vec<_> = self.peers.values().filter(overdue).map(|peer| peer.member.clone()).collect();
+        let forgotten = |peer: &Peer| peer.member.status >= Status::Leaving && now.since(peer.since) >= BURIAL;
+        let before = self.peers.len();
+        self.peers.retain(|_, peer| !forgotten(peer));
+        self.revision += u64::from(self.peers.len() != before);
+        let dead = overdue.into_iter().map(|member| Member { status: Status::Dead, ..member });
+        let dead: Vec<_> = dead.collect();
+        dead.into_iter().flat_map(|member| self.learn(now, Update::Member(member))).collect()
+    }
+}
--- a/crates/stairvale-serve/src/body.rs
+++ b/crates/stairvale-serve/src/body.rs
@@ -7,9 +7,12 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::upstream::Fault;
+
 /// An answer that broke off: the caller's connection is cut, so that it doesn't look whole.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("the answer broke off")]
@@ -66,3 +69,19 @@
         }
     }
 }
+
+/// The next piece of a body that isn't empty; `None` at its end.
+///
+/// # Errors
+/// A [`Fault`] if it didn't come whole.
+pub async fn next(body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Fault::of(&error))?;
+        if let Ok(piece) = frame.into_data()
+            && !piece.is_empty()
+        {
+            return Ok(Some(piece));
+        }
+    }
+    Ok(None)
+}
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -21,8 +21,9 @@
     body::Body,
     core::Core,
     dialect::Head,
-    exchange::{Exchange, millis},
+    exchange::{Exchange, Served, millis},
     problem::Problem,
+    relay,
 };
 
 /// After a failed accept, such as for want of descriptors.
@@ -94,7 +95,10 @@
         Err(problem) => Err(problem),
     };
     let mut answer = match served {
-        Ok(exchange) => exchange.run().await,
+        Ok(mut exchange) => match exchange.run().await {
+            Served::Whole(answer) => answer,
+            Served::Stream(reply, first) => relay::start(exchange, *reply, first),
+        },
         Err(problem) => {
             shared.metrics.count(problem.word());
             let (version, age) = shared.look(|core, now| (core.table().version(), core.view().age(now)));
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -4,15 +4,13 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Response, header};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use stairvale_dispatch::Outcome;
 use stairvale_table as table;
 use tokio::sync::mpsc;
 
 use crate::{
     Dialect,
-    body::{Body, Broken},
+    body::{Body, Broken, next},
     exchange::{Exchange, Reply, millis},
     hop::strip,
     traffic::Kind,
@@ -26,22 +24,6 @@
 /// And not before this.
 const SILENCE_LEAST: Duration = Duration::from_millis(900);
 
-/// The next piece of a body that isn't empty; `None` at its end.
-///
-/// # Errors
-/// A [`Fault`] if it didn't come whole.
-pub async fn next(body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| Fault::of(&error))?;
-        if let Ok(piece) = frame.into_data()
-            && !piece.is_empty()
-        {
-            return Ok(Some(piece));
-        }
-    }
-    Ok(None)
-}
-
 /// Cuts a stream of events into whole ones and remembers the last one's id.
 #[derive(Debug, Default)]
 pub struct Events {
