--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -217,7 +217,10 @@
         let cold = self.rules.cold.map_or(Duration::ZERO, |cold| cold.time);
         let first = self.members.is_empty();
         for listing in known {
-            answers.extend(self.begin_life(now, &listing.id));
+            // Most listings are of a life that is known to be the present one.
+            if self.members.get(&listing.id).is_none_or(Member::is_gone) {
+                answers.extend(self.begin_life(now, &listing.id));
+            }
             let member = self.members.entry(listing.id.clone()).or_insert_with(|| {
                 let mut member = Member::new(listing.id.clone(), listing.zone.clone(), listing.slots, memory);
                 if !first {
