--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -205,17 +205,34 @@
 
     /// Sets the upstreams that exist.
     pub fn set_members(&mut self, now: Moment, known: &[Listing]) -> Vec<Answer> {
-        let named: BTreeSet<_> = known.iter().map(|listing| listing.id.name()).collect();
-        let gone: Vec<_> = self.lives.keys().filter(|name| !named.contains(*name)).cloned().collect();
-        self.update(now, known, &gone)
+        let answers = self.list(now, known);
+        let named: BTreeSet<_> = known.iter().map(|listing| &listing.id).collect();
+        let present = self.members.values().filter(|member| !member.is_gone());
+        let gone: Vec<_> = present.map(|member| &member.id).filter(|id| !named.contains(id)).cloned().collect();
+        for life in gone {
+            self.lives.remove(&life.name());
+            self.leave(life);
+        }
+        self.settle(now, answers)
     }
 
     /// Takes what the store says of some upstreams, and the names of others that have gone.
     pub fn update(&mut self, now: Moment, known: &[Listing], gone: &[id::Upstream]) -> Vec<Answer> {
-        let mut answers = Vec::new();
+        let answers = self.list(now, known);
+        for name in gone {
+            if let Some(life) = self.lives.remove(name) {
+                self.leave(life);
+            }
+        }
+        self.settle(now, answers)
+    }
+
+    /// Takes what the store says of some upstreams.
+    fn list(&mut self, now: Moment, known: &[Listing]) -> Vec<Answer> {
         let memory = self.rules.engine.map_or(0, |memory| u64::from(memory.0));
         let cold = self.rules.cold.map_or(Duration::ZERO, |cold| cold.time);
         let first = self.members.is_empty();
+        let mut answers = Vec::new();
         for listing in known {
             // Most listings are of a life that is known to be the present one.
             if self.members.get(&listing.id).is_none_or(Member::is_gone) {
@@ -234,11 +251,11 @@
             self.versions.place(member);
             self.holders.follow(member);
         }
-        for name in gone {
-            if let Some(life) = self.lives.remove(name) {
-                self.leave(life);
-            }
-        }
+        answers
+    }
+
+    /// Counts the members anew and grants what waits, after they changed.
+    fn settle(&mut self, now: Moment, mut answers: Vec<Answer>) -> Vec<Answer> {
         self.bury();
         self.recount();
         answers.extend(self.serve(now));
