What ran in an earlier life of an upstream counts as run where it ended

Cause: read in the diff: a home that hears of the later life first let the holds go as abandoned, and the entry's word of the end came to a hold that was gone, so that end accused nobody. Change: they are let go as ended. A test, which fails without it (0 ends in place of 1, by the code: a hold that is gone tells nothing).

--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -277,7 +277,7 @@
         };
         let held: Vec<_> = self.members.get(&earlier).map_or_else(Vec::new, |member| member.which(|_| true));
         self.leave(earlier);
-        held.into_iter().flat_map(|attempt| self.release(now, attempt, Outcome::Abandoned, None)).collect()
+        held.into_iter().flat_map(|attempt| self.release(now, attempt, Outcome::Ended, None)).collect()
     }
 
     /// Counts the members anew.
--- a/crates/stairvale-dispatch/tests/lives.rs
+++ b/crates/stairvale-dispatch/tests/lives.rs
@@ -94,3 +94,13 @@
     pool.update(at(100), &[], &["e0".parse().unwrap()]);
     assert_eq!(pool.members().count(), 0);
 }
+
+/// Its entry's word on that comes when the home has let it go already.
+#[test]
+fn an_earlier_life_ended_under_what_ran_there() {
+    let mut pool = pool();
+    pool.ask(at(10), ask(1));
+    pool.update(at(400), &[listing("e0@2000", 2)], &[]);
+    pool.release(at(410), id::Attempt(1), Outcome::Ended, None);
+    assert_eq!(pool.suspects().ends(id::Fingerprint(1)), 1);
+}
