--- a/crates/stairvale-dispatch/src/suspects.rs
+++ b/crates/stairvale-dispatch/src/suspects.rs
@@ -16,9 +16,9 @@
 /// Ends under one request in a row that need no comparison. A request that is innocent would have to be sent this often, to an
 /// upstream that ends by itself each time; what is the cause ends two more upstreams than it must where many end anyway.
 pub const MOST: usize = 5;
-/// A request is found to be the cause when one that isn't would meet as many ends as often as this. In ten thousand requests
-/// that are each sent three times to upstreams that end by themselves, half of them within ten seconds, none was found
-/// (`tests/suspects.rs`).
+/// A request is found to be the cause when one that isn't would meet as many ends as often as this. Of ten thousand requests, each
+/// sent up to three times while half of the upstreams end by themselves every 2 to 20 seconds, none was found; the cause was
+/// after five ends (`tests/suspects.rs`).
 const CHANCE: f64 = 1e-6;
 /// Upstreams differ, and those that are busy end more often: the mean of all is taken this many times.
 const MARGIN: f64 = 4.0;
