--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -111,6 +111,8 @@
     names: HashMap<usize, (Naming, u64)>,
     /// Frames that carried changes of the store from one router to another.
     pub told: usize,
+    /// Requests whose upstream's life was over, and the routers that were told so by themselves.
+    pub over: Vec<(usize, id::Attempt)>,
     /// Requests that were found to be the cause of upstreams' ends.
     pub found: Vec<id::Fingerprint>,
     /// Whether a customer went above its share, or was no longer, each time that a home told.
@@ -201,6 +203,7 @@
             names: HashMap::new(),
             told: 0,
             found: Vec::new(),
+            over: Vec::new(),
             surpluses: Vec::new(),
             counted: None,
             crossed: BTreeMap::new(),
@@ -300,6 +303,22 @@
         self.put(Subject::Upstream(id), value);
     }
 
+    /// An engine's process starts, maybe under the name of one that ran before: its entry tells when.
+    pub fn begin_engine(&mut self, engine: usize, zone: usize, start: u64) {
+        let name: id::Upstream = format!("e{engine}").parse().unwrap();
+        let upstream = Upstream {
+            id: name.with_start(start),
+            service: "chat".parse().unwrap(),
+            address: engine_address(engine),
+            zone: format!("z{zone}").parse().unwrap(),
+            slots: self.slots,
+            state: State::Ready,
+            cold: Duration::ZERO,
+            version: None,
+        };
+        self.put(Subject::Upstream(name), Some(Value::Upstream(upstream)));
+    }
+
     /// A zone is evacuated, or taken back into use.
     pub fn evacuate(&mut self, zone: usize, evacuated: bool) {
         let subject = Subject::Evacuation(format!("z{zone}").parse().unwrap());
@@ -634,9 +653,9 @@
                     }
                 }
                 Effect::Surplus { surplus, .. } => self.surpluses.push(surplus.is_above),
+                Effect::Over(attempt) => self.over.push((index, attempt)),
                 Effect::Configured(_)
                 | Effect::Begun(_)
-                | Effect::Over(_)
                 | Effect::Evacuated { .. }
                 | Effect::Stage { .. }
                 | Effect::Say(_)
