Tests: how long a refusal lasts, and thousands of requests that each end one upstream

Change: tests only. A request that was found is tried once after two minutes: unmended it ends one more engine and is kept for four; mended it is like any other. 5,000 requests that each end one upstream, with ten others beside each, accuse nobody, and memory stays bounded.

--- a/crates/stairvale-dispatch/tests/suspects.rs
+++ b/crates/stairvale-dispatch/tests/suspects.rs
@@ -118,6 +118,26 @@
     assert_eq!(suspects.ends(CAUSE), 2);
 }
 
+#[test]
+fn thousands_of_requests_that_each_end_one_upstream_accuse_nobody_else() {
+    let mut suspects = seen();
+    for number in 0..5_000 {
+        let now = 60_000 + number * 50;
+        // Ten others run there each time, three of them for the second or third time.
+        let others =
+            (0..7).map(|other| 100_000 + number * 7 + other).chain((0..3).map(|other| 50 + (number * 3 + other) % 900));
+        for other in others.chain([10_000 + number]) {
+            suspects.learn(at(now), &ended(id::Fingerprint(other), number, 400));
+        }
+        assert_eq!(suspects.judge(at(now + 40), 12), [], "after {number} of them");
+        // Those come again, and end well at an upstream that lives.
+        for other in (0..3).map(|other| 50 + (number * 3 + other) % 900) {
+            suspects.learn(at(now + 45), &Evidence::Served { fingerprint: id::Fingerprint(other) });
+        }
+        assert!(suspects.len() <= 4_096);
+    }
+}
+
 /// Upstreams some of which end by themselves, and requests that are sent again until they have been served or were sent often
 /// enough.
 struct Day {
--- a/crates/stairvale-serve/tests/quarantine.rs
+++ b/crates/stairvale-serve/tests/quarantine.rs
@@ -239,3 +239,36 @@
         assert!(ends[19] <= most, "{kind:?}: {ends:?}");
     }
 }
+
+/// Sends the request until it is refused for good; gives how many engines have ended by then.
+fn until_refused(trouble: &mut Trouble) -> usize {
+    for round in 0..40 {
+        trouble.send(round % 9);
+        trouble.run(300);
+    }
+    trouble.ended.len()
+}
+
+#[test]
+fn when_its_time_is_over_it_is_tried_once_and_either_is_like_any_other_or_kept_for_longer() {
+    let mut trouble = Trouble::new(9, 3, 12);
+    assert_eq!(until_refused(&mut trouble), 3);
+    // Two minutes after it was found; the rounds above took twelve seconds.
+    trouble.run(121_000);
+    assert_eq!(until_refused(&mut trouble), 4, "one more engine, not three");
+    trouble.run(121_000);
+    assert_eq!(until_refused(&mut trouble), 4, "it is kept for four minutes now");
+    trouble.run(121_000);
+    // The cause is mended meanwhile: it ends well.
+    let home = trouble.world.ask_for(2, 900_000, FATAL);
+    trouble.world.run(100);
+    trouble.world.start_for(2, 900_000, &home, FATAL).unwrap();
+    trouble.world.end(2, 900_000);
+    trouble.world.run(200);
+    for number in 900_001..900_010 {
+        let home = trouble.world.ask_for(4, number, FATAL);
+        trouble.world.run(50);
+        assert!(trouble.world.start_for(4, number, &home, FATAL).is_some(), "it is like any other");
+        trouble.world.end(4, number);
+    }
+}
