--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -703,7 +703,7 @@
         home
     }
 
-    /// Such a request was placed, and its upstream ends; gives that.
+    /// A request that a home was asked for runs from now on, if it was placed; gives its place.
     pub fn start_for(
         &mut self,
         index: usize,
@@ -711,15 +711,9 @@
         home: &id::Router,
         fingerprint: id::Fingerprint,
     ) -> Option<id::Upstream> {
-        let upstream = self.granted(index, number)?;
-        let held = Held {
-            attempt: id::Attempt(number),
-            upstream: upstream.clone(),
-            read: 0,
-            customer: None,
-            route: id::Route(0),
-            fingerprint,
-        };
+        let (attempt, upstream) = (id::Attempt(number), self.granted(index, number)?);
+        let (customer, route) = (None, id::Route(0));
+        let held = Held { attempt, upstream: upstream.clone(), read: 0, customer, route, fingerprint };
         self.nodes[index].core.start(&"chat".parse().unwrap(), held, home, &[]);
         Some(upstream)
     }
@@ -751,17 +745,7 @@
     pub fn hold(&mut self, index: usize, number: u128, parts: &[(u64, u32)]) -> Option<id::Upstream> {
         let home = self.ask(index, number, parts);
         self.run(50);
-        let upstream = self.granted(index, number)?;
-        let held = Held {
-            attempt: id::Attempt(number),
-            upstream: upstream.clone(),
-            read: 0,
-            customer: None,
-            route: id::Route(0),
-            fingerprint: id::Fingerprint::default(),
-        };
-        self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
-        Some(upstream)
+        self.start_for(index, number, &home, id::Fingerprint::default())
     }
 
     /// A request that is placed, runs and ends; gives its place.
@@ -774,17 +758,9 @@
 
     /// A request that was placed, if it was, runs and ends.
     pub fn finish(&mut self, index: usize, number: u128) {
-        if let Some(upstream) = self.granted(index, number) {
+        if self.granted(index, number).is_some() {
             let home = self.nodes[index].core.home_of(&"chat".parse().unwrap()).unwrap();
-            let held = Held {
-                attempt: id::Attempt(number),
-                upstream,
-                read: 0,
-                customer: None,
-                route: id::Route(0),
-                fingerprint: id::Fingerprint::default(),
-            };
-            self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
+            self.start_for(index, number, &home, id::Fingerprint::default());
             self.end(index, number);
         }
     }
@@ -807,16 +783,7 @@
         self.run(30);
         let mut places = Vec::new();
         for (number, home) in homes {
-            if let Some(upstream) = self.granted(index, number) {
-                let held = Held {
-                    attempt: id::Attempt(number),
-                    upstream: upstream.clone(),
-                    read: 0,
-                    customer: None,
-                    route: id::Route(0),
-                    fingerprint: id::Fingerprint::default(),
-                };
-                self.nodes[index].core.start(&"chat".parse().unwrap(), held, &home, &[]);
+            if let Some(upstream) = self.start_for(index, number, &home, id::Fingerprint::default()) {
                 self.end(index, number);
                 places.push(upstream);
             }
