--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -1,6 +1,7 @@
 //! The home's account of a service's upstreams, and its decisions.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -73,6 +74,8 @@
     paths: paths::Paths,
     /// Whether every decision looks at all members.
     whole_look: bool,
+    /// Members that were looked at so far.
+    looks: Cell<u64>,
     /// The hashes of the members' ids.
     hashes: Vec<u64>,
     /// Members that may be given new work.
@@ -119,6 +122,7 @@
             holders: holders::Holders::default(),
             paths: paths::Paths::default(),
             whole_look: false,
+            looks: Cell::default(),
             hashes: Vec::new(),
             usable: 0,
             readers: RapidHashMap::default(),
@@ -194,6 +198,17 @@
         self.members.values()
     }
 
+    /// Members that were looked at so far, for decisions and for what entries say. What one of these takes follows from it.
+    #[must_use]
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
+    /// Some members are looked at.
+    pub(super) fn count_looks(&self, members: usize) {
+        self.looks.set(self.looks.get() + members as u64);
+    }
+
     // ------------------------------------------------------------------------
     // Changes.
 
@@ -464,6 +479,7 @@
     }
 
     fn drop_holds(&mut self, now: Moment, gone: impl Fn(&Hold) -> bool) {
+        self.count_looks(self.members.len());
         let mut lost = Vec::new();
         for member in self.members.values_mut().filter(|member| !member.held().is_empty()) {
             for attempt in member.which(&gone) {
@@ -495,6 +511,7 @@
 
     /// The share of bad outcomes among the other upstreams: the median.
     fn usual(&self, now: Moment, except: &id::Upstream) -> f64 {
+        self.count_looks(self.members.len());
         let within = self.reach(now);
         let others = self.members.values().filter(|member| &member.id != except && within.has(member));
         let mut shares: Vec<_> = others.map(|member| member.health.failing(now)).collect();
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -158,6 +158,7 @@
                 && self.allows(&look.chance, member, resort)
                 && self.has_room(member, ask, look.bound)
         };
+        self.count_looks(members.len());
         let mut best: Option<(Bid<'a>, u64)> = None;
         for member in members.iter().filter(|member| candidate(member)) {
             let score = look.order.score(member);
@@ -264,13 +265,18 @@
         }
         // Nobody holds more than those that hold all.
         let most = two(&mut full.iter().copied());
-        if most.len() == 2 { most } else { two(&mut self.members.values()) }
+        if most.len() == 2 {
+            return most;
+        }
+        self.count_looks(self.members.len());
+        two(&mut self.members.values())
     }
 
     /// The members in the order in which any router would try them for a prompt, by the last part that others share.
     fn order(&self, parts: &[Part]) -> Order {
         let shared = if parts.len() > 1 { &parts[..parts.len() - 1] } else { parts };
         let key = cache::name(shared);
+        self.count_looks(self.hashes.len());
         let mut scores: Vec<_> = self.hashes.iter().map(|hash| mix(key, *hash)).collect();
         if scores.len() > STEPS {
             scores.select_nth_unstable_by(STEPS, |a, b| b.cmp(a));
--- a/crates/stairvale-dispatch/src/pool/follow.rs
+++ b/crates/stairvale-dispatch/src/pool/follow.rs
@@ -37,6 +37,7 @@
         if !ask.shared().iter().any(|part| self.readers.contains_key(&part.id)) {
             return None;
         }
+        self.count_looks(2 * self.members.len());
         let within = self.reach(now);
         let reached = || self.members.values().filter(|member| within.has(member) && ask.allows(&member.zone));
         let ready = reached().map(|member| member.cache.ready(ask.shared())).max()?;
--- a/crates/stairvale-dispatch/src/pool/holders.rs
+++ b/crates/stairvale-dispatch/src/pool/holders.rs
@@ -55,6 +55,7 @@
 
     /// Engines of which nobody has told what they hold. Each is named once.
     pub fn unknown(&mut self) -> Vec<id::Upstream> {
+        self.count_looks(self.members.len());
         let unknown = self.members.values_mut().filter(|member| member.memory > 0 && !member.known);
         let unknown = unknown.map(|member| {
             member.known = true;
