A home's work for a request no longer grows with the number of upstreams

Cause: a decision about a prompt that few engines hold, each word of an entry, each tick, each failure went through all upstreams; the tick at every router, since each keeps an account of every service.

Ruled out: a larger time for a home to answer (it only moves the late requests), asking entries to renew more seldom (holds of a router that died would stay longer).

Change: decisions look at those that hold some of the prompt and at 128 that follow the prompt's point on a ring of hashes; only where none of these fits, at all. Fleets of up to 128 upstreams decide as before, to the letter (the two histories that compare a short look with a whole one). What runs is kept by entry, so renewals and ticks go through that alone; engines that nobody has told of stand in a list; how many may be given work is counted as they change.

With 30 engines a new prompt takes 13 us in place of 6, with 90 26 in place of 16: the price of choosing from lists, not mended. Looks a request at 8,000 engines: 32,000 before; tests/looks.rs now passes, and says that a crowded fleet of 600 engines is served as well by a short look as by a whole one (tokens to be read, busiest engine).

--- a/crates/stairvale-dispatch/benches/pool.rs
+++ b/crates/stairvale-dispatch/benches/pool.rs
@@ -6,7 +6,7 @@
 
 use divan::{Bencher, black_box};
 use stairvale_dispatch::{
-    Ask, Listing, Outcome, Part, Pool,
+    Ask, Held, Listing, Outcome, Part, Pool,
     pool::{Cold, Rules},
 };
 use stairvale_rollout::{Policy, Reservation, Stage};
@@ -17,7 +17,7 @@
 }
 
 /// Engines of a service.
-const ENGINES: [usize; 5] = [30, 90, 300, 1_000, 3_000];
+const ENGINES: [usize; 6] = [30, 90, 300, 1_000, 3_000, 9_600];
 /// Prompts' shared beginnings that are in use: each is held by some engines.
 const BEGINNINGS: u64 = 600;
 
@@ -94,6 +94,36 @@
     });
 }
 
+/// The same for prompts that share nothing with those before.
+#[divan::bench(args = ENGINES, sample_count = 10, sample_size = 100)]
+fn request_of_a_new_prompt(bencher: Bencher, engines: usize) {
+    let (mut pool, mut now, mut number) = pool(engines);
+    bencher.bench_local(|| {
+        number += 1;
+        now += 1_000_000 / (engines as u64 * 5);
+        let new = |index: u64, tokens| Part { id: 2_000_000 + number * 3 + index, tokens };
+        let ask = Ask { parts: vec![new(0, 2_500), new(1, 6_000), new(2, 500)], ..ask(number) };
+        black_box(pool.ask(Moment(now), ask));
+        black_box(pool.unknown());
+        black_box(pool.begun(Moment(now), id::Attempt(u128::from(number)), Duration::from_millis(50)));
+        let earlier = id::Attempt(u128::from(number - engines as u64 * 5));
+        black_box(pool.release(Moment(now), earlier, Outcome::Served, None));
+    });
+}
+
+/// An entry names the one request that it runs.
+#[divan::bench(args = ENGINES, sample_count = 10, sample_size = 100)]
+fn renewal(bencher: Bencher, engines: usize) {
+    let (mut pool, now, number) = pool(engines);
+    let entry: id::Router = "r2".parse().unwrap();
+    let attempt = id::Attempt(u128::from(number + 1));
+    black_box(pool.ask(Moment(now), Ask { entry: entry.clone(), ..ask(number + 1) }));
+    let member = pool.members().find(|member| member.held().contains_key(&attempt)).unwrap();
+    let (route, fingerprint) = (id::Route(0), id::Fingerprint::default());
+    let held = [Held { attempt, upstream: member.id.clone(), read: 0, customer: None, route, fingerprint }];
+    bencher.bench_local(|| black_box(pool.renew(Moment(now), &entry, &held)));
+}
+
 /// The same while a version is on trial that as many engines have beside these, a thirtieth of which are given a part.
 #[divan::bench(args = ENGINES, sample_count = 10, sample_size = 200)]
 fn request_on_trial(bencher: Bencher, engines: usize) {
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -22,9 +22,12 @@
 mod follow;
 mod holders;
 mod paths;
+mod places;
 mod quarantine;
 mod queue;
+mod ring;
 mod transit;
+mod usable;
 mod watch;
 
 pub use allowance::cold::Cold;
@@ -67,7 +70,7 @@
     /// When an upstream of a zone answered last.
     answered: BTreeMap<id::Zone, Moment>,
     /// Where each attempt runs.
-    places: RapidHashMap<id::Attempt, id::Upstream>,
+    places: places::Places,
     /// Who holds each shared part.
     holders: holders::Holders,
     /// Between which zones copies are late.
@@ -76,10 +79,12 @@
     whole_look: bool,
     /// Members that were looked at so far.
     looks: Cell<u64>,
-    /// The hashes of the members' ids.
-    hashes: Vec<u64>,
-    /// Members that may be given new work.
-    usable: usize,
+    /// The members in the order of their hashes.
+    ring: ring::Ring,
+    /// How many members may be given new work.
+    usable: usable::Usable,
+    /// Engines that may hold what nobody has told, in the order in which they came.
+    untold: Vec<id::Upstream>,
     /// Who reads each of the shared parts that somebody is reading now.
     readers: RapidHashMap<u64, Vec<id::Attempt>>,
     waiting: Vec<queue::Waiting>,
@@ -118,13 +123,14 @@
             leaving: BTreeSet::new(),
             dark: BTreeSet::new(),
             answered: BTreeMap::new(),
-            places: RapidHashMap::default(),
+            places: places::Places::default(),
             holders: holders::Holders::default(),
             paths: paths::Paths::default(),
             whole_look: false,
             looks: Cell::default(),
-            hashes: Vec::new(),
-            usable: 0,
+            ring: ring::Ring::default(),
+            usable: usable::Usable::default(),
+            untold: Vec::new(),
             readers: RapidHashMap::default(),
             waiting: Vec::new(),
             shares: Shares::default(),
@@ -255,30 +261,36 @@
             }
             let member = self.members.entry(listing.id.clone()).or_insert_with(|| {
                 let mut member = Member::new(listing.id.clone(), listing.zone.clone(), listing.slots, memory);
-                if !first {
+                if first {
+                    self.untold.push(listing.id.clone());
+                } else {
                     // One that comes later has just begun, and holds nothing yet.
                     member.known = true;
                     member.presume_cold(now + cold);
                 }
+                self.ring.insert(&member);
+                self.usable.add(&member);
                 member
             });
+            self.usable.remove(member);
             member.list(now, listing);
+            self.usable.add(member);
             self.versions.place(member);
             self.holders.follow(member);
         }
         answers
     }
 
-    /// Counts the members anew and grants what waits, after they changed.
+    /// Grants what waits, after members changed.
     fn settle(&mut self, now: Moment, mut answers: Vec<Answer>) -> Vec<Answer> {
         self.bury();
-        self.recount();
         answers.extend(self.serve(now));
         answers
     }
 
     fn leave(&mut self, life: id::Upstream) {
         if let Some(member) = self.members.get_mut(&life) {
+            self.usable.remove(member);
             member.go();
             self.leaving.insert(life);
         }
@@ -295,20 +307,12 @@
         held.into_iter().flat_map(|attempt| self.release(now, attempt, Outcome::Ended, None)).collect()
     }
 
-    /// Counts the members anew.
-    fn recount(&mut self) {
-        let serving = |member: &&Member| member.admission == Admission::Any;
-        self.hashes.clear();
-        self.hashes.extend(self.members.values().filter(serving).map(|member| member.hash));
-        self.usable = self.members.values().filter(|member| member.usable).count();
-    }
-
     /// Drops the upstreams that are gone once nothing runs there any more.
     fn bury(&mut self) {
         if self.leaving.is_empty() {
             return;
         }
-        let (members, holders) = (&mut self.members, &mut self.holders);
+        let (members, holders, ring) = (&mut self.members, &mut self.holders, &mut self.ring);
         self.leaving.retain(|id| {
             let stays = members.get(id).is_some_and(|member| member.is_gone() && !member.held().is_empty());
             if !stays
@@ -317,10 +321,10 @@
             {
                 member.cache.clear();
                 holders.follow(&mut member);
+                ring.remove(&member);
             }
             stays
         });
-        self.recount();
     }
 
     /// Sets the zones none of whose routers is heard of: where upstreams are silent, too, they are behind a cut.
@@ -344,7 +348,7 @@
 
     /// The first event of an attempt came, this long after it was sent.
     pub fn begun(&mut self, now: Moment, attempt: id::Attempt, took: Duration) -> Vec<Answer> {
-        let Some(member) = self.places.get(&attempt).and_then(|place| self.members.get_mut(place)) else {
+        let Some(member) = self.places.get(attempt).and_then(|place| self.members.get_mut(place)) else {
             return Vec::new();
         };
         let Some(hold) = member.begin(now, attempt) else {
@@ -379,7 +383,7 @@
         outcome: Outcome,
         took: Option<Duration>,
     ) -> Vec<Answer> {
-        let Some(place) = self.places.remove(&attempt) else {
+        let Some(place) = self.places.remove(attempt) else {
             return Vec::new();
         };
         self.shares.end(now, attempt);
@@ -431,7 +435,7 @@
     /// An entry names all that it holds here.
     pub fn renew(&mut self, now: Moment, entry: &id::Router, held: &[Held]) -> Vec<Answer> {
         for item in held {
-            if let Some(place) = self.places.get(&item.attempt) {
+            if let Some(place) = self.places.get(item.attempt) {
                 if let Some(member) = self.members.get_mut(place) {
                     member.name(item.attempt, now);
                 }
@@ -458,16 +462,18 @@
                 reads: Vec::new(),
             };
             member.hold(item.attempt, hold);
-            self.places.insert(item.attempt, item.upstream.clone());
+            self.places.insert(now, item.attempt, item.upstream.clone(), entry.clone());
             self.shares.start(now, item.attempt, item.customer.as_ref());
         }
-        self.drop_holds(now, |hold| &hold.entry == entry && hold.named < now && now.since(hold.since) >= YOUNG);
+        let named = self.places.hear(now, entry);
+        self.drop_holds(now, named, |hold| hold.named < now && now.since(hold.since) >= YOUNG);
         self.serve(now)
     }
 
     /// Lets time pass: waits end, holds that nobody names are dropped, customers that want nothing are forgotten.
     pub fn tick(&mut self, now: Moment) -> Vec<Answer> {
-        self.drop_holds(now, |hold| now.since(hold.named) >= HOLD_TTL);
+        let unheard = self.places.unheard(now, HOLD_TTL);
+        self.drop_holds(now, unheard, |hold| now.since(hold.named) >= HOLD_TTL);
         self.watch_running(now);
         self.bury();
         self.judge_suspects(now);
@@ -478,22 +484,24 @@
         answers
     }
 
-    fn drop_holds(&mut self, now: Moment, gone: impl Fn(&Hold) -> bool) {
-        self.count_looks(self.members.len());
-        let mut lost = Vec::new();
-        for member in self.members.values_mut().filter(|member| !member.held().is_empty()) {
-            for attempt in member.which(&gone) {
-                self.places.remove(&attempt);
-                self.shares.end(now, attempt);
-                if let Some(hold) = member.let_go(attempt) {
-                    member.cache.lose(&hold.reads, attempt);
-                    self.holders.follow(member);
-                    lost.push((attempt, hold.reads));
-                }
+    /// Drops those of some attempts whose entry no longer runs them.
+    fn drop_holds(&mut self, now: Moment, attempts: Vec<id::Attempt>, gone: impl Fn(&Hold) -> bool) {
+        self.count_looks(attempts.len());
+        for attempt in attempts {
+            let Some(member) = self.places.get(attempt).and_then(|place| self.members.get_mut(place)) else {
+                continue;
+            };
+            if !member.held().get(&attempt).is_some_and(&gone) {
+                continue;
+            }
+            let hold = member.let_go(attempt);
+            self.places.remove(attempt);
+            self.shares.end(now, attempt);
+            if let Some(hold) = hold {
+                member.cache.lose(&hold.reads, attempt);
+                self.holders.follow(member);
+                self.stop_reading(&hold.reads, attempt);
             }
-        }
-        for (attempt, reads) in lost {
-            self.stop_reading(&reads, attempt);
         }
     }
 
@@ -509,11 +517,12 @@
         }
     }
 
-    /// The share of bad outcomes among the other upstreams: the median.
+    /// The share of bad outcomes among other upstreams: the median.
     fn usual(&self, now: Moment, except: &id::Upstream) -> f64 {
-        self.count_looks(self.members.len());
         let within = self.reach(now);
-        let others = self.members.values().filter(|member| &member.id != except && within.has(member));
+        let others = self.stretch(except.hash64());
+        self.count_looks(others.len());
+        let others = others.into_iter().filter(|member| &member.id != except && within.reaches(member));
         let mut shares: Vec<_> = others.map(|member| member.health.failing(now)).collect();
         shares.sort_by(f64::total_cmp);
         shares.get(shares.len() / 2).copied().unwrap_or(0.0)
--- a/crates/stairvale-dispatch/src/pool/allowance/reach.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/reach.rs
@@ -43,6 +43,12 @@
         self.cut.is_empty()
     }
 
+    /// Whether all members of a zone that may be given new work are reached; `None` if that depends on each of them.
+    pub(in crate::pool) fn reaches_zone(&self, zone: &id::Zone) -> Option<bool> {
+        let beyond = self.cut.contains(&zone);
+        if beyond && self.beyond_only { None } else { Some(!beyond) }
+    }
+
     /// Whether an engine can be copied from. One that is told to copy from an engine that says nothing waits in vain, and
     /// reads all of it after that. Nor is one asked whose version is on trial or gets nothing any more: the former may be bad,
     /// and the latter stops.
--- a/crates/stairvale-dispatch/src/pool/allowance/versions.rs
+++ b/crates/stairvale-dispatch/src/pool/allowance/versions.rs
@@ -174,7 +174,6 @@
         for member in self.members.values_mut() {
             self.versions.place(member);
         }
-        self.recount();
         self.serve(now)
     }
 
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use stairvale_placement::mix;
+use stairvale_rollout::Admission;
 use stairvale_types::{Moment, id};
 
 use super::{
@@ -96,8 +97,13 @@
         if self.rules.multiple <= 0.0 {
             return f64::MAX;
         }
-        let usable =
-            if within.is_whole() { self.usable } else { self.members.values().filter(|m| within.reaches(m)).count() };
+        let usable = if within.is_whole() {
+            self.usable.all()
+        } else if self.usable.zones().all(|zone| within.reaches_zone(zone).is_some()) {
+            self.usable.within(|zone| within.reaches_zone(zone) == Some(true))
+        } else {
+            self.members.values().filter(|member| within.reaches(member)).count()
+        };
         let mean = self.places.len() as f64 / usable.max(1) as f64;
         // One less than allowed: what is on its way isn't seen by everybody at once.
         (mean * self.rules.multiple + self.rules.slack - 1.0).max(1.0)
@@ -120,11 +126,14 @@
         let within = self.reach(now);
         let bound = self.bound(&within);
         let full = self.full_holders(ask);
+        let key = rank_key(&ask.parts);
+        // Prompts of one beginning go to the same few; what has no prompt is spread over all.
+        let stretch = self.stretch(if ask.parts.is_empty() { mix(key, ask.attempt.0 as u64) } else { key });
         let look = Look {
             bound,
             sphere: self.sphere(ask),
             covers: self.covers(ask, &within, &full),
-            order: self.order(&ask.parts),
+            order: self.order(key, &stretch),
             chance: Chance::new(self, now, ask, &within),
         };
         let tried = self.versions.chosen(now, ask).iter().find_map(|part| {
@@ -135,8 +144,12 @@
         let cheapest = tried.or_else(|| {
             let enough = self.least_elsewhere(ask);
             self.best(&look, &full, Resort::FIRST).filter(|bid| bid.cost <= enough).or_else(|| {
-                let all: Vec<_> = self.members.values().collect();
-                self.resorts().iter().find_map(|resort| self.best(&look, &all, *resort))
+                let some = self.shortlist(ask, stretch);
+                let all = || self.members.values().collect::<Vec<_>>();
+                self.resorts().iter().find_map(|resort| {
+                    let of_all = || if self.looks_at_all() { None } else { self.best(&look, &all(), *resort) };
+                    self.best(&look, &some, *resort).or_else(of_all)
+                })
             })
         });
         let bid = cheapest?;
@@ -177,10 +190,38 @@
             return Vec::new();
         };
         let shared: u32 = ask.shared().iter().map(|part| part.tokens).sum();
-        let holders = self.holders.of(last.id).iter().filter_map(|id| self.members.get(id));
+        let holders = self.some_holders(last, ask);
         holders.filter(|member| member.cache.covers(ask.shared()) == shared).collect()
     }
 
+    /// Members that hold a part of a prompt.
+    fn some_holders(&self, part: &Part, ask: &Ask) -> impl Iterator<Item = &Member> {
+        let holders = self.holders.some_of(part.id, ask.attempt.0 as u64);
+        holders.filter_map(|id| self.members.get(id))
+    }
+
+    /// Members that hold some of what a prompt shares with others, at most [`STRETCH`] for each part; of a small fleet all members.
+    fn partial_holders(&self, ask: &Ask) -> Vec<&Member> {
+        if self.looks_at_all() {
+            return self.members.values().collect();
+        }
+        let mut holders: Vec<_> = ask.shared().iter().flat_map(|part| self.some_holders(part, ask)).collect();
+        holders.sort_unstable_by_key(|member| member.hash);
+        holders.dedup_by_key(|member| member.hash);
+        holders
+    }
+
+    /// Whom a decision looks at: those that hold some of the prompt, and a stretch of all; of a small fleet all members.
+    fn shortlist<'a>(&'a self, ask: &Ask, stretch: Vec<&'a Member>) -> Vec<&'a Member> {
+        let mut some = self.partial_holders(ask);
+        if !self.looks_at_all() {
+            some.extend(stretch);
+            some.sort_unstable_by_key(|member| member.hash);
+            some.dedup_by_key(|member| member.hash);
+        }
+        some
+    }
+
     /// The least that a member can cost which lacks the last of a prompt's shared parts: it copies that at least, which costs
     /// less than to read it, and nothing else is ahead of the prompt.
     fn least_elsewhere(&self, ask: &Ask) -> f64 {
@@ -235,7 +276,7 @@
         for part in reads {
             self.readers.entry(part).or_default().push(ask.attempt);
         }
-        self.places.insert(ask.attempt, upstream.clone());
+        self.places.insert(now, ask.attempt, upstream.clone(), ask.entry.clone());
     }
 
     /// The two members that hold most of a prompt's shared parts and can be copied from, the one with most first.
@@ -258,7 +299,9 @@
         };
         if !self.paths.are_well() {
             // The best ones of all may lie where some can't copy from.
-            let of = |zone| two(&mut self.members.values().filter(|member| &member.zone == zone));
+            let some = self.partial_holders(ask);
+            self.count_looks(some.len());
+            let of = |zone| two(&mut some.iter().copied().filter(|member| &member.zone == zone));
             let mut most: Vec<_> = self.zones().into_iter().flat_map(of).collect();
             most.sort_by(|a, b| b.cmp(a));
             return most;
@@ -268,16 +311,16 @@
         if most.len() == 2 {
             return most;
         }
-        self.count_looks(self.members.len());
-        two(&mut self.members.values())
+        let some = self.partial_holders(ask);
+        self.count_looks(some.len());
+        two(&mut some.into_iter())
     }
 
-    /// The members in the order in which any router would try them for a prompt, by the last part that others share.
-    fn order(&self, parts: &[Part]) -> Order {
-        let shared = if parts.len() > 1 { &parts[..parts.len() - 1] } else { parts };
-        let key = cache::name(shared);
-        self.count_looks(self.hashes.len());
-        let mut scores: Vec<_> = self.hashes.iter().map(|hash| mix(key, *hash)).collect();
+    /// Some members in the order in which any router would try them for a prompt.
+    fn order(&self, key: u64, members: &[&Member]) -> Order {
+        self.count_looks(members.len());
+        let serving = members.iter().filter(|member| member.admission == Admission::Any);
+        let mut scores: Vec<_> = serving.map(|member| mix(key, member.hash)).collect();
         if scores.len() > STEPS {
             scores.select_nth_unstable_by(STEPS, |a, b| b.cmp(a));
             scores.truncate(STEPS);
@@ -330,6 +373,11 @@
     }
 }
 
+/// By what members are ranked for a prompt: the last part that others share.
+fn rank_key(parts: &[Part]) -> u64 {
+    cache::name(if parts.len() > 1 { &parts[..parts.len() - 1] } else { parts })
+}
+
 /// What a time to the first event costs: little while the objective is far, much when it is near.
 fn lateness(time: f64, objective: Duration) -> f64 {
     let ease = objective.as_secs_f64() * 1e3 * EASE;
--- a/crates/stairvale-dispatch/src/pool/follow.rs
+++ b/crates/stairvale-dispatch/src/pool/follow.rs
@@ -3,12 +3,12 @@
 //! An engine that is given the same long beginning twice at the same time reads it twice, and each reading slows the other.
 //! So the second request waits for the first one's first event, and finds the beginning kept, there or to be copied.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use stairvale_types::{Moment, id};
 
 use super::Pool;
-use crate::{Answer, Ask};
+use crate::{Answer, Ask, Member};
 
 /// What takes less time to read isn't waited for.
 const LEAST: Duration = Duration::from_millis(10);
@@ -33,16 +33,19 @@
         if until <= now || ask.shared().is_empty() || !ask.avoid.is_empty() {
             return None;
         }
+        let within = self.reach(now);
+        let reached = |member: &&Member| within.has(member) && ask.allows(&member.zone);
+        let readers = ask.shared().iter().filter_map(|part| self.readers.get(&part.id)).flatten();
+        let readers: BTreeSet<_> = readers.filter_map(|attempt| self.places.get(*attempt)).collect();
         // Most often nobody reads any of it.
-        if !ask.shared().iter().any(|part| self.readers.contains_key(&part.id)) {
+        if readers.is_empty() {
             return None;
         }
-        self.count_looks(2 * self.members.len());
-        let within = self.reach(now);
-        let reached = || self.members.values().filter(|member| within.has(member) && ask.allows(&member.zone));
-        let ready = reached().map(|member| member.cache.ready(ask.shared())).max()?;
+        self.count_looks(readers.len());
+        let ready = self.ready(ask, reached);
         let gain = |tokens: u32| self.reading.time(f64::from(tokens.saturating_sub(ready))) >= millis(LEAST);
-        let ahead = reached().filter(|member| gain(member.cache.covers(ask.shared())));
+        let reading = readers.into_iter().filter_map(|place| self.members.get(place)).filter(reached);
+        let ahead = reading.filter(|member| gain(member.cache.covers(ask.shared())));
         let mut leaders = ahead.filter_map(|member| {
             let leader = member.cache.reader(ask.shared())?;
             let hold = member.held().get(&leader)?;
@@ -53,6 +56,23 @@
         Some(leaders.fold(first, |best, next| if next.0 < best.0 { next } else { best }).1)
     }
 
+    /// The most tokens of a prompt's shared parts that any of some members holds and nobody is still reading.
+    fn ready(&self, ask: &Ask, reached: impl Fn(&&Member) -> bool) -> u32 {
+        let mut most = 0;
+        let mut tokens: u32 = ask.shared().iter().map(|part| part.tokens).sum();
+        for part in ask.shared().iter().rev() {
+            for member in self.holders.of(part.id).iter().filter_map(|id| self.members.get(id)).filter(&reached) {
+                self.count_looks(1);
+                most = most.max(member.cache.ready(ask.shared()));
+                if most >= tokens {
+                    return most;
+                }
+            }
+            tokens -= part.tokens;
+        }
+        most
+    }
+
     /// Lets a request follow another one, if there is one that is worth it.
     pub(super) fn follow(&mut self, now: Moment, ask: &Ask, asked: Moment) -> bool {
         let Some(leader) = self.leader(now, ask, asked) else {
--- a/crates/stairvale-dispatch/src/pool/holders.rs
+++ b/crates/stairvale-dispatch/src/pool/holders.rs
@@ -5,9 +5,10 @@
 //! decision is the same, and takes as long with 3,000 engines as with the few that hold the prompt's beginning.
 
 use rapidhash::RapidHashMap;
+use stairvale_placement::mix;
 use stairvale_types::id;
 
-use super::Pool;
+use super::{Pool, ring::STRETCH};
 use crate::{Ask, Member, Part};
 
 /// The members that hold each shared part.
@@ -17,6 +18,14 @@
 }
 
 impl Holders {
+    /// At most [`STRETCH`] of those that hold a part; which of more these are depends on a number.
+    pub(super) fn some_of(&self, part: u64, number: u64) -> impl Iterator<Item = &id::Upstream> {
+        let all = self.of(part);
+        let first = if all.len() <= STRETCH { 0 } else { mix(part, number) % all.len() as u64 };
+        let (before, after) = all.split_at(usize::try_from(first).unwrap_or(0));
+        after.iter().chain(before).take(STRETCH)
+    }
+
     /// Those that hold a part, in no order.
     pub(super) fn of(&self, part: u64) -> &[id::Upstream] {
         self.of.get(&part).map(Vec::as_slice).unwrap_or_default()
@@ -55,13 +64,12 @@
 
     /// Engines of which nobody has told what they hold. Each is named once.
     pub fn unknown(&mut self) -> Vec<id::Upstream> {
-        self.count_looks(self.members.len());
-        let unknown = self.members.values_mut().filter(|member| member.memory > 0 && !member.known);
-        let unknown = unknown.map(|member| {
-            member.known = true;
-            member.id.clone()
+        let mut untold = std::mem::take(&mut self.untold);
+        untold.retain(|id| {
+            let unknown = self.members.get_mut(id).filter(|member| member.memory > 0 && !member.known);
+            unknown.map(|member| member.known = true).is_some()
         });
-        unknown.collect()
+        untold
     }
 
     /// The home granted a prompt elsewhere; this router may be the home next.
--- a/crates/stairvale-dispatch/src/pool/quarantine.rs
+++ b/crates/stairvale-dispatch/src/pool/quarantine.rs
@@ -82,7 +82,7 @@
     }
 
     pub(super) fn judge_suspects(&mut self, now: Moment) {
-        let found = self.suspects.judge(now, self.usable);
+        let found = self.suspects.judge(now, self.usable.all());
         self.found.extend(found);
     }
 
@@ -106,6 +106,6 @@
         let taken = self.members.values().filter(|member| member.held().values().any(suspected));
         let taken: BTreeSet<_> = taken.map(|member| member.id.clone()).collect();
         // Where there are as many of them as upstreams, they can't be kept apart.
-        if taken.len() >= self.usable { Sphere::Any } else { Sphere::Without(taken) }
+        if taken.len() >= self.usable.all() { Sphere::Any } else { Sphere::Without(taken) }
     }
 }
--- a/crates/stairvale-dispatch/src/pool/watch.rs
+++ b/crates/stairvale-dispatch/src/pool/watch.rs
@@ -159,7 +159,7 @@
 
     /// Tells that a request which runs is slow.
     fn tell(&mut self, attempt: id::Attempt) {
-        let member = self.places.get(&attempt).and_then(|place| self.members.get_mut(place));
+        let member = self.places.get(attempt).and_then(|place| self.members.get_mut(place));
         if let Some(member) = member
             && let Some(route) = member.held().get(&attempt).map(|hold| hold.route)
         {
@@ -227,10 +227,14 @@
             let limit = watch.limit(hold, is_engine).filter(|_| !hold.told);
             limit.is_some_and(|(since, most)| millis(hold.named.since(since)) > most)
         };
-        let busy = self.members.values().filter(|member| !member.held().is_empty());
-        let late: Vec<_> = busy.flat_map(|member| member.which(late)).collect();
+        let is_late =
+            |attempt, place| self.members.get(place).and_then(|member| member.held().get(&attempt)).is_some_and(late);
+        let running = self.places.iter();
+        let mut late: Vec<_> =
+            running.filter(|(attempt, place)| is_late(*attempt, *place)).map(|(attempt, _)| attempt).collect();
+        late.sort_unstable();
         for attempt in late {
-            let hold = self.places.get(&attempt).and_then(|place| self.members.get(place)?.held().get(&attempt));
+            let hold = self.places.get(attempt).and_then(|place| self.members.get(place)?.held().get(&attempt));
             if hold.is_some_and(|hold| !self.lost_source(now, hold)) {
                 self.tell(attempt);
             }
--- a/crates/stairvale-dispatch/tests/looks.rs
+++ b/crates/stairvale-dispatch/tests/looks.rs
@@ -11,8 +11,8 @@
 
 use std::time::Duration;
 
-use fleet::{ask, at, engines, listings, place};
-use stairvale_dispatch::{Ask, Held, Outcome, Pool};
+use fleet::{ask, at, engines, place};
+use stairvale_dispatch::{Ask, Held, Outcome, Pool, Verdict};
 use stairvale_types::id;
 
 /// Few upstreams of a large fleet, and many.
@@ -129,3 +129,36 @@
     pool.release(at(1_000), id::Attempt(REQUESTS - 1), Outcome::Failed, None);
     assert!(pool.looks() - before <= 200, "{} looks", pool.looks() - before);
 }
+
+/// Requests of many prompts, more at once than there are engines, of which each runs while `running` others do. Gives the tokens
+/// that were to be read, and the most that one engine ran.
+fn crowd(pool: &mut Pool, running: u128) -> (u64, u32) {
+    let (mut read, mut most) = (0, 0);
+    for number in 0..running * 3 {
+        let now = at(u64::try_from(number).unwrap());
+        let number64 = u64::try_from(number).unwrap();
+        let prompt = number64 * 7_919 % 400;
+        let parts = [(prompt % 4 + 1, 2_000), (1_000 + prompt, 6_000), (1_000_000 + number64, 500)];
+        let answers = pool.ask(now, Ask { entry: entry(number), ..ask(number, 0, &parts) });
+        for answer in &answers {
+            if let Verdict::Granted { read: tokens, .. } = &answer.verdict {
+                read += u64::from(*tokens);
+            }
+        }
+        pool.begun(now, id::Attempt(number), Duration::from_millis(50));
+        if number >= running {
+            pool.release(now, id::Attempt(number - running), Outcome::Served, None);
+        }
+        most = most.max(pool.members().map(stairvale_dispatch::Member::running).max().unwrap());
+    }
+    (read, most)
+}
+
+#[test]
+fn a_short_look_at_a_crowd_is_as_good_as_a_whole_one() {
+    const ENGINES: usize = 600;
+    let (mut short, mut whole) = (pool(ENGINES), pool(ENGINES).with_whole_look());
+    let (short, whole) = (crowd(&mut short, 1_500), crowd(&mut whole, 1_500));
+    assert!(short.0 * 100 <= whole.0 * 102, "{short:?} and {whole:?}");
+    assert!(short.1 <= whole.1 + 1, "{short:?} and {whole:?}");
+}
