A home tells its heirs also of engines that hold nothing

Cause: heirs were told what engines hold, and of those that hold nothing only while they were heirs and the engine was asked. A router that became home after that asked all others what they hold: before 9,600 engines thousands of connections of its own, while it began to decide for the whole fleet.

Change: who becomes an heir is told of all engines that the home knows, also that they hold nothing: some 55 bytes each, some half a megabyte in 9,600 engines, once for each new heir.

--- a/crates/stairvale-dispatch/src/pool/holders.rs
+++ b/crates/stairvale-dispatch/src/pool/holders.rs
@@ -47,10 +47,11 @@
 }
 
 impl Pool {
-    /// What the members hold of shared parts, as far as is known here.
+    /// What the members hold of shared parts, as far as is known here: also of those that are known to hold nothing, or whoever is
+    /// the home next would ask them.
     pub fn prefixes(&self) -> impl Iterator<Item = (&id::Upstream, Vec<Part>)> {
-        let all = self.members.values().map(|member| (&member.id, member.cache.shared()));
-        all.filter(|(_, parts)| !parts.is_empty())
+        let all = self.members.values().map(|member| (member.known, &member.id, member.cache.shared()));
+        all.filter(|(known, _, parts)| *known || !parts.is_empty()).map(|(_, id, parts)| (id, parts))
     }
 
     /// Another router that was the home, or the engine itself, says what it holds.
--- a/crates/stairvale-serve/tests/heirs.rs
+++ b/crates/stairvale-serve/tests/heirs.rs
@@ -78,6 +78,45 @@
     assert!(counted.get("read").is_none_or(|bytes| *bytes <= 20 * 2 * 100), "{counted:?}");
 }
 
+/// A home told its heirs what engines hold, and nothing of those that hold nothing. So whoever took over asked these: at 9,600
+/// engines nearly all of them, each by a connection of its own, while it had to decide for the whole fleet.
+#[test]
+fn a_home_that_takes_over_asks_no_engine_that_the_home_before_it_knew() {
+    for planned in [true, false] {
+        let mut world = World::new(6, 2, 40);
+        world.run(SETTLE);
+        let home = world.ask(0, 0, &[]);
+        let home = world.index(&home);
+        let entry = (home + 1) % 6;
+        let service = "chat".parse().unwrap();
+        // The engines answer that they hold nothing.
+        for upstream in std::mem::take(&mut world.nodes[home].inspected) {
+            let effects = world.nodes[home].core.inspected(&service, &upstream, Vec::new());
+            world.perform(home, effects);
+        }
+        for (number, prompt) in (1..).zip(prompts()) {
+            world.serve(entry, number, &prompt).unwrap();
+        }
+        world.run(1_000);
+        // The second one was told by the first as its heir, and the third by the second.
+        let mut home = home;
+        for _ in 0..2 {
+            if planned {
+                world.stop(home);
+            } else {
+                world.kill(home);
+            }
+            world.run(SETTLE);
+            let live = (0..6).find(|index| world.is_alive(*index)).unwrap();
+            let next = world.nodes[live].core.home_of(&service).unwrap();
+            assert_ne!(world.index(&next), home);
+            home = world.index(&next);
+        }
+        let inspected: usize = world.nodes.iter().map(|node| node.inspected.len()).sum();
+        assert_eq!(inspected, 0, "planned: {planned}");
+    }
+}
+
 #[test]
 fn a_home_whose_answer_was_only_late_is_asked_again_at_once() {
     let mut world = World::new(6, 2, 4);
