--- a/crates/stairvale-membership/src/swim/probe.rs
+++ b/crates/stairvale-membership/src/swim/probe.rs
@@ -6,7 +6,7 @@
 use stairvale_types::{Moment, id};
 use stairvale_wire::{Member, Status, Update, packet::Body};
 
-use super::{BURIAL, Effect, Favour, Peer, Probe, REVIVE_EVERY, Swim, is_live};
+use super::{BURIAL, Effect, Favour, HEARSAY, MISSED, Peer, Probe, REVIVE_EVERY, Swim, is_live};
 
 impl Swim {
     pub(super) fn start_probe(&mut self, now: Moment) -> Vec<Effect> {
@@ -49,20 +49,56 @@
             return Vec::new();
         };
         probe.helped = true;
-        let probe = probe.clone();
-        let others: Vec<_> = self.live_peers().filter(|m| m.router != probe.target).map(|m| m.address).collect();
+        let Probe { number, target, .. } = probe.clone();
+        self.ask_others(number, &target)
+    }
+
+    /// Asks a few others to probe a router.
+    fn ask_others(&mut self, number: u64, target: &id::Router) -> Vec<Effect> {
+        let others: Vec<_> = self.live_peers().filter(|m| m.router != *target).map(|m| m.address).collect();
         let helpers: Vec<_> = others.choose_multiple(&mut self.rng, self.settings.helpers).copied().collect();
-        let body = Body::Indirect { probe: probe.number, target: probe.target };
+        let body = Body::Indirect { probe: number, target: target.clone() };
         helpers.into_iter().map(|to| self.packet(to, body.clone())).collect()
     }
 
+    /// Judges the last probe, and the second one of who left one unanswered before.
     pub(super) fn judge_probe(&mut self, now: Moment) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(target) = self.second.take().map(|probe| probe.target) {
+            effects.extend(self.accuse(now, &target));
+        }
         let Some(probe) = self.probe.take() else {
+            return effects;
+        };
+        let Some(peer) = self.peers.get_mut(&probe.target).filter(|peer| is_live(peer.member.status)) else {
+            return effects;
+        };
+        peer.missed = peer.missed.max(1);
+        if !peer.is_accused() {
+            effects.extend(self.probe_again(now, probe.target));
+        }
+        effects
+    }
+
+    /// Probes somebody for the second time, beside whoever is due, and by helpers at once.
+    fn probe_again(&mut self, now: Moment, target: id::Router) -> Vec<Effect> {
+        let Some(to) = self.peers.get(&target).map(|peer| peer.member.address) else {
             return Vec::new();
         };
-        let Some(peer) = self.peers.get(&probe.target) else {
+        self.number += 1;
+        let number = self.number;
+        let mut effects = vec![self.packet(to, Body::Ping { probe: number })];
+        effects.extend(self.ask_others(number, &target));
+        self.second = Some(Probe { target, number, sent: now, helped: true });
+        effects
+    }
+
+    /// A second probe was left unanswered, too: its target is suspected from now on, unless it was heard of meanwhile.
+    fn accuse(&mut self, now: Moment, target: &id::Router) -> Vec<Effect> {
+        let Some(peer) = self.peers.get_mut(target).filter(|peer| peer.missed > 0) else {
             return Vec::new();
         };
+        peer.missed = MISSED;
         if peer.member.status != Status::Alive {
             return Vec::new();
         }
@@ -70,6 +106,14 @@
         self.learn(now, Update::Member(member))
     }
 
+    /// Tells those that this router suspects so, again with each probe: one that lives refutes it at once, and not only when
+    /// gossip has reached it.
+    pub(super) fn tell_accused(&mut self) -> Vec<Effect> {
+        let accused = self.peers.values().filter(|peer| peer.is_accused());
+        let to: Vec<_> = accused.map(|peer| peer.member.address).collect();
+        to.into_iter().map(|to| self.packet(to, Body::Ping { probe: 0 })).collect()
+    }
+
     pub(super) fn acked(&mut self, now: Moment, number: u64, from: SocketAddr, name: &id::Router) -> Vec<Effect> {
         if let Some(index) = self.favours.iter().position(|favour| favour.number == number && number != 0) {
             let favour = self.favours.swap_remove(index);
@@ -85,6 +129,11 @@
             }
             self.probe = None;
         }
+        if let Some(second) = self.second.take_if(|second| second.number == number)
+            && let Some(peer) = self.peers.get_mut(&second.target)
+        {
+            peer.missed = 0;
+        }
         // A suspect that answers refutes by its own update, which rides on the same packet.
         Vec::new()
     }
@@ -101,7 +150,8 @@
 
     pub(super) fn bury(&mut self, now: Moment) -> Vec<Effect> {
         let suspicion = self.settings.suspicion;
-        let overdue = |peer: &&Peer| peer.member.status == Status::Suspect && now.since(peer.since) >= suspicion;
+        let patience = |peer: &Peer| if peer.is_accused() { suspicion } else { suspicion * HEARSAY };
+        let overdue = |peer: &&Peer| peer.member.status == Status::Suspect && now.since(peer.since) >= patience(peer);
         let overdue: Vec<_> = self.peers.values().filter(overdue).map(|peer| peer.member.clone()).collect();
         let forgotten = |peer: &Peer| peer.member.status >= Status::Leaving && now.since(peer.since) >= BURIAL;
         let before = self.peers.len();
