--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -14,14 +14,14 @@
 use crate::{Answer, Ask, Member, Part, Verdict, cache, member::Hold};
 
 /// What each running request costs the next one, in ms; it spreads work that would be as well anywhere.
-const CROWD: f64 = 1.5;
+const CROWD_MS: f64 = 1.5;
 /// What an upstream of another availability zone costs, in ms.
-const FAR: f64 = 10.0;
+const CROSS_ZONE_MS: f64 = 10.0;
 /// What the next one in the order of a prompt's home costs, in ms, so that routers choose alike.
-const STEP: f64 = 0.4;
+const RANK_STEP_MS: f64 = 0.4;
 /// Reading shared parts again holds others up and takes memory: a token costs the time of reading this many, beside its own
 /// (docs/POLICY.md, "Time as a line").
-const AGAIN: f64 = 16.0;
+const REREAD_WEIGHT: f64 = 16.0;
 /// What copying a token from another engine costs, in the time of reading one (there, too).
 const COPY: f64 = 3.0;
 /// The time that copying a token takes, beside reading it.
@@ -351,17 +351,17 @@
         let shared = f64::from(read.saturating_sub(own));
         // One that was asked more isn't thought better for it: only what is slow is told apart.
         let pace = member.health.pace(now).max(1.0);
-        let crowd = f64::from(member.running()) * CROWD;
+        let crowd = f64::from(member.running()) * CROWD_MS;
         let (time, work) = if self.rules.engine.is_some() {
             let copying = f64::from(copied) * COPY_TIME;
             let time = self.reading.first(member.ahead() as f64 + f64::from(read) + copying);
-            (time, self.reading.time(shared * AGAIN + f64::from(copied) * COPY))
+            (time, self.reading.time(shared * REREAD_WEIGHT + f64::from(copied) * COPY))
         } else {
             let over = f64::from(member.running()) / f64::from(member.slots);
             (self.time * (1.0 + over * over), 0.0)
         };
-        let far = if member.zone == ask.zone { 0.0 } else { FAR };
-        let step = index as f64 * STEP;
+        let far = if member.zone == ask.zone { 0.0 } else { CROSS_ZONE_MS };
+        let step = index as f64 * RANK_STEP_MS;
         // What may run twice shows whether an upstream that failed is well again.
         let tries = ask.repeatable && member.health.is_due(now);
         let failing = if tries { -TRIAL } else { member.health.doubt(now) * FAILING };
--- a/crates/stairvale-link/src/links.rs
+++ b/crates/stairvale-link/src/links.rs
@@ -30,7 +30,7 @@
 /// A peer that was sent something is pinged this often: its kernel may acknowledge what the peer never reads.
 const PING: Duration = Duration::from_secs(1);
 /// After a failure a peer is left alone for this long.
-const PAUSE: Duration = Duration::from_millis(100);
+const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// A peer that takes nothing for this long is as good as gone: its stream is opened anew.
 const STALLED: Duration = Duration::from_secs(1);
 /// Bytes that may wait for a stream to open; more are dropped.
@@ -150,7 +150,7 @@
                         return true;
                     }
                 }
-                State::Broken(since) if since.elapsed() < PAUSE => return false,
+                State::Broken(since) if since.elapsed() < RECONNECT_DELAY => return false,
                 State::Broken(_) => {}
             }
         }
--- a/crates/stairvale-link/src/listen.rs
+++ b/crates/stairvale-link/src/listen.rs
@@ -15,13 +15,13 @@
 /// window a hundred frames at once would be too many.
 const WINDOW: u32 = 1 << 20;
 /// After a failed accept.
-const PAUSE: Duration = Duration::from_millis(100);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Takes streams from peers until the task is dropped.
 pub async fn listen<F: DeserializeOwned + Send + 'static, S: Sink<F>>(listener: TcpListener, sink: S) {
     loop {
         let Ok((tcp, _)) = listener.accept().await else {
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         tokio::spawn(serve::<F, S>(tcp, sink.clone()));
--- a/crates/stairvale-membership/src/swim.rs
+++ b/crates/stairvale-membership/src/swim.rs
@@ -53,7 +53,7 @@
 const SPREAD: u32 = 4;
 /// The routers of a zone together pass news on to other zones this many times as often as one of them passes it on at all: each
 /// zone hears it several times from each other one, and then tells itself.
-const FAR: u32 = 2;
+const CROSS_ZONE_COPIES: u32 = 2;
 /// Peers that are told at once about something important.
 const RUMOUR: usize = 3;
 
--- a/crates/stairvale-membership/src/swim/gossip.rs
+++ b/crates/stairvale-membership/src/swim/gossip.rs
@@ -6,7 +6,7 @@
 use stairvale_types::{Moment, id};
 use stairvale_wire::{Member, Packet, Status, Update, VERSION, codec, packet::Body};
 
-use super::{Effect, FAR, News, Peer, RETURNED, RUMOUR, SPREAD, Swim, is_live, same_subject, supersedes};
+use super::{CROSS_ZONE_COPIES, Effect, News, Peer, RETURNED, RUMOUR, SPREAD, Swim, is_live, same_subject, supersedes};
 
 impl Swim {
     /// Whether a router is held for dead, or was until a moment ago: both of us may have been on the two sides of a cut.
@@ -88,9 +88,9 @@
         let left = SPREAD * size.ilog2().max(1);
         let here = self.live_peers().filter(|member| member.zone == self.me.zone).count() + 1;
         let here = u32::try_from(here).unwrap_or(u32::MAX);
-        let all = left * FAR;
+        let all = left * CROSS_ZONE_COPIES;
         // Where a zone has many routers, what is left of a whole time is drawn.
-        let drawn = all / here < FAR && self.rng.random_range(0..here) < all % here;
+        let drawn = all / here < CROSS_ZONE_COPIES && self.rng.random_range(0..here) < all % here;
         let far = (all / here + u32::from(drawn)).min(left);
         self.news.push(News { update, left, far });
     }
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -27,7 +27,7 @@
 };
 
 /// After a failed accept, such as for want of descriptors.
-const PAUSE: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// A caller that acknowledges nothing for this long has gone without a word. One that reads slowly is given as long.
 const SILENCE: Duration = Duration::from_secs(5);
 /// When to come back to a router that isn't ready or isn't sure.
@@ -49,7 +49,7 @@
                 tracing::warn!(%error, "a caller's connection can't be taken; idle ones to upstreams are closed");
                 shared.metrics.count("accept-fault");
                 shared.upstreams.clear();
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -13,30 +13,30 @@
 /// A question about freshness is remembered this long.
 const ASKED: Duration = Duration::from_secs(5);
 /// A router whose word on the store was too old isn't relied upon as a watcher for this long.
-const BLIND: Duration = Duration::from_secs(3);
+const WATCHER_BACKOFF: Duration = Duration::from_secs(3);
 
 /// A zone's watcher that has just started asks the store for what is new if nobody has told it by then: some round trips to
 /// peers and back, so that a start usually costs the store no such call.
-const START_WATCHER: Duration = Duration::from_millis(50);
+const WATCHER_READ_DELAY: Duration = Duration::from_millis(50);
 /// Any other router asks after this long and up to twice as long, by its name: not all at once, and after its watcher could.
-const START: Duration = Duration::from_millis(300);
+const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
 /// Everything is asked for, and told to one router, this often: before 3,000 upstreams it is 200 KB and more, a quarter of a second of a
 /// small VM's link. A router that starts asks each 50 ms how fresh copies are, and its watcher may have a hundred such at once.
-const WHOLE: Duration = Duration::from_millis(1_000);
+const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// A router that knows the names waits this long for a peer's copy before it reads the store itself: some times what the first of
 /// a zone needs to read it, and the others to be told.
 const PEERS: Duration = Duration::from_millis(400);
 /// Until this long after its start a router asks for everything only those of its own zone that the store names: what comes from
 /// another one crosses zones, where each byte costs.
-const FAR_WHOLE: Duration = Duration::from_millis(200);
+const CROSS_ZONE_SNAPSHOT_DELAY: Duration = Duration::from_millis(200);
 /// A router asks for others that it doesn't know this often. When all start at once nobody knows all of them for a second, and
 /// whoever asked each time would be told of most of them twenty times: 8 MB for a hundred routers, growing with their square.
 const MEMBERS: Duration = Duration::from_millis(400);
 /// Who knows fewer routers by more than one in this many is told all of them; gossip brings the others.
-const FEWER: usize = 8;
+const LACKING_SHARE: usize = 8;
 
 /// One question to any router in this many goes to another zone, where there are routers in its own.
-const FAR: u64 = 3;
+const CROSS_ZONE_EVERY: u64 = 3;
 
 /// How this router reads the store now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -109,7 +109,7 @@
             return if watcher { self.bounds.late() } else { self.bounds.stale() };
         }
         let meeting = if self.view.routers().next().is_some() { Duration::ZERO } else { naming::JOIN };
-        meeting + if watcher { START_WATCHER } else { START.mul_f64(1.0 + self.share()) }
+        meeting + if watcher { WATCHER_READ_DELAY } else { FIRST_READ_DELAY.mul_f64(1.0 + self.share()) }
     }
 
     /// Whether this router's copy is older than this; one that was never known to be the newest is as old as the process.
@@ -157,7 +157,7 @@
             && self.is_older(now, patience)
             && now.since(*since) >= patience
         {
-            self.blind.insert(informant.clone(), now + BLIND);
+            self.blind.insert(informant.clone(), now + WATCHER_BACKOFF);
             self.blind_changes += 1;
             self.assign(now);
         }
@@ -170,11 +170,11 @@
         let whole = after == 0;
         // One that isn't named may have started a moment ago, and doesn't answer whom it hasn't heard of.
         let near = |member: &Member| member.zone == self.zone && self.view.router(&member.router).is_some();
-        let fits = |member: &Member| near(member) || self.life(now) >= FAR_WHOLE;
+        let fits = |member: &Member| near(member) || self.life(now) >= CROSS_ZONE_SNAPSHOT_DELAY;
         let heard = self.swim.peer(peer).is_some_and(|member| is_heard(member) && fits(member));
         let after = (!whole || heard && self.next_whole <= now).then_some(after);
         if whole && after.is_some() {
-            self.next_whole = now + WHOLE;
+            self.next_whole = now + SNAPSHOT_INTERVAL;
             self.wholes = self.wholes.wrapping_add(1);
         }
         let wants = self.next_members <= now;
@@ -195,7 +195,7 @@
         let news = sync.after.and_then(|after| self.view.since(after));
         let lags = sync.after.is_some_and(|after| after > 0);
         let news = news.filter(|news| matches!(news, News::Changes { .. }) || !lags || self.may_tell_all(now, from));
-        let few = sync.routers.is_some_and(|known| known + known / FEWER < self.routers());
+        let few = sync.routers.is_some_and(|known| known + known / LACKING_SHARE < self.routers());
         let frame = Frame::Synced {
             number: sync.number,
             age: self.view.age(now),
@@ -210,7 +210,7 @@
 
     /// Whether a router that lags may be told everything: not while the last time is on its way to it.
     fn may_tell_all(&mut self, now: Moment, to: &id::Router) -> bool {
-        self.told_all.retain(|_, at| now.since(*at) < WHOLE);
+        self.told_all.retain(|_, at| now.since(*at) < SNAPSHOT_INTERVAL);
         let may = !self.told_all.contains_key(to);
         if may {
             self.told_all.insert(to.clone(), now);
@@ -284,7 +284,7 @@
         let named = |peer: &&Member| self.view.is_confirmed() || self.view.router(&peer.router).is_some();
         let heard = self.live_peers().filter(|peer| is_heard(peer)).filter(named);
         // Mostly one of its own zone, if there is one: what crosses zones costs.
-        let near = !number.is_multiple_of(FAR);
+        let near = !number.is_multiple_of(CROSS_ZONE_EVERY);
         let (here, beyond): (Vec<_>, Vec<_>) = heard.partition(|peer| peer.zone == self.zone);
         let mut peers = if here.is_empty() || !near && !beyond.is_empty() { beyond } else { here };
         if peers.is_empty() {
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -55,7 +55,7 @@
     /// Whether it is clear who the homes are: half of the strong routers that the store names have answered, so that all
     /// agree. The others may take longer to start, and aren't waited for. Where none is named, some time must have passed.
     pub(super) fn has_joined(&self, now: Moment) -> bool {
-        self.roles.half_joined.unwrap_or_else(|| self.life(now) >= SETTLED)
+        self.roles.has_quorum.unwrap_or_else(|| self.life(now) >= SETTLED)
     }
 
     /// Brings the pools in line with the configuration and with what is evacuated. A pool that is new is handed all upstreams of its
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -53,7 +53,7 @@
 /// Named routers have answered this long after a start, if they run: many round trips, and the time of a small VM to start.
 const PRESUMED: Duration = Duration::from_millis(50);
 /// A process that didn't run for this long distrusts what it was about to do.
-const PAUSE: Duration = Duration::from_millis(900);
+const STALL_THRESHOLD: Duration = Duration::from_millis(900);
 
 /// A request that this router runs.
 #[derive(Clone, Debug)]
@@ -371,7 +371,7 @@
 
     /// Time passed. `introduced` are addresses of routers that the store names.
     pub fn tick(&mut self, now: Moment) -> Vec<Effect> {
-        if now.since(self.last_tick) > PAUSE {
+        if now.since(self.last_tick) > STALL_THRESHOLD {
             self.swim.resumed(now);
         }
         self.last_tick = now;
--- a/crates/stairvale-serve/src/core/roles.rs
+++ b/crates/stairvale-serve/src/core/roles.rs
@@ -37,7 +37,7 @@
     /// The watcher that reads the store for the whole fleet.
     pub(super) leader: Option<id::Router>,
     /// Whether half of the strong routers that are named have answered; `None` where none is named.
-    pub(super) half_joined: Option<bool>,
+    pub(super) has_quorum: Option<bool>,
     /// The zones none of whose routers answers.
     pub(super) dark: BTreeSet<id::Zone>,
     /// The part of all known routers that answer, this one included.
@@ -66,11 +66,11 @@
             early: self.life(now) < PRESUMED,
         };
         if self.roles.basis != Some(basis) {
-            self.roles = self.work_out(basis);
+            self.roles = self.compute_roles(basis);
         }
     }
 
-    fn work_out(&self, basis: Basis) -> Roles {
+    fn compute_roles(&self, basis: Basis) -> Roles {
         let watching = self.swim.live().filter(|member| {
             let present = basis.early || is_heard(member);
             present && member.status == Status::Alive && !self.blind.contains_key(&member.router)
@@ -88,8 +88,8 @@
         }
         let leader = pick(LEADER, self.strong(watching.into_iter()).into_iter()).cloned();
         let strong = self.strong(self.present()).into_iter().map(|(hash, router)| (hash, router.clone())).collect();
-        let (half_joined, dark, answering) = (self.half_joined(), self.find_dark(), self.answering());
-        Roles { basis: Some(basis), strong, watchers, leader, half_joined, dark, answering }
+        let (has_quorum, dark, answering) = (self.has_quorum(), self.unreachable_zones(), self.answering());
+        Roles { basis: Some(basis), strong, watchers, leader, has_quorum, dark, answering }
     }
 
     /// The routers that may do work for others, as homes or watchers: of those that the store names, or of all where it names
@@ -106,7 +106,7 @@
         strong.map(|(member, _)| (member.router.hash64(), &member.router)).collect()
     }
 
-    fn half_joined(&self) -> Option<bool> {
+    fn has_quorum(&self) -> Option<bool> {
         let strongest = self.view.routers().map(|router| router.strength).max()?;
         let strong = self.view.routers().filter(|router| router.strength * 2 >= strongest);
         let named: BTreeSet<_> = strong.map(|router| &router.id).collect();
@@ -116,7 +116,7 @@
     }
 
     /// The zones none of whose routers answers: they may be behind a cut.
-    fn find_dark(&self) -> BTreeSet<id::Zone> {
+    fn unreachable_zones(&self) -> BTreeSet<id::Zone> {
         let mut seen: BTreeMap<&id::Zone, bool> = BTreeMap::new();
         for peer in self.swim.peers().filter(|peer| peer.zone != self.zone && peer.status != Status::Leaving) {
             *seen.entry(&peer.zone).or_default() |= peer.status == Status::Alive;
--- a/crates/stairvale-serve/src/core/writing.rs
+++ b/crates/stairvale-serve/src/core/writing.rs
@@ -8,7 +8,7 @@
 /// A peer that doesn't answer for this long may have written or not: several round trips and a slow call to the store.
 const ANSWER: Duration = Duration::from_millis(1_000);
 /// After this long by peers the own calls are tried again, though the peers' go well.
-const AGAIN: Duration = Duration::from_secs(10);
+const RESEND_INTERVAL: Duration = Duration::from_secs(10);
 
 /// The way that is taken now. The one that worked is kept, and the other one tried after each failure.
 #[derive(Debug, Default)]
@@ -23,7 +23,7 @@
 impl Writing {
     /// Whether a peer is asked next.
     pub(super) fn by_others(&mut self, now: Moment) -> bool {
-        self.others = self.others.filter(|since| now.since(*since) < AGAIN);
+        self.others = self.others.filter(|since| now.since(*since) < RESEND_INTERVAL);
         self.others.is_some()
     }
 
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -23,7 +23,7 @@
 };
 
 /// The balancer asks each second and takes a router out after two misses: by then it sends nobody new.
-const NOTICE: Duration = Duration::from_millis(2_300);
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_300);
 /// How often a stopping process looks whether all is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// A stopping process ends this long before it would be killed.
@@ -218,7 +218,7 @@
     shared.with(Core::leave);
     let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s);
     let last = grace.saturating_sub(MARGIN);
-    tokio::time::sleep(NOTICE.min(last)).await;
+    tokio::time::sleep(BALANCER_NOTICE.min(last)).await;
     refuse_callers();
     shared.closing.send_replace(true);
     let mut idle = 0;
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -38,7 +38,7 @@
 
 /// A process that can reach the store or a peer knows the configuration this long after its start: on small VMs that all start
 /// at once after a loss of power it takes 350 to 600 ms (docs/INCIDENTS.md).
-const START: Duration = Duration::from_millis(1_000);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Hands what links bring to the core.
 #[derive(Clone, Debug)]
@@ -165,7 +165,7 @@
     /// Waits until a configuration is in force, for `limit` at most, and no longer than a process needs to learn it after
     /// its start: a request that comes in that time is served a moment later rather than sent away.
     pub async fn until_configured(&self, limit: Duration) {
-        let left = START.saturating_sub(self.now().since(Moment::ZERO)).min(limit);
+        let left = CONFIGURATION_WAIT.saturating_sub(self.now().since(Moment::ZERO)).min(limit);
         let mut configured = self.configured.subscribe();
         if !left.is_zero() && !*configured.borrow() {
             // Whether it came or not, the request is judged by what is known then.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -161,7 +161,7 @@
 mutant "a key isn't looked at again" crates/stairvale-serve/src/exchange.rs \
   's/self\.check_key\(\)\?;/let _ = self.check_key();/' stairvale-platform path
 mutant "a starting router sends requests away" crates/stairvale-serve/src/shared.rs \
-  's/START\.saturating_sub\(self\.started\.elapsed\(\)\)/START.saturating_sub(START)/' stairvale-platform path
+  's/CONFIGURATION_WAIT\.saturating_sub\(self\.now\(\)\.since\(Moment::ZERO\)\)/Duration::ZERO/' stairvale-platform path
 mutant "what a stale read shows is in force" crates/stairvale-serve/src/core/knowledge.rs \
   's/\.filter\(\|_\| self\.view\.is_confirmed\(\)\)/.filter(|_| true)/' stairvale-serve starts
 mutant "a router that has met nobody reads for all" crates/stairvale-serve/src/core/naming.rs \
