--- a/crates/stairvale-dispatch/src/pool/ring.rs
+++ b/crates/stairvale-dispatch/src/pool/ring.rs
@@ -13,8 +13,8 @@
 use crate::Member;
 
 /// Members that a decision looks at beside those that hold some of the prompt, and of those that hold one of its parts. Of five
-/// zones each has some 25 among so many, and fleets of up to so many are looked at whole. A look takes a tenth of a microsecond
-/// or two, so all of them take less than the messages of a request do.
+/// zones each has some 25 among so many, and fleets of up to so many are looked at whole. A decision about a new prompt takes 85 us
+/// with 9,600 engines and with 3,000 (`benches/pool.rs`); to look at all 9,600 took 2.4 ms.
 pub(super) const STRETCH: usize = 128;
 
 /// The ids of all members.
