Sight: what an upstream says of itself in an answer is read, logged and counted

The logs of the incident couldn't tell whether an answer had said that its upstream leaves or rests, whether the same router sent it something after that, and who had decided so. Nothing is decided by it yet.

--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -105,6 +105,17 @@
         /// How long it goes nowhere.
         length: Duration,
     },
+    /// An upstream leaves, by what it said in an answer: tell operators.
+    Leaves(id::Upstream),
+    /// An upstream wants nothing from this router for a while: tell operators.
+    Rests {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// For how long.
+        length: Duration,
+    },
+    /// An upstream asked for a rest whose length can't be understood: tell operators.
+    Unreadable(id::Upstream),
     /// A peer is gone, so its stream can be closed.
     Lost(id::Router),
 }
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -34,6 +34,9 @@
             | Effect::Say(_)
             | Effect::Surplus { .. }
             | Effect::Quarantined { .. }
+            | Effect::Leaves(_)
+            | Effect::Rests { .. }
+            | Effect::Unreadable(_)
             | Effect::Lost(_) => false,
         });
         if !decided {
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -27,6 +27,7 @@
 mod home;
 mod knowledge;
 mod naming;
+mod notices;
 mod quarantine;
 mod roles;
 mod rollouts;
@@ -34,6 +35,7 @@
 mod writing;
 
 use heirs::Heirs;
+use notices::Notices;
 use quarantine::Quarantine;
 use roles::Roles;
 use rollouts::Rollouts;
@@ -108,6 +110,8 @@
     rollouts: Rollouts,
     /// Requests that go nowhere.
     quarantine: Quarantine,
+    /// What upstreams said of themselves.
+    notices: Notices,
     /// Who does what, as far as that was worked out.
     roles: Roles,
     /// Whom this router hears of the store from, and since when.
@@ -155,6 +159,7 @@
             blind_changes: 0,
             rollouts: Rollouts::default(),
             quarantine: Quarantine::default(),
+            notices: Notices::default(),
             roles: Roles::default(),
             relied: None,
             born: None,
--- a/crates/stairvale-serve/src/dialect.rs
+++ b/crates/stairvale-serve/src/dialect.rs
@@ -81,6 +81,27 @@
     Foreign,
 }
 
+/// What an upstream says of itself in the head of an answer, whatever it answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Notice {
+    /// Whether it leaves, and wants no new work from anybody.
+    pub leaves: bool,
+    /// How long it wants nothing from this router.
+    pub rest: Rest,
+}
+
+/// How long an upstream that turned a request away wants nothing more from the router that sent it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Rest {
+    /// It said nothing of that.
+    #[default]
+    Unasked,
+    /// For this long.
+    For(Duration),
+    /// What it said can't be understood.
+    Unreadable,
+}
+
 /// How an installation speaks HTTP.
 pub trait Dialect: Clone + Send + Sync + 'static {
     /// Reads a request's head.
@@ -92,6 +113,8 @@
     fn write(&self, headers: &mut HeaderMap, order: Order<'_>);
     /// Tells what an upstream's answer is.
     fn judge(&self, id: &str, answer: &response::Parts) -> Mark;
+    /// Reads what an upstream says of itself in any answer.
+    fn notice(&self, answer: &response::Parts) -> Notice;
     /// Names the request in an answer of our own.
     fn name(&self, headers: &mut HeaderMap, id: &str);
     /// When to come back, as a header's value.
--- a/crates/stairvale-serve/src/inspect.rs
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -61,6 +61,7 @@
     let asked = traffic::request_head(&request);
     let (answer, connection) = shared.upstreams.send(upstream, address, request).await.ok()?;
     let (head, body) = answer.into_parts();
+    shared.hear(upstream, dialect.notice(&head));
     let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
     let zone = shared.look(|core, _| core.view().upstream(upstream).map(|known| known.zone.clone()));
     let bytes = asked + traffic::answer_head(&head.headers) + body.len();
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -28,6 +28,8 @@
 pub struct Permit {
     shared: Arc<Shared>,
     attempt: id::Attempt,
+    /// Who granted it: the service's home, or this router itself where no home answered.
+    pub home: id::Router,
     /// The upstream, as it was when the place was granted.
     pub upstream: Upstream,
     /// Tokens that it has to read.
@@ -167,8 +169,19 @@
                     (now, source.and_then(|source| core.address(&source)))
                 });
                 let over = shared.run(attempt);
-                let (shared, outcome) = (shared.clone(), Outcome::Abandoned);
-                return Ok(Permit { shared, attempt, upstream: place, read, source, since, outcome, took: None, over });
+                let (shared, outcome, home) = (shared.clone(), Outcome::Abandoned, asking.home.clone());
+                return Ok(Permit {
+                    shared,
+                    attempt,
+                    home,
+                    upstream: place,
+                    read,
+                    source,
+                    since,
+                    outcome,
+                    took: None,
+                    over,
+                });
             }
             Some(Verdict::Refused(refusal)) => {
                 asking.open = false;
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -25,6 +25,8 @@
 use crate::{
     Settings,
     core::{Core, Effect, Reply},
+    dialect::Notice,
+    exchange::millis,
     frame::Frame,
     inspect::Inspection,
     metrics::Metrics,
@@ -289,6 +291,18 @@
                     // Nobody writes any more only when the process ends.
                     let _ = self.quarantines.send(Term { fingerprint, length, since });
                 }
+                Effect::Leaves(upstream) => {
+                    self.metrics.count("upstream-leaves");
+                    tracing::info!(%upstream, "an upstream leaves, by its answer");
+                }
+                Effect::Rests { upstream, length } => {
+                    self.metrics.count("upstream-rests");
+                    tracing::info!(%upstream, ms = millis(length), "an upstream wants rest");
+                }
+                Effect::Unreadable(upstream) => {
+                    self.metrics.count("upstream-rest-unreadable");
+                    tracing::info!(%upstream, "an upstream wants rest, for a time that can't be read");
+                }
                 Effect::Lost(router) => {
                     tracing::info!(peer = %router, "a router is gone");
                     self.links.close(&router);
@@ -327,6 +341,13 @@
         sent
     }
 
+    /// An upstream said something of itself in an answer.
+    pub fn hear(&self, upstream: &id::Upstream, notice: Notice) {
+        if notice != Notice::default() {
+            self.with(|core, now| core.hear(now, upstream, notice));
+        }
+    }
+
     /// Counts what passed between this router and an upstream.
     pub fn passed(&self, kind: Kind, permit: &Permit, bytes: usize) {
         self.metrics.traffic.count(kind, Some(&permit.upstream.zone), bytes);
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -646,6 +646,7 @@
                     self.nodes[index].replies.insert(attempt, reply);
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
+                Effect::Leaves(_) | Effect::Rests { .. } | Effect::Unreadable(_) => {}
                 Effect::Quarantined { fingerprint, length, .. } => {
                     self.found.push(fingerprint);
                     if !self.cut_from_store.contains(&index) {
