An upstream that says in an answer that it leaves gets nothing new, whoever decides

Cause: a router heard an upstream's leaving from the store alone. Ruled out: that health brought it back (hypothesis 2: all its answers were 200), and that the router that heard it only lost against the home's decision (hypothesis 3, which the mend has to meet all the same).

Change: the word binds a life for good. Three ways: the router that heard it looks again at each place that it is granted, before anything is sent (Core::place); its own pools take the upstream for leaving, so what it holds is copied away in time and heirs choose others; and all other routers are told by datagrams of membership, an update that every version of the wire has had. A router that joins is told again by its zone's watcher. Another life of the name takes work. Memory: what the store names, and 4,096 lives besides.

--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -124,7 +124,7 @@
     }
 
     /// Hands the upstreams that changed to their pools. What a change costs doesn't grow with the fleet.
-    fn regroup_some(&mut self, now: Moment, changed: &BTreeSet<Subject>) -> Vec<Effect> {
+    pub(super) fn regroup_some(&mut self, now: Moment, changed: &BTreeSet<Subject>) -> Vec<Effect> {
         let mut known: BTreeMap<id::Service, Vec<Listing>> = BTreeMap::new();
         let mut gone = Vec::new();
         for subject in changed {
@@ -166,7 +166,9 @@
             id: upstream.id.clone(),
             zone: upstream.zone.clone(),
             slots: upstream.slots,
-            usable: upstream.state == State::Ready && !self.evacuated.contains(&upstream.zone),
+            usable: upstream.state == State::Ready
+                && !self.evacuated.contains(&upstream.zone)
+                && !self.leaves(&upstream.id),
             cold: upstream.cold,
             revision,
             version: upstream.version.clone(),
@@ -203,11 +205,13 @@
                     out.extend(self.tell_quarantines(now, &router));
                     joined = true;
                 }
-                swim::Effect::Leaves(_) | swim::Effect::Upstream(_) | swim::Effect::Versions { .. } => {}
+                swim::Effect::Upstream(word) => out.extend(self.heard_of(now, &word)),
+                swim::Effect::Leaves(_) | swim::Effect::Versions { .. } => {}
             }
         }
         if joined {
             out.extend(self.inherit());
+            out.extend(self.retell_leaving(now));
             if !self.view.is_confirmed() {
                 // Whoever has just answered may know what this router waits for.
                 out.extend(self.sync(now));
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -229,7 +229,8 @@
     /// Where an upstream is, if it may still be sent new work.
     #[must_use]
     pub fn place(&self, upstream: &id::Upstream) -> Option<Upstream> {
-        if !self.view.is_usable(upstream) {
+        // The store may not say yet that it leaves, or not be there to say so.
+        if !self.view.is_usable(upstream) || self.leaves(upstream) {
             return None;
         }
         let known = self.view.upstream(upstream)?;
--- a/crates/stairvale-serve/src/core/notices.rs
+++ b/crates/stairvale-serve/src/core/notices.rs
@@ -1,20 +1,28 @@
-//! What upstreams say of themselves in their answers to this router.
+//! What upstreams say of themselves in their answers.
+//!
+//! An upstream that leaves says so in each answer, and in its entry in the store, which may come late or never while the store is
+//! away. So the first answer binds the router that hears it, whoever decides where its requests go: a place that is
+//! granted is looked at again before anything is sent. The other routers are told in datagrams, by way of their membership.
 
 use std::time::Duration;
 
 use rapidhash::{RapidHashMap, RapidHashSet};
+use stairvale_replica::{State, Subject};
 use stairvale_types::{Moment, id};
+use stairvale_wire::{Word, packet};
 
 use super::{Core, Effect};
 use crate::dialect::{Notice, Rest};
 
 /// The longest rest that an upstream is given for one answer; what asks for more is taken to ask for this.
-const LONGEST_REST: Duration = Duration::from_hours(1);
+const LONGEST_REST: Duration = Duration::from_secs(3_600);
+/// Lives that left and are remembered beside those that the store names: an entry that vanished may come back.
+const GONE: usize = 4_096;
 
 /// What upstreams said of themselves.
 #[derive(Debug, Default)]
 pub(super) struct Notices {
-    /// Lives that said that they leave.
+    /// Lives that said that they leave. There is no way back from that but another life.
     leaving: RapidHashSet<id::Upstream>,
     /// Until when lives want nothing from this router.
     rests: RapidHashMap<id::Upstream, Moment>,
@@ -23,10 +31,7 @@
 impl Core {
     /// An upstream answered this router.
     pub fn hear(&mut self, now: Moment, upstream: &id::Upstream, notice: Notice) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        if notice.leaves && self.notices.leaving.insert(upstream.clone()) {
-            effects.push(Effect::Leaves(upstream.clone()));
-        }
+        let mut effects = if notice.leaves { self.learn_leaving(now, upstream) } else { Vec::new() };
         match notice.rest {
             Rest::Unasked => {}
             Rest::Unreadable => effects.push(Effect::Unreadable(upstream.clone())),
@@ -47,10 +52,57 @@
         self.notices.leaving.contains(upstream)
     }
 
+    /// How many words of upstreams are remembered.
+    #[must_use]
+    pub fn remembered_notices(&self) -> usize {
+        self.notices.leaving.len() + self.notices.rests.len()
+    }
+
     /// How much longer an upstream wants nothing from this router, if it does.
     #[must_use]
     pub fn rests(&self, now: Moment, upstream: &id::Upstream) -> Option<Duration> {
         let until = self.notices.rests.get(upstream).filter(|until| **until > now)?;
         Some(until.since(now))
     }
+
+    /// A life of an upstream leaves, by its answer to this router or by what a peer heard: nothing new goes there, and the
+    /// others are told.
+    fn learn_leaving(&mut self, now: Moment, upstream: &id::Upstream) -> Vec<Effect> {
+        if !self.notices.leaving.insert(upstream.clone()) {
+            return Vec::new();
+        }
+        if self.notices.leaving.len() > GONE {
+            let view = &self.view;
+            self.notices.leaving.retain(|life| view.upstream(life).is_some() || life == upstream);
+        }
+        let mut effects = vec![Effect::Leaves(upstream.clone())];
+        effects.extend(self.regroup_some(now, &[Subject::Upstream(upstream.name())].into()));
+        effects.extend(self.spread_leaving(now, upstream));
+        effects
+    }
+
+    /// A peer passed on what is said of an upstream.
+    pub(super) fn heard_of(&mut self, now: Moment, word: &Word) -> Vec<Effect> {
+        match word.state {
+            packet::State::Draining => self.learn_leaving(now, &word.upstream),
+            packet::State::Serving | packet::State::Unreachable => Vec::new(),
+        }
+    }
+
+    fn spread_leaving(&mut self, now: Moment, upstream: &id::Upstream) -> Vec<Effect> {
+        let (boot, state) = (upstream.start().unwrap_or_default(), packet::State::Draining);
+        let told = self.swim.spread(Word { upstream: upstream.clone(), boot, change: 0, reach: 0, state });
+        self.members(now, told)
+    }
+
+    /// Tells again of those that leave without the store saying so: a router that has just joined missed it. One router of a
+    /// zone is enough.
+    pub(super) fn retell_leaving(&mut self, now: Moment) -> Vec<Effect> {
+        if self.notices.leaving.is_empty() || self.watcher().as_ref() != Some(&self.me) {
+            return Vec::new();
+        }
+        let unsaid = |life: &&id::Upstream| self.view.upstream(life).is_some_and(|known| known.state == State::Ready);
+        let unsaid: Vec<_> = self.notices.leaving.iter().filter(unsaid).cloned().collect();
+        unsaid.iter().flat_map(|life| self.spread_leaving(now, life)).collect()
+    }
 }
