An upstream that asks a router for rest has it, whoever decides where that router's requests go

What callers saw: requests that were sent to one upstream after the other that turned them away (three in a row in the incident, 3 ms each), and once the budget of repeats was used up by that, 503 after a single try, while eight of twelve engines had room.

What is full was left alone for 50 ms and asked again, by the same router. Ruled out: that its health was judged wrongly (hypothesis 2: a refusal says nothing bad of an upstream, and the 50 ms are right for one that says no more). Hypothesis 3 holds: the home decides and doesn't know what its askers were told, so the mend has two halves.

Change: a router keeps until when each upstream wants nothing from it, on the clock that counts suspensions. It names those in each ask among what is to be avoided, so that any home, heir or stand-in keeps to it, none has to remember it, and the wire is as it was. And it looks again at each place that it is granted, since a request may have waited meanwhile, or a place was decided on before. Where all that could serve a request rest, it is refused at once with the time until the first doesn't. Inventories and copies keep to it as well. A shorter rest doesn't end a longer one; an hour is the most that one answer gets; another life doesn't rest for an earlier one's word; what can't be read costs nothing and is counted. Asking homes again for a place that isn't wanted no longer uses up the rounds that silent homes have.

Not done: that the home copies from no engine that rests for the asker: avoided engines are copied from on purpose (two tests), so the entry drops such a source and the engine reads what it lacks.

--- a/crates/stairvale-dispatch/benches/pool.rs
+++ b/crates/stairvale-dispatch/benches/pool.rs
@@ -104,7 +104,7 @@
         let new = |index: u64, tokens| Part { id: 2_000_000 + number * 3 + index, tokens };
         let ask = Ask { parts: vec![new(0, 2_500), new(1, 6_000), new(2, 500)], ..ask(number) };
         black_box(pool.ask(Moment(now), ask));
-        black_box(pool.unknown());
+        black_box(pool.unknown(|_| true));
         black_box(pool.begun(Moment(now), id::Attempt(u128::from(number)), Duration::from_millis(50)));
         let earlier = id::Attempt(u128::from(number - engines as u64 * 5));
         black_box(pool.release(Moment(now), earlier, Outcome::Served, None));
--- a/crates/stairvale-dispatch/src/pool/holders.rs
+++ b/crates/stairvale-dispatch/src/pool/holders.rs
@@ -63,9 +63,9 @@
         }
     }
 
-    /// Engines of which nobody has told what they hold. Each is named once.
-    pub fn unknown(&mut self) -> Vec<id::Upstream> {
-        let mut untold = std::mem::take(&mut self.untold);
+    /// Engines of which nobody has told what they hold, as far as they may be asked now. Each is named once.
+    pub fn unknown(&mut self, may_ask: impl Fn(&id::Upstream) -> bool) -> Vec<id::Upstream> {
+        let mut untold: Vec<_> = self.untold.extract_if(.., |engine| may_ask(engine)).collect();
         untold.retain(|id| {
             let unknown = self.members.get_mut(id).filter(|member| member.memory > 0 && !member.known);
             unknown.map(|member| member.known = true).is_some()
--- a/crates/stairvale-dispatch/src/pool/queue.rs
+++ b/crates/stairvale-dispatch/src/pool/queue.rs
@@ -4,7 +4,7 @@
 //! customers within their shares, among these to the most urgent request, then to the customer that has least, then to what
 //! has waited longest. So a surge waits behind itself, and what can't be served in its patience is told so at once.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use stairvale_types::{Moment, Refusal, id, outcome::Reason};
 
@@ -218,7 +218,9 @@
     fn predict(&self, now: Moment, new: &Waiting) -> Option<Wait> {
         let within = self.reach(now);
         let ask = &new.ask;
-        let able = |member: &&Member| within.has(member) && ask.allows(&member.zone) && !ask.avoid.contains(&member.id);
+        // Many upstreams may rest for one router, and all members are looked at.
+        let avoid: BTreeSet<_> = ask.avoid.iter().collect();
+        let able = |member: &&Member| within.has(member) && ask.allows(&member.zone) && !avoid.contains(&member.id);
         let able: Vec<_> = self.members.values().filter(able).collect();
         if able.is_empty() {
             return None;
--- a/crates/stairvale-dispatch/tests/looks.rs
+++ b/crates/stairvale-dispatch/tests/looks.rs
@@ -26,7 +26,7 @@
 fn pool(upstreams: usize) -> Pool {
     let mut pool = fleet::pool(engines(), upstreams, 0, 32);
     // Else they are asked for what they hold.
-    pool.unknown();
+    pool.unknown(|_| true);
     pool
 }
 
@@ -44,7 +44,7 @@
         let answers = pool.ask(now, Ask { entry: entry(number), ..ask(number, 0, &parts) });
         assert!(place(&answers).is_some() || pool.waiting() > 0);
         pool.begun(now, id::Attempt(number), Duration::from_millis(50));
-        pool.unknown();
+        pool.unknown(|_| true);
         if number >= 10 {
             pool.release(now, id::Attempt(number - 10), Outcome::Served, None);
         }
--- a/crates/stairvale-dispatch/tests/pool.rs
+++ b/crates/stairvale-dispatch/tests/pool.rs
@@ -618,3 +618,37 @@
         true
     }
 }
+
+/// Of twelve engines eight want nothing from this entry; others ask for any.
+#[test]
+fn an_entry_that_avoids_most_upstreams_loads_the_others_no_more_than_the_bound() {
+    let mut pool = pool(engines(), 12, 64);
+    let ids: Vec<_> = members(12, 64).into_iter().map(|listing| listing.id).collect();
+    for number in 0..60 {
+        assert!(granted(&pool.ask(at(0), ask(number, &[(1_000 + u64::try_from(number).unwrap(), 50)]))).is_some());
+    }
+    let mut refusals = 0;
+    for number in 100..300 {
+        let mut ask = ask(number, &[(1_000 + u64::try_from(number).unwrap(), 50)]);
+        ask.avoid = ids[..8].to_vec();
+        ask.patience = Duration::ZERO;
+        let answers = pool.ask(at(1), ask);
+        match granted(&answers) {
+            Some(place) => assert!(ids[8..].contains(&place)),
+            None => refusals += u32::from(refused(&answers) == Some(Reason::Busy)),
+        }
+        let running: Vec<_> = pool.members().map(|member| f64::from(member.running())).collect();
+        let mean = running.iter().sum::<f64>() / 12.0;
+        assert!(running.iter().all(|running| *running <= 2.0 * mean + 3.0), "{running:?}");
+    }
+    assert!(refusals > 0, "the bound was never met");
+}
+
+#[test]
+fn an_entry_that_avoids_all_upstreams_is_told_so_at_once() {
+    let mut pool = pool(engines(), 12, 64);
+    let mut ask = ask(1, &[(7, 2_000), (100, 50)]);
+    ask.avoid = members(12, 64).into_iter().map(|listing| listing.id).collect();
+    assert_eq!(refused(&pool.ask(at(0), ask)), Some(Reason::NoUpstream));
+    assert_eq!(pool.waiting(), 0);
+}
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Pool, Verdict, shares::Counts};
+use stairvale_dispatch::{Answer, Ask, Held, Outcome, Part, Verdict, shares::Counts};
 use stairvale_types::{Moment, id};
 
 use super::{Core, Effect, Reply};
@@ -105,7 +105,9 @@
         if !self.has_joined(now) || self.standing_home(service) != Some(&self.me) {
             return Vec::new();
         }
-        let unknown = self.pools.get_mut(service).map(Pool::unknown).unwrap_or_default();
+        let resting = self.resting(now, service);
+        let pool = self.pools.get_mut(service);
+        let unknown = pool.map(|pool| pool.unknown(|engine| !resting.contains(engine))).unwrap_or_default();
         let asked = unknown.into_iter().filter_map(|upstream| {
             let address = self.address(&upstream)?;
             Some(Effect::Inspect { service: service.clone(), upstream, address })
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -405,6 +405,7 @@
             self.next_renew = now + RENEW;
             effects.extend(self.renew(now));
             effects.extend(self.inherit());
+            self.end_rests(now);
         }
         if now >= self.next_sync {
             let often = self.bounds.stale() / SYNCS;
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -126,7 +126,6 @@
         let request = self.request(&permit, last_event);
         self.shared.passed(Kind::Request, &permit, traffic::request_head(&request) + self.body.len());
         let (id, address) = (permit.upstream.id.clone(), permit.upstream.address);
-        self.log_unwanted(&permit);
         let sending = self.shared.upstreams.send(&id, address, request);
         let (answer, connection) = match self.hear(&permit, sending).await {
             Ok(sent) => sent,
@@ -144,7 +143,7 @@
         let mark = self.dialect.judge(&self.head.id, &head);
         // What another upstream answers, or nobody that can be named, says nothing of this one.
         if !matches!(mark, Mark::Gone | Mark::Foreign) {
-            self.shared.hear(&id, self.dialect.notice(&head));
+            self.shared.hear(&self.service, &id, self.dialect.notice(&head));
         }
         match mark {
             Mark::Answer | Mark::Unfit => {
@@ -168,19 +167,6 @@
         }
     }
 
-    /// Tells of a request that is sent where it isn't wanted, and who decided so.
-    fn log_unwanted(&self, permit: &Permit) {
-        let upstream = &permit.upstream.id;
-        let (leaves, rests) = self.shared.look(|core, now| (core.leaves(upstream), core.rests(now, upstream)));
-        if leaves || rests.is_some() {
-            self.shared.metrics.count(if leaves { "sent-to-leaving" } else { "sent-to-resting" });
-            tracing::info!(
-                id = self.head.id, %upstream, leaves, rest_ms = rests.map(millis), home = %permit.home,
-                turned_away = self.tries.turned_away, "sent where nothing is wanted"
-            );
-        }
-    }
-
     /// An upstream that may have run it didn't answer. What else idles there is no better than the connection that failed.
     pub(super) async fn missed(&self, fault: &Fault, permit: Permit) -> Problem {
         self.shared.upstreams.forget(&permit.upstream.id);
--- a/crates/stairvale-serve/src/inspect.rs
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -41,7 +41,7 @@
 
 async fn inspect<D: Dialect>(shared: &Shared, dialect: &D, inspection: Inspection) {
     let Inspection { service, upstream, address } = inspection;
-    let asked = tokio::time::timeout(TIMEOUT, ask(shared, dialect, &upstream, address)).await;
+    let asked = tokio::time::timeout(TIMEOUT, ask(shared, dialect, &service, &upstream, address)).await;
     let parts = asked.ok().flatten();
     tracing::info!(%upstream, parts = parts.as_ref().map(Vec::len), "asked an engine what it holds");
     if let Some(parts) = parts {
@@ -52,16 +52,20 @@
 async fn ask<D: Dialect>(
     shared: &Shared,
     dialect: &D,
+    service: &id::Service,
     upstream: &id::Upstream,
     address: SocketAddr,
 ) -> Option<Vec<Part>> {
     let path = dialect.inventory_path()?;
+    if shared.look(|core, now| core.rest(now, service, upstream)).is_some() {
+        return None;
+    }
     let request = Request::get(path).header(http::header::HOST, address.to_string());
     let request = request.body(Full::new(Bytes::new())).ok()?;
     let asked = traffic::request_head(&request);
     let (answer, connection) = shared.upstreams.send(upstream, address, request).await.ok()?;
     let (head, body) = answer.into_parts();
-    shared.hear(upstream, dialect.notice(&head));
+    shared.hear(service, upstream, dialect.notice(&head));
     let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
     let zone = shared.look(|core, _| core.view().upstream(upstream).map(|known| known.zone.clone()));
     let bytes = asked + traffic::answer_head(&head.headers) + body.len();
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -20,6 +20,8 @@
 /// Homes that are asked before this router decides by itself: the home, its heir in another zone, and who decides for this zone
 /// if it is cut off.
 const HOMES: usize = 3;
+/// Places that a request is granted at upstreams which, as this router has heard meanwhile, want nothing from it.
+const UNWANTED: usize = 8;
 /// When to come back if nobody can decide.
 const COME_BACK: Duration = Duration::from_millis(500);
 
@@ -28,8 +30,6 @@
 pub struct Permit {
     shared: Arc<Shared>,
     attempt: id::Attempt,
-    /// Who granted it: the service's home, or this router itself where no home answered.
-    pub home: id::Router,
     /// The upstream, as it was when the place was granted.
     pub upstream: Upstream,
     /// Tokens that it has to read.
@@ -123,15 +123,24 @@
 /// A [`Refusal`] if there is no place now.
 pub async fn get(shared: &Arc<Shared>, mut want: Want<'_>) -> Result<Permit, Refusal> {
     let patience = (want.objective / ANSWER_SHARE).clamp(ANSWER_LEAST, ANSWER_MOST);
-    for round in 0..=HOMES {
+    let (mut silent, mut unwanted) = (0, 0);
+    while silent <= HOMES && unwanted < UNWANTED {
+        let (all_rest, resting) = shared.look(|core, now| {
+            let zones = want.ask.within.as_deref();
+            (core.all_rest(now, want.service, zones), core.resting(now, want.service))
+        });
+        if let Some(left) = all_rest {
+            return Err(Refusal::new(Reason::Busy, left));
+        }
         let attempt = id::Attempt(uuid::Uuid::new_v4().as_u128());
-        let ask = Ask { attempt, ..want.ask.clone() };
+        let mut ask = Ask { attempt, ..want.ask.clone() };
+        ask.avoid.extend(resting);
         let wait = ask.patience.max(ask.follows());
         let mut replies = shared.expect(attempt);
         let me = shared.settings.router.clone();
         let mut home = me.clone();
         shared.with(|core, now| {
-            if round == HOMES {
+            if silent == HOMES {
                 return core.ask_self(now, want.service, ask);
             }
             let (asked, effects) = core.ask(now, want.service, ask);
@@ -153,10 +162,14 @@
         };
         match verdict {
             Some(Verdict::Granted { upstream, read, source }) => {
-                let place = shared.look(|core, _| core.place(&upstream));
+                let place = shared.look(|core, now| {
+                    let rests = core.rest(now, want.service, &upstream).is_some();
+                    core.place(&upstream).filter(|_| !rests)
+                });
                 let Some(place) = place else {
-                    // It began to leave in between, by what this router knows.
-                    shared.metrics.count("granted-gone");
+                    // It began to leave, or to rest, in between, by what this router knows.
+                    shared.metrics.count("granted-unwanted");
+                    unwanted += 1;
                     // The home may not know it yet, and would choose it again.
                     want.ask.avoid.push(upstream);
                     continue;
@@ -166,28 +179,21 @@
                 let held = Held { attempt, upstream, read, customer, route, fingerprint };
                 let (since, source) = shared.change(|core, now| {
                     core.start(want.service, held, &asking.home, &want.ask.parts);
-                    (now, source.and_then(|source| core.address(&source)))
+                    let rests = |source: &id::Upstream| core.rest(now, want.service, source).is_some();
+                    (now, source.filter(|source| !rests(source)).and_then(|source| core.address(&source)))
                 });
                 let over = shared.run(attempt);
-                let (shared, outcome, home) = (shared.clone(), Outcome::Abandoned, asking.home.clone());
-                return Ok(Permit {
-                    shared,
-                    attempt,
-                    home,
-                    upstream: place,
-                    read,
-                    source,
-                    since,
-                    outcome,
-                    took: None,
-                    over,
-                });
+                let (shared, outcome) = (shared.clone(), Outcome::Abandoned);
+                return Ok(Permit { shared, attempt, upstream: place, read, source, since, outcome, took: None, over });
             }
             Some(Verdict::Refused(refusal)) => {
                 asking.open = false;
                 return Err(refusal);
             }
-            None => shared.change(|core, now| core.distrust(now, &asking.home)),
+            None => {
+                silent += 1;
+                shared.change(|core, now| core.distrust(now, &asking.home));
+            }
         }
     }
     Err(Refusal::new(Reason::NoUpstream, COME_BACK))
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -342,9 +342,9 @@
     }
 
     /// An upstream said something of itself in an answer.
-    pub fn hear(&self, upstream: &id::Upstream, notice: Notice) {
+    pub fn hear(&self, service: &id::Service, upstream: &id::Upstream, notice: Notice) {
         if notice != Notice::default() {
-            self.with(|core, now| core.hear(now, upstream, notice));
+            self.with(|core, now| core.hear(now, service, upstream, notice));
         }
     }
 
--- a/crates/stairvale-serve/tests/notices.rs
+++ b/crates/stairvale-serve/tests/notices.rs
@@ -1,12 +1,18 @@
-//! Upstreams that say of themselves in an answer that they leave: who is told, by which way, and for how long that holds, while
-//! the store is away, zones are cut off, routers start, and homes die.
+//! Upstreams that say of themselves in an answer that they leave, or want rest: who is told, by which way, and for how long that
+//! holds, while the store is away, zones are cut off, routers start, and homes die.
 
 #![allow(clippy::unwrap_used)]
 
 mod world;
 
+use std::time::Duration;
+
+use stairvale_dispatch::Verdict;
 use stairvale_replica::State;
-use stairvale_serve::dialect::{Notice, Rest};
+use stairvale_serve::{
+    core::Reply,
+    dialect::{Notice, Rest},
+};
 use stairvale_types::id;
 use world::World;
 
@@ -33,7 +39,7 @@
 /// Router `index` passes on an answer of an engine that says this.
 fn answers(world: &mut World, index: usize, engine: &str, notice: Notice) {
     let now = world.local(index);
-    let effects = world.nodes[index].core.hear(now, &engine.parse().unwrap(), notice);
+    let effects = world.nodes[index].core.hear(now, &chat(), &engine.parse().unwrap(), notice);
     world.perform(index, effects);
 }
 
@@ -160,8 +166,7 @@
     let home = world.ask(1, 1, &[]);
     world.run(50);
     let reply = &world.nodes[1].replies[&id::Attempt(1)];
-    let refused = matches!(reply, stairvale_serve::core::Reply::Decided(Some(stairvale_dispatch::Verdict::Refused(_))));
-    assert!(refused, "{home}: {reply:?}");
+    assert!(matches!(reply, Reply::Decided(Some(Verdict::Refused(_)))), "{home}: {reply:?}");
 }
 
 #[test]
@@ -174,3 +179,123 @@
     assert!(world.nodes[0].core.remembered_notices() <= 5_000);
     assert!(!world.usable(0, 0), "one that is there is kept");
 }
+
+// ----------------------------------------------------------------------------
+// Rest.
+
+fn rests(seconds: f64) -> Notice {
+    Notice { leaves: false, rest: Rest::For(Duration::from_secs_f64(seconds)) }
+}
+
+/// How much longer an engine rests for router `index`, in ms.
+fn left(world: &World, index: usize, engine: &str) -> u128 {
+    let core = &world.nodes[index].core;
+    core.rest(world.local(index), &chat(), &engine.parse().unwrap()).map_or(0, |left| left.as_millis())
+}
+
+#[test]
+fn a_rest_concerns_the_router_that_was_told_and_nobody_else() {
+    let mut world = fleet();
+    answers(&mut world, 2, "e0", rests(3.0));
+    world.run(SPREAD);
+    assert_eq!(left(&world, 2, "e0"), 1_500);
+    for other in [0, 1, 3, 4, 5] {
+        assert_eq!(left(&world, other, "e0"), 0);
+    }
+    assert_eq!(users(&world), [0, 1, 2, 3, 4, 5], "it doesn't leave");
+    world.run(1_600);
+    assert_eq!(left(&world, 2, "e0"), 0);
+}
+
+#[test]
+fn a_shorter_rest_does_not_end_a_longer_one() {
+    let mut world = fleet();
+    answers(&mut world, 2, "e0", rests(5.0));
+    answers(&mut world, 2, "e0", rests(1.0));
+    assert_eq!(left(&world, 2, "e0"), 5_000);
+    world.run(2_000);
+    answers(&mut world, 2, "e0", rests(4.0));
+    assert_eq!(left(&world, 2, "e0"), 4_000);
+}
+
+#[test]
+fn no_answer_keeps_an_upstream_away_for_longer_than_an_hour() {
+    let mut world = fleet();
+    answers(&mut world, 2, "e0", Notice { leaves: false, rest: Rest::For(Duration::MAX) });
+    assert_eq!(left(&world, 2, "e0"), 3_600_000);
+}
+
+#[test]
+fn a_router_that_stood_still_counts_that_time() {
+    let mut world = fleet();
+    answers(&mut world, 2, "e0", rests(3.0));
+    world.freeze(2, true);
+    world.run(2_000);
+    world.freeze(2, false);
+    assert_eq!(left(&world, 2, "e0"), 1_000);
+}
+
+#[test]
+fn another_life_does_not_rest_for_what_the_earlier_one_said() {
+    let mut world = World::new(ROUTERS, 2, 0);
+    world.begin_engine(0, 0, 1_000);
+    world.run(SETTLE);
+    answers(&mut world, 2, "e0@1000", rests(30.0));
+    world.begin_engine(0, 0, 2_000);
+    world.run(1_000);
+    assert_eq!(left(&world, 2, "e0@2000"), 0);
+}
+
+#[test]
+fn it_is_known_when_the_first_takes_work_again_if_all_rest() {
+    let mut world = fleet();
+    let all_rest = |world: &World, zones: Option<&[id::Zone]>| {
+        let left = world.nodes[2].core.all_rest(world.local(2), &chat(), zones);
+        left.map(|left| left.as_millis())
+    };
+    let zone = [world.nodes[2].core.view().upstream(&"e0".parse().unwrap()).unwrap().zone.clone()];
+    answers(&mut world, 2, "e0", rests(5.0));
+    answers(&mut world, 2, "e2", rests(9.0));
+    assert_eq!(all_rest(&world, None), None);
+    assert_eq!(all_rest(&world, Some(&zone)), Some(5_000), "one zone's");
+    answers(&mut world, 2, "e1", rests(7.0));
+    assert_eq!(all_rest(&world, None), Some(5_000));
+    // One that leaves doesn't take work again.
+    answers(&mut world, 2, "e0", LEAVES);
+    assert_eq!(all_rest(&world, None), Some(7_000));
+}
+
+#[test]
+fn rests_that_are_over_are_forgotten() {
+    let mut world = fleet();
+    for engine in 0..10_000 {
+        answers(&mut world, 2, &format!("x{engine}"), rests(1.0));
+    }
+    assert_eq!(world.nodes[2].core.remembered_notices(), 10_000);
+    world.run(2_000);
+    assert_eq!(world.nodes[2].core.remembered_notices(), 0);
+}
+
+#[test]
+fn a_home_that_takes_over_asks_an_engine_that_rests_for_it_only_after_that() {
+    let mut world = World::new(ROUTERS, 2, 3);
+    world.run(SETTLE);
+    let home = world.index(&world.nodes[0].core.home_of(&chat()).unwrap());
+    for router in 0..ROUTERS {
+        answers(&mut world, router, "e0", rests(8.0));
+        world.nodes[router].inspected.clear();
+    }
+    let asked = |world: &World| {
+        let engines = world.nodes.iter().flat_map(|node| &node.inspected);
+        engines.filter(|engine| engine.as_str() == "e0").count()
+    };
+    // What it was told of as an heir it needn't ask: a router that starts as the home does.
+    world.kill(home);
+    world.run(2_000);
+    world.start(home, 2);
+    answers(&mut world, home, "e0", rests(20.0));
+    world.run(10_000);
+    assert_eq!(asked(&world), 0);
+    world.run(15_000);
+    assert!(asked(&world) <= 1);
+}
