Test of an upstream of the own interface that asks for rest, failing

The same class of cause elsewhere: the product's own interface looks at a refusal's mark that nothing has run, and not at its Retry-After.

--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -286,6 +286,41 @@
     call(Method::POST, faults, &[], "{}".into()).await.unwrap();
 }
 
+/// An upstream that turns a request away may ask for rest: then nothing goes there from the router that it told. Routers only
+/// looked at whether the request had run, and asked it again with the next one.
+#[tokio::test]
+async fn an_upstream_that_asks_for_rest_has_it_from_the_router_that_it_told() {
+    std::thread::spawn(fleet).join().unwrap();
+    let fleet = fleet();
+    let service = fleet.services[1];
+    let refused = || async move {
+        let load = call(Method::GET, format!("http://{service}/admin/load"), &[], String::new()).await.unwrap();
+        load.json()["refused"].as_u64().unwrap()
+    };
+    let faults = format!("http://{service}/admin/faults");
+    call(Method::POST, faults.clone(), &[], "{\"rest\":3}".into()).await.unwrap();
+    let key = format!("Bearer {CUSTOMER}");
+    let press = |round: &'static str| {
+        let key = key.clone();
+        async move {
+            for number in 0..60 {
+                let id = format!("rest-{round}-{number}");
+                let headers = [("authorization", key.as_str()), ("idempotency-key", &id), ("x-request-id", &id)];
+                let uri = format!("http://{}/points/redeem", fleet.callers[number % 2]);
+                let answer = call(Method::POST, uri, &headers, format!("{{\"redeem\":\"{id}\"}}")).await.unwrap();
+                assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+                tokio::time::sleep(Duration::from_millis(15)).await;
+            }
+        }
+    };
+    press("first").await;
+    let told = refused().await;
+    assert!((1..=4).contains(&told), "{told} before both routers were told");
+    press("later").await;
+    assert_eq!(refused().await, told, "more came while it rests");
+    call(Method::POST, faults, &[], "{}".into()).await.unwrap();
+}
+
 #[tokio::test]
 async fn a_lookup_that_an_upstream_has_is_not_said_to_be_not_run() {
     std::thread::spawn(fleet).join().unwrap();
--- a/crates/stairvale-standin/src/service.rs
+++ b/crates/stairvale-standin/src/service.rs
@@ -10,7 +10,7 @@
 };
 
 use gumdrop::Options;
-use http::{Request, Response};
+use http::{Request, Response, header};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -46,6 +46,8 @@
     drain: bool,
     /// It refuses calls, though it says that it serves.
     refuse: bool,
+    /// It refuses calls and asks for so many seconds of rest.
+    rest: Option<u32>,
     /// The connection breaks after the call ran, before its answer: so many of the next calls.
     break_after: u32,
     /// Calls run, and their answers are held back until this is switched off.
@@ -57,6 +59,8 @@
     faults: Faults,
     draining: bool,
     change: u64,
+    /// Calls that were refused.
+    refused: u64,
 }
 
 #[derive(Debug)]
@@ -96,7 +100,10 @@
     match path.as_str() {
         "/v1/status" => Some(service.status()),
         "/admin/runs" => Some(answer_json(&service.runs.all())),
-        "/admin/load" => Some(answer_json(&json!({ "load": service.load.load(Ordering::Relaxed) }))),
+        "/admin/load" => Some(answer_json(&json!({
+            "load": service.load.load(Ordering::Relaxed),
+            "refused": service.state().refused,
+        }))),
         "/admin/faults" => {
             let faults: Faults = parse(request).await?;
             let mut state = service.state();
@@ -117,9 +124,15 @@
 
     async fn call(&self, request: Request<Incoming>) -> Option<Response<Body>> {
         {
-            let state = self.state();
-            if state.draining || state.faults.drain || state.faults.refuse {
-                return Some(draining());
+            let mut state = self.state();
+            let Faults { drain, refuse, rest, .. } = state.faults;
+            if state.draining || drain || refuse || rest.is_some() {
+                state.refused += 1;
+                let mut answer = draining();
+                if let Some(seconds) = rest {
+                    answer.headers_mut().insert(header::RETRY_AFTER, seconds.into());
+                }
+                return Some(answer);
             }
         }
         self.load.fetch_add(1, Ordering::Relaxed);
