Own interface: an upstream that asks for rest has it from the router that it told

Cause, the same as on the platform: a 503's Retry-After was not read. A Place now carries its upstream's name, so that whoever reads an answer can tell the control thread; the router's own view of what it may use counts the rest, while its view as a home of others' requests does not; and a grant that came too late (the upstream asked for rest, or began to leave, while the home decided) is given back and another one asked for. How a rest is read, and the hour that is the most, stand once in stairvale-types. Probes go on: they are the home's own look at an upstream and end when it leaves.

The test has a service of its own, since another test of the file switches the first service's upstreams to refuse at the same time; it presses 40 and 40 requests, which fit into the rest of 3 s (60 and 60 didn't).

--- a/crates/stairvale-control/src/fleet.rs
+++ b/crates/stairvale-control/src/fleet.rs
@@ -129,6 +129,12 @@
         self.upstreams.get(name)
     }
 
+    /// Whether an upstream takes new work, from this router or from others.
+    #[must_use]
+    pub fn takes_work(&self, upstream: &id::Upstream) -> bool {
+        self.upstreams.get(upstream).is_some_and(|u| u.usable(self.now) && !self.evacuated.contains(&u.zone))
+    }
+
     // ------------------------------------------------------------------------
     // Changes.
 
@@ -177,7 +183,8 @@
     }
 
     fn usable(&self, upstream: &id::Upstream) -> bool {
-        self.upstreams.get(upstream).is_some_and(|u| u.usable(self.now) && !self.evacuated.contains(&u.zone))
+        let rests = self.upstreams.get(upstream).is_some_and(|u| u.rests(self.now));
+        self.takes_work(upstream) && !rests
     }
 
     /// Without a home nobody knows the engine's account: all routers together should stay within the bound that their
--- a/crates/stairvale-control/src/handlers/upstreams.rs
+++ b/crates/stairvale-control/src/handlers/upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stairvale_permit::{Rules, request::Directory};
+use stairvale_permit::Rules;
 use stairvale_types::id;
 use stairvale_wire::{Frame, Word, packet::State};
 
@@ -151,7 +151,8 @@
     }
 
     pub(crate) fn sync_open(&mut self, upstream: &id::Upstream) {
-        let usable = self.fleet.usable(upstream);
+        // As the home: what rests for this router may take work from others.
+        let usable = self.fleet.takes_work(upstream);
         let answers = self.home.set_open(self.now, upstream, usable);
         self.answers(answers);
     }
--- a/crates/stairvale-control/src/io.rs
+++ b/crates/stairvale-control/src/io.rs
@@ -137,6 +137,13 @@
     PeerUnreachable(id::Router),
     /// A request wants an upstream.
     Request(Request),
+    /// An upstream turned a request of this router away and wants rest.
+    Rests {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// For how long.
+        length: Duration,
+    },
     /// An attempt ended or is given up.
     End {
         /// The attempt.
--- a/crates/stairvale-control/src/node.rs
+++ b/crates/stairvale-control/src/node.rs
@@ -14,7 +14,7 @@
 use stairvale_claim::Shard;
 use stairvale_config::{Generation, Manifest};
 use stairvale_membership::{Swim, swim};
-use stairvale_permit::{Entry, Home, request::Directory};
+use stairvale_permit::{Entry, Home};
 use stairvale_types::{Moment, id};
 use stairvale_wire::{Frame, Member, Status, Stored};
 
@@ -339,7 +339,7 @@
             asking: self.entry.asking(),
             waiting: self.home.waiting(),
             routers: self.fleet.swim.live().count(),
-            usable: self.fleet.upstreams.iter().filter(|u| self.fleet.usable(&u.name)).count(),
+            usable: self.fleet.upstreams.iter().filter(|u| self.fleet.takes_work(&u.name)).count(),
             generation: self.config.generation().0,
             ..Stats::default()
         };
--- a/crates/stairvale-membership/src/upstreams.rs
+++ b/crates/stairvale-membership/src/upstreams.rs
@@ -41,6 +41,7 @@
     unlisted_since: Option<Moment>,
     cool_until: Moment,
     cool_down: Duration,
+    rest_until: Moment,
     flaps: f64,
     flaps_at: Moment,
     held_back: bool,
@@ -59,6 +60,7 @@
             unlisted_since: None,
             cool_until: Moment::ZERO,
             cool_down: Duration::ZERO,
+            rest_until: Moment::ZERO,
             flaps: 0.0,
             flaps_at: Moment::ZERO,
             held_back: false,
@@ -73,6 +75,13 @@
         serving && !self.leaving && self.unlisted_since.is_none() && !self.held_back && now >= self.cool_until
     }
 
+    /// Whether it wants nothing from this router now, as it said when it turned a request of this router away. Other routers
+    /// may send it work.
+    #[must_use]
+    pub fn rests(&self, now: Moment) -> bool {
+        now < self.rest_until
+    }
+
     /// Whether the platform's latest list names it.
     #[must_use]
     pub fn is_listed(&self) -> bool {
@@ -237,6 +246,14 @@
         }
     }
 
+    /// An upstream turned a request of this router away and wants nothing more from it for so long. A shorter rest doesn't end a
+    /// longer one.
+    pub fn rest(&mut self, now: Moment, name: &id::Upstream, length: Duration) {
+        if let Some(upstream) = self.table.get_mut(name) {
+            upstream.rest_until = upstream.rest_until.max(now + length);
+        }
+    }
+
     /// A request from this router was answered.
     pub fn succeeded(&mut self, name: &id::Upstream) {
         if let Some(upstream) = self.table.get_mut(name) {
--- a/crates/stairvale-permit/src/entry.rs
+++ b/crates/stairvale-permit/src/entry.rs
@@ -136,6 +136,12 @@
         }
         self.step(now, attempt, upstream, Event::Answered(verdict.clone()));
         match verdict {
+            Verdict::Granted { .. } if !directory.usable(upstream) => {
+                // It asked for rest, or began to leave, while the home decided.
+                let mut effects = vec![Effect::Release { to: from.clone(), upstream: upstream.clone(), attempt }];
+                effects.extend(self.advance(now, directory, attempt));
+                effects
+            }
             Verdict::Granted { over_share, .. } => {
                 let home = Some((from.clone(), over_share));
                 self.granted(attempt, upstream.clone(), home, directory)
--- a/crates/stairvale-permit/src/request.rs
+++ b/crates/stairvale-permit/src/request.rs
@@ -10,7 +10,7 @@
 pub trait Directory {
     /// The home of an upstream; `rank` 0 is the first choice, 1 the router that takes over.
     fn home(&self, upstream: &id::Upstream, rank: usize) -> Option<id::Router>;
-    /// Whether an upstream may take new work.
+    /// Whether an upstream may take new work from this router.
     fn usable(&self, upstream: &id::Upstream) -> bool;
     /// The load that an upstream reported last, and how many of its slots this router may use without a home.
     fn share(&self, upstream: &id::Upstream) -> Option<Share>;
--- a/crates/stairvale-router/src/control.rs
+++ b/crates/stairvale-router/src/control.rs
@@ -186,7 +186,7 @@
 
     fn place(&self, upstream: &id::Upstream) -> Option<Place> {
         let known = self.node.fleet().upstream(upstream)?;
-        Some(Place { address: known.address, zone: known.zone.clone() })
+        Some(Place::of(known))
     }
 
     fn publish(&self) {
--- a/crates/stairvale-router/src/shared.rs
+++ b/crates/stairvale-router/src/shared.rs
@@ -13,6 +13,7 @@
 use stairvale_clock::Clock;
 use stairvale_config::{Customer, Document, Generation, Manifest, Service};
 use stairvale_control::{Fleet, Input, explain, io::Request, stats::Stats};
+use stairvale_membership::upstreams;
 use stairvale_permit::request::Grant;
 use stairvale_types::{Moment, Refusal, id};
 use stairvale_wire::{ClaimVerdict, Stored};
@@ -32,12 +33,22 @@
 /// Where an upstream is.
 #[derive(Clone, Debug)]
 pub struct Place {
+    /// Its name.
+    pub upstream: id::Upstream,
     /// Its address.
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: id::Zone,
 }
 
+impl Place {
+    /// That of an upstream as membership knows it.
+    #[must_use]
+    pub fn of(known: &upstreams::Upstream) -> Self {
+        Self { upstream: known.name.clone(), address: known.address, zone: known.zone.clone() }
+    }
+}
+
 /// What traffic threads need to know, as of some moment.
 #[derive(Debug, Default)]
 pub struct Snapshot {
@@ -57,8 +68,7 @@
     pub fn new(before: &Self, generation: Generation, document: Arc<Document>, fleet: &Fleet) -> Self {
         let same = before.generation == generation;
         let customers = if same { before.customers.clone() } else { accounts(before, &document) };
-        let place = |u: &stairvale_membership::upstreams::Upstream| Place { address: u.address, zone: u.zone.clone() };
-        let places = fleet.upstreams.iter().map(|u| (u.name.clone(), place(u))).collect();
+        let places = fleet.upstreams.iter().map(|u| (u.name.clone(), Place::of(u))).collect();
         Self { generation, document, customers, places }
     }
 
--- a/crates/stairvale-router/src/upstream.rs
+++ b/crates/stairvale-router/src/upstream.rs
@@ -10,7 +10,8 @@
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioIo},
 };
-use stairvale_types::{Class, id};
+use stairvale_control::Input;
+use stairvale_types::{Class, Rest, id};
 use tokio::net::TcpStream;
 
 use crate::{Shared, shared::Place};
@@ -143,6 +144,7 @@
         self.check_cut(place)?;
         let request = call.request(place).ok_or(Failure::Unreachable)?;
         let response = self.pool.request(request).await.map_err(|error| kind(&error))?;
+        self.hear(place, &response);
         refusing(response)
     }
 
@@ -170,6 +172,7 @@
         tokio::spawn(connection);
         offered();
         let response = sender.send_request(request).await.map_err(|_| Failure::Broken)?;
+        self.hear(place, &response);
         if response.headers().get(NOT_RUN).is_some_and(|value| value == "?1") {
             return Err(Failure::Refusing);
         }
@@ -185,6 +188,7 @@
         let uri = format!("http://{}/v1/streams/{attempt}?after={after}", place.address);
         let request = Request::get(uri).body(Full::default()).map_err(|_| Failure::Unreachable)?;
         let response = self.pool.request(request).await.map_err(|error| kind(&error))?;
+        self.hear(place, &response);
         if !response.status().is_success() {
             return Err(Failure::Broken);
         }
@@ -203,6 +207,17 @@
         }
     }
 
+    /// An upstream that turns a request away may want rest from this router.
+    fn hear(&self, place: &Place, response: &Response<Incoming>) {
+        if response.status() != http::StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        let values = response.headers().get_all(header::RETRY_AFTER).into_iter();
+        if let Rest::For(length) = Rest::read(values.map(|value| value.to_str().unwrap_or_default())) {
+            self.shared.tell(Input::Rests { upstream: place.upstream.clone(), length });
+        }
+    }
+
     fn check_cut(&self, place: &Place) -> Result<(), Failure> {
         if self.shared.faults.zone(&place.zone) {
             return Err(Failure::Unreachable);
--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -31,6 +31,8 @@
     services: Vec<SocketAddr>,
     /// Upstreams of a service whose calls may be repeated.
     slow: Vec<SocketAddr>,
+    /// Upstreams of a service the first of which asks for rest.
+    tired: Vec<SocketAddr>,
 }
 
 /// Free addresses, picked together so that none comes twice. They lie where no connection starts from: an outgoing
@@ -47,6 +49,7 @@
          services:\n  - name: chat\n    kind: model\n    model: prairie-8b\n\
          \x20 - name: points\n    kind: plain\n    not_repeatable: [POST]\n\
          \x20 - name: slow\n    kind: plain\n\
+         \x20 - name: tired\n    kind: plain\n    not_repeatable: [POST]\n\
          customers:\n  - name: c\n    key_hash: {customer}\n\
          operators:\n  - name: op\n    key_hash: {operator}\n"
     )
@@ -65,12 +68,13 @@
 }
 
 fn start() -> Fleet {
-    let mut free = free(12).into_iter();
+    let mut free = free(14).into_iter();
     let mut take = |count| free.by_ref().take(count).collect::<Vec<_>>();
     let fleet = Fleet {
         platform: take(1)[0],
         services: take(2),
         slow: take(1),
+        tired: take(2),
         engines: take(2),
         callers: take(2),
         operators: take(2),
@@ -87,7 +91,7 @@
             .await
             .unwrap();
     });
-    for service in fleet.services.iter().chain(&fleet.slow) {
+    for service in fleet.services.iter().chain(&fleet.slow).chain(&fleet.tired) {
         let listen = service.to_string();
         spawn(move || async move {
             service::run(service::Arguments::parse_args_default(&["--listen", &listen]).unwrap()).await.unwrap();
@@ -163,6 +167,10 @@
         let name = format!("points-{number}");
         vms.push(json!({ "name": name, "role": "upstream", "zone": "a", "service": "points", "address": service }));
     }
+    for (number, service) in fleet.tired.iter().enumerate() {
+        let (name, zone) = (format!("tired-{number}"), if number == 0 { "a" } else { "b" });
+        vms.push(json!({ "name": name, "role": "upstream", "zone": zone, "service": "tired", "address": service }));
+    }
     for service in &fleet.slow {
         vms.push(json!({ "name": "slow", "role": "upstream", "zone": "b", "service": "slow", "address": service }));
     }
@@ -186,7 +194,7 @@
                 call(Method::GET, format!("http://{operators}/v1/status"), &[("authorization", &key)], String::new())
                     .await;
             let stats = status.map(|status| status.json()["stats"].clone()).unwrap_or_default();
-            if stats["usable"] == 5 && stats["routers"] == 2 && stats["generation"] == 1 {
+            if stats["usable"] == 7 && stats["routers"] == 2 && stats["generation"] == 1 {
                 break;
             }
             wait(begun).await;
@@ -292,7 +300,7 @@
 async fn an_upstream_that_asks_for_rest_has_it_from_the_router_that_it_told() {
     std::thread::spawn(fleet).join().unwrap();
     let fleet = fleet();
-    let service = fleet.services[1];
+    let service = fleet.tired[0];
     let refused = || async move {
         let load = call(Method::GET, format!("http://{service}/admin/load"), &[], String::new()).await.unwrap();
         load.json()["refused"].as_u64().unwrap()
@@ -303,10 +311,10 @@
     let press = |round: &'static str| {
         let key = key.clone();
         async move {
-            for number in 0..60 {
+            for number in 0..40 {
                 let id = format!("rest-{round}-{number}");
                 let headers = [("authorization", key.as_str()), ("idempotency-key", &id), ("x-request-id", &id)];
-                let uri = format!("http://{}/points/redeem", fleet.callers[number % 2]);
+                let uri = format!("http://{}/tired/redeem", fleet.callers[number % 2]);
                 let answer = call(Method::POST, uri, &headers, format!("{{\"redeem\":\"{id}\"}}")).await.unwrap();
                 assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
                 tokio::time::sleep(Duration::from_millis(15)).await;
--- a/crates/stairvale-serve/src/core/notices.rs
+++ b/crates/stairvale-serve/src/core/notices.rs
@@ -12,14 +12,12 @@
 
 use rapidhash::{RapidHashMap, RapidHashSet};
 use stairvale_replica::{State, Subject};
-use stairvale_types::{Moment, id};
+use stairvale_types::{Moment, Rest, id};
 use stairvale_wire::{Word, packet};
 
 use super::{Core, Effect};
-use crate::dialect::{Notice, Rest};
+use crate::dialect::Notice;
 
-/// The longest rest that an upstream is given for one answer; what asks for more is taken to ask for this.
-const LONGEST_REST: Duration = Duration::from_secs(3_600);
 /// Lives that left and are remembered beside those that the store names: an entry that vanished may come back.
 const GONE: usize = 4_096;
 
@@ -61,7 +59,6 @@
             Rest::Unasked => {}
             Rest::Unreadable => effects.push(Effect::Unreadable(upstream.clone())),
             Rest::For(length) => {
-                let length = length.min(LONGEST_REST);
                 self.notices.rest(service, upstream, now + length);
                 effects.push(Effect::Rests { upstream: upstream.clone(), length });
             }
--- a/crates/stairvale-serve/src/dialect.rs
+++ b/crates/stairvale-serve/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, request, response};
 use stairvale_dispatch::Part;
-use stairvale_types::id;
+use stairvale_types::{Rest, id};
 
 /// What a request's head says.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -90,18 +90,6 @@
     pub rest: Rest,
 }
 
-/// How long an upstream that turned a request away wants nothing more from the router that sent it.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Rest {
-    /// It said nothing of that.
-    #[default]
-    Unasked,
-    /// For this long.
-    For(Duration),
-    /// What it said can't be understood.
-    Unreadable,
-}
-
 /// How an installation speaks HTTP.
 pub trait Dialect: Clone + Send + Sync + 'static {
     /// Reads a request's head.
--- a/crates/stairvale-serve/tests/notices.rs
+++ b/crates/stairvale-serve/tests/notices.rs
@@ -9,11 +9,8 @@
 
 use stairvale_dispatch::Verdict;
 use stairvale_replica::State;
-use stairvale_serve::{
-    core::Reply,
-    dialect::{Notice, Rest},
-};
-use stairvale_types::id;
+use stairvale_serve::{core::Reply, dialect::Notice};
+use stairvale_types::{Rest, id};
 use world::World;
 
 /// Time for routers to find each other and to be named, in ms.
@@ -218,13 +215,6 @@
     assert_eq!(left(&world, 2, "e0"), 4_000);
 }
 
-#[test]
-fn no_answer_keeps_an_upstream_away_for_longer_than_an_hour() {
-    let mut world = fleet();
-    answers(&mut world, 2, "e0", Notice { leaves: false, rest: Rest::For(Duration::MAX) });
-    assert_eq!(left(&world, 2, "e0"), 3_600_000);
-}
-
 #[test]
 fn a_router_that_stood_still_counts_that_time() {
     let mut world = fleet();
--- a/crates/stairvale-types/src/lib.rs
+++ b/crates/stairvale-types/src/lib.rs
@@ -14,9 +14,11 @@
 pub mod class;
 pub mod id;
 pub mod outcome;
+pub mod rest;
 pub mod time;
 pub mod unit;
 
 pub use class::Class;
 pub use outcome::{Reason, Refusal};
+pub use rest::Rest;
 pub use time::Moment;
