A new watcher asks the fleet's reader at once, and waits for it as long as any other router

Seen: 3.0 s after a reader's death a second router read the store once more.

Cause, from a trace of who asked whom: a router that becomes its zone's watcher has a copy as old as the last watcher let it become, up to 1.3 s in calm times. It read the store itself where that was over a watcher's 1.1 s; where it wasn't, the zone's others asked it before it had asked the reader, and read themselves at 1.4 s.

Change: it asks the reader in the moment in which it becomes watcher, and reads the store itself in the first 500 ms only as late as any other router does.

--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -15,6 +15,10 @@
 /// A router whose word on the store was too old isn't relied upon as a watcher for this long.
 const WATCHER_BACKOFF: Duration = Duration::from_secs(3);
 
+/// A router that becomes its zone's watcher waits as long as any other for what it is told, for this long: two questions to the
+/// fleet's reader.
+const NEW_WATCHER: Duration = Duration::from_millis(500);
+
 /// A zone's watcher that has just started asks the store for what is new if nobody has told it by then: some round trips to
 /// peers and back, so that a start usually costs the store no such call.
 const WATCHER_READ_DELAY: Duration = Duration::from_millis(50);
@@ -66,7 +70,7 @@
             let old = !self.view.is_confirmed() || self.is_older(now, self.bounds.watch() * 2);
             return Some(Reading::Changes(if old { Duration::ZERO } else { self.bounds.watch() }));
         }
-        self.is_older(now, self.patience()).then_some(Reading::Changes(Duration::ZERO))
+        self.is_older(now, self.patience(now)).then_some(Reading::Changes(Duration::ZERO))
     }
 
     /// How a router begins: with the names. One of each zone then reads all of it, and the others take that one's copy, which
@@ -103,9 +107,13 @@
     }
 
     /// How old this router's copy may grow before it reads the store itself.
-    fn patience(&self) -> Duration {
+    fn patience(&self, now: Moment) -> Duration {
         let watcher = self.is_watcher();
         if self.view.is_confirmed() {
+            // A new watcher was told by the last one, and may have a copy as old as that one let it become: the fleet's reader, whom it
+            // asks now, has a newer one.
+            let is_new = self.watcher_since.is_some_and(|since| now.since(since) < NEW_WATCHER);
+            let watcher = watcher && !is_new;
             return if watcher { self.bounds.late() } else { self.bounds.stale() };
         }
         let meeting = if self.view.routers().next().is_some() { Duration::ZERO } else { naming::JOIN };
@@ -150,7 +158,7 @@
     /// One that was relied upon for long enough and let this copy grow old is passed over. One that only just took over
     /// isn't blamed for what the last one left, or routers would go on choosing different ones.
     pub(super) fn judge_informant(&mut self, now: Moment) {
-        let (informant, patience) = (self.informant(), self.patience());
+        let (informant, patience) = (self.informant(), self.patience(now));
         if self.relied.as_ref().map(|(relied, _)| relied) != informant.as_ref() {
             self.relied = informant.map(|informant| (informant, now));
         }
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -123,6 +123,8 @@
     roles: Roles,
     /// Whom this router hears of the store from, and since when.
     relied: Option<(id::Router, Moment)>,
+    /// Since when this router is its zone's watcher.
+    watcher_since: Option<Moment>,
     /// When this router first let time pass.
     born: Option<Moment>,
     /// Whether a peer told this router of all others.
@@ -172,6 +174,7 @@
             notices: Notices::default(),
             roles: Roles::default(),
             relied: None,
+            watcher_since: None,
             born: None,
             told: false,
             leaving: false,
--- a/crates/stairvale-serve/src/core/roles.rs
+++ b/crates/stairvale-serve/src/core/roles.rs
@@ -67,6 +67,12 @@
         };
         if self.roles.basis != Some(basis) {
             self.roles = self.compute_roles(basis);
+            if self.is_watcher() && self.watcher_since.is_none() {
+                // The zone's routers ask it from now on, and the fleet's reader has a newer copy.
+                (self.watcher_since, self.next_sync) = (Some(now), now);
+            } else if !self.is_watcher() {
+                self.watcher_since = None;
+            }
         }
     }
 
