View: lookups in a file of their own, and the field's terms

Log start, compaction, tombstones, pending and stable take the place of words that needed their comments.

--- a/crates/stairvale-replica/src/view.rs
+++ b/crates/stairvale-replica/src/view.rs
@@ -1,11 +1,12 @@
-//! The copy itself.
+//! The copy itself, and how much of it is to be believed.
+
+mod lookups;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
-use stairvale_rollout::{Admission, Order, Policy, Record};
 use stairvale_types::{Moment, id};
 
 use crate::{
@@ -15,9 +16,9 @@
 };
 
 /// Changes that are kept in order, to tell peers that lag a little without a look at all items.
-const KEPT: usize = 512;
+const LOG_CAPACITY: usize = 512;
 /// Things that are gone of which that is remembered, so that news as old as from before doesn't bring them back.
-const GONE: usize = 4_096;
+const TOMBSTONE_CAPACITY: usize = 4_096;
 /// Who read the store this recently reads it now.
 const READING: Duration = Duration::from_secs(2);
 /// A store that failed this recently may have let leases run out that it shouldn't have.
@@ -35,9 +36,9 @@
     items: BTreeMap<Subject, Item>,
     log: VecDeque<Item>,
     /// Changes up to this revision are no longer in the log.
-    forgotten: u64,
-    /// What went up to this revision may not be remembered.
-    blank: u64,
+    log_start: u64,
+    /// History up to this revision is compacted: what isn't known and isn't newer has gone.
+    compacted: u64,
     /// The moment at which this copy is known to have been the newest, in microseconds on this process's clock: before its
     /// start where a peer told a router that has just started.
     fresh: Option<i128>,
@@ -48,16 +49,16 @@
     /// When this router read the store last.
     read: Option<Moment>,
     /// How long the store hadn't failed a reader of it, and when this router was told.
-    told_calm: Option<(Moment, Duration)>,
+    told_stable: Option<(Moment, Duration)>,
     /// Names of upstreams that came with an entry newer than this copy: the pages of a whole read are no snapshot, so an order that is
     /// older than they are may still be missing.
-    early: BTreeSet<id::Upstream>,
+    pending: BTreeSet<id::Upstream>,
     /// Upstreams whose entry vanished while the store was disturbed, by name.
     lapsed: BTreeMap<id::Upstream, Upstream>,
     /// Entries of upstreams that had ended before the store was restored with them.
     withheld: Withheld,
     /// How many of the items say that something is gone.
-    gone: usize,
+    tombstones: usize,
     /// What changed since that was asked for last.
     changed: BTreeSet<Subject>,
     /// Lives that began under a name that stood for another one, since that was asked for last.
@@ -99,73 +100,12 @@
     /// moment ago: a zone hears of the fleet's reader through its watcher. What was told counts only beside a copy that somebody
     /// read lately, or routers would tell each other for good of a store that fails by now.
     #[must_use]
-    pub fn calm(&self, now: Moment) -> Option<Duration> {
+    pub fn stable_for(&self, now: Moment) -> Option<Duration> {
         if self.read.is_some_and(|read| now.since(read) < READING) {
             return Some(now.since(self.disturbed.unwrap_or(Moment::ZERO)));
         }
         self.age(now).filter(|age| *age < READING)?;
-        self.told_calm.filter(|(told, _)| now.since(*told) < READING).map(|(_, calm)| calm)
-    }
-
-    /// The configuration, if one is known.
-    #[must_use]
-    pub fn document(&self) -> Option<&std::sync::Arc<stairvale_table::Document>> {
-        match self.items.get(&Subject::Configuration)?.value.as_ref()? {
-            Value::Configuration(document) => Some(document),
-            Value::Upstream(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        }
-    }
-
-    /// Upstreams that the store names, each with the revision at which it was written, and those whose entry lapsed with the
-    /// store, with the revision at which it did. One counts only once this copy is as new as the entry that it came with.
-    pub fn upstreams(&self) -> impl Iterator<Item = (&Upstream, u64)> {
-        let named = self.items.values().filter_map(|item| match item.value.as_ref()? {
-            Value::Upstream(upstream) => Some((upstream, item.revision)),
-            Value::Configuration(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        });
-        let lapsed = self.lapsed.values().map(|upstream| {
-            let item = self.items.get(&Subject::Upstream(upstream.id.name()));
-            (upstream, item.map_or(0, |item| item.revision))
-        });
-        named.filter(|(upstream, _)| !self.early.contains(&upstream.id.name())).chain(lapsed)
-    }
-
-    /// A life of an upstream, as [`View::upstreams`] has it; `None` if its name is gone, or stands for another life by now.
-    #[must_use]
-    pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
-        self.present(&id.name()).filter(|known| known.id == *id)
-    }
-
-    /// The present life of an upstream's name, with the revision at which it was written, as [`View::upstreams`] has it.
-    #[must_use]
-    pub fn written(&self, name: &id::Upstream) -> Option<(&Upstream, u64)> {
-        let item = self.items.get(&Subject::Upstream(name.clone()));
-        Some((self.present(name)?, item.map_or(0, |item| item.revision)))
-    }
-
-    fn present(&self, name: &id::Upstream) -> Option<&Upstream> {
-        let named = match self.items.get(&Subject::Upstream(name.clone())).and_then(|item| item.value.as_ref()) {
-            Some(Value::Upstream(upstream)) => Some(upstream).filter(|_| !self.early.contains(name)),
-            Some(_) | None => None,
-        };
-        named.or_else(|| self.lapsed.get(name))
-    }
-
-    /// All that isn't said of upstreams.
-    fn others(&self) -> impl Iterator<Item = &Item> {
-        self.items.values().take_while(|item| !matches!(item.subject, Subject::Upstream(_)))
+        self.told_stable.filter(|(told, _)| now.since(*told) < READING).map(|(_, stable)| stable)
     }
 
     /// How many things are remembered, those that are gone included.
@@ -180,130 +120,6 @@
         self.names
     }
 
-    /// A router that the store names.
-    #[must_use]
-    pub fn router(&self, id: &id::Router) -> Option<&crate::Router> {
-        match self.items.get(&Subject::Router(id.clone()))?.value.as_ref()? {
-            Value::Router(router) => Some(router),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        }
-    }
-
-    /// Routers that the store names.
-    pub fn routers(&self) -> impl Iterator<Item = &crate::Router> {
-        self.others().filter_map(|item| match item.value.as_ref()? {
-            Value::Router(router) => Some(router),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        })
-    }
-
-    /// Whether an upstream may be sent new work. One of a version on trial may: the service's home decides how much.
-    #[must_use]
-    pub fn is_usable(&self, upstream: &id::Upstream) -> bool {
-        let Some(known) = self.upstream(upstream) else {
-            return false;
-        };
-        let ready = known.state == State::Ready && !self.is_evacuated(&known.zone);
-        let admits = |policy: Policy| policy.admits(known.version.as_ref()) != Admission::Nothing;
-        ready && self.policy(&known.service).is_none_or(admits)
-    }
-
-    /// What the versions of a service may be given, by its order and the record of its roll-out; `None` if there never was one.
-    #[must_use]
-    pub fn policy(&self, service: &id::Service) -> Option<Policy> {
-        Policy::of(self.order(service), self.rollout(service).map(|(_, record)| record))
-    }
-
-    /// The services with an order or a record of a roll-out; one with both is named twice.
-    pub fn rollouts(&self) -> impl Iterator<Item = &id::Service> {
-        self.others().filter(|item| item.value.is_some()).filter_map(|item| match &item.subject {
-            Subject::Order(service) | Subject::Rollout(service) => Some(service),
-            Subject::Configuration
-            | Subject::Upstream(_)
-            | Subject::Router(_)
-            | Subject::Evacuation(_)
-            | Subject::Quarantine(_) => None,
-        })
-    }
-
-    /// Whether nothing new is to go to the upstreams of a zone.
-    #[must_use]
-    pub fn is_evacuated(&self, zone: &id::Zone) -> bool {
-        self.items.get(&Subject::Evacuation(zone.clone())).is_some_and(|item| item.value.is_some())
-    }
-
-    /// The zones to whose upstreams nothing new is to go.
-    pub fn evacuated(&self) -> impl Iterator<Item = &id::Zone> {
-        self.others().filter(|item| item.value.is_some()).filter_map(|item| match &item.subject {
-            Subject::Evacuation(zone) => Some(zone),
-            Subject::Configuration
-            | Subject::Upstream(_)
-            | Subject::Router(_)
-            | Subject::Order(_)
-            | Subject::Rollout(_)
-            | Subject::Quarantine(_) => None,
-        })
-    }
-
-    /// The order to move a service to another version, with the store's revision of it.
-    #[must_use]
-    pub fn order(&self, service: &id::Service) -> Option<(u64, &Order)> {
-        let item = self.items.get(&Subject::Order(service.clone()))?;
-        match item.value.as_ref()? {
-            Value::Order(order) => Some((item.revision, order)),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        }
-    }
-
-    /// How far the fleet has come with the newest order for a service, with the store's revision of that.
-    #[must_use]
-    pub fn rollout(&self, service: &id::Service) -> Option<(u64, &Record)> {
-        let item = self.items.get(&Subject::Rollout(service.clone()))?;
-        match item.value.as_ref()? {
-            Value::Rollout(record) => Some((item.revision, record)),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        }
-    }
-
-    /// How long a request is to go nowhere, from when that was written.
-    #[must_use]
-    pub fn quarantine(&self, fingerprint: id::Fingerprint) -> Option<Duration> {
-        match self.items.get(&Subject::Quarantine(fingerprint))?.value.as_ref()? {
-            Value::Quarantine(length) => Some(*length),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Unreadable => None,
-        }
-    }
-
     /// What a peer needs whose copy shows `revision`; `None` if it lacks nothing.
     #[must_use]
     pub fn since(&self, revision: u64) -> Option<News> {
@@ -313,11 +129,11 @@
             return None;
         }
         // Of two epochs no change follows on another: what the peer has beyond the copy that the store was restored from is void.
-        if knows_nothing || since.epoch() < Revision::from(self.revision).epoch() || revision < self.blank {
+        if knows_nothing || since.epoch() < Revision::from(self.revision).epoch() || revision < self.compacted {
             return Some(self.everything());
         }
         let later = |item: &&Item| item.revision > revision;
-        let items = if revision < self.forgotten {
+        let items = if revision < self.log_start {
             // Each item has its last change, and those that went are remembered: in a fleet of 10,000 upstreams what a peer lacks is
             // mostly far less than everything, 0.8 MB.
             self.items.values().filter(later).cloned().collect()
@@ -383,7 +199,7 @@
             News::Everything { to, items } => {
                 if restored {
                     // What was told of a store without failures was told of the one before.
-                    (self.told_calm, self.read, self.restored) = (None, None, true);
+                    (self.told_stable, self.read, self.restored) = (None, None, true);
                 }
                 self.replace(to, items, !restored);
             }
@@ -405,11 +221,11 @@
 
     /// This copy is known to have been the newest at `moment`.
     pub fn confirm(&mut self, moment: Moment) {
-        self.confirm_told(moment, Duration::ZERO);
+        self.confirm_by_peer(moment, Duration::ZERO);
     }
 
     /// A peer that was asked at `asked` said that the same copy was the newest `age` before its answer.
-    pub fn confirm_told(&mut self, asked: Moment, age: Duration) {
+    pub fn confirm_by_peer(&mut self, asked: Moment, age: Duration) {
         let age = i128::try_from(age.as_micros()).unwrap_or(i128::MAX);
         self.fresh = self.fresh.max(Some(i128::from(asked.0).saturating_sub(age)));
     }
@@ -427,17 +243,17 @@
         for item in released {
             self.insert(item);
         }
-        self.vouched(self.calm(now)) || any
+        self.settle_lapses(self.stable_for(now)) || any
     }
 
     /// A peer said how long the store hadn't failed whoever it hears of the store from.
-    pub fn tell_calm(&mut self, now: Moment, calm: Duration) {
-        self.told_calm = Some((now, calm));
+    pub fn tell_stable(&mut self, now: Moment, stable: Duration) {
+        self.told_stable = Some((now, stable));
     }
 
     /// A reader of the store hasn't been failed by it for this long; `None` says nothing. Tells whether upstreams went.
-    pub fn vouched(&mut self, calm: Option<Duration>) -> bool {
-        if self.lapsed.is_empty() || calm.is_none_or(|calm| calm < RETURN) {
+    pub fn settle_lapses(&mut self, stable: Option<Duration>) -> bool {
+        if self.lapsed.is_empty() || stable.is_none_or(|stable| stable < RETURN) {
             return false;
         }
         let gone = std::mem::take(&mut self.lapsed);
@@ -475,7 +291,7 @@
         if to > self.revision {
             self.revision = to;
             self.epoch = self.epoch.max(Revision::from(to).epoch());
-            (self.forgotten, self.blank) = (to, to);
+            (self.log_start, self.compacted) = (to, to);
             self.log.clear();
         }
         self.catch_up();
@@ -483,14 +299,14 @@
 
     /// Upstreams count from now on whose entries this copy is as new as.
     fn catch_up(&mut self) {
-        if self.early.is_empty() {
+        if self.pending.is_empty() {
             return;
         }
         let (items, revision) = (&self.items, self.revision);
         let waits =
             |id: &id::Upstream| items.get(&Subject::Upstream(id.clone())).is_some_and(|item| item.revision > revision);
-        let (early, seen) = std::mem::take(&mut self.early).into_iter().partition(waits);
-        self.early = early;
+        let (pending, seen) = std::mem::take(&mut self.pending).into_iter().partition(waits);
+        self.pending = pending;
         self.changed.extend(<BTreeSet<_>>::into_iter(seen).map(Subject::Upstream));
     }
 
@@ -498,8 +314,8 @@
         self.epoch = self.epoch.max(Revision::from(item.revision).epoch());
         let old = self.items.get(&item.subject);
         // What a whole copy was as new as, and isn't known by it, has gone since.
-        if item.revision <= self.blank || old.is_some_and(|old| old.revision >= item.revision) {
-            self.make_sure(&item);
+        if item.revision <= self.compacted || old.is_some_and(|old| old.revision >= item.revision) {
+            self.confirm_removal(&item);
             return;
         }
         let crosses = old.filter(|old| Revision::from(old.revision).epoch() < Revision::from(item.revision).epoch());
@@ -524,10 +340,10 @@
                 self.begun.push(present.id.clone());
             }
             if item.value.is_none() {
-                self.early.remove(id);
+                self.pending.remove(id);
             } else if old.is_none() && !self.lapsed.contains_key(id) && item.revision > self.revision {
                 // A later change of one that counts needn't wait: a life has one version.
-                self.early.insert(id.clone());
+                self.pending.insert(id.clone());
             }
             self.lapse(id, old, &item);
         }
@@ -541,30 +357,30 @@
 
     fn insert(&mut self, item: Item) {
         self.log.push_back(item.clone());
-        while self.log.len() > KEPT {
+        while self.log.len() > LOG_CAPACITY {
             if let Some(dropped) = self.log.pop_front() {
-                self.forgotten = self.forgotten.max(dropped.revision);
+                self.log_start = self.log_start.max(dropped.revision);
             }
         }
         self.names += u64::from(matches!(item.subject, Subject::Router(_)));
         self.changed.insert(item.subject.clone());
-        self.gone += usize::from(item.value.is_none());
+        self.tombstones += usize::from(item.value.is_none());
         let before = self.items.insert(item.subject.clone(), item);
-        self.gone -= usize::from(before.is_some_and(|before| before.value.is_none()));
-        if self.gone > GONE {
-            self.bury();
+        self.tombstones -= usize::from(before.is_some_and(|before| before.value.is_none()));
+        if self.tombstones > TOMBSTONE_CAPACITY {
+            self.compact();
         }
     }
 
     /// Forgets the older half of what is gone: upstreams come and go for as long as a router runs.
-    fn bury(&mut self) {
+    fn compact(&mut self) {
         let gone = self.items.values().filter(|item| item.value.is_none());
         let mut revisions: Vec<_> = gone.map(|item| item.revision).collect();
         revisions.sort_unstable();
         let oldest_kept = revisions[revisions.len() / 2];
-        self.blank = self.blank.max(oldest_kept);
+        self.compacted = self.compacted.max(oldest_kept);
         self.items.retain(|_, item| item.value.is_some() || item.revision > oldest_kept);
-        self.gone = self.items.values().filter(|item| item.value.is_none()).count();
+        self.tombstones = self.items.values().filter(|item| item.value.is_none()).count();
     }
 
     /// An entry that vanishes while the store is disturbed says nothing yet; one that was leaving stays so.
@@ -582,7 +398,7 @@
     }
 
     /// Somebody whom the store didn't fail says the same of an entry that went.
-    fn make_sure(&mut self, item: &Item) {
+    fn confirm_removal(&mut self, item: &Item) {
         if let Subject::Upstream(id) = &item.subject
             && item.value.is_none()
             && item.sure
--- a/crates/stairvale-replica/tests/restore.rs
+++ b/crates/stairvale-replica/tests/restore.rs
@@ -171,7 +171,7 @@
     reader.read(at(10_000), at(10_000), everything(1, 9, vec![ready("u1", 1, 8), ready("lost", 1, 9)]));
     peer.take(reader.since(0).unwrap());
     peer.confirm(at(10_000));
-    peer.tell_calm(at(10_000), Duration::from_secs(9));
+    peer.tell_stable(at(10_000), Duration::from_secs(9));
     reader.read(at(10_100), at(10_100), everything(2, 8, vec![ready("u1", 2, 8)]));
     peer.take(reader.since(peer.revision()).unwrap());
     for view in [&mut reader, &mut peer] {
@@ -183,7 +183,7 @@
         reader.tick(at(now));
     }
     assert!(!usable(&reader, "lost") && usable(&reader, "u1"));
-    assert!(peer.vouched(reader.calm(at(14_000))));
+    assert!(peer.settle_lapses(reader.stable_for(at(14_000))));
     assert!(!usable(&peer, "lost"));
 }
 
--- a/crates/stairvale-replica/tests/view.rs
+++ b/crates/stairvale-replica/tests/view.rs
@@ -136,10 +136,10 @@
     view.read(at(0), at(0), changes(0, vec![item("e1", 1, Some(State::Ready))]));
     view.disturb(at(100));
     view.read(at(200), at(200), changes(1, vec![item("e1", 2, None)]));
-    assert!(!view.vouched(None), "who doesn't read can't tell");
-    assert!(!view.vouched(Some(Duration::from_millis(500))));
+    assert!(!view.settle_lapses(None), "who doesn't read can't tell");
+    assert!(!view.settle_lapses(Some(Duration::from_millis(500))));
     assert!(usable(&view, "e1"));
-    assert!(view.vouched(Some(Duration::from_secs(9))));
+    assert!(view.settle_lapses(Some(Duration::from_secs(9))));
     assert!(!usable(&view, "e1"));
 }
 
@@ -181,13 +181,13 @@
 fn a_peer_may_vouch_for_a_time_before_this_process_began() {
     let mut view = View::default();
     assert!(!view.is_confirmed());
-    view.confirm_told(at(20), Duration::from_millis(500));
+    view.confirm_by_peer(at(20), Duration::from_millis(500));
     assert!(view.is_confirmed());
     assert_eq!(view.age(at(50)), Some(Duration::from_millis(530)));
     // An older word changes nothing, a newer one does.
-    view.confirm_told(at(30), Duration::from_millis(900));
+    view.confirm_by_peer(at(30), Duration::from_millis(900));
     assert_eq!(view.age(at(50)), Some(Duration::from_millis(530)));
-    view.confirm_told(at(40), Duration::from_millis(100));
+    view.confirm_by_peer(at(40), Duration::from_millis(100));
     assert_eq!(view.age(at(50)), Some(Duration::from_millis(110)));
 }
 
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -220,7 +220,7 @@
             number: sync.number,
             age: self.view.age(now),
             revision,
-            calm: self.view.calm(now),
+            calm: self.view.stable_for(now),
             news,
             knows_fleet: self.knows_fleet(now),
             members: if few { self.swim.told() } else { Vec::new() },
@@ -281,11 +281,11 @@
         // A peer that is behind says nothing about this copy, and nor does one that is ahead and didn't tell what is new.
         if revision == self.view.revision() {
             if let Some(calm) = calm {
-                self.view.tell_calm(now, calm);
+                self.view.tell_stable(now, calm);
             }
-            changed |= self.view.vouched(calm);
+            changed |= self.view.settle_lapses(calm);
             if let Some(age) = age {
-                self.view.confirm_told(asked, age);
+                self.view.confirm_by_peer(asked, age);
             }
         }
         changed |= self.view.is_confirmed() != confirmed;
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -73,8 +73,8 @@
                 }
                 (pause, forgotten, cut) = (FIRST, false, false);
                 shared.with(|core, now| if stale { core.read_stale(now, news) } else { core.read(now, asked, news) });
-                let (known, now_epoch) = shared.look(|core, _| (core.view().revision(), core.view().epoch()));
-                if epoch > 0 && now_epoch > epoch {
+                let (known, seen) = shared.look(|core, _| (core.view().revision(), core.view().epoch()));
+                if epoch > 0 && seen > epoch {
                     shared.metrics.count("store-restored");
                 }
                 if revision > 0 && known > revision {
