--- a/crates/stairvale-replica/src/view/lookups.rs
+++ b/crates/stairvale-replica/src/view/lookups.rs
@@ -13,30 +13,20 @@
     /// The configuration, if one is known.
     #[must_use]
     pub fn document(&self) -> Option<&Arc<Document>> {
-        match self.items.get(&Subject::Configuration)?.value.as_ref()? {
-            Value::Configuration(document) => Some(document),
-            Value::Upstream(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        }
+        let Value::Configuration(document) = self.value(&Subject::Configuration)? else {
+            return None;
+        };
+        Some(document)
     }
 
     /// Upstreams that the store names, each with the revision at which it was written, and those whose entry lapsed with the
     /// store, with the revision at which it did. One counts only once this copy is as new as the entry that it came with.
     pub fn upstreams(&self) -> impl Iterator<Item = (&Upstream, u64)> {
-        let named = self.items.values().filter_map(|item| match item.value.as_ref()? {
-            Value::Upstream(upstream) => Some((upstream, item.revision)),
-            Value::Configuration(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
+        let named = self.items.values().filter_map(|item| {
+            let Value::Upstream(upstream) = item.value.as_ref()? else {
+                return None;
+            };
+            Some((upstream, item.revision))
         });
         let lapsed = self.lapsed.values().map(|upstream| {
             let item = self.items.get(&Subject::Upstream(upstream.id.name()));
@@ -66,6 +56,10 @@
         named.or_else(|| self.lapsed.get(name))
     }
 
+    fn value(&self, subject: &Subject) -> Option<&Value> {
+        self.items.get(subject)?.value.as_ref()
+    }
+
     /// All that isn't said of upstreams.
     fn others(&self) -> impl Iterator<Item = &Item> {
         self.items.values().take_while(|item| !matches!(item.subject, Subject::Upstream(_)))
@@ -74,29 +68,19 @@
     /// A router that the store names.
     #[must_use]
     pub fn router(&self, id: &id::Router) -> Option<&Router> {
-        match self.items.get(&Subject::Router(id.clone()))?.value.as_ref()? {
-            Value::Router(router) => Some(router),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        }
+        let Value::Router(router) = self.value(&Subject::Router(id.clone()))? else {
+            return None;
+        };
+        Some(router)
     }
 
     /// Routers that the store names.
     pub fn routers(&self) -> impl Iterator<Item = &Router> {
-        self.others().filter_map(|item| match item.value.as_ref()? {
-            Value::Router(router) => Some(router),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
+        self.others().filter_map(|item| {
+            let Value::Router(router) = item.value.as_ref()? else {
+                return None;
+            };
+            Some(router)
         })
     }
 
@@ -152,46 +136,28 @@
     #[must_use]
     pub fn order(&self, service: &id::Service) -> Option<(u64, &Order)> {
         let item = self.items.get(&Subject::Order(service.clone()))?;
-        match item.value.as_ref()? {
-            Value::Order(order) => Some((item.revision, order)),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Rollout(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        }
+        let Value::Order(order) = item.value.as_ref()? else {
+            return None;
+        };
+        Some((item.revision, order))
     }
 
     /// How far the fleet has come with the newest order for a service, with the store's revision of that.
     #[must_use]
     pub fn rollout(&self, service: &id::Service) -> Option<(u64, &Record)> {
         let item = self.items.get(&Subject::Rollout(service.clone()))?;
-        match item.value.as_ref()? {
-            Value::Rollout(record) => Some((item.revision, record)),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Quarantine(_)
-            | Value::Unreadable => None,
-        }
+        let Value::Rollout(record) = item.value.as_ref()? else {
+            return None;
+        };
+        Some((item.revision, record))
     }
 
     /// How long a request is to go nowhere, from when that was written.
     #[must_use]
     pub fn quarantine(&self, fingerprint: id::Fingerprint) -> Option<Duration> {
-        match self.items.get(&Subject::Quarantine(fingerprint))?.value.as_ref()? {
-            Value::Quarantine(length) => Some(*length),
-            Value::Configuration(_)
-            | Value::Upstream(_)
-            | Value::Router(_)
-            | Value::Evacuation
-            | Value::Order(_)
-            | Value::Rollout(_)
-            | Value::Unreadable => None,
-        }
+        let Value::Quarantine(length) = self.value(&Subject::Quarantine(fingerprint))? else {
+            return None;
+        };
+        Some(*length)
     }
 }
