A peer that may drop a whole copy isn't held for told

Found by reading: a new watcher that reads a restored store first tells its zone everything, in the form without epochs to peers that it doesn't know to know them; those drop it, and when they asked they weren't told everything for a second more. Only peers that take it are held for told now.

--- a/crates/stairvale-serve/src/core/spread.rs
+++ b/crates/stairvale-serve/src/core/spread.rs
@@ -33,8 +33,9 @@
         };
         let in_zone = |peer: &&Member| peer.zone == self.zone && is_heard(peer);
         if matches!(news, News::Everything { .. }) {
-            // Who asks while that is on its way to it isn't told it twice.
-            let told: Vec<_> = self.live_peers().filter(in_zone).map(|peer| (peer.router.clone(), now)).collect();
+            // Who asks while that is on its way to it isn't told it twice. One that isn't known to know epochs may drop it, and is.
+            let takes = |peer: &&Member| in_zone(peer) && self.knows_epochs(&peer.router);
+            let told: Vec<_> = self.live_peers().filter(takes).map(|peer| (peer.router.clone(), now)).collect();
             self.told_all.extend(told);
         }
         let zone: Vec<_> = self.live_peers().filter(|peer| peer.zone == self.zone && is_heard(peer)).collect();
--- a/crates/stairvale-types/src/revision.rs
+++ b/crates/stairvale-types/src/revision.rs
@@ -27,7 +27,7 @@
         (epoch <= Self::LAST_EPOCH && number <= Self::LAST_NUMBER).then_some(Self(epoch << NUMBER_BITS | number))
     }
 
-    /// The times that the store had been restored when it gave out the number.
+    /// The epoch that the number was given out in; 0 of a store that tells none.
     #[must_use]
     pub fn epoch(self) -> u64 {
         self.0 >> NUMBER_BITS
