Log which peers can write for a home that the store refuses

Cause: a home whose writes the store refuses, and that has no peer to write through, counted refused records and said nothing else. Neither logs nor metrics told whether no peer read the store, none responded, or none was known to support epochs, so the hang of a_router_that_the_store_rejects_does_not_delay_a_roll_out could only be explained by reading.

Change: a home whose own writes fail reports the peers that can write for it and, for each other one that reads the store, why it can't; again when that changes. Writes without any such peer are counted.

Lints and the tests of stairvale-serve pass.

--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -8,6 +8,7 @@
 use stairvale_types::id;
 use stairvale_wire::Packet;
 
+use super::writing::WriteProxies;
 use crate::frame::Frame;
 
 /// An action for the caller of the core.
@@ -79,6 +80,17 @@
         /// The change to write.
         write: Write,
     },
+    /// Report to operators which peers can write to the store for this router, whose own writes fail.
+    WriteProxies(WriteProxies),
+    /// Count a write that this router tries itself although its own writes fail, since no peer can make it.
+    WriteWithoutProxy,
+    /// Report that a peer was found to support epochs of the store, or not to.
+    EpochSupport {
+        /// The peer.
+        peer: id::Router,
+        /// Whether the peer supports epochs.
+        supported: bool,
+    },
     /// Report that a roll-out reached another stage according to the store.
     Stage {
         /// The service that is rolled out.
--- a/crates/stairvale-serve/src/core/epochs.rs
+++ b/crates/stairvale-serve/src/core/epochs.rs
@@ -17,15 +17,14 @@
     }
 
     /// Records from a peer's sync request whether the peer supports epochs.
-    pub(super) fn record_epoch_support(&mut self, from: &id::Router, sync: &Sync) {
+    pub(super) fn record_epoch_support(&mut self, from: &id::Router, sync: &Sync) -> Vec<Effect> {
         let Some(after) = sync.after else {
-            return;
+            return Vec::new();
         };
-        if Revision::from(after).epoch() > 0 {
-            self.epoch_aware_peers.insert(from.clone());
-        } else {
-            self.epoch_aware_peers.remove(from);
-        }
+        let supported = Revision::from(after).epoch() > 0;
+        let changed =
+            if supported { self.epoch_aware_peers.insert(from.clone()) } else { self.epoch_aware_peers.remove(from) };
+        if changed { vec![Effect::EpochSupport { peer: from.clone(), supported }] } else { Vec::new() }
     }
 
     /// Converts a revision without an epoch, as sent by a peer, to one of this router's epoch.
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -37,6 +37,9 @@
             | Effect::Evacuated { .. }
             | Effect::Write(_)
             | Effect::WriteFor { .. }
+            | Effect::WriteProxies(_)
+            | Effect::WriteWithoutProxy
+            | Effect::EpochSupport { .. }
             | Effect::Stage { .. }
             | Effect::ReportEvent(_)
             | Effect::Surplus { .. }
--- a/crates/stairvale-serve/src/core/rollouts.rs
+++ b/crates/stairvale-serve/src/core/rollouts.rs
@@ -10,7 +10,10 @@
 use stairvale_rollout::{Admission, Cause, Policy, Reservation, RolloutController, Stage, Step, Write, Written};
 use stairvale_types::{Moment, id};
 
-use super::{Core, Effect, writing::Writing};
+use super::{
+    Core, Effect,
+    writing::{Obstacle, WriteProxies, Writing},
+};
 use crate::frame::Frame;
 
 /// The reservation of a pool whose router isn't the home.
@@ -281,23 +284,40 @@
 
     /// Sends a change of a record to the store, by this router's own call or through a peer.
     fn write(&mut self, now: Moment, write: Write) -> Vec<Effect> {
-        if self.rollouts.writing.uses_peers(now) {
-            let proxies = self.write_proxies();
-            if let Some(proxy) = self.rollouts.writing.pick(&proxies).cloned() {
+        if !self.rollouts.writing.uses_peers(now) {
+            return vec![Effect::Write(write)];
+        }
+        let proxies = self.write_proxies();
+        let proxy = self.rollouts.writing.pick(&proxies.available).cloned();
+        let mut effects = Vec::new();
+        if self.rollouts.writing.should_report(&proxies) {
+            effects.push(Effect::WriteProxies(proxies));
+        }
+        match proxy {
+            Some(proxy) => {
                 let number = self.rollouts.writing.forward(now, write.service.clone());
-                return self.send(&proxy, Frame::Write { number, write });
+                effects.extend(self.send(&proxy, Frame::Write { number, write }));
             }
+            None => effects.extend([Effect::WriteWithoutProxy, Effect::Write(write)]),
         }
-        vec![Effect::Write(write)]
+        effects
     }
 
     /// Routers that read the store for others, and so probably can write to it; this includes those of other zones.
-    fn write_proxies(&self) -> Vec<id::Router> {
+    fn write_proxies(&self) -> WriteProxies {
         let watchers = self.roles.reader.iter().chain(self.roles.watchers.values());
-        let proxies =
-            watchers.filter(|router| **router != self.me && self.swim.peer(router).is_some_and(super::has_responded));
-        let proxies = proxies.filter(|router| self.knows_epochs(router));
-        proxies.collect::<BTreeSet<_>>().into_iter().cloned().collect()
+        let watchers: BTreeSet<_> = watchers.filter(|router| **router != self.me).collect();
+        let mut proxies = WriteProxies::default();
+        for router in watchers {
+            if !self.swim.peer(router).is_some_and(super::has_responded) {
+                proxies.excluded.push((router.clone(), Obstacle::Unresponsive));
+            } else if !self.knows_epochs(router) {
+                proxies.excluded.push((router.clone(), Obstacle::Epochs));
+            } else {
+                proxies.available.push(router.clone());
+            }
+        }
+        proxies
     }
 
     /// Handles the result of a write that this router made itself.
--- a/crates/stairvale-serve/src/core/writing.rs
+++ b/crates/stairvale-serve/src/core/writing.rs
@@ -12,6 +12,33 @@
 /// succeed.
 const OWN_WRITE_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Why a peer that reads the store for others isn't requested to write for this router.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Obstacle {
+    /// The peer has never responded.
+    Unresponsive,
+    /// The peer isn't known to support epochs of the store.
+    Epochs,
+}
+
+impl std::fmt::Display for Obstacle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Unresponsive => "unresponsive",
+            Self::Epochs => "not known to support epochs",
+        })
+    }
+}
+
+/// The peers that can write to the store for this router, and those that read it for others but can't.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct WriteProxies {
+    /// The peers that can write.
+    pub available: Vec<id::Router>,
+    /// The peers that can't, and why.
+    pub excluded: Vec<(id::Router, Obstacle)>,
+}
+
 /// The current path of writes. A path that works is kept; after a failure the other one is tried.
 #[derive(Debug, Default)]
 pub(super) struct Writing {
@@ -20,6 +47,8 @@
     number: u64,
     /// Writes that peers were requested to make, with the deadline for the answer.
     pending: BTreeMap<u64, (id::Service, Moment)>,
+    /// What was last reported about the peers that can write, while this router's own writes fail.
+    reported: Option<WriteProxies>,
 }
 
 impl Writing {
@@ -35,6 +64,15 @@
         peers.get(index)
     }
 
+    /// Whether these peers differ from the last reported ones, which they replace.
+    pub(super) fn should_report(&mut self, proxies: &WriteProxies) -> bool {
+        let changed = self.reported.as_ref() != Some(proxies);
+        if changed {
+            self.reported = Some(proxies.clone());
+        }
+        changed
+    }
+
     /// Records that a peer is requested to write; returns the number of the request.
     pub(super) fn forward(&mut self, now: Moment, service: id::Service) -> u64 {
         self.number = self.number.wrapping_add(1);
@@ -53,7 +91,11 @@
 
     /// Records the result of this router's own call.
     pub(super) fn own_write_ended(&mut self, now: Moment, written: &Written) {
-        self.via_peers_since = (!was_processed(written)).then_some(now);
+        if was_processed(written) {
+            (self.via_peers_since, self.reported) = (None, None);
+        } else {
+            self.via_peers_since = Some(now);
+        }
     }
 
     /// Removes the writes that peers didn't answer in time, and returns their services.
--- a/crates/stairvale-serve/src/rollouts.rs
+++ b/crates/stairvale-serve/src/rollouts.rs
@@ -7,6 +7,8 @@
 use stairvale_table::Table;
 use stairvale_types::id;
 
+use crate::core::WriteProxies;
+
 /// The name of a stage in logs and metrics.
 #[must_use]
 pub fn stage(stage: Stage) -> &'static str {
@@ -50,6 +52,18 @@
     tracing::info!(%service, %version, order, stage, cause, %writer, "a roll-out has come to a stage");
 }
 
+/// Logs which peers can write to the store for this router, whose own writes fail.
+pub fn log_proxies(proxies: &WriteProxies) {
+    let names: Vec<_> = proxies.available.iter().map(ToString::to_string).collect();
+    let excluded: Vec<_> = proxies.excluded.iter().map(|(peer, obstacle)| format!("{peer}: {obstacle}")).collect();
+    let (peers, excluded) = (names.join(", "), excluded.join(", "));
+    if names.is_empty() {
+        tracing::warn!(excluded, "the store refuses this router's writes, and no peer can write for it");
+    } else {
+        tracing::info!(peers, excluded, "the store refuses this router's writes; peers write for it");
+    }
+}
+
 /// Logs what a service's home found or decided, with the figures behind it: one line, and one more for each route.
 pub fn log_event(table: &Table, event: &Event) {
     let Event { service, order, target: version, is_committed: stands, requests, granted, .. } = event;
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -42,9 +42,11 @@
     let mut delay = INITIAL_BACKOFF;
     let mut compacted = false;
     let mut interrupted = false;
+    let mut was_reader = false;
     loop {
         let (reading, revision, epoch, requested_at) =
             shared.query(|core, now| (core.reading(now), core.view().revision(), core.view().epoch(), now));
+        log_role(&shared, &mut was_reader);
         let news = match reading {
             None => {
                 let confirmed = shared.query(|core, _| core.view().is_confirmed());
@@ -117,6 +119,15 @@
     }
 }
 
+/// Logs when this router starts or stops reading the store for the fleet.
+fn log_role(shared: &Shared, was_reader: &mut bool) {
+    let (is_reader, confirmed) = shared.query(|core, now| (core.is_reader(now), core.view().is_confirmed()));
+    if std::mem::replace(was_reader, is_reader) != is_reader {
+        let who = if is_reader { "this router" } else { "another router" };
+        tracing::info!(confirmed, "{who} reads the store for the fleet");
+    }
+}
+
 /// Keeps the registrations of routers in the store correct while this router is the fleet's reader, until the task is
 /// dropped.
 pub async fn register_routers<S: Source>(shared: Arc<Shared>, source: Arc<S>) {
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -18,7 +18,7 @@
 use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
 use stairvale_replica::{Item, Revision, Router, State, StoreUpdate, Subject, Upstream, Value};
 use stairvale_serve::{
-    core::{Core, Effect, Reading, Reply},
+    core::{Core, Effect, Reading, Reply, WriteProxies},
     frame::Frame,
     settings::Bounds,
     source::Registrations,
@@ -123,6 +123,10 @@
     pub quarantined: Vec<id::Fingerprint>,
     /// Each report of a home about a customer's surplus: whether the customer is above its share.
     pub surpluses: Vec<bool>,
+    /// Each report of a router whose own writes fail about the peers that can write for it.
+    pub proxy_reports: Vec<(usize, WriteProxies)>,
+    /// The number of writes for which no peer could be found.
+    pub writes_without_proxy: usize,
     /// Bytes sent, by kind of message; `None` if they aren't counted.
     bytes_by_kind: Option<BTreeMap<&'static str, usize>>,
     /// Bytes sent to another zone, by kind of message.
@@ -219,6 +223,8 @@
             quarantined: Vec::new(),
             terminated: Vec::new(),
             surpluses: Vec::new(),
+            proxy_reports: Vec::new(),
+            writes_without_proxy: 0,
             bytes_by_kind: None,
             cross_zone_bytes: BTreeMap::new(),
             bytes_by_sender: HashMap::new(),
@@ -706,7 +712,10 @@
                 | Effect::Evacuated { .. }
                 | Effect::Stage { .. }
                 | Effect::ReportEvent(_)
+                | Effect::EpochSupport { .. }
                 | Effect::Lost(_) => {}
+                Effect::WriteProxies(proxies) => self.proxy_reports.push((index, proxies)),
+                Effect::WriteWithoutProxy => self.writes_without_proxy += 1,
                 Effect::Write(write) => self.write(index, None, write),
                 Effect::WriteFor { peer, number, write } => self.write(index, Some((peer, number)), write),
             }
