A home learns from any frame that a peer supports epochs, and asks

What callers saw: while the store refused the writes of a service's home, a roll-out stayed on trial without end; the operator's order was neither completed nor rolled back.

Cause: a home hands its writes to peers that read the store, but only to those that have sent it a sync request with a revision. Only the update source of a router is sent such requests regularly; the fleet's reader reads the store itself.

Change: any frame that contains a revision shows what its sender supports; the answers of a router's update source do so several times a second. A home that lacks a peer for a write sends a sync request to those whose support it doesn't know, since it may exchange no frame at all with the watchers of other zones. Frames keep their form; a request without an epoch still marks a peer as unaware.

Records in the simulated store carry epochs now; without them every peer counted as aware, which is why no test saw this.

--- a/crates/stairvale-serve/src/core/epochs.rs
+++ b/crates/stairvale-serve/src/core/epochs.rs
@@ -8,7 +8,7 @@
 use stairvale_types::id;
 
 use super::{Core, Effect, spread::Peer};
-use crate::frame::{Frame, Sync};
+use crate::frame::Frame;
 
 impl Core {
     /// Whether a peer may be sent revisions that contain an epoch.
@@ -16,15 +16,24 @@
         self.view.epoch() == 0 || self.epoch_aware_peers.contains(peer)
     }
 
-    /// Records from a peer's sync request whether the peer supports epochs.
-    pub(super) fn record_epoch_support(&mut self, from: &id::Router, sync: &Sync) -> Vec<Effect> {
-        let Some(after) = sync.after else {
+    /// Records from a peer's frame whether the peer supports epochs.
+    pub(super) fn record_epoch_support(&mut self, from: &id::Router, frame: &Frame) -> Vec<Effect> {
+        let Some(revision) = frame.revision() else {
             return Vec::new();
         };
-        let supported = Revision::from(after).epoch() > 0;
-        let changed =
-            if supported { self.epoch_aware_peers.insert(from.clone()) } else { self.epoch_aware_peers.remove(from) };
-        if changed { vec![Effect::EpochSupport { peer: from.clone(), supported }] } else { Vec::new() }
+        let supported = Revision::from(revision).epoch() > 0;
+        if supported == self.epoch_aware_peers.contains(from) {
+            return Vec::new();
+        }
+        if supported {
+            self.epoch_aware_peers.insert(from.clone());
+        } else if matches!(frame, Frame::Sync(_)) {
+            self.epoch_aware_peers.remove(from);
+        } else {
+            // A peer that supports epochs omits them in answers to routers that may not, but not in its requests.
+            return Vec::new();
+        }
+        vec![Effect::EpochSupport { peer: from.clone(), supported }]
     }
 
     /// Converts a revision without an epoch, as sent by a peer, to one of this router's epoch.
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -217,7 +217,6 @@
             let has_copy = |after: &u64| Revision::from(*after).number() > 0;
             self.deferred_syncs.insert(from.clone(), Sync { after: sync.after.filter(has_copy), ..sync });
         }
-        let mut effects = self.record_epoch_support(from, &sync);
         let after = sync.after.map(|after| self.in_own_epoch(after));
         let news = after.and_then(|after| self.view.since(after));
         let has_copy = after.is_some_and(|after| Revision::from(after).number() > 0);
@@ -239,8 +238,7 @@
             knows_fleet: self.knows_fleet(now),
             members: if lacks_members { self.swim.live_members() } else { Vec::new() },
         };
-        effects.extend(self.send(from, frame));
-        effects
+        self.send(from, frame)
     }
 
     /// Whether a snapshot may be sent to a router whose copy lags: not while the previous one may still be in
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -109,7 +109,7 @@
     epoch_probe: Option<u64>,
     /// Whether the next snapshot request is sent without an epoch, as builds without support for epochs do.
     omit_epoch: bool,
-    /// Peers whose last sync request showed that they support epochs of the store.
+    /// Peers whose frames showed that they support epochs of the store.
     epoch_aware_peers: BTreeSet<id::Router>,
     /// Routers that were recently sent a full snapshot, and when.
     snapshots_sent: HashMap<id::Router, Moment>,
@@ -338,6 +338,12 @@
 
     /// Handles a frame that a peer sent.
     pub fn frame(&mut self, now: Moment, from: &id::Router, frame: Frame) -> Vec<Effect> {
+        let mut effects = self.record_epoch_support(from, &frame);
+        effects.extend(self.handle_frame(now, from, frame));
+        effects
+    }
+
+    fn handle_frame(&mut self, now: Moment, from: &id::Router, frame: Frame) -> Vec<Effect> {
         match frame {
             Frame::Ask { service, ask } => self.handle_ask(now, from, &service, ask),
             Frame::Decided { attempt, verdict } => {
--- a/crates/stairvale-serve/src/core/rollouts.rs
+++ b/crates/stairvale-serve/src/core/rollouts.rs
@@ -289,7 +289,7 @@
         }
         let proxies = self.write_proxies();
         let proxy = self.rollouts.writing.pick(&proxies.available).cloned();
-        let mut effects = Vec::new();
+        let mut effects = self.request_epoch_support(now, &proxies);
         if self.rollouts.writing.should_report(&proxies) {
             effects.push(Effect::WriteProxies(proxies));
         }
@@ -303,6 +303,14 @@
         effects
     }
 
+    /// Syncs with peers that could write for this router if they support epochs. Otherwise it may never exchange a
+    /// revision with them: only its update source has to answer it.
+    fn request_epoch_support(&mut self, now: Moment, proxies: &WriteProxies) -> Vec<Effect> {
+        let after = self.view.revision();
+        let unknown = proxies.excluded.iter().filter(|(_, obstacle)| *obstacle == Obstacle::Epochs);
+        unknown.flat_map(|(peer, _)| self.send_sync(now, peer, after)).collect()
+    }
+
     /// Routers that read the store for others, and so probably can write to it; this includes those of other zones.
     fn write_proxies(&self) -> WriteProxies {
         let watchers = self.roles.reader.iter().chain(self.roles.watchers.values());
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -153,6 +153,33 @@
 }
 
 impl Frame {
+    /// A revision of the store in the form that the sender uses, if the frame contains one.
+    #[must_use]
+    pub fn revision(&self) -> Option<u64> {
+        match self {
+            Self::Sync(sync) => sync.after,
+            Self::Synced { revision, .. } => Some(*revision),
+            Self::News(news) | Self::Relay { news, .. } => Some(news.to().into()),
+            Self::Write { write, .. } => Some(write.record.order),
+            Self::Condemned { order, .. } => Some(*order),
+            Self::Written { written, .. } => match written {
+                Written::Done(revision) | Written::Conflict(Some((revision, _))) => Some(*revision),
+                Written::Conflict(None) | Written::Refused | Written::Unknown => None,
+            },
+            Self::Ask { .. }
+            | Self::Decided { .. }
+            | Self::Waits { .. }
+            | Self::Forget { .. }
+            | Self::Begun { .. }
+            | Self::Release { .. }
+            | Self::Renew { .. }
+            | Self::Prefixes { .. }
+            | Self::Read { .. }
+            | Self::Evidence { .. }
+            | Self::Quarantined { .. } => None,
+        }
+    }
+
     /// The frame's name in metrics.
     #[must_use]
     pub fn name(&self) -> &'static str {
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -137,6 +137,8 @@
     pub cross_zone_delay: u64,
     cut_links: BTreeSet<(usize, usize)>,
     cut_from_store: BTreeSet<usize>,
+    /// Routers whose writes of roll-out records the store refuses.
+    pub refused_writers: BTreeSet<usize>,
     /// The fault that affects writes of roll-out records.
     pub record_fault: records::Fault,
     records: records::Records,
@@ -147,6 +149,15 @@
     Revision::new(epoch, number).unwrap().into()
 }
 
+/// An item of the store as it is read in an epoch.
+fn with_epoch(epoch: u64, mut item: Item) -> Item {
+    item.revision = epoch_revision(epoch, item.revision);
+    if let Some(Value::Rollout(record)) = &mut item.value {
+        record.order = epoch_revision(epoch, record.order);
+    }
+    item
+}
+
 fn router_id(index: usize) -> id::Router {
     format!("r{index}").parse().unwrap()
 }
@@ -231,6 +242,7 @@
             cross_zone_delay: LINK_DELAY_MS,
             cut_links: BTreeSet::new(),
             cut_from_store: BTreeSet::new(),
+            refused_writers: BTreeSet::new(),
             record_fault: records::Fault::None,
             records: records::Records::default(),
         };
@@ -408,7 +420,7 @@
             return self.snapshot(epoch, self.store.len());
         }
         let later = self.store.iter().filter(|item| item.revision > since.number()).cloned();
-        let items = later.map(|item| Item { revision: epoch_revision(epoch, item.revision), ..item }).collect();
+        let items = later.map(|item| with_epoch(epoch, item)).collect();
         StoreUpdate::Changes { after, to: epoch_revision(epoch, self.store.len() as u64), items }
     }
 
@@ -431,7 +443,7 @@
             items.insert(item.subject.clone(), item.clone());
         }
         let present = items.into_values().filter(|item| item.value.is_some());
-        let items = present.map(|item| Item { revision: epoch_revision(epoch, item.revision), ..item }).collect();
+        let items = present.map(|item| with_epoch(epoch, item)).collect();
         StoreUpdate::Everything { to: epoch_revision(epoch, to as u64), items }
     }
 
--- a/crates/stairvale-serve/tests/world/records.rs
+++ b/crates/stairvale-serve/tests/world/records.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use stairvale_replica::{State, Subject, Value};
+use stairvale_replica::{Revision, State, Subject, Value};
 use stairvale_rollout::{Order, Record, Stage, Write, Written};
 use stairvale_types::id;
 
-use super::{World, router_id};
+use super::{World, epoch_revision, router_id};
 
 /// How long a write takes, in ms.
 const WRITE_DELAY_MS: u64 = 5;
@@ -49,6 +49,25 @@
     pub callers: Vec<usize>,
 }
 
+/// A write as the store receives it: its revisions are the store's own numbers.
+fn without_epoch(mut write: Write) -> Write {
+    write.expected = Revision::from(write.expected).number();
+    write.record.order = Revision::from(write.record.order).number();
+    write
+}
+
+/// The result of a write as it is read in an epoch.
+fn written_with_epoch(epoch: u64, written: Written) -> Written {
+    match written {
+        Written::Done(revision) => Written::Done(epoch_revision(epoch, revision)),
+        Written::Conflict(Some((revision, mut record))) => {
+            record.order = epoch_revision(epoch, record.order);
+            Written::Conflict(Some((epoch_revision(epoch, revision), record)))
+        }
+        Written::Conflict(None) | Written::Refused | Written::Unknown => written,
+    }
+}
+
 impl World {
     /// Writes the entry of a ready engine with its software version to the store.
     pub fn put_engine_version(&mut self, engine: usize, zone: usize, version: &str) {
@@ -123,8 +142,10 @@
             (WRITE_TIMEOUT_MS, Written::Unknown)
         } else {
             self.records.callers.push(index);
+            let (epoch, write) = (self.epoch_for(index), without_epoch(write));
             match self.record_fault {
-                Fault::None => (WRITE_DELAY_MS, self.compare_and_swap(write)),
+                _ if self.refused_writers.contains(&index) => (WRITE_DELAY_MS, Written::Refused),
+                Fault::None => (WRITE_DELAY_MS, written_with_epoch(epoch, self.compare_and_swap(write))),
                 Fault::Busy => (WRITE_DELAY_MS, Written::Refused),
                 Fault::Lost => {
                     self.compare_and_swap(write);
