A home whose writes fail tries one peer after the other

Cause: a home handed its writes to the reader and the watchers only, and chose among them by the number of the write, whatever had become of the last one. A router keeps these roles as long as it can read.

Evidence: in proxies.rs, with the writes of the home, the reader and the watchers refused, no record was written in 40 of 40 starts.

Change: routers that may be homes follow after those that read the store. The home keeps a peer through which a write succeeded; after a failure it takes the next one, and its own call once all have failed. It reports the first peer found, or once that none is left and why. The former report of each change of the list is gone: it named peers as available whose writes failed.

Result: 40 of 40 written; with all writes refused one report in 20 s, and a write as soon as one router's are accepted.

--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -8,7 +8,7 @@
 use stairvale_types::id;
 use stairvale_wire::Packet;
 
-use super::writing::WriteProxies;
+use super::writing::ProxyReport;
 use crate::frame::Frame;
 
 /// An action for the caller of the core.
@@ -80,8 +80,8 @@
         /// The change to write.
         write: Write,
     },
-    /// Report to operators which peers can write to the store for this router, whose own writes fail.
-    WriteProxies(WriteProxies),
+    /// Report to operators which peer writes to the store for this router, whose own writes fail, or why none does.
+    ProxyReport(ProxyReport),
     /// Count a write that this router tries itself although its own writes fail, since no peer can make it.
     WriteWithoutProxy,
     /// Report that a peer was found to support epochs of the store, or not to.
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -37,7 +37,7 @@
             | Effect::Evacuated { .. }
             | Effect::Write(_)
             | Effect::WriteFor { .. }
-            | Effect::WriteProxies(_)
+            | Effect::ProxyReport(_)
             | Effect::WriteWithoutProxy
             | Effect::EpochSupport { .. }
             | Effect::Stage { .. }
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -45,7 +45,7 @@
 pub use effect::{Effect, Reply};
 pub use freshness::Reading;
 pub use home::CustomerCounts;
-pub use writing::{Obstacle, WriteProxies};
+pub use writing::{Obstacle, ProxyReport};
 
 /// Interval at which an entry router reports its running requests to their homes.
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/stairvale-serve/src/core/roles.rs
+++ b/crates/stairvale-serve/src/core/roles.rs
@@ -51,6 +51,11 @@
         pick(key, self.home_candidates.iter().map(|(hash, router)| (*hash, router)))
     }
 
+    /// The routers that may be homes.
+    pub(super) fn home_candidates(&self) -> impl Iterator<Item = &id::Router> {
+        self.home_candidates.iter().map(|(_, router)| router)
+    }
+
     /// Whether `matches` holds for any home candidate.
     pub(super) fn any_home(&self, mut matches: impl FnMut(&id::Router) -> bool) -> bool {
         self.home_candidates.iter().any(|(_, router)| matches(router))
--- a/crates/stairvale-serve/src/core/rollouts.rs
+++ b/crates/stairvale-serve/src/core/rollouts.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Core, Effect,
-    writing::{Obstacle, WriteProxies, Writing},
+    writing::{Obstacle, Writing},
 };
 use crate::frame::Frame;
 
@@ -24,6 +24,9 @@
 /// number of roll-outs that a fleet runs at once.
 const MAX_REJECTED_ORDERS: usize = 64;
 
+/// Maximum number of peers that are synced with at once to find out whether they support epochs.
+const MAX_EPOCH_REQUESTS: usize = 16;
+
 /// All roll-outs that this router knows of.
 #[derive(Debug, Default)]
 pub(super) struct Rollouts {
@@ -287,45 +290,43 @@
         if !self.rollouts.writing.uses_peers(now) {
             return vec![Effect::Write(write)];
         }
-        let proxies = self.write_proxies();
-        let proxy = self.rollouts.writing.pick(&proxies.available).cloned();
-        let mut effects = self.request_epoch_support(now, &proxies);
-        if self.rollouts.writing.should_report(&proxies) {
-            effects.push(Effect::WriteProxies(proxies));
-        }
-        match proxy {
-            Some(proxy) => {
-                let number = self.rollouts.writing.forward(now, write.service.clone());
-                effects.extend(self.send(&proxy, Frame::Write { number, write }));
-            }
-            None => effects.extend([Effect::WriteWithoutProxy, Effect::Write(write)]),
-        }
+        let (proxies, excluded) = self.write_proxies();
+        let mut effects = self.request_epoch_support(now, &excluded);
+        let Some(proxy) = self.rollouts.writing.pick(proxies.iter()).cloned() else {
+            effects.extend(self.rollouts.writing.exhausted(excluded).map(Effect::ProxyReport));
+            effects.extend([Effect::WriteWithoutProxy, Effect::Write(write)]);
+            return effects;
+        };
+        let number = self.rollouts.writing.forward(now, proxy.clone(), write.service.clone());
+        effects.extend(self.send(&proxy, Frame::Write { number, write }));
         effects
     }
 
     /// Syncs with peers that could write for this router if they support epochs. Otherwise it may never exchange a
     /// revision with them: only its update source has to answer it.
-    fn request_epoch_support(&mut self, now: Moment, proxies: &WriteProxies) -> Vec<Effect> {
+    fn request_epoch_support(&mut self, now: Moment, excluded: &[(id::Router, Obstacle)]) -> Vec<Effect> {
         let after = self.view.revision();
-        let unknown = proxies.excluded.iter().filter(|(_, obstacle)| *obstacle == Obstacle::Epochs);
-        unknown.flat_map(|(peer, _)| self.send_sync(now, peer, after)).collect()
+        let unknown = excluded.iter().filter(|(_, obstacle)| *obstacle == Obstacle::Epochs);
+        unknown.take(MAX_EPOCH_REQUESTS).flat_map(|(peer, _)| self.send_sync(now, peer, after)).collect()
     }
 
-    /// Routers that read the store for others, and so probably can write to it; this includes those of other zones.
-    fn write_proxies(&self) -> WriteProxies {
-        let watchers = self.roles.reader.iter().chain(self.roles.watchers.values());
-        let watchers: BTreeSet<_> = watchers.filter(|router| **router != self.me).collect();
-        let mut proxies = WriteProxies::default();
-        for router in watchers {
+    /// Routers that may write for this one, the preferred ones first, and those that can't. The reader and the watchers
+    /// read the store, so they probably can write to it; this includes those of other zones. Others follow, since the
+    /// store may refuse writes of routers that can read it.
+    fn write_proxies(&self) -> (Vec<id::Router>, Vec<(id::Router, Obstacle)>) {
+        let watchers: BTreeSet<_> = self.roles.reader.iter().chain(self.roles.watchers.values()).collect();
+        let others = self.roles.home_candidates().filter(|router| !watchers.contains(router));
+        let (mut proxies, mut excluded) = (Vec::new(), Vec::new());
+        for router in watchers.iter().copied().chain(others).filter(|router| **router != self.me) {
             if !self.swim.peer(router).is_some_and(super::has_responded) {
-                proxies.excluded.push((router.clone(), Obstacle::Unresponsive));
+                excluded.push((router.clone(), Obstacle::Unresponsive));
             } else if !self.knows_epochs(router) {
-                proxies.excluded.push((router.clone(), Obstacle::Epochs));
+                excluded.push((router.clone(), Obstacle::Epochs));
             } else {
-                proxies.available.push(router.clone());
+                proxies.push(router.clone());
             }
         }
-        proxies
+        (proxies, excluded)
     }
 
     /// Handles the result of a write that this router made itself.
@@ -343,10 +344,12 @@
 
     /// Handles the result of a write that a peer made for this router.
     pub(super) fn handle_forwarded_write(&mut self, now: Moment, number: u64, written: Written) -> Vec<Effect> {
-        match self.rollouts.writing.take_forwarded(number, &written) {
-            Some(service) => self.handle_written(now, &service, written),
-            None => Vec::new(),
-        }
+        let Some((service, report)) = self.rollouts.writing.take_forwarded(number, &written) else {
+            return Vec::new();
+        };
+        let mut effects: Vec<_> = report.map(Effect::ProxyReport).into_iter().collect();
+        effects.extend(self.handle_written(now, &service, written));
+        effects
     }
 
     fn handle_written(&mut self, now: Moment, service: &id::Service, written: Written) -> Vec<Effect> {
--- a/crates/stairvale-serve/src/rollouts.rs
+++ b/crates/stairvale-serve/src/rollouts.rs
@@ -7,7 +7,7 @@
 use stairvale_table::Table;
 use stairvale_types::id;
 
-use crate::core::WriteProxies;
+use crate::core::ProxyReport;
 
 /// The name of a stage in logs and metrics.
 #[must_use]
@@ -52,15 +52,17 @@
     tracing::info!(%service, %version, order, stage, cause, %writer, "a roll-out has come to a stage");
 }
 
-/// Logs which peers can write to the store for this router, whose own writes fail.
-pub fn log_proxies(proxies: &WriteProxies) {
-    let names: Vec<_> = proxies.available.iter().map(ToString::to_string).collect();
-    let excluded: Vec<_> = proxies.excluded.iter().map(|(peer, obstacle)| format!("{peer}: {obstacle}")).collect();
-    let (peers, excluded) = (names.join(", "), excluded.join(", "));
-    if names.is_empty() {
-        tracing::warn!(excluded, "the store refuses this router's writes, and no peer can write for it");
-    } else {
-        tracing::info!(peers, excluded, "the store refuses this router's writes; peers write for it");
+/// Logs which peer writes to the store for this router, whose own writes fail, or why none does.
+pub fn log_proxy(report: &ProxyReport) {
+    match report {
+        ProxyReport::Found(peer) => {
+            tracing::info!(%peer, "the store refuses this router's writes; a peer writes for it");
+        }
+        ProxyReport::NotFound(excluded) => {
+            let excluded: Vec<_> = excluded.iter().map(|(peer, obstacle)| format!("{peer}: {obstacle}")).collect();
+            let excluded = excluded.join(", ");
+            tracing::warn!(excluded, "the store refuses this router's writes, and no peer can write for it");
+        }
     }
 }
 
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -273,7 +273,7 @@
                 Effect::WriteFor { peer, number, write } => {
                     self.record(PendingWrite { write, peer: Some((peer, number)) });
                 }
-                Effect::WriteProxies(proxies) => rollouts::log_proxies(&proxies),
+                Effect::ProxyReport(report) => rollouts::log_proxy(&report),
                 Effect::WriteWithoutProxy => self.metrics.count("write-without-proxy"),
                 Effect::EpochSupport { peer, supported } => {
                     tracing::debug!(%peer, supported, "a peer's support for epochs of the store is known");
--- a/crates/stairvale-serve/tests/proxies.rs
+++ b/crates/stairvale-serve/tests/proxies.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use stairvale_serve::core::Obstacle;
+use stairvale_serve::core::{Obstacle, ProxyReport};
 use world::World;
 
 /// Time for a starting fleet to agree on its members and homes, in ms.
@@ -41,6 +41,15 @@
     world.put_engine_version(4, 0, "v2");
 }
 
+/// The zones' watchers.
+fn watchers(world: &World) -> BTreeSet<usize> {
+    (0..world.nodes.len()).filter(|index| world.nodes[*index].core.is_watcher()).collect()
+}
+
+fn reader(world: &World) -> usize {
+    (0..world.nodes.len()).find(|index| world.nodes[*index].core.is_reader(world.local_time(*index))).unwrap()
+}
+
 /// Starts fleets at forty different times. `refuse` selects the routers whose writes the store refuses, and `cut` those that can't
 /// reach the store, given the fleet and its home. Returns the delays of the fleets in which the order's record wasn't written.
 fn failures(
@@ -78,6 +87,18 @@
     assert!(failed.is_empty(), "{failed:?}");
 }
 
+/// Guards against a home that only asks routers which read the store, and whose writes the store refuses as well.
+#[test]
+fn a_home_writes_through_any_router_if_the_store_refuses_all_watchers_writes() {
+    let refuse = |world: &World, home: usize| {
+        let mut refused = watchers(world);
+        refused.extend([home, reader(world)]);
+        refused
+    };
+    let failed = failures(9, 3, refuse, |_, _| BTreeSet::new());
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
 /// Guards against a proxy that was restarted, or that the home forgot, and isn't asked any more.
 #[test]
 fn a_home_writes_through_proxies_that_were_restarted() {
@@ -106,6 +127,28 @@
     }
 }
 
+/// Guards against a write that is refused for ever without a report, and against a home that doesn't recover from that.
+#[test]
+fn a_home_without_any_proxy_reports_it_once_and_writes_as_soon_as_it_can() {
+    let mut world = fleet(9, 3, 0);
+    let home = world.home(0);
+    world.refused_writers = (0..9).collect();
+    order(&mut world);
+    world.run(20_000);
+    assert!(world.record().is_none());
+    let [(index, ProxyReport::NotFound(excluded))] = &world.proxy_reports[..] else {
+        panic!("{:?}", world.proxy_reports);
+    };
+    assert_eq!(*index, home);
+    assert!(excluded.len() > 3 && excluded.iter().all(|(_, why)| *why == Obstacle::Failed), "{excluded:?}");
+    assert!(world.writes_without_proxy > 1);
+    let proxy = (0..9).find(|index| *index != home && !watchers(&world).contains(index)).unwrap();
+    world.refused_writers.remove(&proxy);
+    world.run(2 * WRITE_MS);
+    assert_eq!(world.record().map(|(_, record)| record.writer), Some(format!("r{home}").parse().unwrap()));
+    assert_eq!(world.proxy_reports[1..], [(home, ProxyReport::Found(format!("r{proxy}").parse().unwrap()))]);
+}
+
 /// Guards against reports that don't say why a peer isn't asked.
 #[test]
 fn a_home_beside_routers_without_epochs_reports_why_it_has_no_proxy() {
@@ -124,11 +167,9 @@
     order(&mut world);
     world.run(WRITE_MS);
     assert!(world.writes_without_proxy > 0);
-    let (index, report) = world.proxy_reports.last().unwrap();
+    let [(index, ProxyReport::NotFound(excluded))] = &world.proxy_reports[..] else {
+        panic!("{:?}", world.proxy_reports);
+    };
     assert_eq!(*index, home);
-    assert!(report.available.is_empty(), "{report:?}");
-    assert!(
-        !report.excluded.is_empty() && report.excluded.iter().all(|(_, why)| *why == Obstacle::Epochs),
-        "{report:?}"
-    );
+    assert!(!excluded.is_empty() && excluded.iter().all(|(_, why)| *why == Obstacle::Epochs), "{excluded:?}");
 }
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -18,7 +18,7 @@
 use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
 use stairvale_replica::{Item, Revision, Router, State, StoreUpdate, Subject, Upstream, Value};
 use stairvale_serve::{
-    core::{Core, Effect, Reading, Reply, WriteProxies},
+    core::{Core, Effect, ProxyReport, Reading, Reply},
     frame::Frame,
     settings::Bounds,
     source::Registrations,
@@ -124,7 +124,7 @@
     /// Each report of a home about a customer's surplus: whether the customer is above its share.
     pub surpluses: Vec<bool>,
     /// Each report of a router whose own writes fail about the peers that can write for it.
-    pub proxy_reports: Vec<(usize, WriteProxies)>,
+    pub proxy_reports: Vec<(usize, ProxyReport)>,
     /// The number of writes for which no peer could be found.
     pub writes_without_proxy: usize,
     /// Bytes sent, by kind of message; `None` if they aren't counted.
@@ -726,7 +726,7 @@
                 | Effect::ReportEvent(_)
                 | Effect::EpochSupport { .. }
                 | Effect::Lost(_) => {}
-                Effect::WriteProxies(proxies) => self.proxy_reports.push((index, proxies)),
+                Effect::ProxyReport(report) => self.proxy_reports.push((index, report)),
                 Effect::WriteWithoutProxy => self.writes_without_proxy += 1,
                 Effect::Write(write) => self.write(index, None, write),
                 Effect::WriteFor { peer, number, write } => self.write(index, Some((peer, number)), write),
