A peer whose copy has an epoch but no state counts as empty

What callers saw: where the store shows no registrations yet, a router that starts beside one with a configuration refused requests for one second more (found in the trace of the red test: r1 asked r2, which had nothing, and waited a second).

It recognised such a peer by revision 0. A peer that has only read the store's stale contents has the number 0 of an epoch, which isn't 0.

Change: the number decides. The new test requires a second, the time that requests wait for a first configuration; it fails without the change.

--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -279,7 +279,7 @@
             // A peer that doesn't know its copy's age yet may answer again, so the request stays pending.
             self.pending_syncs.remove(&number);
         }
-        if revision == 0 {
+        if Revision::from(revision).number() == 0 {
             // The peer has no copy either, so the next peer is tried without delay.
             self.next_snapshot = now;
         } else if self.epoch_probe == Some(number) && news.is_none() && Revision::from(revision).epoch() == 0 {
--- a/crates/stairvale-serve/tests/starts.rs
+++ b/crates/stairvale-serve/tests/starts.rs
@@ -201,3 +201,21 @@
         TestResult::from_bool(all && agree(&mut world, |_| true) && world.registered().len() <= 9)
     }
 }
+
+/// Guards against a router that waits a second for the snapshot of a peer that has none either: before the store shows any
+/// registration, two of three routers start beside one that has a copy. Within a second of its start a router that can reach a peer
+/// has to have a configuration.
+#[test]
+fn routers_get_a_configuration_from_the_peer_that_has_one_in_an_epoch() {
+    for delay in (0..40).map(|start| 5 * start) {
+        let mut world = World::new(3, 1, 6);
+        world.enable_epochs();
+        kill_all(&mut world);
+        world.run(delay);
+        world.start(0, 1);
+        world.run(1_200);
+        (1..3).for_each(|index| world.start(index, 1));
+        world.run(1_000);
+        assert!((1..3).all(|index| world.version(index) > 0), "start {delay}");
+    }
+}
