A configuration in transit to a peer isn't sent to it again

What callers saw: when a configuration of 1,640 routes came or changed, 54 to 152 times in a second a home didn't answer (docs/INCIDENTS.md, listed as not traced); such a request loses some 50 ms.

Cause: a peer's sync request that arrives while the configuration is on its way shows the old revision, so the watcher sent the configuration again in its answer. The home of the engines was the reader and a watcher too, and its permit answers came late behind these copies.

Change: a watcher omits from its answer a configuration that it sent the same peer half a second ago or less, unless the peer lacks earlier changes too.

--- a/crates/stairvale-replica/src/news.rs
+++ b/crates/stairvale-replica/src/news.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-use crate::{Item, Revision, Value, written::Written};
+use crate::{Item, Revision, Subject, Value, written::Written};
 
 /// An update of a router's copy of the store, as it is read from the store or sent to a peer.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -35,6 +35,13 @@
         }
     }
 
+    /// Whether the update contains a configuration, which may have hundreds of kilobytes.
+    #[must_use]
+    pub fn has_configuration(&self) -> bool {
+        let (Self::Changes { items, .. } | Self::Everything { items, .. }) = self;
+        items.iter().any(|item| item.subject == Subject::Configuration)
+    }
+
     /// The same update for a build that doesn't support epochs, with the store's own numbers as revisions.
     #[must_use]
     pub fn without_epochs(mut self) -> Self {
--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -223,6 +223,7 @@
         let news = news.filter(|news| {
             matches!(news, StoreUpdate::Changes { .. }) || !has_copy || self.may_send_snapshot(now, from)
         });
+        let news = news.filter(|news| !after.is_some_and(|after| self.is_in_transit(now, from, after, news)));
         let lacks_members = sync.routers.is_some_and(|known| known + known / MISSING_MEMBERS_DIVISOR < self.routers());
         let (news, revision) = if self.knows_epochs(from) {
             (news, self.view.revision())
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -41,6 +41,7 @@
 use quarantine::Quarantine;
 use roles::Roles;
 use rollouts::Rollouts;
+use spread::SentConfiguration;
 
 pub use effect::{Effect, Reply};
 pub use freshness::Reading;
@@ -111,6 +112,8 @@
     omit_epoch: bool,
     /// Peers whose frames showed that they support epochs of the store.
     epoch_aware_peers: BTreeSet<id::Router>,
+    /// The configuration that was last sent to peers.
+    sent_configuration: Option<SentConfiguration>,
     /// Routers that were recently sent a full snapshot, and when.
     snapshots_sent: HashMap<id::Router, Moment>,
     last_tick: Moment,
@@ -171,6 +174,7 @@
             epoch_probe: None,
             omit_epoch: false,
             epoch_aware_peers: BTreeSet::new(),
+            sent_configuration: None,
             snapshots_sent: HashMap::new(),
             last_tick: Moment::ZERO,
             unreachable_zones: BTreeSet::new(),
--- a/crates/stairvale-serve/src/core/spread.rs
+++ b/crates/stairvale-serve/src/core/spread.rs
@@ -6,7 +6,7 @@
 //! MB instead of 160 MB. The relays differ for each change. Nothing depends on a relay: each router requests the
 //! latest changes from its watcher several times a second, and thereby receives a change whose relay was lost.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use stairvale_placement::mix;
 use stairvale_replica::StoreUpdate;
@@ -20,8 +20,20 @@
 /// peer then, and no router has to wait for a relay.
 const MAX_DIRECT_PEERS: usize = 32;
 
+/// Time for which a configuration that was sent to a peer counts as in transit.
+const CONFIGURATION_TRANSIT_TIME: Duration = Duration::from_millis(500);
+
 pub(super) type Peer = (id::Router, SocketAddr);
 
+/// The configuration that this router sent last.
+#[derive(Debug)]
+pub(super) struct SentConfiguration {
+    /// The revision that the changes with the configuration follow on.
+    after: u64,
+    sent_at: Moment,
+    to: BTreeSet<id::Router>,
+}
+
 impl Core {
     /// Sends the changes since a revision: a zone's watcher to its zone, and the fleet's reader also to the other
     /// watchers. A router that read the store only because it received too few updates sends nothing, since all
@@ -42,6 +54,14 @@
                 self.live_peers().filter(receives_snapshot).map(|peer| (peer.router.clone(), now)).collect();
             self.snapshots_sent.extend(recipients);
         }
+        if matches!(news, StoreUpdate::Changes { .. }) && news.has_configuration() {
+            let is_reader = self.roles.reader.as_ref() == Some(&self.me);
+            let is_watcher = |peer: &Member| self.roles.watchers.get(&peer.zone) == Some(&peer.router);
+            let to =
+                self.live_peers().filter(|peer| in_zone(peer) || has_responded(peer) && is_reader && is_watcher(peer));
+            let to = to.map(|peer| peer.router.clone()).filter(|peer| self.knows_epochs(peer)).collect();
+            self.sent_configuration = Some(SentConfiguration { after: before, sent_at: now, to });
+        }
         let zone: Vec<_> = self.live_peers().filter(|peer| peer.zone == self.zone && has_responded(peer)).collect();
         let mut direct: Vec<Peer> = Vec::new();
         if self.roles.reader.as_ref() == Some(&self.me) {
@@ -70,6 +90,15 @@
         effects
     }
 
+    /// Whether a peer that requests the changes after a revision was just sent the configuration among them. A second copy
+    /// would occupy both routers' links while requests wait for permits.
+    pub(super) fn is_in_transit(&self, now: Moment, to: &id::Router, after: u64, news: &StoreUpdate) -> bool {
+        news.has_configuration()
+            && self.sent_configuration.as_ref().is_some_and(|sent| {
+                now.since(sent.sent_at) < CONFIGURATION_TRANSIT_TIME && after >= sent.after && sent.to.contains(to)
+            })
+    }
+
     /// Relays changes to other routers of the zone.
     pub(super) fn forward_news(&self, news: &StoreUpdate, to: &[id::Router]) -> Vec<Effect> {
         let to: Vec<_> = to.iter().filter_map(|router| self.responding_peer(router)).collect();
