--- a/crates/stairvale-serve/src/core/spread.rs
+++ b/crates/stairvale-serve/src/core/spread.rs
@@ -93,7 +93,8 @@
     /// Whether a peer that requests the changes after a revision was just sent the configuration among them. A second copy
     /// would occupy both routers' links while requests wait for permits.
     pub(super) fn is_in_transit(&self, now: Moment, to: &id::Router, after: u64, news: &StoreUpdate) -> bool {
-        news.has_configuration()
+        matches!(news, StoreUpdate::Changes { .. })
+            && news.has_configuration()
             && self.sent_configuration.as_ref().is_some_and(|sent| {
                 now.since(sent.sent_at) < CONFIGURATION_TRANSIT_TIME && after >= sent.after && sent.to.contains(to)
             })
