Routers that lack the same report no longer keep each other from noticing

What callers saw: at a start some routers may not use all upstreams for seconds.

Cause: a router exchanges reports on upstreams with a peer once digests have differed for a second. A packet from any peer with the router's own digest started that second anew, so two routers that lacked the same report kept each other from looking for it.

Change: a router remembers since when it has seen each digest that differs from its own, until its own changes; peers that agree don't matter. The interval of two seconds between exchanges stays.

--- a/crates/stairvale-control/src/handlers/members.rs
+++ b/crates/stairvale-control/src/handlers/members.rs
@@ -17,6 +17,8 @@
 const DIGEST_MISMATCH_GRACE: Duration = Duration::from_millis(1_000);
 /// Minimum interval between two fetches of all status reports from peers.
 const STATUS_FETCH_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum number of peers' digests that are remembered.
+const MAX_DIFFERING_DIGESTS: usize = 64;
 /// Name of the per-zone job of sending all status reports to routers that join.
 const STATUS_SYNC_JOB: &str = "words";
 
@@ -79,13 +81,16 @@
     }
 
     /// Compares a peer's digest of all status reports with this router's. Gossip repeats each update only a limited
-    /// number of times and may lose it, so a difference that lasts is repaired by exchanging all reports.
+    /// number of times and may lose it, so a difference that lasts is repaired by exchanging all reports. Peers with
+    /// the same digest as this router's show nothing: they may lack the same report.
     pub(crate) fn compare_digests(&mut self, from: &id::Router, theirs: u64) {
         if theirs == self.status_digest {
-            self.schedule.digests_differ_since = None;
             return;
         }
-        let since = *self.schedule.digests_differ_since.get_or_insert(self.now);
+        if self.differing_digests.len() >= MAX_DIFFERING_DIGESTS {
+            self.differing_digests.clear();
+        }
+        let since = *self.differing_digests.entry(theirs).or_insert(self.now);
         let recent = self.schedule.statuses_fetched.is_some_and(|at| self.now.since(at) < STATUS_FETCH_INTERVAL);
         if self.now.since(since) >= DIGEST_MISMATCH_GRACE && !recent {
             self.schedule.statuses_fetched = Some(self.now);
--- a/crates/stairvale-control/src/handlers/upstreams.rs
+++ b/crates/stairvale-control/src/handlers/upstreams.rs
@@ -61,7 +61,11 @@
 
     /// Recomputes the digest of all status reports after one of them changed.
     pub(crate) fn update_status_digest(&mut self) {
-        self.status_digest = self.fleet.upstreams.digest();
+        let digest = self.fleet.upstreams.digest();
+        if digest != self.status_digest {
+            self.differing_digests.clear();
+        }
+        self.status_digest = digest;
         self.fleet.swim.set_upstream_digest(self.status_digest);
     }
 
--- a/crates/stairvale-control/src/node.rs
+++ b/crates/stairvale-control/src/node.rs
@@ -164,7 +164,6 @@
     pub manifest_requested: Option<Moment>,
     pub manifest_revision: u64,
     pub mismatches_sent: Option<Moment>,
-    pub digests_differ_since: Option<Moment>,
     pub statuses_fetched: Option<Moment>,
     pub watching: bool,
     pub watch_after: Moment,
@@ -213,6 +212,8 @@
     pub(crate) explain: explain::RecentRequests,
     /// Digest of the status reports of all upstreams, which peers compare with their own.
     pub(crate) status_digest: u64,
+    /// Digests of peers that differ from this router's, and since when; empty after each change of this router's own.
+    pub(crate) differing_digests: BTreeMap<u64, Moment>,
     pub(crate) schedule: Schedule,
     /// Set after a suspension until a peer's datagram arrives: meanwhile this router answers no permit requests, since
     /// another one may have become home.
@@ -263,6 +264,7 @@
             peer_generations: HashMap::new(),
             explain: explain::RecentRequests::default(),
             status_digest: 0,
+            differing_digests: BTreeMap::new(),
             schedule: Schedule::default(),
             rejoining: false,
             leaving: false,
--- a/crates/stairvale-control/tests/fleet.rs
+++ b/crates/stairvale-control/tests/fleet.rs
@@ -427,3 +427,18 @@
     world.run(SECOND * 45);
     assert_all_engines_loaded_new_version(&world);
 }
+
+/// Guards against routers that lack the same update and, since they agree with each other, don't look for it. Within ten seconds all
+/// routers have to agree on the upstreams.
+#[test]
+fn an_update_lost_at_several_routers_is_recovered_in_time() {
+    for seed in 0..20 {
+        let mut world = World::settled(seed, 2, 2);
+        world.faults.drop_upstream_updates = true;
+        world.drain_engine("b-engine-0");
+        world.run(SECOND * 10);
+        for (name, router) in &world.routers {
+            assert_eq!(router.node.stats().usable, 8, "seed {seed}: {name} lacks the update that an engine drains");
+        }
+    }
+}
