Log what each retry was charged against

Two hypotheses (the free retries are divided by the routers that are live at the moment; a router that starts again has forgotten what it spent) and two others (repeats that aren't charged; charged and arrived in different windows) couldn't be told apart: a retry's line didn't say what the budget was decided on, a retry after a rejection had no line, and nothing counted retries that the budget refused.

The line now has the service, the cause, the requests and retries in the window and the number of routers; both kinds of retry write it; refusals are counted as retry-over-budget. No decision changes.

--- a/crates/stairvale-dispatch/src/budget.rs
+++ b/crates/stairvale-dispatch/src/budget.rs
@@ -18,6 +18,15 @@
 /// Number of steps into which a window is divided.
 const STEPS: u32 = 20;
 
+/// What a window holds, for logs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Retries in the window.
+    pub retries: u32,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Step {
     number: u64,
@@ -45,8 +54,7 @@
     #[allow(clippy::cast_precision_loss)]
     pub fn spend(&mut self, now: Moment, budget: Budget, routers: usize) -> bool {
         self.step(now, budget);
-        let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
-        let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
+        let Usage { requests, retries } = self.usage();
         let free = budget.free / routers.max(1) as f64;
         let allowed = f64::from(requests) * budget.ratio + free;
         if f64::from(retries) + 1.0 > allowed {
@@ -56,6 +64,14 @@
         true
     }
 
+    /// The requests and retries of the window that ends with the last one.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        let requests = self.steps.iter().map(|step| step.requests).sum();
+        let retries = self.steps.iter().map(|step| step.retries).sum();
+        Usage { requests, retries }
+    }
+
     fn step(&mut self, now: Moment, budget: Budget) -> &mut Step {
         let length = (budget.window / STEPS).as_micros().max(1);
         let number = u64::try_from(u128::from(now.0) / length).unwrap_or(u64::MAX);
--- a/crates/stairvale-serve/src/core/entry.rs
+++ b/crates/stairvale-serve/src/core/entry.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use stairvale_dispatch::{Ask, Held, Outcome, Part};
+use stairvale_dispatch::{Ask, Held, Outcome, Part, RetryWindow, budget::Usage};
 use stairvale_types::{Moment, id};
 
 use super::{Core, Effect, RunningRequest};
@@ -29,6 +29,12 @@
         self.windows.entry(service.clone()).or_default().spend(now, budget, routers)
     }
 
+    /// The requests and retries of a service on which its retry budget was last decided.
+    #[must_use]
+    pub fn retry_usage(&self, service: &id::Service) -> Usage {
+        self.windows.get(service).map(RetryWindow::usage).unwrap_or_default()
+    }
+
     /// Requests an upstream from the service's home. Returns the home and the effects.
     pub fn ask(&mut self, now: Moment, service: &id::Service, ask: Ask) -> (id::Router, Vec<Effect>) {
         let home = self.home(now, service);
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -250,15 +250,26 @@
     pub(crate) fn try_start_retry(&mut self) -> bool {
         let allowed =
             self.route.is_repeatable() && self.attempts.runs < self.route.attempts && !self.time_left().is_zero();
-        let allowed = allowed && self.shared.modify(|core, now| core.take_retry(now, &self.service));
+        let allowed = allowed && self.take_retry("failure");
         if allowed {
             self.shared.metrics.count("retry");
+        }
+        allowed
+    }
+
+    /// Charges a retry to the budget; `false` if the budget is exhausted. `cause` says why the last attempt ended.
+    pub(crate) fn take_retry(&self, cause: &'static str) -> bool {
+        let (allowed, usage, routers) = self.shared.modify(|core, now| {
+            let allowed = core.take_retry(now, &self.service);
+            (allowed, core.retry_usage(&self.service), core.routers())
+        });
+        if allowed {
             tracing::info!(
-                id = self.head.id,
-                route = self.route.name,
-                tries = self.attempts.runs,
-                "retrying at another upstream"
+                id = self.head.id, route = self.route.name, service = %self.service, tries = self.attempts.runs, cause,
+                requests = usage.requests, retries = usage.retries, routers, "retrying at another upstream"
             );
+        } else {
+            self.shared.metrics.count("retry-over-budget");
         }
         allowed
     }
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -268,7 +268,7 @@
     /// Counts an upstream's rejection, and returns an error if no other upstream is to be tried.
     fn count_rejection(&mut self) -> Result<(), Problem> {
         self.attempts.rejections += 1;
-        let budgeted = self.shared.modify(|core, now| core.take_retry(now, &self.service));
+        let budgeted = self.take_retry("rejection");
         if self.attempts.rejections <= MAX_REJECTIONS && budgeted {
             return Ok(());
         }
