A router's account of retries outlives its process

Callers' upstreams received more repeated requests than the budget allows while routers restarted. Cause: a process that starts has an empty window and spends a new share at once, though the one before has spent up to the whole share within the same ten seconds.

While it spends, a router reports its account to three peers, one in its own zone and two in others, at most each 100 ms; a peer returns it when it sees a new process. A process whose account doesn't cover the whole window, since no peer had one (all killed, peers of an earlier build), gets a tenth of the ratio and none of the free retries: with the nine tenths at most that the earlier process and retries in flight take, the bound holds over any number of lives. A fleet that starts for the first time (the setting first_start) has no earlier lives.

Frames: two kinds at the end of the list, under minor version 1, which a router states in the answer that opens a stream. Earlier builds ignore the header, state none and are sent neither frame (tested in a mixed world).

Weighed: the stopping process hands over (nothing for kills); one account at a service's home (a round trip, and homes restart, too); earning before spending (costs callers retries after every calm restart).

--- a/crates/stairvale-link/src/lib.rs
+++ b/crates/stairvale-link/src/lib.rs
@@ -36,9 +36,16 @@
     fn frame(&self, from: &id::Router, frame: F);
     /// Called when the stream to a peer couldn't be opened, or failed after it was open.
     fn broken(&self, to: &id::Router);
+    /// Called when a stream to a peer was opened. `minor` is the peer's [`stairvale_wire::MINOR_VERSION`], 0 if it
+    /// states none.
+    fn opened(&self, to: &id::Router, minor: u16) {
+        let _ = (to, minor);
+    }
 }
 
 /// The request header that carries the sending router's name.
 pub(crate) const SENDER_HEADER: &str = "stairvale-router";
 /// The request header that carries the sender's [`stairvale_wire::VERSION`].
 pub(crate) const VERSION_HEADER: &str = "stairvale-version";
+/// The response header that carries the receiver's [`stairvale_wire::MINOR_VERSION`].
+pub(crate) const MINOR_VERSION_HEADER: &str = "stairvale-minor-version";
--- a/crates/stairvale-link/src/links.rs
+++ b/crates/stairvale-link/src/links.rs
@@ -16,7 +16,7 @@
 use stairvale_wire::codec;
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use crate::{SENDER_HEADER, Sink, VERSION_HEADER, set_liveness_timeouts};
+use crate::{MINOR_VERSION_HEADER, SENDER_HEADER, Sink, VERSION_HEADER, set_liveness_timeouts};
 
 /// Limits a TCP connect. A peer that is powered off, or whose accept queue is full, drops the first SYN, and the kernel
 /// retransmits it only after a second, so a new connect is faster.
@@ -53,12 +53,16 @@
     stalled_since: Option<Instant>,
     /// Whether a frame was sent since the last ping.
     sent_since_ping: bool,
+    /// The peer's minor version.
+    minor: u16,
 }
 
 /// A stream that was just opened, before it is installed in its [`Link`]. Dropping it closes its connection.
 struct Opened {
     stream: SendStream<Bytes>,
     response_body: h2::RecvStream,
+    /// The peer's minor version.
+    minor: u16,
     pings: PingPong,
     connection: Connection,
 }
@@ -164,11 +168,38 @@
                 State::Broken(_) => {}
             }
         }
+        self.start(links, to, address, vec![bytes]);
+        true
+    }
+
+    /// Opens a stream to a peer without sending anything; [`Sink::opened`] reports it. Returns the peer's minor version
+    /// if a stream is open already. Does nothing if a stream to the peer failed less than 100 ms ago.
+    pub fn open(&self, to: &id::Router, address: SocketAddr) -> Option<u16> {
+        let links = self.lock();
+        if let Some(link) = links.get(to).filter(|link| link.address == address) {
+            match &link.state {
+                State::Open(open) => return Some(open.minor),
+                State::Opening(_) => return None,
+                State::Broken(since) if since.elapsed() < RECONNECT_DELAY => return None,
+                State::Broken(_) => {}
+            }
+        }
+        self.start(links, to, address, Vec::new());
+        None
+    }
+
+    /// Starts to open a stream, on which the given encoded frames are sent first.
+    fn start(
+        &self,
+        mut links: MutexGuard<'_, HashMap<id::Router, Link>>,
+        to: &id::Router,
+        address: SocketAddr,
+        waiting: Vec<Bytes>,
+    ) {
         let serial = links.get(to).map_or(0, |link| link.serial + 1);
-        links.insert(to.clone(), Link { address, state: State::Opening(vec![bytes]), serial });
+        links.insert(to.clone(), Link { address, state: State::Opening(waiting), serial });
         drop(links);
         tokio::spawn(self.clone().run(to.clone(), address, serial));
-        true
     }
 
     /// Closes the stream to a peer that has left the fleet or was declared dead.
@@ -180,9 +211,10 @@
     /// failure.
     async fn run(self, to: id::Router, address: SocketAddr, serial: u64) {
         let opening = tokio::time::timeout(OPEN_TIMEOUT, connect(&self.local, address));
-        if let Some(Opened { stream, mut response_body, pings, connection }) = opening.await.ok().flatten()
-            && self.install_stream(&to, serial, stream)
+        if let Some(Opened { stream, mut response_body, minor, pings, connection }) = opening.await.ok().flatten()
+            && self.install_stream(&to, serial, stream, minor)
         {
+            self.sink.opened(&to, minor);
             tokio::select! {
                 // The peer never sends data, so this future completes only when the stream closes.
                 _ = poll_fn(|context| response_body.poll_data(context)) => {}
@@ -218,7 +250,7 @@
 
     /// Sends the waiting frames on a stream that was just opened and marks the link as open. Returns `false` if the
     /// link was closed or replaced by a later stream, or if the new stream is already closed.
-    fn install_stream(&self, to: &id::Router, serial: u64, mut stream: SendStream<Bytes>) -> bool {
+    fn install_stream(&self, to: &id::Router, serial: u64, mut stream: SendStream<Bytes>, minor: u16) -> bool {
         let mut links = self.lock();
         let Some(link) = links.get_mut(to).filter(|link| link.serial == serial) else {
             return false;
@@ -234,7 +266,7 @@
                 }
             }
         }
-        link.state = State::Open(Open { stream, stalled_since: None, sent_since_ping: true });
+        link.state = State::Open(Open { stream, stalled_since: None, sent_since_ping: true, minor });
         true
     }
 
@@ -259,5 +291,6 @@
         tracing::warn!(%address, status = %response.status(), "peer rejected the request to open a stream");
         return None;
     }
-    Some(Opened { stream, response_body: response.into_body(), pings, connection })
+    let minor = response.headers().get(MINOR_VERSION_HEADER).and_then(|minor| minor.to_str().ok()?.parse().ok());
+    Some(Opened { stream, minor: minor.unwrap_or(0), response_body: response.into_body(), pings, connection })
 }
--- a/crates/stairvale-link/src/listen.rs
+++ b/crates/stairvale-link/src/listen.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use h2::{RecvStream, server::SendResponse};
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use stairvale_types::id;
 use stairvale_wire::codec;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{SENDER_HEADER, Sink, VERSION_HEADER, links::ACK_TIMEOUT, set_liveness_timeouts};
+use crate::{MINOR_VERSION_HEADER, SENDER_HEADER, Sink, VERSION_HEADER, links::ACK_TIMEOUT, set_liveness_timeouts};
 
 /// Flow-control window of a connection: the bytes that may wait to be read. `h2` closes a connection whose waiting
 /// small frames, headers included, exceed half of the window; with its default window a burst of a hundred frames would
@@ -60,6 +60,7 @@
     sink: S,
 ) {
     let mut response = Response::new(());
+    response.headers_mut().insert(MINOR_VERSION_HEADER, HeaderValue::from(stairvale_wire::MINOR_VERSION));
     if sender.is_none() {
         *response.status_mut() = StatusCode::FORBIDDEN;
     }
--- a/crates/stairvale-link/tests/link.rs
+++ b/crates/stairvale-link/tests/link.rs
@@ -16,6 +16,7 @@
 struct RecordingSink {
     frames: Arc<Mutex<Vec<(id::Router, String)>>>,
     broken: Arc<Mutex<Vec<id::Router>>>,
+    opened: Arc<Mutex<Vec<(id::Router, u16)>>>,
 }
 
 impl Sink<String> for RecordingSink {
@@ -23,6 +24,10 @@
         self.frames.lock().unwrap().push((from.clone(), frame));
     }
 
+    fn opened(&self, to: &id::Router, minor: u16) {
+        self.opened.lock().unwrap().push((to.clone(), minor));
+    }
+
     fn broken(&self, to: &id::Router) {
         self.broken.lock().unwrap().push(to.clone());
     }
@@ -66,6 +71,21 @@
     });
 }
 
+#[test]
+fn the_minor_version_of_a_peer_is_known_once_a_stream_to_it_is_open() {
+    block_on(async {
+        let (received, (listener, address)) = (RecordingSink::default(), bind().await);
+        tokio::spawn(listen::<String, RecordingSink>(listener, received));
+        let sender = RecordingSink::default();
+        let links = Links::new("r1".parse().unwrap(), sender.clone());
+        let to: id::Router = "r2".parse().unwrap();
+        assert_eq!(links.open(&to, address), None);
+        let expected = (to.clone(), stairvale_wire::MINOR_VERSION);
+        wait_until(|| sender.opened.lock().unwrap().contains(&expected)).await;
+        assert_eq!(links.open(&to, address), Some(stairvale_wire::MINOR_VERSION));
+    });
+}
+
 #[test]
 fn an_unreachable_peer_is_reported_and_reconnected_to() {
     block_on(async {
--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -30,6 +30,20 @@
         /// The frame to send.
         frame: Box<Frame>,
     },
+    /// Open a stream to a peer, and pass the peer's minor version to [`Core::opened`](super::Core::opened).
+    Connect {
+        /// The peer.
+        to: id::Router,
+        /// The peer's address.
+        address: SocketAddr,
+    },
+    /// Report that a peer returned the retries that earlier processes of this router have spent.
+    RetriesRestored {
+        /// The peer that kept the account.
+        from: id::Router,
+        /// How far back the account is complete now.
+        covered: Duration,
+    },
     /// Send a datagram of the membership protocol.
     Datagram {
         /// The address to send to.
--- a/crates/stairvale-serve/src/core/entry.rs
+++ b/crates/stairvale-serve/src/core/entry.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use stairvale_dispatch::{Ask, Held, Outcome, Part, RetryWindow, budget::Usage};
+use stairvale_dispatch::{Ask, Held, Outcome, Part};
 use stairvale_types::{Moment, id};
 
 use super::{Core, Effect, RunningRequest};
@@ -13,28 +13,6 @@
 const DISTRUST_PERIOD: Duration = Duration::from_millis(1_000);
 
 impl Core {
-    /// Counts a request of a service towards its retry budget.
-    pub fn count(&mut self, now: Moment, service: &id::Service) {
-        let budget = self.bounds.budget();
-        self.windows.entry(service.clone()).or_default().request(now, budget);
-    }
-
-    /// Takes one retry from the service's budget; `false` if it is exhausted.
-    #[must_use]
-    pub fn take_retry(&mut self, now: Moment, service: &id::Service) -> bool {
-        // A router that has just started doesn't know yet how many routers share the free part of the budget, so it
-        // gets none of it.
-        let routers = if self.knows_fleet(now) { self.routers() } else { usize::MAX };
-        let budget = self.bounds.budget();
-        self.windows.entry(service.clone()).or_default().spend(now, budget, routers)
-    }
-
-    /// The requests and retries of a service on which its retry budget was last decided.
-    #[must_use]
-    pub fn retry_usage(&self, service: &id::Service) -> Usage {
-        self.windows.get(service).map(RetryWindow::usage).unwrap_or_default()
-    }
-
     /// Requests an upstream from the service's home. Returns the home and the effects.
     pub fn ask(&mut self, now: Moment, service: &id::Service, ask: Ask) -> (id::Router, Vec<Effect>) {
         let home = self.home(now, service);
--- a/crates/stairvale-serve/src/core/home.rs
+++ b/crates/stairvale-serve/src/core/home.rs
@@ -29,6 +29,8 @@
             Effect::Frame { frame, .. } => matches!(&**frame, Frame::Decided { attempt: a, .. } if *a == attempt),
             Effect::Datagram { .. }
             | Effect::Frames { .. }
+            | Effect::Connect { .. }
+            | Effect::RetriesRestored { .. }
             | Effect::Reply { .. }
             | Effect::Inspect { .. }
             | Effect::UpstreamReplaced(_)
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -207,10 +207,12 @@
                 swim::Effect::Send { to, packet } => out.push(Effect::Datagram { to, packet }),
                 swim::Effect::Died(router) => {
                     self.epoch_aware_peers.remove(&router);
+                    self.forget_stream(&router);
                     out.push(Effect::Lost(router));
                 }
                 swim::Effect::Joined(router) => {
                     self.distrusted.remove(&router);
+                    self.handle_restart(&router);
                     out.extend(self.send_rejections(&router));
                     out.extend(self.send_quarantines(now, &router));
                     joined = true;
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use stairvale_dispatch::{Held, Pool, RetryWindow, SentPrefixes};
+use stairvale_dispatch::{Held, Pool, SentPrefixes};
 use stairvale_membership::{Swim, swim};
 use stairvale_replica::{StoreUpdate, Upstream, View};
 use stairvale_table::Table;
@@ -31,6 +31,7 @@
 mod naming;
 mod notices;
 mod quarantine;
+mod retries;
 mod roles;
 mod rollouts;
 mod spread;
@@ -39,6 +40,7 @@
 use heirs::Successors;
 use notices::Notices;
 use quarantine::Quarantine;
+use retries::Retries;
 use roles::Roles;
 use rollouts::Rollouts;
 use spread::SentConfiguration;
@@ -83,7 +85,8 @@
     view: View,
     table: Arc<Table>,
     pools: BTreeMap<id::Service, Pool>,
-    windows: HashMap<id::Service, RetryWindow>,
+    /// The retry budgets of this router, and the accounts that it exchanges with peers.
+    retries: Retries,
     running: HashMap<id::Attempt, RunningRequest>,
     distrusted: HashMap<id::Router, Moment>,
     recent_prefixes: SentPrefixes,
@@ -156,7 +159,7 @@
             view: View::default(),
             table: Arc::default(),
             pools: BTreeMap::new(),
-            windows: HashMap::new(),
+            retries: Retries::default(),
             running: HashMap::new(),
             distrusted: HashMap::new(),
             recent_prefixes: SentPrefixes::default(),
@@ -332,6 +335,7 @@
     /// Handles the loss of a peer's stream: the peer is probed next.
     pub fn broken(&mut self, now: Moment, peer: &id::Router) {
         self.swim.probe_next(now, peer);
+        self.forget_stream(peer);
     }
 
     /// Handles a datagram of the membership protocol.
@@ -415,6 +419,8 @@
                 self.add_quarantine(now, fingerprint, left, length);
                 Vec::new()
             }
+            Frame::RetryAccount { account } => self.keep_account(now, from, account),
+            Frame::RetryAccountCopy { account } => self.restore_account(now, from, &account),
         }
     }
 
@@ -443,6 +449,7 @@
             effects.extend(self.inspect(now, &service));
         }
         effects.extend(self.tick_rollouts(now));
+        effects.extend(self.exchange_accounts(now));
         effects.extend(self.renew_at_new_homes(now));
         if now >= self.next_renew {
             self.next_renew = now + RENEW_INTERVAL;
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict, suspects::Evidence};
+use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict, budget::Account, suspects::Evidence};
 use stairvale_replica::StoreUpdate;
 use stairvale_rollout::{Write, Written};
 use stairvale_types::id;
@@ -150,6 +150,18 @@
         /// The total length of the quarantine.
         length: Duration,
     },
+    /// Sent to a few peers: what the sender has spent of its retry budgets recently, to be kept for its next process.
+    /// Sent only to peers of minor version 1 or later.
+    RetryAccount {
+        /// The sender's account.
+        account: Account,
+    },
+    /// Sent to a router that restarted: what its earlier processes have spent, as the sender kept it. Sent only to peers
+    /// of minor version 1 or later.
+    RetryAccountCopy {
+        /// The receiver's account.
+        account: Account,
+    },
 }
 
 impl Frame {
@@ -176,7 +188,9 @@
             | Self::Prefixes { .. }
             | Self::Read { .. }
             | Self::Evidence { .. }
-            | Self::Quarantined { .. } => None,
+            | Self::Quarantined { .. }
+            | Self::RetryAccount { .. }
+            | Self::RetryAccountCopy { .. } => None,
         }
     }
 
@@ -200,6 +214,8 @@
             Self::Condemned { .. } => "frame-condemned",
             Self::Evidence { .. } => "frame-evidence",
             Self::Quarantined { .. } => "frame-quarantined",
+            Self::RetryAccount { .. } => "frame-retry-account",
+            Self::RetryAccountCopy { .. } => "frame-retry-account-copy",
             Self::News(_) => "frame-news",
             Self::Relay { .. } => "frame-relay",
         }
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -211,7 +211,7 @@
         status: Status::Alive,
         strength: settings.strength(),
     };
-    let core = Core::new(me, settings.seeds.clone(), settings.bounds, seed);
+    let core = Core::new(me, settings.seeds.clone(), settings.bounds, seed).with_first_start(settings.first_start);
     Shared::new(settings, core, socket, inspections, records, quarantines)
 }
 
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -46,6 +46,9 @@
     /// The VM's share of a processor, in cores. The strongest routers become homes.
     #[serde(default = "one")]
     pub cores: f64,
+    /// Whether the fleet is started for the first time, so that no earlier process of any router has sent anything.
+    #[serde(default)]
+    pub first_start: bool,
     /// The region of each availability zone; required if routes or customers are restricted to some regions.
     #[serde(default)]
     pub zones: Option<BTreeMap<id::Zone, id::Region>>,
@@ -154,6 +157,9 @@
 
 /// The share of the retry budget that routers use; the rest covers retries in flight, which are not counted yet.
 const BUDGET_SHARE: f64 = 0.8;
+/// The share of the ratio of retries that a router uses while it doesn't know what its earlier processes have spent: these
+/// may have spent [`BUDGET_SHARE`] within the same window.
+const UNCOVERED_BUDGET_SHARE: f64 = 0.1;
 
 impl Bounds {
     fn check(&self) -> Result<(), Report<Fault>> {
@@ -249,4 +255,10 @@
         let window = Duration::from_secs_f64(self.retry_window_s);
         Budget { ratio: self.retry_ratio * BUDGET_SHARE, free: self.retry_free * BUDGET_SHARE, window }
     }
+
+    /// The budget of a router that doesn't know what its earlier processes have spent in the last window.
+    #[must_use]
+    pub fn uncovered_budget(&self) -> Budget {
+        Budget { ratio: self.retry_ratio * UNCOVERED_BUDGET_SHARE, free: 0.0, ..self.budget() }
+    }
 }
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    fn opened(&self, to: &id::Router, minor: u16) {
+        if let Some(shared) = self.0.upgrade() {
+            shared.with(|core, now| core.opened(now, to, minor));
+        }
+    }
+
     fn broken(&self, to: &id::Router) {
         if let Some(shared) = self.0.upgrade() {
             tracing::info!(peer = %to, "the stream to a peer broke");
@@ -230,6 +236,15 @@
                         self.send_written(&to, address, &frame, bytes.clone());
                     }
                 }
+                Effect::Connect { to, address } => {
+                    if let Some(minor) = self.links.open(&to, address) {
+                        self.with(|core, now| core.opened(now, &to, minor));
+                    }
+                }
+                Effect::RetriesRestored { from, covered } => {
+                    self.metrics.count("retries-restored");
+                    tracing::info!(peer = %from, covered_ms = millis(covered), "a peer returned this router's account of retries");
+                }
                 Effect::Datagram { to, packet } => {
                     if let Ok(bytes) = codec::pack(&packet) {
                         self.count_to(Kind::Datagram, to, bytes.len());
--- a/crates/stairvale-serve/tests/retries.rs
+++ b/crates/stairvale-serve/tests/retries.rs
@@ -169,6 +169,24 @@
     }
 }
 
+// A frame that an earlier build can't read closes the stream to it, so its routers aren't sent any.
+#[test]
+fn routers_of_an_earlier_build_are_sent_no_accounts() {
+    let (mut world, mut load) = failing(5);
+    for index in 0..ROUTERS {
+        let is_old = index.is_multiple_of(2);
+        restart(&mut world, &mut load, index);
+        if is_old {
+            world.without_accounts.insert(index);
+        }
+        load.run(&mut world, 1_500);
+    }
+    world.without_accounts.clear();
+    (0..ROUTERS).for_each(|index| restart(&mut world, &mut load, index));
+    load.run(&mut world, 2 * WINDOW_MS);
+    load.assert_within_budget(&world, "mixed builds");
+}
+
 /// A restart while nothing fails costs no retries: the fleet has most of its budget right after it.
 #[test]
 fn restarts_without_failures_cost_few_retries() {
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -42,6 +42,8 @@
 enum Message {
     Frame(id::Router, Frame),
     Packet(SocketAddr, Packet),
+    /// The stream to this router was opened.
+    Opened(id::Router),
 }
 
 /// An outstanding call to the store.
@@ -96,6 +98,8 @@
     epoch: u64,
     /// Routers of an earlier build, which ignores epochs.
     pub without_epochs: BTreeSet<usize>,
+    /// Routers of an earlier build, which can't read accounts of retries.
+    pub without_accounts: BTreeSet<usize>,
     /// The store's history is compacted up to this revision: earlier changes can't be read one by one.
     compacted_to: u64,
     /// Versions of the configuration, each with the time, in ms, at which the store acknowledged it.
@@ -187,6 +191,7 @@
         Frame::News(_) | Frame::Relay { .. } => "update",
         Frame::Write { .. } | Frame::Written { .. } | Frame::Condemned { .. } => "rollout",
         Frame::Evidence { .. } | Frame::Quarantined { .. } => "quarantine",
+        Frame::RetryAccount { .. } | Frame::RetryAccountCopy { .. } => "retries",
     }
 }
 
@@ -220,6 +225,7 @@
             store: Vec::new(),
             epoch: 0,
             without_epochs: BTreeSet::new(),
+            without_accounts: BTreeSet::new(),
             compacted_to: 0,
             config_versions: Vec::new(),
             slots: 8,
@@ -637,8 +643,16 @@
             }
             let now = self.local_time(to);
             let effects = match message {
-                Message::Frame(from, frame) => self.nodes[to].core.frame(now, &from, frame),
+                Message::Frame(from, frame) => {
+                    let is_account = frame_kind(&frame) == "retries";
+                    assert!(!is_account || !self.without_accounts.contains(&to), "router {to} can't read {frame:?}");
+                    self.nodes[to].core.frame(now, &from, frame)
+                }
                 Message::Packet(from, packet) => self.nodes[to].core.datagram(now, from, packet),
+                Message::Opened(peer) => {
+                    let minor = u16::from(!self.without_accounts.contains(&self.index_of(&peer)));
+                    self.nodes[to].core.opened(now, &peer, minor)
+                }
             };
             self.perform(to, effects);
         }
@@ -702,6 +716,12 @@
                         self.send(index, address, Message::Frame(router_id(index), (*frame).clone()));
                     }
                 }
+                Effect::Connect { to, address: peer } => {
+                    let peer = index_at(peer).unwrap();
+                    if self.nodes[peer].alive && !self.cut_links.contains(&(index, peer)) {
+                        self.send(peer, address(index), Message::Opened(to));
+                    }
+                }
                 Effect::Datagram { to, packet } => {
                     self.count(index, to, "datagram", codec::pack(&packet).unwrap().len());
                     self.send(index, to, Message::Packet(address(index), packet));
@@ -725,6 +745,7 @@
                 | Effect::Stage { .. }
                 | Effect::ReportEvent(_)
                 | Effect::EpochSupport { .. }
+                | Effect::RetriesRestored { .. }
                 | Effect::Lost(_) => {}
                 Effect::ProxyReport(report) => self.proxy_reports.push((index, report)),
                 Effect::WriteWithoutProxy => self.writes_without_proxy += 1,
--- a/crates/stairvale-wire/src/lib.rs
+++ b/crates/stairvale-wire/src/lib.rs
@@ -19,3 +19,7 @@
 
 /// The protocol version of frames and packets; a router rejects peers of any other version.
 pub const VERSION: u16 = 6;
+
+/// Counts the kinds of frames that were added to [`VERSION`] without changing any other. A router states it when a stream
+/// to it is opened. A peer that doesn't, or that states a lower one, isn't sent the later kinds.
+pub const MINOR_VERSION: u16 = 1;
