Free retries are divided by all routers on record, not by the live ones

The free part of the retry budget was divided by the routers that a router saw as live. Now it is divided by all on record, dead and leaving ones included, and at least by those registered in the store: a number that doesn't fall in trouble.

The test of a partition failed (39 retries, 20 allowed) and passes. Rates of cold upstreams (share of known routers that respond), exposure of a version (reserved in the store) and quarantine don't divide by live routers; the own interface's customer rates and degraded slots do (control/handlers/limits.rs, control/fleet.rs): read, not tested.

--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -217,6 +217,14 @@
         self.swim.live().count()
     }
 
+    /// The number of routers that share a budget, including this one: all on record. A router that doesn't respond may be
+    /// live on the other side of a network partition, and one that has died may have spent its part already.
+    #[must_use]
+    pub fn budget_sharers(&self) -> usize {
+        let on_record = self.swim.peers().count() + 1;
+        on_record.max(self.view.routers().count())
+    }
+
     /// The availability zone of the live router at an address; `None` if no live router is known there.
     #[must_use]
     pub fn zone_at(&self, address: SocketAddr) -> Option<id::Zone> {
--- a/crates/stairvale-serve/src/core/retries.rs
+++ b/crates/stairvale-serve/src/core/retries.rs
@@ -92,7 +92,7 @@
         let budget = if is_covered { full } else { self.bounds.uncovered_budget() };
         // A router that has just started doesn't know yet how many routers share the free part of the budget, so it
         // gets none of it.
-        let routers = if self.knows_fleet(now) { self.routers() } else { usize::MAX };
+        let routers = if self.knows_fleet(now) { self.budget_sharers() } else { usize::MAX };
         let taken = self.retries.windows.entry(service.clone()).or_default().spend(now, budget, routers);
         self.retries.has_unreported |= taken;
         taken
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -261,7 +261,7 @@
     pub(crate) fn take_retry(&self, cause: &'static str) -> bool {
         let (allowed, usage, routers) = self.shared.modify(|core, now| {
             let allowed = core.take_retry(now, &self.service);
-            (allowed, core.retry_usage(&self.service), core.routers())
+            (allowed, core.retry_usage(&self.service), core.budget_sharers())
         });
         if allowed {
             tracing::info!(
