--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -184,6 +184,7 @@
     match Settings::parse(&text) {
         Ok(settings) => {
             tracing::info!(seeds = ?settings.seeds, "the settings were reloaded");
+            shared.upstreams.set_source(settings.upstream_source);
             shared.modify(|core, _| core.introduce(&settings.seeds));
         }
         Err(fault) => tracing::warn!(fault = %fault.current_context(), "invalid settings; keeping the current ones"),
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     time::Duration,
 };
 
@@ -49,6 +49,10 @@
     /// Whether the fleet is started for the first time, so that no earlier process of any router has sent anything.
     #[serde(default)]
     pub first_start: bool,
+    /// The local address from which connections to upstreams are opened, if the VM has several; by default the system
+    /// chooses.
+    #[serde(default)]
+    pub upstream_source: Option<IpAddr>,
     /// The region of each availability zone; required if routes or customers are restricted to some regions.
     #[serde(default)]
     pub zones: Option<BTreeMap<id::Zone, id::Region>>,
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -132,12 +132,14 @@
         quarantines: mpsc::UnboundedSender<Term>,
     ) -> Arc<Self> {
         let clock = Clock::start();
+        let upstreams = Connections::new(clock.clone());
+        upstreams.set_source(settings.upstream_source);
         Arc::new_cyclic(|weak| Self {
             links: Links::new(settings.router.clone(), Inbox(weak.clone())),
             metrics: Metrics::new(settings.zone.clone()),
             settings,
             table: ArcSwap::default(),
-            upstreams: Connections::new(clock.clone()),
+            upstreams,
             clock,
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(false),
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     error::Error,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Mutex, PoisonError},
     time::Duration,
 };
@@ -20,7 +20,10 @@
 use stairvale_clock::Clock;
 use stairvale_link::set_liveness_timeouts;
 use stairvale_types::{Moment, id};
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
 
 /// Limit for establishing a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
@@ -100,13 +103,20 @@
 pub struct Connections {
     clock: Clock,
     idle: Mutex<HashMap<id::Upstream, Vec<Idle>>>,
+    /// The local address from which connections are opened; `None` if the system chooses.
+    source: Mutex<Option<IpAddr>>,
 }
 
 impl Connections {
     /// Creates an empty pool.
     #[must_use]
     pub fn new(clock: Clock) -> Self {
-        Self { clock, idle: Mutex::default() }
+        Self { clock, idle: Mutex::default(), source: Mutex::default() }
+    }
+
+    /// Sets the local address from which connections are opened from now on; `None` lets the system choose.
+    pub fn set_source(&self, source: Option<IpAddr>) {
+        *self.source.lock().unwrap_or_else(PoisonError::into_inner) = source;
     }
 
     /// Sends a request and waits for the response head.
@@ -130,7 +140,8 @@
                 },
             }
         }
-        let mut connection = connect_and_handshake(upstream, address).await?;
+        let tcp = self.connect(address).await.map_err(|_| Fault::Unreachable)?;
+        let mut connection = handshake(upstream, tcp).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
@@ -144,7 +155,7 @@
     /// be behind a network partition and counts as alive. A connection that can be established is kept for the next
     /// request.
     pub async fn has_terminated(&self, upstream: &id::Upstream, address: SocketAddr) -> bool {
-        match connect(address).await {
+        match self.connect(address).await {
             Ok(tcp) => {
                 if let Ok(connection) = handshake(upstream, tcp).await {
                     self.release_for(connection, DEFAULT_IDLE_TIME);
@@ -193,6 +204,15 @@
         });
     }
 
+    async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let source = *self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        if let Some(source) = source {
+            socket.bind(SocketAddr::new(source, 0))?;
+        }
+        tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await?
+    }
+
     fn take(&self, upstream: &id::Upstream) -> Option<Connection> {
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = all.get_mut(upstream)?;
@@ -220,15 +240,6 @@
     (!idle.is_zero()).then_some(idle)
 }
 
-async fn connect_and_handshake(upstream: &id::Upstream, address: SocketAddr) -> Result<Connection, Fault> {
-    let tcp = connect(address).await.map_err(|_| Fault::Unreachable)?;
-    handshake(upstream, tcp).await
-}
-
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?
-}
-
 async fn handshake(upstream: &id::Upstream, tcp: TcpStream) -> Result<Connection, Fault> {
     set_liveness_timeouts(&tcp, ACK_TIMEOUT).map_err(|_| Fault::Unreachable)?;
     let (sender, connection) =
