A router that reaches no upstream connects through its peers

Cause: a router had no way to an upstream but connections of its own; one upstream after the other failed alike.

After connections to three different upstreams have failed, and none has been opened for 150 ms, the router opens connections through a peer, of its own zone first: HTTP CONNECT on an h2 connection to the peer's address. The peer connects to the upstream itself, never through another one, and copies bytes. All decisions stay with the router that was called (permit, key, budget, at most once, what is said to have run), so a connection through a peer fails like any other. Each 500 ms one request also tries a direct connection; the first that opens ends it. An open connection that lives on counts for nothing. A peer that is isolated or stopping answers 503 and is passed over for a second; earlier builds answer 403, since the request lacks the headers of a stream. A stopping peer waits for its tunnels. A reset at the upstream reaches the router as a reset, not as an end. Connections through peers aren't kept.

Failures of an isolated router end its permits as abandoned: they say nothing about an upstream, to its health, to a version, or to quarantine (a refused connection is no sign of a crash while isolation is suspected). What an upstream announces in an answer (it leaves, it wants rest) is also passed to the peer, which is the router that the upstream saw: one more kind of frame, at the end, for minor version 1.

--- a/crates/stairvale-link/src/lib.rs
+++ b/crates/stairvale-link/src/lib.rs
@@ -28,6 +28,9 @@
 pub use listen::listen;
 pub use silence::set_liveness_timeouts;
 
+use bytes::Bytes;
+use h2::{RecvStream, server::SendResponse};
+use http::{Request, Response, StatusCode};
 use stairvale_types::id;
 
 /// Receives the frames and the stream failures of a process's links.
@@ -41,6 +44,13 @@
     fn opened(&self, to: &id::Router, minor: u16) {
         let _ = (to, minor);
     }
+    /// Called for a peer's `CONNECT` request. It is rejected unless the sink answers it.
+    fn tunnel(&self, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+        let mut response = Response::new(());
+        *response.status_mut() = StatusCode::NOT_IMPLEMENTED;
+        // The peer may have closed the connection.
+        let _ = (request, respond.send_response(response, true));
+    }
 }
 
 /// The request header that carries the sending router's name.
--- a/crates/stairvale-link/src/listen.rs
+++ b/crates/stairvale-link/src/listen.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use h2::{RecvStream, server::SendResponse};
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use stairvale_types::id;
 use stairvale_wire::codec;
@@ -38,6 +38,10 @@
         return;
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
+        if request.method() == Method::CONNECT {
+            sink.tunnel(request, respond);
+            continue;
+        }
         let sender = sender(request.headers());
         tokio::spawn(serve_stream::<F, S>(sender, request.into_body(), respond, sink.clone()));
     }
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -119,10 +119,10 @@
 }
 
 /// Counts a request as in flight for as long as it exists.
-struct InFlightGuard(Arc<Shared>);
+pub(crate) struct InFlightGuard(Arc<Shared>);
 
 impl InFlightGuard {
-    fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
         shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
         Self(shared)
     }
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -13,10 +13,11 @@
 use stairvale_membership::{Swim, swim};
 use stairvale_replica::{StoreUpdate, Upstream, View};
 use stairvale_table::Table;
-use stairvale_types::{Moment, id};
+use stairvale_types::{Moment, Rest, id};
 use stairvale_wire::{Member, Packet};
 
 use crate::{
+    dialect::Notice,
     frame::{Frame, Sync},
     settings::Bounds,
 };
@@ -35,6 +36,7 @@
 mod roles;
 mod rollouts;
 mod spread;
+mod tunnels;
 mod writing;
 
 use heirs::Successors;
@@ -427,6 +429,10 @@
                 self.add_quarantine(now, fingerprint, left, length);
                 Vec::new()
             }
+            Frame::Notice { service, upstream, leaves, rest } => {
+                let rest = rest.map_or(Rest::NotRequested, |rest| Rest::For(rest.min(Rest::LONGEST)));
+                self.handle_notice(now, &service, &upstream, Notice { leaves, rest })
+            }
             Frame::RetryAccount { account } => self.keep_account(now, from, account),
             Frame::RetryAccountCopy { account } => self.restore_account(now, from, &account),
         }
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -13,6 +13,7 @@
 use super::{Exchange, UpstreamResponse, millis};
 use crate::{
     Dialect,
+    core::Core,
     dialect::{Order, ResponseKind},
     hop::strip,
     permit::{self, Permit, PermitRequest},
@@ -133,13 +134,19 @@
         let request = self.request(&permit, last_event);
         self.shared.count_traffic(Kind::Request, &permit, traffic::request_head(&request) + self.body.len());
         let (id, address) = (permit.upstream.id.clone(), permit.upstream.address);
-        let sending = self.shared.upstreams.send(&id, address, request);
+        let peers = || self.shared.query(Core::tunnel_peers);
+        let sending = self.shared.upstreams.send(&id, address, peers, request);
         let (response, connection) = match self.await_upstream(&permit, sending).await {
             Ok(sent) => sent,
             Err(Fault::Unreachable | Fault::Unsent) => {
                 permit.end(Outcome::Unreachable);
                 return Err(AttemptError::NotRun);
             }
+            Err(Fault::NoPath) => {
+                self.shared.metrics.count("no-path");
+                permit.end(Outcome::Abandoned);
+                return Err(AttemptError::NotRun);
+            }
             Err(fault @ (Fault::Broken | Fault::Terminated | Fault::Unresponsive)) => {
                 self.attempts.runs += 1;
                 return Err(AttemptError::MayHaveRun(self.fail_attempt(&fault, permit).await));
@@ -150,7 +157,12 @@
         let mark = self.dialect.classify(&self.head.id, &head);
         // A response from another upstream, or from an unidentified peer, says nothing about this upstream.
         if !matches!(mark, ResponseKind::Gone | ResponseKind::Foreign) {
-            self.shared.handle_notice(&self.service, &id, self.dialect.notice(&head));
+            let notice = self.dialect.notice(&head);
+            self.shared.handle_notice(&self.service, &id, notice);
+            if let Some(peer) = connection.via() {
+                self.shared.metrics.count("tunnelled");
+                self.shared.with(|core, _| core.relay_notice(peer, &self.service, &id, notice));
+            }
         }
         match mark {
             ResponseKind::Answer | ResponseKind::Unfit => {
@@ -181,14 +193,14 @@
         match fault {
             Fault::Unresponsive => {
                 self.shared.metrics.count("upstream-silent");
-                permit.end(Outcome::Silent);
+                permit.end(self.outcome_of(Outcome::Silent));
                 Problem::Timeout
             }
             Fault::Terminated => {
                 self.upstream_terminated(permit);
                 Problem::UpstreamFailed
             }
-            Fault::Broken | Fault::Unreachable | Fault::Unsent => {
+            Fault::Broken | Fault::Unreachable | Fault::NoPath | Fault::Unsent => {
                 self.connection_broke(permit).await;
                 Problem::UpstreamFailed
             }
@@ -202,10 +214,16 @@
         if self.shared.upstreams.has_terminated(id, *address).await {
             self.upstream_terminated(permit);
         } else {
-            permit.end(Outcome::Failed);
+            permit.end(self.outcome_of(Outcome::Failed));
         }
     }
 
+    /// The outcome to report for a connection that failed. While this router reaches no upstream, that says nothing about
+    /// the upstream.
+    pub(crate) fn outcome_of(&self, failure: Outcome) -> Outcome {
+        if self.shared.upstreams.is_isolated() { Outcome::Abandoned } else { failure }
+    }
+
     /// Ends a run whose upstream terminated while the request ran there.
     pub(crate) fn upstream_terminated(&self, permit: Permit) {
         self.shared.metrics.count("upstream-ended");
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -162,6 +162,18 @@
         /// The receiver's account.
         account: Account,
     },
+    /// Sent to a peer through which the sender reached an upstream: what the upstream announced about itself in its answer.
+    /// Sent only to peers of minor version 1 or later.
+    Notice {
+        /// The upstream's service.
+        service: id::Service,
+        /// The upstream.
+        upstream: id::Upstream,
+        /// Whether the upstream is leaving.
+        leaves: bool,
+        /// How long the receiver is to send the upstream nothing, if the upstream asked for that.
+        rest: Option<Duration>,
+    },
 }
 
 impl Frame {
@@ -190,7 +202,8 @@
             | Self::Evidence { .. }
             | Self::Quarantined { .. }
             | Self::RetryAccount { .. }
-            | Self::RetryAccountCopy { .. } => None,
+            | Self::RetryAccountCopy { .. }
+            | Self::Notice { .. } => None,
         }
     }
 
@@ -216,6 +229,7 @@
             Self::Quarantined { .. } => "frame-quarantined",
             Self::RetryAccount { .. } => "frame-retry-account",
             Self::RetryAccountCopy { .. } => "frame-retry-account-copy",
+            Self::Notice { .. } => "frame-notice",
             Self::News(_) => "frame-news",
             Self::Relay { .. } => "frame-relay",
         }
--- a/crates/stairvale-serve/src/inspect.rs
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -65,7 +65,7 @@
     let request = Request::get(path).header(http::header::HOST, address.to_string());
     let request = request.body(Full::new(Bytes::new())).ok()?;
     let request_bytes = traffic::request_head(&request);
-    let (response, connection) = shared.upstreams.send(upstream, address, request).await.ok()?;
+    let (response, connection) = shared.upstreams.send(upstream, address, Default::default, request).await.ok()?;
     let (head, body) = response.into_parts();
     shared.handle_notice(service, upstream, dialect.notice(&head));
     let body = Limited::new(body, MAX_INVENTORY_BYTES).collect().await.ok()?.to_bytes();
--- a/crates/stairvale-serve/src/lib.rs
+++ b/crates/stairvale-serve/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod frame;
 mod hop;
 pub mod inspect;
+pub mod isolation;
 pub mod metrics;
 pub mod permit;
 pub mod problem;
@@ -35,6 +36,7 @@
 pub mod shared;
 pub mod source;
 pub mod traffic;
+pub mod tunnel;
 pub mod upstream;
 pub mod watch;
 
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -122,7 +122,7 @@
                 }
                 End::Broken => self.exchange.connection_broke(permit).await,
                 End::Ended => self.exchange.upstream_terminated(permit),
-                End::Silent => permit.end(Outcome::Silent),
+                End::Silent => permit.end(self.exchange.outcome_of(Outcome::Silent)),
                 End::Late | End::Left => permit.end(Outcome::Abandoned),
             }
             if !matches!(end, End::Broken | End::Ended | End::Silent) || self.events.last().is_none() {
@@ -195,7 +195,7 @@
                 Ok(None) => return End::Whole,
                 Err(Fault::Unresponsive) => return End::Silent,
                 Err(Fault::Terminated) => return End::Ended,
-                Err(Fault::Broken | Fault::Unreachable | Fault::Unsent) => return End::Broken,
+                Err(Fault::Broken | Fault::Unreachable | Fault::NoPath | Fault::Unsent) => return End::Broken,
             }
         }
     }
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -12,6 +12,8 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use h2::{RecvStream, server::SendResponse};
+use http::Request;
 use stairvale_clock::Clock;
 use stairvale_link::{Links, Sink};
 use stairvale_table::Table;
@@ -35,6 +37,7 @@
     record::PendingWrite,
     rollouts,
     traffic::Kind,
+    tunnel,
     upstream::Connections,
 };
 
@@ -59,6 +62,12 @@
         }
     }
 
+    fn tunnel(&self, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
+        if let Some(shared) = self.0.upgrade() {
+            tokio::spawn(tunnel::serve(shared, request, respond));
+        }
+    }
+
     fn broken(&self, to: &id::Router) {
         if let Some(shared) = self.0.upgrade() {
             tracing::info!(peer = %to, "the stream to a peer broke");
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -8,14 +8,20 @@
     error::Error,
     io,
     net::{IpAddr, SocketAddr},
-    sync::{Mutex, PoisonError},
+    pin::pin,
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use bytes::Bytes;
+use futures::future::{Either, select};
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::{
+    body::Incoming,
+    client::conn::http1,
+    rt::{Read, Write},
+};
 use hyper_util::rt::TokioIo;
 use stairvale_clock::Clock;
 use stairvale_link::set_liveness_timeouts;
@@ -25,6 +31,11 @@
     task::AbortHandle,
 };
 
+use crate::{
+    isolation::{Change, Isolation},
+    tunnel::{self, Tunnels},
+};
+
 /// Limit for establishing a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// An upstream that acknowledges nothing for this long is considered unresponsive, whatever runs there. This is less
@@ -45,6 +56,10 @@
     /// No connection could be established; the request was not sent.
     #[error("the upstream can't be reached")]
     Unreachable,
+    /// Neither this router nor a peer for it can establish connections, which says nothing about the upstream; the request
+    /// was not sent.
+    #[error("no upstream can be reached from this router")]
+    NoPath,
     /// The connection was closed before the request was sent.
     #[error("the connection was closed before the request was sent")]
     Unsent,
@@ -75,6 +90,9 @@
     }
 }
 
+/// A peer through which a connection may be opened, with its address.
+pub type Peer = (id::Router, SocketAddr);
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// A connection in use. It is closed immediately when it is dropped.
@@ -83,6 +101,16 @@
     upstream: id::Upstream,
     sender: Sender,
     task: AbortHandle,
+    /// The peer through which the connection runs; `None` if it is direct.
+    via: Option<id::Router>,
+}
+
+impl Connection {
+    /// The peer through which the connection runs; `None` if it is direct.
+    #[must_use]
+    pub fn via(&self) -> Option<&id::Router> {
+        self.via.as_ref()
+    }
 }
 
 impl Drop for Connection {
@@ -105,13 +133,21 @@
     idle: Mutex<HashMap<id::Upstream, Vec<Idle>>>,
     /// The local address from which connections are opened; `None` if the system chooses.
     source: Mutex<Option<IpAddr>>,
+    isolation: Mutex<Isolation>,
+    tunnels: Tunnels,
 }
 
 impl Connections {
     /// Creates an empty pool.
     #[must_use]
     pub fn new(clock: Clock) -> Self {
-        Self { clock, idle: Mutex::default(), source: Mutex::default() }
+        Self {
+            clock,
+            idle: Mutex::default(),
+            source: Mutex::default(),
+            isolation: Mutex::default(),
+            tunnels: Tunnels::default(),
+        }
     }
 
     /// Sets the local address from which connections are opened from now on; `None` lets the system choose.
@@ -119,7 +155,13 @@
         *self.source.lock().unwrap_or_else(PoisonError::into_inner) = source;
     }
 
-    /// Sends a request and waits for the response head.
+    /// Whether this router can't open connections to any upstream.
+    pub fn is_isolated(&self) -> bool {
+        self.isolation().is_isolated()
+    }
+
+    /// Sends a request and waits for the response head. `peers` are those through which a connection may be opened if this
+    /// router can't reach upstreams itself.
     ///
     /// # Errors
     /// A [`Fault`], which tells whether the request may have run.
@@ -127,6 +169,7 @@
         &self,
         upstream: &id::Upstream,
         address: SocketAddr,
+        peers: impl FnOnce() -> [Vec<Peer>; 2],
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         let mut request = request;
@@ -140,8 +183,7 @@
                 },
             }
         }
-        let tcp = self.connect(address).await.map_err(|_| Fault::Unreachable)?;
-        let mut connection = handshake(upstream, tcp).await?;
+        let mut connection = self.open(upstream, address, peers).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
@@ -155,20 +197,21 @@
     /// be behind a network partition and counts as alive. A connection that can be established is kept for the next
     /// request.
     pub async fn has_terminated(&self, upstream: &id::Upstream, address: SocketAddr) -> bool {
-        match self.connect(address).await {
+        match self.connect_directly(upstream, address).await {
             Ok(tcp) => {
                 if let Ok(connection) = handshake(upstream, tcp).await {
                     self.release_for(connection, DEFAULT_IDLE_TIME);
                 }
                 false
             }
-            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused && !self.is_suspected(upstream),
         }
     }
 
     /// Returns a connection to the pool after a complete response, unless the response's headers rule that out.
     pub fn release(&self, connection: Connection, headers: &HeaderMap) {
-        if let Some(idle) = idle_time(headers) {
+        // A peer isn't to keep tunnels that carry nothing.
+        if let Some(idle) = idle_time(headers).filter(|_| connection.via.is_none()) {
             self.release_for(connection, idle);
         }
     }
@@ -204,6 +247,79 @@
         });
     }
 
+    /// Opens a connection, through a peer if this router seems unable to reach upstreams.
+    async fn open(
+        &self,
+        upstream: &id::Upstream,
+        address: SocketAddr,
+        peers: impl FnOnce() -> [Vec<Peer>; 2],
+    ) -> Result<Connection, Fault> {
+        let direct = async {
+            let tcp = self.connect_directly(upstream, address).await.map_err(|_| Fault::Unreachable)?;
+            handshake(upstream, tcp).await
+        };
+        if !self.is_isolated() {
+            let opened = direct.await;
+            if opened.is_ok() || !self.is_suspected(upstream) {
+                return opened;
+            }
+            return self.open_tunnel(upstream, address, peers()).await;
+        }
+        let tunnel = self.open_tunnel(upstream, address, peers());
+        if !self.isolation().take_probe(self.clock.now()) {
+            return match tunnel.await {
+                // The peers may be isolated as well, and this router may no longer be.
+                Err(Fault::NoPath) => direct.await.map_err(|_| Fault::NoPath),
+                result => result,
+            };
+        }
+        // The request doesn't wait for the probe, which may hang.
+        match select(pin!(direct), pin!(tunnel)).await {
+            Either::Left((Ok(connection), _)) | Either::Right((Ok(connection), _)) => Ok(connection),
+            Either::Left((Err(_), tunnel)) => tunnel.await,
+            Either::Right((Err(fault), direct)) => direct.await.map_err(|_| fault),
+        }
+    }
+
+    async fn open_tunnel(
+        &self,
+        upstream: &id::Upstream,
+        address: SocketAddr,
+        peers: [Vec<Peer>; 2],
+    ) -> Result<Connection, Fault> {
+        match self.tunnels.open(&self.clock, peers, upstream, address).await {
+            Ok((stream, via)) => handshake_over(upstream, stream, Some(via)).await,
+            Err(tunnel::Fault::NoPeer) if self.is_isolated() => Err(Fault::NoPath),
+            Err(tunnel::Fault::NoPeer | tunnel::Fault::Unreachable) => Err(Fault::Unreachable),
+        }
+    }
+
+    /// Connects to an upstream without the help of a peer, and records whether that was possible.
+    pub(crate) async fn connect_directly(&self, upstream: &id::Upstream, address: SocketAddr) -> io::Result<TcpStream> {
+        let connected = self.connect(address).await;
+        let change = match &connected {
+            Ok(_) => self.isolation().record_success(self.clock.now()),
+            Err(_) => self.isolation().record_failure(self.clock.now(), upstream),
+        };
+        match change {
+            Some(Change::Began) => {
+                tracing::warn!("no upstream can be reached from this router; connections are opened through peers");
+            }
+            Some(Change::Ended) => tracing::info!("upstreams can be reached from this router again"),
+            None => {}
+        }
+        connected
+    }
+
+    /// Whether a failed connection to an upstream may be due to this router.
+    fn is_suspected(&self, upstream: &id::Upstream) -> bool {
+        self.isolation().is_suspected(self.clock.now(), upstream)
+    }
+
+    fn isolation(&self) -> MutexGuard<'_, Isolation> {
+        self.isolation.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let source = *self.source.lock().unwrap_or_else(PoisonError::into_inner);
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
@@ -242,11 +358,18 @@
 
 async fn handshake(upstream: &id::Upstream, tcp: TcpStream) -> Result<Connection, Fault> {
     set_liveness_timeouts(&tcp, ACK_TIMEOUT).map_err(|_| Fault::Unreachable)?;
-    let (sender, connection) =
-        http1::Builder::new().handshake(TokioIo::new(tcp)).await.map_err(|_| Fault::Unreachable)?;
+    handshake_over(upstream, TokioIo::new(tcp), None).await
+}
+
+async fn handshake_over<I: Read + Write + Unpin + Send + 'static>(
+    upstream: &id::Upstream,
+    stream: I,
+    via: Option<id::Router>,
+) -> Result<Connection, Fault> {
+    let (sender, connection) = http1::Builder::new().handshake(stream).await.map_err(|_| Fault::Unreachable)?;
     let task = tokio::spawn(async move {
         // Errors are returned to the caller that awaits the response.
         let _ = connection.await;
     });
-    Ok(Connection { upstream: upstream.clone(), sender, task: task.abort_handle() })
+    Ok(Connection { upstream: upstream.clone(), sender, task: task.abort_handle(), via })
 }
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -191,6 +191,7 @@
         Frame::News(_) | Frame::Relay { .. } => "update",
         Frame::Write { .. } | Frame::Written { .. } | Frame::Condemned { .. } => "rollout",
         Frame::Evidence { .. } | Frame::Quarantined { .. } => "quarantine",
+        Frame::Notice { .. } => "notice",
         Frame::RetryAccount { .. } | Frame::RetryAccountCopy { .. } => "retries",
     }
 }
--- a/crates/stairvale-types/src/rest.rs
+++ b/crates/stairvale-types/src/rest.rs
@@ -18,6 +18,15 @@
     /// The longest pause that one response can request; longer requests are cut to this length.
     pub const LONGEST: Duration = Duration::from_secs(3_600);
 
+    /// The length of the pause; `None` if no valid one was requested.
+    #[must_use]
+    pub fn length(self) -> Option<Duration> {
+        match self {
+            Self::For(length) => Some(length),
+            Self::NotRequested | Self::Invalid => None,
+        }
+    }
+
     /// Parses the values of the header: seconds, which may have a fraction. The longest of several values counts, so
     /// that all of them are respected. Dates are not supported, since a router's time of day may be wrong.
     pub fn read<'a>(values: impl Iterator<Item = &'a str>) -> Self {
