A report of retries contains the step before the current one

Found by reading: a report covers the time since the last one, and was made of the whole steps in it, so retries just before the end of a step weren't in the copies of a router's account when the next step had begun. The new test fails without the change. The copy of an account has a type name of its own now.

--- a/crates/stairvale-dispatch/src/budget.rs
+++ b/crates/stairvale-dispatch/src/budget.rs
@@ -147,9 +147,9 @@
     u64::try_from(u128::from(now.0) / length).unwrap_or(u64::MAX).saturating_add(u64::from(STEPS))
 }
 
-/// The number of whole steps in a duration, at most those of a window.
+/// The number of steps that begin within a duration, wherever it starts, at most those of a window.
 fn steps_in(length: Duration, budget: Budget) -> u32 {
-    let steps = length.as_micros() / (budget.window / STEPS).as_micros().max(1);
+    let steps = length.as_micros() / (budget.window / STEPS).as_micros().max(1) + 1;
     u32::try_from(steps).map_or(STEPS, |steps| steps.min(STEPS))
 }
 
--- a/crates/stairvale-dispatch/tests/parts.rs
+++ b/crates/stairvale-dispatch/tests/parts.rs
@@ -32,6 +32,20 @@
     assert!(window.spend(Moment::from_millis(11_000), budget(), 10));
 }
 
+// A report is made between two steps, and must contain the end of the earlier one.
+#[test]
+fn recent_periods_contain_all_retries_since_the_last_report() {
+    let mut window = RetryWindow::default();
+    let mut copy = RetryWindow::default();
+    for millis in (0..5_000).step_by(100) {
+        window.request(Moment::from_millis(millis + 95), budget());
+        assert!(window.spend(Moment::from_millis(millis + 95), budget(), 1) || millis >= 1_000);
+        let now = Moment::from_millis(millis + 190);
+        copy.merge(now, budget(), &window.periods(now, budget(), Some(Duration::from_millis(100))));
+    }
+    assert_eq!(copy.usage(), window.usage());
+}
+
 #[test]
 fn the_least_recently_used_block_is_evicted() {
     let mut cache = Cache::new(1_000);
--- a/crates/stairvale-serve/src/core/retries.rs
+++ b/crates/stairvale-serve/src/core/retries.rs
@@ -33,14 +33,14 @@
 
 /// A peer's account of retries, kept for the peer's next process.
 #[derive(Debug)]
-struct Copy {
+struct AccountCopy {
     windows: HashMap<id::Service, RetryWindow>,
-    /// How far back the account is complete, as of [`Copy::received_at`].
+    /// How far back the account is complete, as of [`AccountCopy::received_at`].
     covered: Duration,
     received_at: Moment,
 }
 
-impl Copy {
+impl AccountCopy {
     fn covered(&self, now: Moment) -> Duration {
         self.covered + now.since(self.received_at)
     }
@@ -59,7 +59,7 @@
     /// Whether retries were counted that aren't reported yet.
     has_unreported: bool,
     reported_at: Moment,
-    copies: HashMap<id::Router, Copy>,
+    copies: HashMap<id::Router, AccountCopy>,
     /// Peers with a new process, whose account is to be returned.
     restarted: BTreeSet<id::Router>,
     /// Peers with an open stream that read accounts.
@@ -254,7 +254,7 @@
             return Vec::new();
         }
         let budget = self.bounds.budget();
-        let copy = copies.entry(from.clone()).or_insert_with(|| Copy {
+        let copy = copies.entry(from.clone()).or_insert_with(|| AccountCopy {
             windows: HashMap::new(),
             covered: Duration::ZERO,
             received_at: now,
