One alias for a peer with its address

Cause: the tunnels brought a second alias of the type that core::spread had. Change: core::Peer serves both; no behaviour changes.

--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -50,6 +50,7 @@
 pub use effect::{Effect, Reply};
 pub use freshness::Reading;
 pub use home::CustomerCounts;
+pub use spread::Peer;
 pub use writing::{Obstacle, ProxyReport};
 
 /// Interval at which an entry router reports its running requests to their homes.
--- a/crates/stairvale-serve/src/core/spread.rs
+++ b/crates/stairvale-serve/src/core/spread.rs
@@ -23,7 +23,8 @@
 /// Time for which a configuration that was sent to a peer counts as in transit.
 const CONFIGURATION_TRANSIT_TIME: Duration = Duration::from_millis(500);
 
-pub(super) type Peer = (id::Router, SocketAddr);
+/// A peer, with its address.
+pub type Peer = (id::Router, SocketAddr);
 
 /// The configuration that this router sent last.
 #[derive(Debug)]
--- a/crates/stairvale-serve/src/tunnel.rs
+++ b/crates/stairvale-serve/src/tunnel.rs
@@ -22,7 +22,7 @@
 use stairvale_types::{Moment, id};
 use tokio::net::TcpStream;
 
-use crate::upstream::Peer;
+use crate::core::Peer;
 
 mod server;
 
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -32,6 +32,7 @@
 };
 
 use crate::{
+    core::Peer,
     isolation::{Change, Isolation},
     tunnel::{self, Tunnels},
 };
@@ -90,9 +91,6 @@
     }
 }
 
-/// A peer through which a connection may be opened, with its address.
-pub type Peer = (id::Router, SocketAddr);
-
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// A connection in use. It is closed immediately when it is dropped.
