Events end with an empty line, whatever ends the lines

A resumable stream of an upstream that writes CR LF or CR reached its caller without any event, and was cut at its end: only LF LF ended an event. A line may end with LF, CR or both (WHATWG HTML, 9.2.6). The scanner knows this now, also when the two bytes arrive apart.

--- a/crates/stairvale-serve/src/events.rs
+++ b/crates/stairvale-serve/src/events.rs
@@ -2,9 +2,12 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Finds the ends of events in a stream that arrives in pieces. An empty line ends an event.
+/// Finds the ends of events in a stream that arrives in pieces. An empty line ends an event; a line ends with LF, CR or
+/// both.
 #[derive(Clone, Copy, Debug, Default)]
 struct Scanner {
+    /// Whether the last byte was a CR. An LF that follows belongs to the same end of a line.
+    is_after_cr: bool,
     /// Whether the current line has begun.
     is_in_line: bool,
     /// Whether an event has begun that hasn't ended.
@@ -18,7 +21,15 @@
     fn scan(&mut self, piece: &[u8]) -> Option<usize> {
         let mut end = None;
         for (index, byte) in piece.iter().enumerate() {
-            if *byte != b'\n' {
+            let completes_line_end = *byte == b'\n' && self.is_after_cr;
+            self.is_after_cr = *byte == b'\r';
+            if completes_line_end {
+                if !self.is_in_event {
+                    end = Some(index + 1);
+                }
+                continue;
+            }
+            if !matches!(byte, b'\n' | b'\r') {
                 (self.is_in_line, self.is_in_event) = (true, true);
                 continue;
             }
@@ -82,7 +93,7 @@
             return Bytes::new();
         };
         let complete = self.partial.split_to(held + end).freeze();
-        let mut ids = complete.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
+        let mut ids = complete.split(|byte| matches!(byte, b'\n' | b'\r')).filter_map(|line| line.strip_prefix(b"id:"));
         if let Some(id) = ids.next_back().and_then(|id| std::str::from_utf8(id).ok()) {
             self.last = Some(id.trim().to_owned());
         }
--- a/crates/stairvale-serve/tests/parts.rs
+++ b/crates/stairvale-serve/tests/parts.rs
@@ -64,6 +64,21 @@
     assert!(!events.is_partial());
 }
 
+#[test]
+fn an_event_ends_with_an_empty_line_whatever_ends_the_lines() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let event = |id: u32| format!("id: {id}{line_end}data: x{line_end}{line_end}");
+        let stream = format!("{}{}id: 6{line_end}da", event(4), event(5));
+        for cut in 0..stream.len() {
+            let mut events = Events::default();
+            let (head, tail) = stream.as_bytes().split_at(cut);
+            let forwarded = [events.take(head), events.take(tail)].concat();
+            assert_eq!(forwarded, [event(4), event(5)].concat().as_bytes(), "{line_end:?}, cut at {cut}");
+            assert_eq!((events.last(), events.count(), events.is_partial()), (Some("5"), 2, true));
+        }
+    }
+}
+
 quickcheck! {
     /// The same complete events are forwarded, however the stream is split into chunks.
     fn events_do_not_depend_on_chunk_boundaries(ids: Vec<u16>, cuts: Vec<u8>) -> bool {
