The close of a connection no longer passes for the end of an answer

Callers got 200 and the last chunk of a chunked body for streams that their upstream had broken off. Such an answer has neither a length nor chunks, so that only its content tells a break from the end, and on routes that aren't resumable nothing looked at the content.

Events of all streams are followed now. A close inside an event, or before the first one, is a break; so is a close by an upstream that has terminated, for plain answers too: the connection that checks this replaces the one that the answer ended. The head of a stream is sent with its first complete event, so that a break before it is a failed attempt with a status of its own. A plain answer that a living upstream closes in order stays complete, as RFC 9112 has it; handing the close on would make the end of this process look like the end of the answer.

An answer of a route for streams that isn't a stream of events passes as it comes; on resumable routes it was held back and cut.

--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -99,7 +99,7 @@
     let mut response = match served {
         Ok(mut exchange) => match exchange.run().await {
             Served::Complete(response) => response,
-            Served::Stream(reply, first) => relay::start(exchange, *reply, first),
+            Served::Stream { reply, events, first } => relay::start(exchange, *reply, events, first),
         },
         Err(problem) => {
             shared.metrics.count(problem.label());
--- a/crates/stairvale-serve/src/events.rs
+++ b/crates/stairvale-serve/src/events.rs
@@ -1,6 +1,17 @@
 //! Splits a stream of server-sent events (WHATWG HTML, section 9.2.6) into events.
 
 use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, header};
+
+/// Whether a response with these headers is a stream of server-sent events. One that doesn't state its type counts as one.
+#[must_use]
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(header::CONTENT_TYPE) else {
+        return true;
+    };
+    let media_type = value.to_str().unwrap_or_default().split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
 
 /// Finds the ends of events in a stream that arrives in pieces. An empty line ends an event; a line ends with LF, CR or
 /// both.
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode, header, request, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -14,6 +14,7 @@
     Dialect, Shared,
     body::{Body, next},
     dialect::Head,
+    events::{Events, is_event_stream},
     fingerprint,
     framing::Framing,
     hop::strip,
@@ -184,8 +185,8 @@
             // Further attempts must not use this upstream again.
             self.attempts.avoid.push(reply.permit.upstream.id.clone());
             if self.route.kind == table::Kind::Stream && reply.head.status.is_success() || exceeds_buffer(&reply.head) {
-                match self.first_chunk(reply).await {
-                    Ok((reply, first)) => return Ok(Served::Stream(Box::new(reply), first)),
+                match self.begin_stream(reply).await {
+                    Ok(stream) => return Ok(stream),
                     Err(problem) => self.retry_or_fail(problem)?,
                 }
                 continue;
@@ -201,19 +202,30 @@
         }
     }
 
-    /// Waits for the first chunk of a stream, so that a failure before it can still be reported with an error status.
-    async fn first_chunk(&mut self, mut reply: UpstreamResponse) -> Result<(UpstreamResponse, Option<Bytes>), Problem> {
-        match self.await_upstream(&reply.permit, next(&mut reply.body)).await {
-            Ok(chunk) => {
+    /// Waits for the first event of a stream, so that a failure before it can still be reported with an error status.
+    async fn begin_stream(&mut self, mut reply: UpstreamResponse) -> Result<Served, Problem> {
+        let mut events = self.events_of(&reply);
+        let reading = read_first(&mut reply.body, reply.framing, events.as_mut());
+        match self.await_upstream(&reply.permit, reading).await {
+            Ok(first) => {
                 reply.permit.begun();
-                self.shared.count_traffic(Kind::Answer, &reply.permit, chunk.as_ref().map_or(0, Bytes::len));
+                self.shared.count_traffic(Kind::Answer, &reply.permit, first.len());
                 self.shared.metrics.record_first_byte(self.elapsed());
-                Ok((reply, chunk))
+                Ok(Served::Stream { reply: Box::new(reply), events, first })
             }
             Err(fault) => Err(self.fail_attempt(&fault, reply.permit).await),
         }
     }
 
+    /// The events of a response; `None` if it isn't a stream of events. They are passed on as they arrive unless the stream
+    /// can be resumed.
+    fn events_of(&self, reply: &UpstreamResponse) -> Option<Events> {
+        if self.route.kind != table::Kind::Stream || !is_event_stream(&reply.head.headers) {
+            return None;
+        }
+        Some(if self.route.resumable { Events::default() } else { Events::immediate() })
+    }
+
     /// Reads a non-streamed response completely before any of it is forwarded to the client.
     async fn read_complete(&mut self, reply: UpstreamResponse) -> Result<Response<Body>, Problem> {
         let UpstreamResponse { mut head, body, connection, framing, permit } = reply;
@@ -222,6 +234,9 @@
             Ok(collected) => collected.to_bytes(),
             Err(fault) => return Err(self.fail_attempt(&fault, permit).await),
         };
+        if framing == Framing::CloseDelimited && self.closed_by_crash(&permit, &connection).await {
+            return Err(self.fail_attempt(&Fault::Terminated, permit).await);
+        }
         self.shared.count_traffic(Kind::Answer, &permit, body.len());
         self.shared.upstreams.release(connection, &head.headers);
         tracing::info!(
@@ -320,8 +335,36 @@
 pub enum Served {
     /// A complete response.
     Complete(Response<Body>),
-    /// A successful stream or a large response, with its first chunk unless the body is empty.
-    Stream(Box<UpstreamResponse>, Option<Bytes>),
+    /// The beginning of a successful stream or of a large response.
+    Stream {
+        /// The response, of which the rest is still arriving.
+        reply: Box<UpstreamResponse>,
+        /// The events of the stream; `None` if the body isn't a stream of events.
+        events: Option<Events>,
+        /// What is to be passed on first; empty if the body is.
+        first: Bytes,
+    },
+}
+
+/// Reads the first part of a body: up to the first complete event, or the first chunk if the body isn't a stream of events.
+/// Returns what is to be passed on.
+async fn read_first(body: &mut Incoming, framing: Framing, mut events: Option<&mut Events>) -> Result<Bytes, Fault> {
+    let mut first = BytesMut::new();
+    loop {
+        let Some(chunk) = next(body).await? else {
+            let is_partial = events.is_some_and(|events| events.is_partial());
+            // Nothing tells a body without a stated end that hasn't begun from one that was cut off.
+            let is_broken = is_partial || framing == Framing::CloseDelimited && first.is_empty();
+            return if is_broken { Err(Fault::Broken) } else { Ok(first.freeze()) };
+        };
+        let Some(events) = events.as_deref_mut() else {
+            return Ok(chunk);
+        };
+        first.extend_from_slice(&events.pass_on(chunk));
+        if events.count() > 0 {
+            return Ok(first.freeze());
+        }
+    }
 }
 
 fn exceeds_buffer(head: &response::Parts) -> bool {
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -220,6 +220,13 @@
         }
     }
 
+    /// Whether the upstream has terminated that closed the connection of a response, so that the close doesn't mark the end
+    /// of the response. This router can't tell if the connection ran through a peer.
+    pub(crate) async fn closed_by_crash(&self, permit: &Permit, connection: &Connection) -> bool {
+        let Upstream { id, address, .. } = &permit.upstream;
+        connection.via().is_none() && self.shared.upstreams.has_terminated(id, *address).await
+    }
+
     /// The outcome to report for a connection that failed. While this router reaches no upstream, that says nothing about
     /// the upstream.
     pub(crate) fn outcome_of(&self, failure: Outcome) -> Outcome {
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -13,6 +13,7 @@
     body::{Body, Truncated, next},
     events::Events,
     exchange::{Exchange, UpstreamResponse, millis},
+    framing::Framing,
     hop::strip,
     traffic::Kind,
     upstream::Fault,
@@ -25,16 +26,20 @@
 /// Lower bound of the stall after which a resumable stream is resumed elsewhere.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Returns the response head for the client and spawns a task that relays the body.
-pub fn start<D: Dialect>(exchange: Exchange<D>, reply: UpstreamResponse, first: Option<Bytes>) -> Response<Body> {
+/// Returns the response head for the client and spawns a task that relays the body, beginning with `first`. `events` has
+/// taken `first` already; `None` if the body isn't a stream of events.
+pub fn start<D: Dialect>(
+    exchange: Exchange<D>,
+    reply: UpstreamResponse,
+    events: Option<Events>,
+    first: Bytes,
+) -> Response<Body> {
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let mut head = reply.head.clone();
     strip(&mut head.headers);
     if exchange.route.kind == table::Kind::Stream {
         head.headers.remove(header::CONTENT_LENGTH);
     }
-    let is_resumable = exchange.route.kind == table::Kind::Stream && exchange.route.resumable;
-    let events = if is_resumable { Events::default() } else { Events::immediate() };
     let relay = Relay { exchange, sender, events };
     // Counted before the request's own count ends, so that a stopping process never regards the stream as finished.
     relay.exchange.shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -46,7 +51,8 @@
 struct Relay<D> {
     exchange: Exchange<D>,
     sender: mpsc::Sender<Result<Bytes, Truncated>>,
-    events: Events,
+    /// The events of the stream; `None` if the body isn't a stream of events.
+    events: Option<Events>,
 }
 
 /// Why an upstream's part of the stream ended. The names are printed in the log.
@@ -67,12 +73,12 @@
 }
 
 impl<D: Dialect> Relay<D> {
-    async fn run(mut self, reply: UpstreamResponse, first: Option<Bytes>) {
+    async fn run(mut self, reply: UpstreamResponse, first: Bytes) {
         let in_flight = self.exchange.shared.clone();
         let mut reply = reply;
         let mut first = first;
         let end = loop {
-            let end = self.forward_all(&mut reply, first.take()).await;
+            let end = self.forward_all(&mut reply, std::mem::take(&mut first)).await;
             self.log(&reply, end);
             let UpstreamResponse { head, connection, permit, .. } = reply;
             let upstream = permit.upstream.id.clone();
@@ -86,7 +92,7 @@
                 End::Silent => permit.end(self.exchange.outcome_of(Outcome::Silent)),
                 End::Late | End::Left => permit.end(Outcome::Abandoned),
             }
-            if !matches!(end, End::Broken | End::Ended | End::Silent) || self.events.last().is_none() {
+            if !matches!(end, End::Broken | End::Ended | End::Silent) || self.last_event().is_none() {
                 break end;
             }
             self.exchange.avoid(&upstream);
@@ -108,24 +114,28 @@
         if !self.exchange.try_start_retry() {
             return None;
         }
-        self.events.discard_partial();
-        let last = self.events.last().map(str::to_owned);
+        let events = self.events.as_mut()?;
+        events.discard_partial();
+        let last = events.last()?.to_owned();
         let reply = tokio::select! {
-            reply = self.exchange.dispatch(last.as_deref()) => reply.ok()?,
+            reply = self.exchange.dispatch(Some(&last)) => reply.ok()?,
             () = self.sender.closed() => return None,
         };
         self.exchange.shared.metrics.count("stream-resumed");
         reply.head.status.is_success().then_some(reply)
     }
 
-    /// Forwards one upstream's part of the stream until it ends.
-    async fn forward_all(&mut self, reply: &mut UpstreamResponse, first: Option<Bytes>) -> End {
-        if let Some(chunk) = first
-            && !self.forward(chunk).await
-        {
+    /// The id of the last complete event; `None` if the stream can't be resumed after it.
+    fn last_event(&self) -> Option<&str> {
+        self.events.as_ref()?.last()
+    }
+
+    /// Forwards one upstream's part of the stream until it ends. `first` was passed to [`Self::events`] already.
+    async fn forward_all(&mut self, reply: &mut UpstreamResponse, first: Bytes) -> End {
+        let mut begun = !first.is_empty();
+        if begun && !self.send(first).await {
             return End::Left;
         }
-        let mut begun = self.events.last().is_some();
         loop {
             let left = self.exchange.time_left();
             if left.is_zero() {
@@ -141,19 +151,18 @@
             let Ok(chunk) = chunk else {
                 return if stall < left { End::Silent } else { End::Late };
             };
-            if !begun {
-                begun = true;
-                reply.permit.begun();
-            }
             match chunk {
                 Ok(Some(chunk)) => {
+                    if !begun {
+                        begun = true;
+                        reply.permit.begun();
+                    }
                     self.exchange.shared.count_traffic(Kind::Answer, &reply.permit, chunk.len());
                     if !self.forward(chunk).await {
                         return End::Left;
                     }
                 }
-                Ok(None) if self.exchange.route.resumable && self.events.is_partial() => return End::Broken,
-                Ok(None) => return End::Whole,
+                Ok(None) => return self.end_of(reply, begun).await,
                 Err(Fault::Unresponsive) => return End::Silent,
                 Err(Fault::Terminated) => return End::Ended,
                 Err(Fault::Broken | Fault::Unreachable | Fault::NoPath | Fault::Unsent) => return End::Broken,
@@ -161,6 +170,19 @@
         }
     }
 
+    /// What the end of an upstream's body means. `begun` tells whether any of the body arrived.
+    async fn end_of(&self, reply: &UpstreamResponse, begun: bool) -> End {
+        if self.events.as_ref().is_some_and(Events::is_partial) {
+            return End::Broken;
+        }
+        match reply.framing {
+            Framing::Stated => End::Whole,
+            Framing::CloseDelimited if !begun => End::Broken,
+            Framing::CloseDelimited if self.exchange.closed_by_crash(&reply.permit, &reply.connection).await => End::Ended,
+            Framing::CloseDelimited => End::Whole,
+        }
+    }
+
     /// How long the upstream may send nothing before the stream is resumed elsewhere.
     fn stall_timeout(&self) -> Duration {
         match self.exchange.route.pause {
@@ -171,10 +193,14 @@
 
     /// Sends a chunk to the client; returns `false` if the client has disconnected.
     async fn forward(&mut self, chunk: Bytes) -> bool {
-        let chunk = self.events.pass_on(chunk);
-        if chunk.is_empty() {
-            return true;
-        }
+        let chunk = match &mut self.events {
+            Some(events) => events.pass_on(chunk),
+            None => chunk,
+        };
+        chunk.is_empty() || self.send(chunk).await
+    }
+
+    async fn send(&self, chunk: Bytes) -> bool {
         // A client that reads nothing until the request's deadline counts as disconnected.
         let sent = self.exchange.shared.clock.with_deadline(self.exchange.deadline, self.sender.send(Ok(chunk))).await;
         sent.is_ok_and(|sent| sent.is_ok())
@@ -185,7 +211,8 @@
         tracing::info!(
             id = exchange.head.id, route = exchange.route.name, upstream = %reply.permit.upstream.id,
             read = reply.permit.read, ms = millis(exchange.elapsed()), end = ?end, framing = %reply.framing,
-            events = self.events.count(), inside_event = self.events.is_partial(), "streamed"
+            events = self.events.as_ref().map(Events::count),
+            inside_event = self.events.as_ref().is_some_and(Events::is_partial), "streamed"
         );
     }
 }
