--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -178,7 +178,9 @@
         match reply.framing {
             Framing::Stated => End::Whole,
             Framing::CloseDelimited if !begun => End::Broken,
-            Framing::CloseDelimited if self.exchange.closed_by_crash(&reply.permit, &reply.connection).await => End::Ended,
+            Framing::CloseDelimited if self.exchange.closed_by_crash(&reply.permit, &reply.connection).await => {
+                End::Ended
+            }
             Framing::CloseDelimited => End::Whole,
         }
     }
