Logs say at which version a stream ran and which stream it takes up

Within an answer, by a client that comes back, or a wrong version in the router's view: the line of a stream that went on elsewhere was the same for all three. streamed now carries the upstream's version as the router knows it, the last event that the client named, and the attempt that brought the stream's first event. No decision changes.

--- a/crates/stairvale-serve/src/dialect.rs
+++ b/crates/stairvale-serve/src/dialect.rs
@@ -21,6 +21,8 @@
     pub output: u32,
     /// The id of the last event that the client has received already.
     pub last_event: Option<String>,
+    /// The id of the client's attempt that brought the first event of the stream that this request takes up again.
+    pub resumes: Option<String>,
 }
 
 /// Why a request head is invalid.
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -6,6 +6,7 @@
 use http::{Response, header};
 use stairvale_dispatch::Outcome;
 use stairvale_table as table;
+use stairvale_types::id;
 use tokio::sync::mpsc;
 
 use crate::{
@@ -210,11 +211,13 @@
 
     fn log(&self, reply: &UpstreamResponse, end: End) {
         let exchange = &self.exchange;
+        let version = reply.permit.upstream.version.as_ref().map(id::Version::as_str);
+        let (last_event, resumes) = (exchange.head.last_event.as_deref(), exchange.head.resumes.as_deref());
         tracing::info!(
             id = exchange.head.id, route = exchange.route.name, upstream = %reply.permit.upstream.id,
             read = reply.permit.read, ms = millis(exchange.elapsed()), end = ?end, framing = %reply.framing,
             events = self.events.as_ref().map(Events::count),
-            inside_event = self.events.as_ref().is_some_and(Events::is_partial), "streamed"
+            inside_event = self.events.as_ref().is_some_and(Events::is_partial), version, last_event, resumes, "streamed"
         );
     }
 }
