A stream goes on only at the version that began it

Callers got one stream from upstreams of two software versions, whose events don't fit together: within an answer after a break, and when they came back, to any router. Nothing asked for a version when a stream was continued, and Resumes wasn't read.

The router that serves a resumable stream records the version of its first event under a hash of service, customer and the id of the client's attempt. While upstreams of several versions are listed, or were as long ago as a stream can last, it sends the record to three peers that are fixed for a service: its home, a successor in another zone, and the router that decides in its own zone if that is cut off. A router that doesn't know a stream asks its own three. The request lists the upstreams of other versions among those to avoid, which homes of earlier builds honour, and the entry checks the grant against its own view. A stream that nobody knows, or whose version no upstream serves, is refused at once with 503; with a single version nothing needs to be known.

Three new kinds of frames at the end of the list, minor version 2; earlier builds are sent none.

--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -21,6 +21,7 @@
 mod choose;
 mod follow;
 mod holders;
+mod listed;
 mod paths;
 mod places;
 mod quarantine;
@@ -86,6 +87,8 @@
     ring: ring::Ring,
     /// The number of members that accept new work.
     usable: usable::Usable,
+    /// The versions of the members that the store lists.
+    listed_versions: listed::ListedVersions,
     /// Engines whose cache contents haven't been reported by any router or by the engine, in the order of their
     /// arrival.
     cache_unknown: Vec<id::Upstream>,
@@ -134,6 +137,7 @@
             scanned_members: Cell::default(),
             ring: ring::Ring::default(),
             usable: usable::Usable::default(),
+            listed_versions: listed::ListedVersions::default(),
             cache_unknown: Vec::new(),
             prefilling: RapidHashMap::default(),
             waiting: Vec::new(),
@@ -231,6 +235,11 @@
         self.shares.surpluses(now, level)
     }
 
+    /// The software versions of the upstreams that the store lists; `None` stands for upstreams that state none.
+    pub fn listed_versions(&self) -> impl Iterator<Item = &Option<id::Version>> {
+        self.listed_versions.iter()
+    }
+
     /// Replaces the set of upstreams by those that exist in the store.
     pub fn set_members(&mut self, now: Moment, known: &[Listing]) -> Vec<Answer> {
         let answers = self.apply_listings(now, known);
@@ -277,11 +286,14 @@
                 }
                 self.ring.insert(&member);
                 self.usable.add(&member);
+                self.listed_versions.add(&member);
                 member
             });
             self.usable.remove(member);
+            self.listed_versions.remove(member);
             member.apply_listing(now, listing);
             self.usable.add(member);
+            self.listed_versions.add(member);
             self.versions.set_admission(member);
             self.holders.apply_changes(member);
         }
@@ -298,6 +310,7 @@
     fn mark_gone(&mut self, incarnation: id::Upstream) {
         if let Some(member) = self.members.get_mut(&incarnation) {
             self.usable.remove(member);
+            self.listed_versions.remove(member);
             member.mark_gone();
             self.leaving.insert(incarnation);
         }
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -161,7 +161,9 @@
     } else {
         None
     };
-    let draw = rapidhash::v3::rapidhash_v3(head.id.as_bytes());
+    // A stream that is taken up again stays with the service that began it.
+    let first_attempt = head.resumes.as_ref().filter(|_| head.last_event.is_some()).unwrap_or(&head.id);
+    let draw = rapidhash::v3::rapidhash_v3(first_attempt.as_bytes());
     let service = route.service(draw).ok_or(Problem::NoRoute)?.clone();
     let limits = table.document().limits;
     let exchange = Exchange::new(shared.clone(), dialect.clone(), route.clone(), service, head, parts, received_at);
--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -9,7 +9,7 @@
 use stairvale_wire::Packet;
 
 use super::writing::ProxyReport;
-use crate::frame::Frame;
+use crate::frame::{Frame, Origin};
 
 /// An action for the caller of the core.
 #[derive(Clone, Debug)]
@@ -148,11 +148,13 @@
     Lost(id::Router),
 }
 
-/// A home's reply to an [`Ask`](stairvale_dispatch::Ask).
+/// A peer's reply to an [`Ask`](stairvale_dispatch::Ask) or to a [`Frame::FindStream`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
     /// The request waits in the home's queue.
     Waits,
     /// The home's decision; `None` if it can't decide.
     Decided(Option<Verdict>),
+    /// What a peer knows of the stream that it was asked for.
+    StreamFound(Option<Origin>),
 }
--- a/crates/stairvale-serve/src/core/heirs.rs
+++ b/crates/stairvale-serve/src/core/heirs.rs
@@ -69,7 +69,7 @@
         pick(service.hash64(), self.eligible(of).into_iter())
     }
 
-    fn zone_of(&self, router: &id::Router) -> Option<&id::Zone> {
+    pub(super) fn zone_of(&self, router: &id::Router) -> Option<&id::Zone> {
         if router == &self.me { Some(&self.zone) } else { self.swim.peer(router).map(|peer| &peer.zone) }
     }
 
--- a/crates/stairvale-serve/src/core/knowledge.rs
+++ b/crates/stairvale-serve/src/core/knowledge.rs
@@ -52,6 +52,7 @@
             effects.extend(self.update_pools(now));
         }
         effects.extend(self.update_pool_members(now, &changed));
+        effects.extend(self.update_versions(now));
         effects
     }
 
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -36,6 +36,7 @@
 mod roles;
 mod rollouts;
 mod spread;
+mod streams;
 mod tunnels;
 mod writing;
 
@@ -46,11 +47,14 @@
 use roles::Roles;
 use rollouts::Rollouts;
 use spread::SentConfiguration;
+use streams::Streams;
 
 pub use effect::{Effect, Reply};
 pub use freshness::Reading;
 pub use home::CustomerCounts;
 pub use spread::Peer;
+pub use streams::Lookup;
+pub(crate) use streams::RETURN_TIME;
 pub use writing::{Obstacle, ProxyReport};
 
 /// Interval at which an entry router reports its running requests to their homes.
@@ -136,6 +140,8 @@
     quarantine: Quarantine,
     /// What upstreams reported about themselves in their answers.
     notices: Notices,
+    /// The versions at which streams began.
+    streams: Streams,
     /// The cached assignment of homes, watchers and the reader.
     roles: Roles,
     /// The router that this one receives store updates from, and since when.
@@ -190,6 +196,7 @@
             rollouts: Rollouts::default(),
             quarantine: Quarantine::default(),
             notices: Notices::default(),
+            streams: Streams::default(),
             roles: Roles::default(),
             current_update_source: None,
             watcher_since: None,
@@ -434,6 +441,13 @@
                 let rest = rest.map_or(Rest::NotRequested, |rest| Rest::For(rest.min(Rest::LONGEST)));
                 self.handle_notice(now, &service, &upstream, Notice { leaves, rest })
             }
+            Frame::StreamBegan { service, stream, origin, lasts } => {
+                self.keep_stream(now, service, stream, origin, lasts)
+            }
+            Frame::FindStream { attempt, stream } => self.answer_find_stream(now, from, attempt, stream),
+            Frame::StreamFound { attempt, origin } => {
+                vec![Effect::Reply { attempt, reply: Reply::StreamFound(origin) }]
+            }
             Frame::RetryAccount { account } => self.keep_account(now, from, account),
             Frame::RetryAccountCopy { account } => self.restore_account(now, from, &account),
         }
@@ -469,6 +483,7 @@
         if now >= self.next_renew {
             self.next_renew = now + RENEW_INTERVAL;
             effects.extend(self.renew(now));
+            effects.extend(self.update_versions(now));
             effects.extend(self.update_successors());
             self.end_rests(now);
         }
--- a/crates/stairvale-serve/src/core/retries.rs
+++ b/crates/stairvale-serve/src/core/retries.rs
@@ -111,18 +111,21 @@
 
     /// Handles the opening of a stream to a peer that reads the frames of this minor version.
     pub fn opened(&mut self, now: Moment, peer: &id::Router, minor: u16) -> Vec<Effect> {
+        let mut effects = self.send_waiting(peer, minor);
         self.retries.connecting.remove(peer);
         if minor < MIN_MINOR_VERSION {
             self.retries.unaware.insert(peer.clone());
             self.retries.members_revision = None;
-            return Vec::new();
+            return effects;
         }
         self.retries.connected.insert(peer.clone());
-        self.exchange_accounts(now)
+        effects.extend(self.exchange_accounts(now));
+        effects
     }
 
     /// Forgets the stream to a peer.
     pub(super) fn forget_stream(&mut self, peer: &id::Router) {
+        self.streams.forget_peer(peer);
         self.retries.connected.remove(peer);
         if let Some(is_informed) = self.retries.replicas.get_mut(peer) {
             *is_informed = false;
--- a/crates/stairvale-serve/src/core/roles.rs
+++ b/crates/stairvale-serve/src/core/roles.rs
@@ -51,6 +51,11 @@
         pick(key, self.home_candidates.iter().map(|(hash, router)| (*hash, router)))
     }
 
+    /// What the roles were computed from; `None` before the first time.
+    pub(super) fn inputs(&self) -> Option<RoleInputs> {
+        self.inputs
+    }
+
     /// The routers that may be homes.
     pub(super) fn home_candidates(&self) -> impl Iterator<Item = &id::Router> {
         self.home_candidates.iter().map(|(_, router)| router)
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -16,6 +16,7 @@
     dialect::Head,
     events::{Events, is_event_stream},
     fingerprint,
+    frame::Origin,
     framing::Framing,
     hop::strip,
     permit::Permit,
@@ -24,6 +25,7 @@
     upstream::{Connection, Fault},
 };
 
+mod origin;
 mod send;
 
 /// Responses with a longer `Content-Length` are streamed through instead of being buffered until they are complete.
@@ -57,6 +59,8 @@
     pub deadline: Moment,
     /// Identifies repetitions of the same request; set by [`Exchange::run`], when the body is known.
     pub fingerprint: id::Fingerprint,
+    /// Where the stream began that this request begins or continues; `None` before its first event.
+    origin: Option<Origin>,
     attempts: Attempts,
 }
 
@@ -125,6 +129,7 @@
             received_at,
             deadline,
             fingerprint: id::Fingerprint::default(),
+            origin: None,
             attempts,
         };
         let regions = exchange.route.regions.clone();
@@ -177,6 +182,7 @@
     }
 
     async fn serve(&mut self) -> Result<Served, Problem> {
+        self.find_origin().await?;
         loop {
             let reply = match self.dispatch(None).await {
                 Ok(reply) => reply,
@@ -211,6 +217,9 @@
                 reply.permit.begun();
                 self.shared.count_traffic(Kind::Answer, &reply.permit, first.len());
                 self.shared.metrics.record_first_byte(self.elapsed());
+                if events.is_some() {
+                    self.record_origin(&reply.permit);
+                }
                 Ok(Served::Stream { reply: Box::new(reply), events, first })
             }
             Err(fault) => Err(self.fail_attempt(&fault, reply.permit).await),
--- /dev/null
+++ b/crates/stairvale-serve/src/exchange/origin.rs
@@ -0,0 +1,114 @@
+//! Binds a stream to the version that began it, within its answer and for clients that take it up again.
+
+use std::time::Duration;
+
+use stairvale_table as table;
+use stairvale_types::id;
+
+use super::Exchange;
+use crate::{
+    Dialect, Shared,
+    core::{Lookup, RETURN_TIME, Reply},
+    fingerprint,
+    frame::Origin,
+    permit::{Permit, next},
+    problem::Problem,
+};
+
+/// How long peers have to answer what they know of a stream, a new connection to them included.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// A question to peers, which is closed on drop.
+struct Question<'a> {
+    shared: &'a Shared,
+    attempt: id::Attempt,
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        self.shared.close_replies(self.attempt);
+    }
+}
+
+impl<D: Dialect> Exchange<D> {
+    /// Finds where a stream began that the client takes up again.
+    ///
+    /// # Errors
+    /// [`Problem::UnknownStream`] if no router in reach knows, and upstreams of several versions serve.
+    pub(super) async fn find_origin(&mut self) -> Result<(), Problem> {
+        if !self.is_resumable() || self.head.last_event.is_none() {
+            return Ok(());
+        }
+        let stream = self.head.resumes.as_deref().map(|first| self.stream(first));
+        let attempt = id::Attempt(uuid::Uuid::new_v4().as_u128());
+        let mut replies = self.shared.open_replies(attempt);
+        let _question = Question { shared: &self.shared, attempt };
+        let mut lookup = Lookup::AnyUpstream;
+        self.shared.with(|core, now| {
+            let (found, effects) = core.find_stream(now, &self.service, stream, attempt);
+            lookup = found;
+            effects
+        });
+        let asked = match lookup {
+            Lookup::Known(origin) => {
+                self.origin = Some(origin);
+                return Ok(());
+            }
+            Lookup::AnyUpstream => return Ok(()),
+            Lookup::Asked(peers) => peers,
+        };
+        let end = self.shared.now() + LOOKUP_TIMEOUT.min(self.time_left());
+        for _ in 0..asked {
+            match next(&mut replies, end.since(self.shared.now())).await {
+                Some(Reply::StreamFound(Some(origin))) => {
+                    self.shared.metrics.count("stream-found");
+                    self.origin = Some(origin);
+                    return Ok(());
+                }
+                Some(Reply::StreamFound(None) | Reply::Waits | Reply::Decided(_)) => {}
+                None => break,
+            }
+        }
+        if self.shared.query(|core, _| core.has_single_version(&self.service)) {
+            return Ok(());
+        }
+        Err(Problem::UnknownStream)
+    }
+
+    /// Records where a stream began, when its first event has arrived.
+    pub(super) fn record_origin(&mut self, permit: &Permit) {
+        if !self.is_resumable() {
+            return;
+        }
+        let origin = self.origin.get_or_insert_with(|| Origin { version: permit.upstream.version.clone() }).clone();
+        let resumed = self.head.resumes.as_deref().filter(|_| self.head.last_event.is_some());
+        let stream = self.stream(resumed.unwrap_or(&self.head.id));
+        let lasts = self.time_left() + RETURN_TIME;
+        self.shared.with(|core, now| core.record_stream(now, &self.service, stream, origin, lasts));
+    }
+
+    /// The upstreams at which this stream must not be continued.
+    ///
+    /// # Errors
+    /// A [`Problem`] if no upstream is left.
+    pub(super) fn upstreams_of_other_versions(&self) -> Result<Vec<id::Upstream>, Problem> {
+        let Some(origin) = &self.origin else {
+            return Ok(Vec::new());
+        };
+        self.shared.query(|core, _| {
+            if core.has_upstream_for(&self.service, origin, &self.attempts.avoid) {
+                return Ok(core.upstreams_of_other_versions(&self.service, origin));
+            }
+            Err(if self.attempts.runs > 0 { Problem::UpstreamFailed } else { Problem::VersionUnavailable })
+        })
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.route.kind == table::Kind::Stream && self.route.resumable
+    }
+
+    /// The stream whose first event a client's attempt brought.
+    fn stream(&self, first_attempt: &str) -> id::Stream {
+        fingerprint::stream(&self.service, self.customer.as_ref(), first_attempt)
+    }
+}
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -105,6 +105,8 @@
     async fn acquire_permit(&mut self) -> Result<Permit, Problem> {
         let patience = self.route.objective / QUEUE_TIME_DIVISOR;
         let patience = patience.saturating_sub(self.elapsed()).max(patience / 4).min(self.time_left());
+        let mut avoid = self.attempts.avoid.clone();
+        avoid.extend(self.upstreams_of_other_versions()?);
         let ask = Ask {
             attempt: id::Attempt(0),
             entry: self.shared.settings.router.clone(),
@@ -118,11 +120,12 @@
             output: self.head.output,
             objective: self.route.objective,
             patience,
-            avoid: self.attempts.avoid.clone(),
+            avoid,
             within: self.allowed_zones.clone(),
             seen: self.shared.query(|core, _| core.last_upstream_of_prefix(&self.head.parts)),
         };
-        let want = PermitRequest { service: &self.service, ask, objective: self.route.objective };
+        let origin = self.origin.as_ref();
+        let want = PermitRequest { service: &self.service, ask, objective: self.route.objective, origin };
         let requested_at = self.shared.now();
         let permit = permit::get(&self.shared, want).await;
         self.shared.metrics.record_placement(self.shared.now().since(requested_at));
--- a/crates/stairvale-serve/src/fingerprint.rs
+++ b/crates/stairvale-serve/src/fingerprint.rs
@@ -1,8 +1,24 @@
-//! Recognizes repetitions of a request.
+//! Recognizes repetitions of a request, and streams that are taken up again.
 
 use http::request;
 use stairvale_types::id;
 
+/// The id of a stream: a hash of its service, its customer and the id of the client's attempt that brought its first event.
+///
+/// It is truncated from a cryptographic hash that includes the customer, so that nobody can name another customer's stream.
+#[must_use]
+pub fn stream(service: &id::Service, customer: Option<&id::Customer>, first_attempt: &str) -> id::Stream {
+    let mut hasher = blake3::Hasher::new();
+    let customer = customer.map_or("", id::Customer::as_str);
+    for field in [service.as_str(), customer, first_attempt] {
+        hasher.update(&field.len().to_le_bytes());
+        hasher.update(field.as_bytes());
+    }
+    let mut truncated = [0; size_of::<u128>()];
+    hasher.finalize_xof().fill(&mut truncated);
+    id::Stream(u128::from_le_bytes(truncated))
+}
+
 /// The fingerprint of a request: a hash of its method, its path with the query, its customer and its body. The
 /// rest of its head may differ from one attempt to the next.
 ///
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -174,6 +174,32 @@
         /// How long the receiver is to send the upstream nothing, if the upstream asked for that.
         rest: Option<Duration>,
     },
+    /// Sent to the keepers of a service's streams: the version at which a stream began. Sent only to peers of minor
+    /// version 2 or later.
+    StreamBegan {
+        /// The stream's service.
+        service: id::Service,
+        /// The stream.
+        stream: id::Stream,
+        /// Where the stream began.
+        origin: Origin,
+        /// For how long the stream may be taken up again.
+        lasts: Duration,
+    },
+    /// Asks a peer for the origin of a stream. Sent only to peers of minor version 2 or later.
+    FindStream {
+        /// The attempt for which the sender asks, returned in the answer.
+        attempt: id::Attempt,
+        /// The stream.
+        stream: id::Stream,
+    },
+    /// The answer to a [`Frame::FindStream`].
+    StreamFound {
+        /// The attempt for which the receiver asked.
+        attempt: id::Attempt,
+        /// Where the stream began; `None` if the sender doesn't know.
+        origin: Option<Origin>,
+    },
 }
 
 impl Frame {
@@ -203,7 +229,10 @@
             | Self::Quarantined { .. }
             | Self::RetryAccount { .. }
             | Self::RetryAccountCopy { .. }
-            | Self::Notice { .. } => None,
+            | Self::Notice { .. }
+            | Self::StreamBegan { .. }
+            | Self::FindStream { .. }
+            | Self::StreamFound { .. } => None,
         }
     }
 
@@ -230,12 +259,22 @@
             Self::RetryAccount { .. } => "frame-retry-account",
             Self::RetryAccountCopy { .. } => "frame-retry-account-copy",
             Self::Notice { .. } => "frame-notice",
+            Self::StreamBegan { .. } => "frame-stream-began",
+            Self::FindStream { .. } => "frame-find-stream",
+            Self::StreamFound { .. } => "frame-stream-found",
             Self::News(_) => "frame-news",
             Self::Relay { .. } => "frame-relay",
         }
     }
 }
 
+/// Where a stream began.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Origin {
+    /// The software version of the upstream that sent the first event; `None` if it states none.
+    pub version: Option<id::Version>,
+}
+
 /// A router's sync request: asks a peer for changes of the store and for the age of the peer's copy.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sync {
--- a/crates/stairvale-serve/src/permit.rs
+++ b/crates/stairvale-serve/src/permit.rs
@@ -7,7 +7,7 @@
 use stairvale_types::{Moment, Refusal, id, outcome::Reason};
 use tokio::sync::{Notify, mpsc};
 
-use crate::{Shared, core::Reply};
+use crate::{Shared, core::Reply, frame::Origin};
 
 /// Fraction of a request's objective, as a divisor, that a home may take for its first reply.
 const ANSWER_TIMEOUT_DIVISOR: u32 = 5;
@@ -89,6 +89,15 @@
     pub ask: Ask,
     /// The targeted time until the answer.
     pub objective: Duration,
+    /// The origin of the stream that the request continues; `None` if any version may serve it.
+    pub origin: Option<&'a Origin>,
+}
+
+impl PermitRequest<'_> {
+    /// Whether an upstream of this version may serve the request.
+    fn allows(&self, version: Option<&id::Version>) -> bool {
+        self.origin.is_none_or(|origin| origin.version.as_ref() == version)
+    }
 }
 
 /// An ask that is withdrawn on drop unless it was answered, also when the caller disconnects.
@@ -154,6 +163,7 @@
             match next(&mut replies, limit).await {
                 Some(Reply::Waits) => limit = wait + answer_timeout,
                 Some(Reply::Decided(verdict)) => break verdict,
+                Some(Reply::StreamFound(_)) => {}
                 None => {
                     shared.metrics.count("home-silent");
                     tracing::info!(service = %want.service, home = %pending.home, "a home did not answer");
@@ -165,10 +175,11 @@
             Some(Verdict::Granted { upstream, read, source }) => {
                 let entry = shared.query(|core, now| {
                     let rests = core.remaining_rest(now, want.service, &upstream).is_some();
-                    core.usable_upstream(&upstream).filter(|_| !rests)
+                    core.usable_upstream(&upstream).filter(|entry| !rests && want.allows(entry.version.as_ref()))
                 });
                 let Some(entry) = entry else {
-                    // By notices that this router received in the meantime, the upstream began to leave or to rest.
+                    // By notices that this router received in the meantime, the upstream began to leave or to rest, or
+                    // the home takes it for one of another version.
                     shared.metrics.count("granted-unwanted");
                     unusable += 1;
                     // The home may not know this yet and would choose the same upstream again.
--- a/crates/stairvale-serve/src/problem.rs
+++ b/crates/stairvale-serve/src/problem.rs
@@ -1,10 +1,15 @@
 //! Responses that the router generates when no upstream's response is forwarded.
 
+use std::time::Duration;
+
 use http::{HeaderValue, Response, StatusCode, header};
 use stairvale_types::Refusal;
 
 use crate::{Dialect, body::Body, dialect};
 
+/// `Retry-After` for a stream that can't be continued now.
+const STREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Why no upstream's response is forwarded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Problem {
@@ -26,6 +31,12 @@
     /// The request was not run, and the client may retry it.
     #[error("{0}")]
     Refused(Refusal),
+    /// No router in reach knows at which version the stream began that the client takes up again. The request was not run.
+    #[error("the stream is not known here")]
+    UnknownStream,
+    /// No upstream of the version at which the stream began takes requests. The request was not run.
+    #[error("no upstream of the stream's version takes requests")]
+    VersionUnavailable,
     /// An attempt failed at an upstream; the request may have run.
     #[error("the upstream broke off, and the request may have run")]
     UpstreamFailed,
@@ -43,7 +54,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(_) | Self::UnknownStream | Self::VersionUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -59,11 +70,29 @@
             Self::BodyTooLarge => "large",
             Self::IncompleteBody => "body",
             Self::Refused(refusal) => refusal.reason.as_str(),
+            Self::UnknownStream => "unknown-stream",
+            Self::VersionUnavailable => "version-unavailable",
             Self::UpstreamFailed => "broken",
             Self::Timeout => "late",
         }
     }
 
+    /// How long the client should wait before it retries, if the request was refused.
+    #[must_use]
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::Refused(refusal) => Some(refusal.retry_after),
+            Self::UnknownStream | Self::VersionUnavailable => Some(STREAM_RETRY_AFTER),
+            Self::Malformed(_)
+            | Self::UnknownKey
+            | Self::NoRoute
+            | Self::BodyTooLarge
+            | Self::IncompleteBody
+            | Self::UpstreamFailed
+            | Self::Timeout => None,
+        }
+    }
+
     /// Builds the response, with a problem document (RFC 9457) as its body.
     pub fn into_response<D: Dialect>(self, dialect: &D, id: &str) -> Response<Body> {
         let text = format!("{{\"title\":\"{self}\",\"status\":{}}}\n", self.status().as_u16());
@@ -71,8 +100,8 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
-        if let Self::Refused(refusal) = self {
-            headers.insert(header::RETRY_AFTER, dialect.retry_after(refusal.retry_after));
+        if let Some(after) = self.retry_after() {
+            headers.insert(header::RETRY_AFTER, dialect.retry_after(after));
         }
         dialect.name(headers, id);
         response
--- /dev/null
+++ b/crates/stairvale-serve/tests/streams.rs
@@ -0,0 +1,233 @@
+//! What routers know of the versions at which streams began, while routers die, restart and are partitioned.
+
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stairvale_serve::{
+    core::{Lookup, Reply},
+    frame::Origin,
+};
+use stairvale_types::id;
+use world::World;
+
+const ROUTERS: usize = 8;
+const ZONES: usize = 4;
+/// Time for the fleet to form, in ms. No stream lasts as long.
+const SETTLE_MS: u64 = 30_000;
+/// Time from the first event of a stream until its client takes it up again, in ms.
+const RETURN_MS: u64 = 300;
+/// Time for which a stream may be taken up again.
+const LASTS: Duration = Duration::from_secs(6);
+/// Streams that begin at each router.
+const STREAMS: u128 = 8;
+
+fn service() -> id::Service {
+    "chat".parse().unwrap()
+}
+
+fn origin(number: u128) -> Origin {
+    Origin { version: Some(if number.is_multiple_of(2) { "v1" } else { "v2" }.parse().unwrap()) }
+}
+
+/// A fleet whose engines run two versions.
+fn mixed_world() -> World {
+    let mut world = World::new(ROUTERS, ZONES, 8);
+    world.configure();
+    (0..8).for_each(|engine| put_version(&mut world, engine, if engine % 2 == 0 { "v1" } else { "v2" }));
+    world.run(SETTLE_MS);
+    world
+}
+
+fn put_version(world: &mut World, engine: usize, version: &str) {
+    world.put_engine_of(engine, engine % ZONES, version);
+}
+
+/// Begins a stream at a router.
+fn begin(world: &mut World, router: usize, number: u128) {
+    let now = world.local_time(router);
+    let effects = world.nodes[router].core.record_stream(now, &service(), id::Stream(number), origin(number), LASTS);
+    world.perform(router, effects);
+}
+
+/// What a router finds out of a stream; `Ok(None)` if the stream may go on anywhere, and an error if it is refused.
+fn take_up(world: &mut World, router: usize, number: u128) -> Result<Option<Origin>, ()> {
+    let (now, attempt) = (world.local_time(router), id::Attempt(1_000_000 + number));
+    world.nodes[router].replies.remove(&attempt);
+    let core = &mut world.nodes[router].core;
+    let (lookup, effects) = core.find_stream(now, &service(), Some(id::Stream(number)), attempt);
+    world.perform(router, effects);
+    match lookup {
+        Lookup::Known(origin) => return Ok(Some(origin)),
+        Lookup::AnyUpstream => return Ok(None),
+        Lookup::Asked(_) => {}
+    }
+    for _ in 0..15 {
+        world.run(10);
+        if let Some(Reply::StreamFound(Some(origin))) = world.nodes[router].replies.get(&attempt) {
+            return Ok(Some(origin.clone()));
+        }
+    }
+    if world.nodes[router].core.has_single_version(&service()) { Ok(None) } else { Err(()) }
+}
+
+/// Takes each stream up at a router of `routers`, asserts that none is taken for one of another version, and returns how many
+/// were refused.
+fn take_up_all(world: &mut World, begun: &[u128], routers: &[usize], context: &str) -> usize {
+    let mut refused = 0;
+    for (turn, number) in begun.iter().enumerate() {
+        match take_up(world, routers[turn % routers.len()], *number) {
+            Ok(found) => assert_eq!(found, Some(origin(*number)), "{context}: stream {number}"),
+            Err(()) => refused += 1,
+        }
+    }
+    refused
+}
+
+fn begin_at(world: &mut World, routers: &[usize], first: u128) -> Vec<u128> {
+    let mut begun = Vec::new();
+    for router in routers {
+        for number in 0..STREAMS {
+            let number = first + u128::try_from(*router).unwrap() * STREAMS + number;
+            begin(world, *router, number);
+            begun.push(number);
+        }
+    }
+    world.run(RETURN_MS);
+    begun
+}
+
+// A client that comes back to any other router is served at its stream's version, whichever router has died meanwhile.
+#[test]
+fn the_version_of_a_stream_is_known_after_the_death_of_any_router() {
+    for dead in 0..ROUTERS {
+        let mut world = mixed_world();
+        let all: Vec<_> = (0..ROUTERS).collect();
+        let begun = begin_at(&mut world, &all, 0);
+        world.kill(dead);
+        world.run(50);
+        let left: Vec<_> = all.into_iter().filter(|router| *router != dead).collect();
+        for shift in 0..left.len() {
+            let routers: Vec<_> = (0..left.len()).map(|turn| left[(turn + shift) % left.len()]).collect();
+            let refused = take_up_all(&mut world, &begun, &routers, &format!("router {dead} dead"));
+            // A question to a dead router that counts as live isn't answered, and another one's answer is.
+            assert_eq!(refused, 0, "router {dead} dead, shift {shift}");
+        }
+    }
+}
+
+// Restarts in turn leave no moment at which nobody knows.
+#[test]
+fn the_version_of_a_stream_is_known_while_routers_restart_in_turn() {
+    let mut world = mixed_world();
+    for router in 0..ROUTERS {
+        let first = 1_000 * u128::try_from(router + 1).unwrap();
+        let serving = [(router + 1) % ROUTERS, (router + 3) % ROUTERS, router];
+        let begun = begin_at(&mut world, &serving, first);
+        world.kill(router);
+        world.run(200);
+        world.start(router, ZONES);
+        world.run(2_000);
+        let all: Vec<_> = (0..ROUTERS).collect();
+        assert_eq!(take_up_all(&mut world, &begun, &all, &format!("router {router} restarted")), 0);
+    }
+}
+
+// A zone that is cut off goes on serving the streams that began in it.
+#[test]
+fn the_version_of_a_stream_is_known_within_its_zone_when_the_zone_is_cut_off() {
+    for zone in 0..ZONES {
+        let mut world = mixed_world();
+        let (inside, outside): (Vec<_>, Vec<_>) = (0..ROUTERS).partition(|router| router % ZONES == zone);
+        let begun = begin_at(&mut world, &inside, 0);
+        for a in &inside {
+            outside.iter().for_each(|b| world.set_cut(*a, *b, true));
+            world.set_store_cut(*a, true);
+        }
+        world.run(100);
+        let reversed: Vec<_> = inside.iter().rev().copied().collect();
+        for routers in [inside, reversed] {
+            assert_eq!(take_up_all(&mut world, &begun, &routers, &format!("zone {zone} cut off")), 0);
+        }
+    }
+}
+
+// Records reach the keepers when a second version appears, although nothing was sent before.
+#[test]
+fn streams_that_began_before_a_second_version_appeared_are_known() {
+    let mut world = World::new(ROUTERS, ZONES, 8);
+    world.configure();
+    (0..8).for_each(|engine| put_version(&mut world, engine, "v1"));
+    world.run(SETTLE_MS);
+    for number in 0..STREAMS {
+        begin(&mut world, 0, number * 2);
+    }
+    assert_eq!(take_up(&mut world, 1, 0), Ok(None), "with one version, any upstream will do");
+    put_version(&mut world, 3, "v2");
+    world.run(1_000);
+    for number in 0..STREAMS {
+        assert_eq!(take_up(&mut world, 1, number * 2), Ok(Some(origin(0))));
+    }
+}
+
+// An unknown stream is refused while there are several versions, and for as long as a stream of another one may last.
+#[test]
+fn an_unknown_stream_is_refused_until_only_one_version_is_left() {
+    let mut world = mixed_world();
+    assert_eq!(take_up(&mut world, 2, 77), Err(()));
+    (0..8).for_each(|engine| put_version(&mut world, engine, "v2"));
+    world.run(2_000);
+    assert_eq!(take_up(&mut world, 2, 77), Err(()), "a stream of v1 may still be taken up again");
+    world.run(60_000);
+    assert_eq!(take_up(&mut world, 2, 77), Ok(None));
+}
+
+// Routers of the build before neither get records nor questions, and hide nothing from those that know.
+#[test]
+fn routers_of_an_earlier_build_are_sent_no_records_of_streams() {
+    let mut world = World::new(ROUTERS, ZONES, 8);
+    world.without_accounts = [1, 4, 6].into();
+    world.configure();
+    (0..8).for_each(|engine| put_version(&mut world, engine, if engine % 2 == 0 { "v1" } else { "v2" }));
+    world.run(SETTLE_MS);
+    let new = [0, 2, 3, 5, 7];
+    let begun = begin_at(&mut world, &new, 0);
+    // The world fails if a frame that an earlier build can't read is sent to it.
+    take_up_all(&mut world, &begun, &new, "beside an earlier build");
+}
+
+// Whatever fails at random, a stream isn't taken for one of another version, and few are refused.
+#[test]
+fn no_stream_is_taken_for_one_of_another_version_under_random_faults() {
+    for seed in 0..12 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = mixed_world();
+        let (mut taken_up, mut refused) = (0, 0);
+        for round in 1..12_u128 {
+            let alive: Vec<_> = (0..ROUTERS).filter(|router| world.is_alive(*router)).collect();
+            let begun = begin_at(&mut world, &alive, round * 10_000);
+            let victim = random.random_range(0..ROUTERS);
+            match random.random_range(0..3) {
+                0 if world.is_alive(victim) && alive.len() > 5 => world.kill(victim),
+                1 => {
+                    let other = random.random_range(0..ROUTERS);
+                    world.set_cut(victim, other, random.random_bool(0.5));
+                }
+                _ => {
+                    if !world.is_alive(victim) {
+                        world.start(victim, ZONES);
+                    }
+                }
+            }
+            world.run(random.random_range(20..1_500));
+            let alive: Vec<_> = (0..ROUTERS).filter(|router| world.is_alive(*router)).collect();
+            refused += take_up_all(&mut world, &begun, &alive, &format!("seed {seed}"));
+            taken_up += begun.len();
+        }
+        assert!(refused * 2 < taken_up, "seed {seed}: {refused} of {taken_up} refused");
+    }
+}
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -98,7 +98,7 @@
     epoch: u64,
     /// Routers of an earlier build, which ignores epochs.
     pub without_epochs: BTreeSet<usize>,
-    /// Routers of an earlier build, which can't read accounts of retries.
+    /// Routers of an earlier build, which can't read accounts of retries or records of streams.
     pub without_accounts: BTreeSet<usize>,
     /// The store's history is compacted up to this revision: earlier changes can't be read one by one.
     compacted_to: u64,
@@ -193,6 +193,7 @@
         Frame::Evidence { .. } | Frame::Quarantined { .. } => "quarantine",
         Frame::Notice { .. } => "notice",
         Frame::RetryAccount { .. } | Frame::RetryAccountCopy { .. } => "retries",
+        Frame::StreamBegan { .. } | Frame::FindStream { .. } | Frame::StreamFound { .. } => "streams",
     }
 }
 
@@ -318,6 +319,11 @@
         self.write_engine(engine, zone, Some(State::Ready), cold, None);
     }
 
+    /// Writes the entry of a ready engine that runs this version.
+    pub fn put_engine_of(&mut self, engine: usize, zone: usize, version: &str) {
+        self.write_engine(engine, zone, Some(State::Ready), Duration::ZERO, Some(version));
+    }
+
     fn write_engine(
         &mut self,
         engine: usize,
@@ -645,13 +651,14 @@
             let now = self.local_time(to);
             let effects = match message {
                 Message::Frame(from, frame) => {
-                    let is_account = frame_kind(&frame) == "retries";
-                    assert!(!is_account || !self.without_accounts.contains(&to), "router {to} can't read {frame:?}");
+                    let is_new_kind = matches!(frame_kind(&frame), "retries" | "streams");
+                    assert!(!is_new_kind || !self.without_accounts.contains(&to), "router {to} can't read {frame:?}");
                     self.nodes[to].core.frame(now, &from, frame)
                 }
                 Message::Packet(from, packet) => self.nodes[to].core.datagram(now, from, packet),
                 Message::Opened(peer) => {
-                    let minor = u16::from(!self.without_accounts.contains(&self.index_of(&peer)));
+                    let is_earlier = self.without_accounts.contains(&self.index_of(&peer));
+                    let minor = if is_earlier { 0 } else { stairvale_wire::MINOR_VERSION };
                     self.nodes[to].core.opened(now, &peer, minor)
                 }
             };
@@ -728,7 +735,11 @@
                     self.send(index, to, Message::Packet(address(index), packet));
                 }
                 Effect::Reply { attempt, reply } => {
-                    self.nodes[index].replies.insert(attempt, reply);
+                    // Several peers answer what they know of a stream.
+                    let replies = &mut self.nodes[index].replies;
+                    if reply != Reply::StreamFound(None) || !replies.contains_key(&attempt) {
+                        replies.insert(attempt, reply);
+                    }
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
                 Effect::Leaves(_) | Effect::Rests { .. } | Effect::Unreadable(_) => {}
@@ -827,7 +838,7 @@
     pub fn granted(&self, index: usize, number: u128) -> Option<id::Upstream> {
         match self.nodes[index].replies.get(&id::Attempt(number))? {
             Reply::Decided(Some(Verdict::Granted { upstream, .. })) => Some(upstream.clone()),
-            Reply::Decided(_) | Reply::Waits => None,
+            Reply::Decided(_) | Reply::Waits | Reply::StreamFound(_) => None,
         }
     }
 
--- a/crates/stairvale-types/src/id.rs
+++ b/crates/stairvale-types/src/id.rs
@@ -229,6 +229,11 @@
     Fingerprint, u64, "{:016x}"
 }
 
+number! {
+    /// A stream, identified by a hash of its service, its customer and the id of the client's attempt that began it.
+    Stream, u128, "{:032x}"
+}
+
 impl Route {
     /// The id of the route called `name`.
     #[must_use]
