--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -366,7 +366,7 @@
     loop {
         let Some(chunk) = next(body).await? else {
             let is_partial = events.is_some_and(|events| events.is_partial());
-            // Nothing tells a body without a stated end that hasn't begun from one that was cut off.
+            // A close-delimited body that hasn't begun looks like one that was cut off.
             let is_broken = is_partial || framing == Framing::CloseDelimited && first.is_empty();
             return if is_broken { Err(Fault::Broken) } else { Ok(first.freeze()) };
         };
@@ -382,11 +382,13 @@
 
 /// A response body that was read into memory.
 enum Buffered {
+    /// The whole body.
     Whole(Bytes),
     /// The body is longer than [`MAX_BUFFERED_BYTES`].
     Beginning(Bytes),
 }
 
+/// Reads a body into memory, or its beginning if it is too long for that.
 async fn read_buffered(body: &mut Incoming) -> Result<Buffered, Fault> {
     let mut read = BytesMut::new();
     while let Some(chunk) = next(body).await? {
--- a/crates/stairvale-serve/src/fingerprint.rs
+++ b/crates/stairvale-serve/src/fingerprint.rs
@@ -5,7 +5,7 @@
 
 /// The id of a stream: a hash of its service, its customer and the id of the client's attempt that brought its first event.
 ///
-/// It is truncated from a cryptographic hash that includes the customer, so that nobody can name another customer's stream.
+/// It is truncated from a cryptographic hash that includes the customer, so that no customer can name another's stream.
 #[must_use]
 pub fn stream(service: &id::Service, customer: Option<&id::Customer>, first_attempt: &str) -> id::Stream {
     let mut hasher = blake3::Hasher::new();
--- a/crates/stairvale-serve/src/framing.rs
+++ b/crates/stairvale-serve/src/framing.rs
@@ -9,7 +9,7 @@
 pub enum Framing {
     /// The response states its end: by a length, by the last chunk, or since it can't have a body.
     Stated,
-    /// The body ends with the connection, so that a body that was cut off can't be told from a complete one.
+    /// The body ends with the connection, so that a body that was cut off looks like a complete one.
     CloseDelimited,
 }
 
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -194,7 +194,8 @@
         }
     }
 
-    /// Sends a chunk to the client; returns `false` if the client has disconnected.
+    /// Adds a chunk of the upstream's and sends the client what is to be passed on; returns `false` if the client has
+    /// disconnected.
     async fn forward(&mut self, chunk: Bytes) -> bool {
         let chunk = match &mut self.events {
             Some(events) => events.pass_on(chunk),
@@ -203,6 +204,7 @@
         chunk.is_empty() || self.send(chunk).await
     }
 
+    /// Sends bytes to the client; returns `false` if the client has disconnected.
     async fn send(&self, chunk: Bytes) -> bool {
         // A client that reads nothing until the request's deadline counts as disconnected.
         let sent = self.exchange.shared.clock.with_deadline(self.exchange.deadline, self.sender.send(Ok(chunk))).await;
--- a/crates/stairvale-serve/tests/streams.rs
+++ b/crates/stairvale-serve/tests/streams.rs
@@ -120,7 +120,7 @@
     }
 }
 
-// Restarts in turn leave no moment at which nobody knows.
+// While routers restart one after the other, a router that knows is always left.
 #[test]
 fn the_version_of_a_stream_is_known_while_routers_restart_in_turn() {
     let mut world = mixed_world();
