Logs say which parts of a prompt a crashed run held, and whose it was

The line of each crash named the request and its fingerprint only, so that a part that all of them hold can't be told from upstreams that crash by themselves under long prompts. Change: the line "an upstream ended under a request" has the customer and the ids of the prompt's parts.

--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -1,12 +1,12 @@
 //! One attempt at a request: obtaining a permit at an upstream, sending the request and reading the response head.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use stairvale_dispatch::{Ask, Outcome};
+use stairvale_dispatch::{Ask, Outcome, Part};
 use stairvale_replica::Upstream;
 use stairvale_types::{Moment, Refusal, id, outcome::Reason};
 
@@ -42,6 +42,19 @@
     MayHaveRun(Problem),
 }
 
+/// The ids of a prompt's parts, as they are logged: hexadecimal, in order, separated by commas.
+struct PartIds<'a>(&'a [Part]);
+
+impl fmt::Display for PartIds<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index > 0 { "," } else { "" };
+            write!(f, "{separator}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 impl<D: Dialect> Exchange<D> {
     /// Places and sends the request until an upstream responds. `last_event` asks a resumable stream to continue after
     /// that event.
@@ -239,9 +252,11 @@
     /// Ends a run whose upstream terminated while the request ran there.
     pub(crate) fn upstream_terminated(&self, permit: Permit) {
         self.shared.metrics.count("upstream-ended");
+        let customer = self.customer.as_ref().map(id::Customer::as_str);
         tracing::info!(
-            id = self.head.id, route = self.route.name, fingerprint = %self.fingerprint, upstream = %permit.upstream.id,
-            ran_ms = millis(permit.held()), "an upstream ended under a request"
+            id = self.head.id, route = self.route.name, fingerprint = %self.fingerprint, customer,
+            parts = %PartIds(&self.head.parts), upstream = %permit.upstream.id, ran_ms = millis(permit.held()),
+            "an upstream ended under a request"
         );
         permit.end(Outcome::Ended);
     }
