A part of prompts that crashes upstreams is quarantined

What callers saw: requests of which no two were alike, but with one part of their prompts in common, crashed one engine after another, and all other streams there broke. Cause: what crashes an upstream was identified by the fingerprint of a whole request only, so each such request counted one crash. Change: the shared parts of a prompt are suspects as well (dispatch::Contents). A part can run at many upstreams at once, so crashes at the same time count once, a part that is served is cleared with its request, parts that were served before need more evidence, and of two explanations the narrower goes first: the request, then the part in the prompts of the one customer whose requests held it at each crash, then the part. Requests with a suspect part join the one that runs, so that they crash one upstream at a time. What is found is told and stored as before: the fingerprint of a part has the same form, and earlier builds take it for a request that doesn't exist. Evidence with parts is a new kind of minor version 3; peers of earlier builds get the form that they know. Why it works: a part that crashes every upstream is never served, bystanders are, many times a second.

--- a/crates/stairvale-dispatch/src/lib.rs
+++ b/crates/stairvale-dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ask;
 pub mod budget;
 pub mod cache;
+pub mod contents;
 pub mod health;
 pub mod member;
 pub mod pool;
@@ -30,6 +31,7 @@
 pub use ask::{Answer, Ask, Held, Outcome, Part, Verdict};
 pub use budget::RetryWindow;
 pub use cache::Cache;
+pub use contents::Contents;
 pub use member::{Listing, Member};
 pub use pool::Pool;
 pub use reading::PrefillModel;
--- a/crates/stairvale-dispatch/src/member.rs
+++ b/crates/stairvale-dispatch/src/member.rs
@@ -1,12 +1,12 @@
 //! The state of one upstream of a service, as recorded at the home.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use rapidhash::RapidHashMap;
 use stairvale_rollout::Admission;
 use stairvale_types::{Moment, id};
 
-use crate::{Cache, health::Health};
+use crate::{Cache, Contents, health::Health};
 
 /// A request that was granted and hasn't ended.
 #[derive(Clone, Debug)]
@@ -30,8 +30,8 @@
     pub source: Option<id::Upstream>,
     /// The route of the request.
     pub route: id::Route,
-    /// The fingerprint that identifies the content of the request.
-    pub fingerprint: id::Fingerprint,
+    /// What the request consists of.
+    pub contents: Arc<Contents>,
     /// Maximum number of output tokens; 0 if it isn't known.
     pub output: u32,
     /// When the first event came.
--- a/crates/stairvale-dispatch/src/pool.rs
+++ b/crates/stairvale-dispatch/src/pool.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::Cell,
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time::Duration,
 };
 
@@ -11,10 +12,10 @@
 use stairvale_types::{Moment, id, unit};
 
 use crate::{
-    Answer, Ask, Held, Listing, Member, Outcome, PrefillModel, Shares, Suspects, Weight,
+    Answer, Ask, Contents, Held, Listing, Member, Outcome, PrefillModel, Shares, Suspects, Weight,
     member::Hold,
     shares::{Measure, Surplus},
-    suspects::Evidence,
+    suspects::{Cause, Evidence},
 };
 
 mod allowance;
@@ -111,12 +112,12 @@
     versions: allowance::versions::Versions,
     /// Observations of requests at both versions during a roll-out.
     watch: watch::Watch,
-    /// Requests under which upstreams crashed.
+    /// Requests and parts of prompts under which upstreams crashed.
     suspects: Suspects,
     /// Evidence that was collected here and not yet sent to other routers.
     evidence: Vec<Evidence>,
-    /// Requests that were found to crash upstreams and not yet reported.
-    found: Vec<id::Fingerprint>,
+    /// Causes of crashes that were found and not yet reported.
+    found: Vec<Cause>,
 }
 
 impl Pool {
@@ -481,7 +482,7 @@
                 typical_ms: 0.0,
                 source: None,
                 route: item.route,
-                fingerprint: item.fingerprint,
+                contents: Arc::new(Contents::unknown(item.fingerprint)),
                 output: 0,
                 first_event: None,
                 reported_slow: false,
--- a/crates/stairvale-dispatch/src/pool/choose.rs
+++ b/crates/stairvale-dispatch/src/pool/choose.rs
@@ -1,7 +1,7 @@
 //! Selection of the upstream for a request: which members have room under the load bound, and what serving the request
 //! there costs.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use stairvale_placement::mix;
 use stairvale_rollout::Admission;
@@ -12,7 +12,7 @@
     allowance::{Decision, Tier, reach::Reach},
     quarantine::Scope,
 };
-use crate::{Answer, Ask, Member, Part, Verdict, cache, member::Hold};
+use crate::{Answer, Ask, Contents, Member, Part, Verdict, cache, member::Hold};
 
 /// Cost of each request that already runs at a member, in ms; it spreads work that would otherwise cost the same
 /// anywhere.
@@ -270,7 +270,7 @@
             source,
             source_zone,
             route: ask.route,
-            fingerprint: ask.fingerprint,
+            contents: Arc::new(Contents::of(ask)),
             output: ask.output,
             first_event: None,
             reported_slow: false,
--- a/crates/stairvale-dispatch/src/pool/queue.rs
+++ b/crates/stairvale-dispatch/src/pool/queue.rs
@@ -64,7 +64,7 @@
 impl Pool {
     /// Grants a request that arrived at `arrived`, refuses it, or queues it for the rest of its maximum wait.
     pub(super) fn admit(&mut self, now: Moment, ask: Ask, arrived: Moment) -> Vec<Answer> {
-        if self.suspects.is_pending(ask.fingerprint) {
+        if self.awaits_judgement(&ask) {
             // A decision whether the request may go anywhere follows shortly.
             return vec![refuse(&ask, Reason::Busy, MIN_RETRY_DELAY)];
         }
@@ -119,7 +119,7 @@
             if let Some(answer) = self.try_grant(now, &ask) {
                 self.dequeue(index);
                 answers.push(answer);
-            } else if ask.avoid.is_empty() && ask.within.is_none() && self.suspects.crash_count(ask.fingerprint) == 0 {
+            } else if ask.avoid.is_empty() && ask.within.is_none() && !self.is_suspect(&ask) {
                 // A later request that may go to the same upstreams would find no room either.
                 break;
             } else {
--- a/crates/stairvale-dispatch/tests/looks.rs
+++ b/crates/stairvale-dispatch/tests/looks.rs
@@ -106,7 +106,7 @@
                 read: 0,
                 customer: None,
                 route: hold.route,
-                fingerprint: hold.fingerprint,
+                fingerprint: hold.contents.fingerprint,
             })
         });
         let of_entry: Vec<_> = of_entry.collect();
--- a/crates/stairvale-dispatch/tests/quarantine.rs
+++ b/crates/stairvale-dispatch/tests/quarantine.rs
@@ -79,7 +79,8 @@
     assert_eq!(refusal.reason, Reason::Busy);
     assert!(refusal.retry_after <= Duration::from_millis(200));
     pool.tick(at(200));
-    assert_eq!(pool.take_crash_causes(), [FIRST]);
+    let causes: Vec<_> = pool.take_crash_causes().into_iter().map(|cause| (cause.fingerprint, cause.part)).collect();
+    assert_eq!(causes, [(FIRST, None)]);
 }
 
 #[test]
--- a/crates/stairvale-dispatch/tests/suspects.rs
+++ b/crates/stairvale-dispatch/tests/suspects.rs
@@ -16,6 +16,11 @@
 const CAUSE: id::Fingerprint = id::Fingerprint(1);
 const BYSTANDER: id::Fingerprint = id::Fingerprint(2);
 
+/// The fingerprints of the causes that are found.
+fn judge(suspects: &mut Suspects, now: Moment, upstreams: usize) -> Vec<id::Fingerprint> {
+    suspects.judge(now, upstreams).into_iter().map(|cause| cause.fingerprint).collect()
+}
+
 fn at(millis: u64) -> Moment {
     Moment::from_millis(millis)
 }
@@ -131,7 +136,7 @@
         for other in others.chain([10_000 + number]) {
             suspects.learn(at(now), &termination(id::Fingerprint(other), number, 400));
         }
-        assert_eq!(suspects.judge(at(now + 40), 12), [], "after {number} terminations");
+        assert_eq!(judge(&mut suspects, at(now + 40), 12), [], "after {number} terminations");
         // These three are repeated, and served by an upstream that keeps running.
         for other in (0..3).map(|other| 50 + (number * 3 + other) % 900) {
             suspects.learn(at(now + 45), &Evidence::Served { fingerprint: id::Fingerprint(other) });
@@ -212,7 +217,7 @@
             events.insert((run.start, number), Ok(run));
         }
         while let Some(((now, _), event)) = events.pop_first() {
-            found.extend(self.suspects.judge(at(now), 12));
+            found.extend(judge(&mut self.suspects, at(now), 12));
             match event {
                 Ok(run) if found.contains(&run.fingerprint) => {}
                 Ok(run) => {
@@ -247,7 +252,7 @@
                 }
             }
         }
-        found.extend(self.suspects.judge(at(DURATION_MS * 2), 12));
+        found.extend(judge(&mut self.suspects, at(DURATION_MS * 2), 12));
         (found, cause_ends)
     }
 }
@@ -296,7 +301,7 @@
                 ends.entry(fingerprint).or_default().insert(*index);
                 suspects.learn(at(now), &termination(fingerprint, u64::from(*index), 300));
             }
-            let found = suspects.judge(at(now), 3);
+            let found = judge(&mut suspects, at(now), 3);
             found.iter().all(|found| ends.contains_key(found)) && suspects.len() <= 4
         })
     }
--- a/crates/stairvale-serve/src/core/effect.rs
+++ b/crates/stairvale-serve/src/core/effect.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use stairvale_dispatch::{Verdict, shares::Surplus};
+use stairvale_dispatch::{Verdict, shares::Surplus, suspects::Cause};
 use stairvale_rollout::{Event, Policy, Record, Write};
 use stairvale_table::Table;
 use stairvale_types::id;
@@ -124,13 +124,14 @@
         /// The customer, with its share and its running requests.
         surplus: Surplus,
     },
-    /// Report to operators that a request makes upstreams crash, and write its quarantine to the store.
+    /// Report to operators that a request or a part of prompts makes upstreams crash, and write its quarantine to the
+    /// store.
     Quarantined {
         /// The service concerned.
         service: id::Service,
-        /// The fingerprint of the request.
-        fingerprint: id::Fingerprint,
-        /// How long the request is kept from upstreams.
+        /// What makes upstreams crash.
+        cause: Cause,
+        /// How long it is kept from upstreams.
         length: Duration,
     },
     /// Report to operators that an upstream announced in an answer that it is leaving.
--- a/crates/stairvale-serve/src/core/entry.rs
+++ b/crates/stairvale-serve/src/core/entry.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use stairvale_dispatch::{Ask, Held, Outcome, Part};
+use stairvale_dispatch::{Ask, Contents, Held, Outcome, Part};
 use stairvale_types::{Moment, id};
 
 use super::{Core, Effect, RunningRequest};
@@ -74,7 +74,9 @@
     /// Records that a granted request is sent to its upstream.
     pub fn start(&mut self, service: &id::Service, held: Held, home: &id::Router, parts: &[Part]) {
         self.recent_prefixes.remember(parts, &held.upstream);
-        let running = RunningRequest { service: service.clone(), held, home: home.clone() };
+        let contents = Contents::new(held.fingerprint, held.customer.clone(), parts);
+        let (home, granted_by) = (home.clone(), home.clone());
+        let running = RunningRequest { service: service.clone(), held, home, granted_by, contents };
         self.running.insert(running.held.attempt, running);
     }
 
@@ -93,12 +95,16 @@
 
     /// Records the end of a granted request, whatever its outcome.
     pub fn end(&mut self, now: Moment, attempt: id::Attempt, outcome: Outcome, took: Option<Duration>) -> Vec<Effect> {
-        let Some(RunningRequest { service, home, .. }) = self.running.remove(&attempt) else {
+        let Some(running) = self.running.remove(&attempt) else {
             return Vec::new();
         };
-        if home != self.me {
-            return self.send(&home, Frame::Release { service, attempt, outcome, took });
+        let mut effects = self.report_crash(now, &running, outcome);
+        let RunningRequest { service, home, .. } = running;
+        if home == self.me {
+            effects.extend(self.release(now, &service, attempt, outcome, took));
+        } else {
+            effects.extend(self.send(&home, Frame::Release { service, attempt, outcome, took }));
         }
-        self.release(now, &service, attempt, outcome, took)
+        effects
     }
 }
--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use stairvale_dispatch::{Held, Pool, SentPrefixes};
+use stairvale_dispatch::{Contents, Held, Pool, SentPrefixes};
 use stairvale_membership::{Swim, swim};
 use stairvale_replica::{StoreUpdate, Upstream, View};
 use stairvale_table::Table;
@@ -22,6 +22,7 @@
     settings::Bounds,
 };
 
+mod builds;
 mod effect;
 mod entry;
 mod epochs;
@@ -40,6 +41,7 @@
 mod tunnels;
 mod writing;
 
+use builds::Builds;
 use heirs::Successors;
 use notices::Notices;
 use quarantine::Quarantine;
@@ -80,6 +82,10 @@
     held: Held,
     /// The router that holds the request in its account.
     home: id::Router,
+    /// The router that granted the request, whose account has the parts of its prompt as well.
+    granted_by: id::Router,
+    /// What the request consists of.
+    contents: Contents,
 }
 
 /// All state and decisions of one router. Each concern is implemented in a submodule of its own.
@@ -142,6 +148,7 @@
     notices: Notices,
     /// The versions at which streams began.
     streams: Streams,
+    builds: Builds,
     /// The cached assignment of homes, watchers and the reader.
     roles: Roles,
     /// The router that this one receives store updates from, and since when.
@@ -197,6 +204,7 @@
             quarantine: Quarantine::default(),
             notices: Notices::default(),
             streams: Streams::default(),
+            builds: Builds::default(),
             roles: Roles::default(),
             current_update_source: None,
             watcher_since: None,
--- a/crates/stairvale-serve/src/core/quarantine.rs
+++ b/crates/stairvale-serve/src/core/quarantine.rs
@@ -1,37 +1,41 @@
-//! Quarantine: requests that make upstreams crash are kept from all upstreams for a while.
+//! Quarantine: requests that make upstreams crash, and requests with a part of their prompts that does, are kept from all
+//! upstreams for a while.
 //!
 //! A service's home detects them from the outcomes that entries report. It notifies all routers at once and writes to
 //! the store, so that routers which start later know of them, too, even after a restart of the whole fleet. When the
-//! quarantine ends, the request is tried once: either it completes and is treated like any other, or it is
+//! quarantine ends, one such request is tried: either it completes, and all are treated like any other, or they are
 //! quarantined for twice as long.
 
 use std::{collections::BTreeSet, time::Duration};
 
 use rapidhash::RapidHashMap;
-use stairvale_dispatch::{Answer, Ask, Verdict, suspects::Evidence};
+use stairvale_dispatch::{
+    Answer, Ask, Contents, Outcome, Verdict,
+    suspects::{Cause, Evidence},
+};
 use stairvale_replica::Subject;
 use stairvale_types::{Moment, Refusal, id, outcome::Reason};
 
-use super::{Core, Effect};
+use super::{Core, Effect, RunningRequest};
 use crate::frame::Frame;
 
-/// Length of the first quarantine of a request: enough time to notice that it makes upstreams crash and to fix that.
+/// Length of the first quarantine of a request or a part: enough time to notice that it makes upstreams crash and to fix that.
 /// Each retry crashes at most one more upstream.
 const INITIAL_LENGTH: Duration = Duration::from_secs(120);
 /// Maximum length of a quarantine, however often the request was retried: the longest lease that the store grants.
 const MAX_LENGTH: Duration = Duration::from_secs(600);
-/// Maximum number of quarantined requests; each has crashed three upstreams. Beyond it the one whose quarantine ends
+/// Maximum number of quarantined requests and parts; each has crashed three upstreams. Beyond it the one whose quarantine ends
 /// first is dropped.
 const CAPACITY: usize = 4_096;
 
-/// The quarantine of one request.
+/// The quarantine of one request or part.
 #[derive(Clone, Copy, Debug)]
 struct Term {
     until: Moment,
     length: Duration,
 }
 
-/// All quarantined requests, including those whose quarantine ended recently.
+/// All quarantined requests and parts, including those whose quarantine ended recently.
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
     terms: RapidHashMap<id::Fingerprint, Term>,
@@ -43,6 +47,14 @@
         Some(term.until.since(now))
     }
 
+    /// The remaining time until a request is no longer quarantined, and neither is any part of its prompt.
+    fn remaining_of(&self, now: Moment, contents: &Contents) -> Option<Duration> {
+        if self.terms.is_empty() {
+            return None;
+        }
+        contents.fingerprints().filter_map(|fingerprint| self.remaining(now, fingerprint)).max()
+    }
+
     /// The length of a request's next quarantine: twice that of its last one.
     fn next_length(&self, fingerprint: id::Fingerprint) -> Duration {
         self.terms.get(&fingerprint).map_or(INITIAL_LENGTH, |term| (term.length * 2).min(MAX_LENGTH))
@@ -69,21 +81,48 @@
 }
 
 impl Core {
-    /// How much longer a request is quarantined; `None` if it isn't.
+    /// How much longer the request or part with a fingerprint is quarantined; `None` if it isn't.
     #[must_use]
     pub fn quarantined(&self, now: Moment, fingerprint: id::Fingerprint) -> Option<Duration> {
         self.quarantine.remaining(now, fingerprint)
     }
 
+    /// How much longer a request must not be sent to any upstream, since it or a part of its prompt is quarantined.
+    #[must_use]
+    pub fn quarantine_of(&self, now: Moment, contents: &Contents) -> Option<Duration> {
+        self.quarantine.remaining_of(now, contents)
+    }
+
     /// The refusal of a request that is quarantined; `None` if it isn't.
     pub(super) fn refuse_quarantined(&self, now: Moment, ask: &Ask) -> Option<Answer> {
-        let remaining = self.quarantined(now, ask.fingerprint)?;
+        if self.quarantine.terms.is_empty() {
+            return None;
+        }
+        let remaining = self.quarantine_of(now, &Contents::of(ask))?;
         let verdict = Verdict::Refused(Refusal::new(Reason::Quarantined, remaining));
         Some(Answer { entry: ask.entry.clone(), attempt: ask.attempt, verdict })
     }
 
+    /// Reports the crash of an upstream under a request whose home has changed since it was granted. The account of the
+    /// new home lacks the parts of its prompt.
+    pub(super) fn report_crash(&mut self, now: Moment, running: &RunningRequest, outcome: Outcome) -> Vec<Effect> {
+        let RunningRequest { service, held, home, granted_by, contents } = running;
+        if outcome != Outcome::Ended || home == granted_by || contents.parts.is_empty() {
+            return Vec::new();
+        }
+        let (contents, upstream) = (contents.clone(), held.upstream.clone());
+        let evidence = Evidence::Crashed { contents, upstream, ran: Duration::ZERO };
+        if home != &self.me {
+            return self.send_when_known(home, Frame::Evidence { service: service.clone(), evidence });
+        }
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.learn_evidence(now, &evidence);
+        }
+        Vec::new()
+    }
+
     /// Sends the successors what this router's pool of a service learned about requests under which upstreams crash,
-    /// and quarantines the requests that were found to be the cause.
+    /// and quarantines the causes that were found.
     pub(super) fn send_evidence(&mut self, now: Moment, service: &id::Service) -> Vec<Effect> {
         let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
@@ -96,15 +135,16 @@
         let mut effects = Vec::new();
         for evidence in evidence {
             let frame = Frame::Evidence { service: service.clone(), evidence };
-            effects.extend(successors.all().flat_map(|successor| self.send(successor, frame.clone())));
+            effects.extend(successors.all().flat_map(|successor| self.send_when_known(successor, frame.clone())));
         }
-        for fingerprint in found {
-            effects.extend(self.quarantine_request(now, service, fingerprint));
+        for cause in found {
+            effects.extend(self.start_quarantine(now, service, cause));
         }
         effects
     }
 
-    fn quarantine_request(&mut self, now: Moment, service: &id::Service, fingerprint: id::Fingerprint) -> Vec<Effect> {
+    fn start_quarantine(&mut self, now: Moment, service: &id::Service, cause: Cause) -> Vec<Effect> {
+        let fingerprint = cause.fingerprint;
         if self.quarantined(now, fingerprint).is_some() {
             return Vec::new();
         }
@@ -113,14 +153,14 @@
         let peers = self.responding_routers().filter(|peer| peer.router != self.me);
         let to: Vec<_> = peers.map(|peer| (peer.router.clone(), peer.address)).collect();
         let frame = Box::new(Frame::Quarantined { fingerprint, left: length, length });
-        let mut effects = vec![Effect::Quarantined { service: service.clone(), fingerprint, length }];
+        let mut effects = vec![Effect::Quarantined { service: service.clone(), cause, length }];
         if !to.is_empty() {
             effects.push(Effect::Frames { to, frame });
         }
         effects
     }
 
-    /// Handles a peer's report that a request makes upstreams crash.
+    /// Handles a peer's report that a request or a part makes upstreams crash.
     pub(super) fn add_quarantine(
         &mut self,
         now: Moment,
--- a/crates/stairvale-serve/src/core/retries.rs
+++ b/crates/stairvale-serve/src/core/retries.rs
@@ -125,7 +125,7 @@
 
     /// Forgets the stream to a peer.
     pub(super) fn forget_stream(&mut self, peer: &id::Router) {
-        self.streams.forget_peer(peer);
+        self.builds.forget(peer);
         self.retries.connected.remove(peer);
         if let Some(is_informed) = self.retries.replicas.get_mut(peer) {
             *is_informed = false;
--- a/crates/stairvale-serve/src/core/streams.rs
+++ b/crates/stairvale-serve/src/core/streams.rs
@@ -7,7 +7,7 @@
 //! doesn't know a stream asks its own keepers, at least one of which is the same after the loss of any router or zone.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -17,7 +17,7 @@
 use stairvale_types::{Moment, id};
 use stairvale_wire::Member;
 
-use super::{Core, Effect, Reply, roles::RoleInputs};
+use super::{Core, Effect, roles::RoleInputs};
 use crate::frame::{Frame, Origin};
 
 /// For how long after its deadline a stream can be taken up again. Only clients that state no deadline need it.
@@ -26,10 +26,6 @@
 const MAX_KEEP_TIME: Duration = Duration::from_secs(600);
 /// Maximum number of records, some 4 MB; beyond it the one that ends first is dropped.
 const CAPACITY: usize = 32_768;
-/// Maximum number of frames that wait for the stream to a peer to be opened.
-const MAX_WAITING_FRAMES: usize = 256;
-/// The first minor version of the wire whose routers read records of streams.
-const MIN_MINOR_VERSION: u16 = 2;
 
 /// What is known of a stream.
 #[derive(Debug)]
@@ -62,10 +58,6 @@
     versions: BTreeMap<id::Service, BTreeMap<Option<id::Version>, Moment>>,
     /// The keepers of each service's streams, and the inputs that they were chosen from.
     keepers: (Option<RoleInputs>, BTreeMap<id::Service, Vec<id::Router>>),
-    /// The minor versions of peers with an open stream.
-    minors: HashMap<id::Router, u16>,
-    /// Frames to peers whose minor version isn't known yet.
-    waiting: HashMap<id::Router, Vec<Frame>>,
 }
 
 impl Streams {
@@ -91,12 +83,6 @@
     fn find(&self, now: Moment, stream: id::Stream) -> Option<&Origin> {
         self.records.get(&stream).filter(|record| record.until > now).map(|record| &record.origin)
     }
-
-    /// Forgets the build of a peer, whose stream broke.
-    pub(super) fn forget_peer(&mut self, peer: &id::Router) {
-        self.minors.remove(peer);
-        self.waiting.remove(peer);
-    }
 }
 
 impl Core {
@@ -227,48 +213,11 @@
         self.send(from, Frame::StreamFound { attempt, origin })
     }
 
-    /// Sends what waits for the stream to a peer, which reads the frames of this minor version.
-    pub(super) fn send_waiting(&mut self, peer: &id::Router, minor: u16) -> Vec<Effect> {
-        self.streams.minors.insert(peer.clone(), minor);
-        let frames = self.streams.waiting.remove(peer).unwrap_or_default();
-        if minor < MIN_MINOR_VERSION {
-            return self.report_unknown(frames);
-        }
-        frames.into_iter().flat_map(|frame| self.send(peer, frame)).collect()
-    }
-
-    /// Answers questions in place of a peer whose build doesn't know them.
-    fn report_unknown(&self, frames: Vec<Frame>) -> Vec<Effect> {
-        let attempts = frames.into_iter().filter_map(|frame| match frame {
-            Frame::FindStream { attempt, .. } => Some(attempt),
-            _ => None,
-        });
-        attempts.map(|attempt| Effect::Reply { attempt, reply: Reply::StreamFound(None) }).collect()
-    }
-
     fn send_to_keepers(&mut self, service: &id::Service, frame: &Frame) -> Vec<Effect> {
         let keepers = self.keepers(service).to_vec();
         keepers.iter().flat_map(|keeper| self.send_when_known(keeper, frame.clone())).collect()
     }
 
-    /// Sends a frame to a peer if its build reads it; opens a stream first if the build isn't known.
-    fn send_when_known(&mut self, peer: &id::Router, frame: Frame) -> Vec<Effect> {
-        match self.streams.minors.get(peer) {
-            Some(minor) if *minor >= MIN_MINOR_VERSION => self.send(peer, frame),
-            Some(_) => self.report_unknown(vec![frame]),
-            None => {
-                let Some((to, address)) = self.responding_peer(peer) else {
-                    return self.report_unknown(vec![frame]);
-                };
-                let waiting = self.streams.waiting.entry(to.clone()).or_default();
-                if waiting.len() < MAX_WAITING_FRAMES {
-                    waiting.push(frame);
-                }
-                vec![Effect::Connect { to, address }]
-            }
-        }
-    }
-
     /// The peers that keep the records of a service's streams for this router.
     fn keepers(&mut self, service: &id::Service) -> &[id::Router] {
         if self.streams.keepers.0 != self.roles.inputs() {
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode, header, request, response};
 use hyper::body::Incoming;
-use stairvale_dispatch::Outcome;
+use stairvale_dispatch::{Contents, Outcome};
 use stairvale_table::{self as table, Route};
 use stairvale_types::{Moment, id};
 
@@ -56,8 +56,8 @@
     pub received_at: Moment,
     /// When the client stops waiting for the response.
     pub deadline: Moment,
-    /// Identifies repetitions of the same request; set by [`Exchange::run`], when the body is known.
-    pub fingerprint: id::Fingerprint,
+    /// What may make upstreams crash that run the request; set by [`Exchange::run`], when the body is known.
+    contents: Contents,
     /// Where the stream began that this request begins or continues; `None` before its first event.
     origin: Option<Origin>,
     attempts: Attempts,
@@ -127,7 +127,7 @@
             allowed_zones: None,
             received_at,
             deadline,
-            fingerprint: id::Fingerprint::default(),
+            contents: Contents::default(),
             origin: None,
             attempts,
         };
@@ -173,7 +173,8 @@
     /// beginning of a stream.
     pub async fn run(&mut self) -> Served {
         self.shared.modify(|core, now| core.count(now, &self.service));
-        self.fingerprint = fingerprint::of(&self.parts, self.customer.as_ref(), &self.body);
+        let fingerprint = fingerprint::of(&self.parts, self.customer.as_ref(), &self.body);
+        self.contents = Contents::new(fingerprint, self.customer.clone(), &self.head.parts);
         self.serve().await.unwrap_or_else(|problem| {
             self.log_problem(problem);
             Served::Complete(problem.into_response(&self.dialect, &self.head.id))
@@ -336,7 +337,7 @@
         self.shared.metrics.count(problem.label());
         let (version, age) = self.shared.query(|core, now| (core.table().version(), core.view().age(now)));
         tracing::info!(
-            id = self.head.id, route = self.route.name, service = %self.service, fingerprint = %self.fingerprint, version, age_ms = age.map(millis),
+            id = self.head.id, route = self.route.name, service = %self.service, fingerprint = %self.contents.fingerprint, version, age_ms = age.map(millis),
             runs = self.attempts.runs, turned_away = self.attempts.rejections, avoided = ?self.attempts.avoid,
             ms = millis(self.elapsed()), status = problem.status().as_u16(), reason = problem.label(), "not served"
         );
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -66,8 +66,7 @@
             self.check_quarantine()?;
             let permit = self.acquire_permit().await?;
             self.check_key()?;
-            // While the request waited, other requests with its fingerprint may have crashed upstreams, or the VM may
-            // have been suspended.
+            // While the request waited, similar requests may have crashed upstreams, or the VM may have been suspended.
             self.check_quarantine()?;
             if self.time_left().is_zero() {
                 return Err(self.expired(Reason::Deadline));
@@ -105,9 +104,10 @@
         Err(if self.attempts.runs > 0 { Problem::UpstreamFailed } else { problem })
     }
 
-    /// Checks that the fleet has not quarantined the request's fingerprint because upstreams crash when they run it.
+    /// Checks that the fleet has not quarantined the request, or a part of its prompt, because upstreams crash when they
+    /// run it.
     fn check_quarantine(&self) -> Result<(), Problem> {
-        let Some(left) = self.shared.query(|core, now| core.quarantined(now, self.fingerprint)) else {
+        let Some(left) = self.shared.query(|core, now| core.quarantine_of(now, &self.contents)) else {
             return Ok(());
         };
         let refused = Problem::Refused(Refusal::new(Reason::Quarantined, left));
@@ -126,7 +126,7 @@
             zone: self.shared.settings.zone.clone(),
             customer: self.customer.clone(),
             route: id::Route::of(&self.route.name),
-            fingerprint: self.fingerprint,
+            fingerprint: self.contents.fingerprint,
             priority: self.priority,
             repeatable: self.route.is_repeatable(),
             parts: self.head.parts.clone(),
@@ -254,7 +254,7 @@
         self.shared.metrics.count("upstream-ended");
         let customer = self.customer.as_ref().map(id::Customer::as_str);
         tracing::info!(
-            id = self.head.id, route = self.route.name, fingerprint = %self.fingerprint, customer,
+            id = self.head.id, route = self.route.name, fingerprint = %self.contents.fingerprint, customer,
             parts = %PartIds(&self.head.parts), upstream = %permit.upstream.id, ran_ms = millis(permit.held()),
             "an upstream ended under a request"
         );
--- a/crates/stairvale-serve/src/frame.rs
+++ b/crates/stairvale-serve/src/frame.rs
@@ -134,16 +134,17 @@
         /// The store's revision of the order.
         order: u64,
     },
-    /// Sent by a service's home to its successors: what it learned about a request under which upstreams crash.
+    /// Sent by a service's home to its successors, and by an entry to a new home: what it learned about a request under
+    /// which upstreams crash. Evidence with parts of prompts is sent only to peers of minor version 3 or later.
     Evidence {
         /// The service of the request.
         service: id::Service,
         /// The new evidence.
         evidence: Evidence,
     },
-    /// Sent by a service's home to all routers: a request makes upstreams crash and is quarantined.
+    /// Sent by a service's home to all routers: a request or a part of prompts makes upstreams crash and is quarantined.
     Quarantined {
-        /// The fingerprint of the request.
+        /// The fingerprint of the request or of the part. Earlier builds take it for that of a request, which none has.
         fingerprint: id::Fingerprint,
         /// The remaining time of the quarantine.
         left: Duration,
@@ -236,6 +237,36 @@
         }
     }
 
+    /// The first minor version of the wire whose routers read the frame.
+    #[must_use]
+    pub fn min_minor_version(&self) -> u16 {
+        match self {
+            Self::RetryAccount { .. } | Self::RetryAccountCopy { .. } | Self::Notice { .. } => 1,
+            Self::StreamBegan { .. } | Self::FindStream { .. } | Self::StreamFound { .. } => 2,
+            Self::Evidence { evidence, .. } => match evidence {
+                Evidence::Crashed { .. } | Evidence::Completed { .. } => 3,
+                Evidence::Ended { .. } | Evidence::Served { .. } | Evidence::Found { .. } => 0,
+            },
+            Self::Ask { .. }
+            | Self::Decided { .. }
+            | Self::Waits { .. }
+            | Self::Forget { .. }
+            | Self::Begun { .. }
+            | Self::Release { .. }
+            | Self::Renew { .. }
+            | Self::Prefixes { .. }
+            | Self::Read { .. }
+            | Self::Sync(_)
+            | Self::Synced { .. }
+            | Self::News(_)
+            | Self::Relay { .. }
+            | Self::Write { .. }
+            | Self::Written { .. }
+            | Self::Condemned { .. }
+            | Self::Quarantined { .. } => 0,
+        }
+    }
+
     /// The frame's name in metrics.
     #[must_use]
     pub fn name(&self) -> &'static str {
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -15,6 +15,7 @@
 use h2::{RecvStream, server::SendResponse};
 use http::Request;
 use stairvale_clock::Clock;
+use stairvale_dispatch::suspects::Cause;
 use stairvale_link::{Links, Sink};
 use stairvale_table::Table;
 use stairvale_types::{Moment, id};
@@ -317,11 +318,10 @@
                         tracing::info!(%service, customer, running, "a customer wants no more than its share");
                     }
                 }
-                Effect::Quarantined { service, fingerprint, length } => {
-                    self.metrics.count("quarantined");
-                    let for_s = length.as_secs();
-                    tracing::warn!(%service, %fingerprint, for_s, "upstreams end under a request, which goes nowhere now");
-                    let since = self.now();
+                Effect::Quarantined { service, cause, length } => {
+                    log_quarantine(&service, &cause, length);
+                    self.metrics.count(if cause.part.is_some() { "quarantined-part" } else { "quarantined" });
+                    let (fingerprint, since) = (cause.fingerprint, self.now());
                     // The receiver is dropped only when the process ends.
                     let _ = self.quarantines.send(Term { fingerprint, length, since });
                 }
@@ -413,3 +413,20 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn log_quarantine(service: &id::Service, cause: &Cause, length: Duration) {
+    let Cause { fingerprint, part, customer, crashes } = cause;
+    let for_s = length.as_secs();
+    match part {
+        None => {
+            tracing::warn!(%service, %fingerprint, crashes, for_s, "upstreams end under a request, which goes nowhere now");
+        }
+        Some(part) => {
+            let (part, customer) = (format!("{part:x}"), customer.as_ref().map(id::Customer::as_str));
+            tracing::warn!(
+                %service, %fingerprint, part, customer, crashes, for_s,
+                "upstreams end under a part of prompts; requests with it go nowhere now"
+            );
+        }
+    }
+}
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -743,7 +743,8 @@
                 }
                 Effect::Inspect { upstream, .. } => self.nodes[index].inspected.push(upstream),
                 Effect::Leaves(_) | Effect::Rests { .. } | Effect::Unreadable(_) => {}
-                Effect::Quarantined { fingerprint, length, .. } => {
+                Effect::Quarantined { cause, length, .. } => {
+                    let fingerprint = cause.fingerprint;
                     self.quarantined.push(fingerprint);
                     if !self.cut_from_store.contains(&index) {
                         self.put(Subject::Quarantine(fingerprint), Some(Value::Quarantine(length)));
--- a/crates/stairvale-types/src/id.rs
+++ b/crates/stairvale-types/src/id.rs
@@ -225,7 +225,8 @@
 }
 number! {
     /// A hash of a request's content and its sender: sending the same request again gives the same fingerprint,
-    /// whatever the attempt's id.
+    /// whatever the attempt's id. Parts of prompts have fingerprints of the same kind, so that a quarantine has the same
+    /// form whether it applies to a request or to a part.
     Fingerprint, u64, "{:016x}"
 }
 
@@ -234,6 +235,20 @@
     Stream, u128, "{:032x}"
 }
 
+impl Fingerprint {
+    /// The fingerprint of a part of prompts, by the part's id.
+    #[must_use]
+    pub fn of_part(part: u64) -> Self {
+        Self(rapidhash::v3::rapidhash_v3(&[*b"part----", part.to_le_bytes()].concat()))
+    }
+
+    /// The fingerprint of the same part in the prompts of one customer.
+    #[must_use]
+    pub fn for_customer(self, customer: &Customer) -> Self {
+        Self(rapidhash::v3::rapidhash_v3(&[self.0.to_le_bytes(), customer.hash64().to_le_bytes()].concat()))
+    }
+}
+
 impl Route {
     /// The id of the route called `name`.
     #[must_use]
