--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -15,7 +15,7 @@
     time::Duration,
 };
 
-use stairvale_dispatch::{Ask, Held, Outcome, Part, Verdict};
+use stairvale_dispatch::{Ask, Contents, Held, Outcome, Part, Verdict};
 use stairvale_replica::{Item, Revision, Router, State, StoreUpdate, Subject, Upstream, Value};
 use stairvale_serve::{
     core::{Core, Effect, ProxyReport, Reading, Reply},
@@ -98,7 +98,7 @@
     epoch: u64,
     /// Routers of an earlier build, which ignores epochs.
     pub without_epochs: BTreeSet<usize>,
-    /// Routers of an earlier build, which can't read accounts of retries or records of streams.
+    /// Routers of an earlier build, which can't read frames of later minor versions.
     pub without_accounts: BTreeSet<usize>,
     /// The store's history is compacted up to this revision: earlier changes can't be read one by one.
     compacted_to: u64,
@@ -651,7 +651,7 @@
             let now = self.local_time(to);
             let effects = match message {
                 Message::Frame(from, frame) => {
-                    let is_new_kind = matches!(frame_kind(&frame), "retries" | "streams");
+                    let is_new_kind = frame.min_minor_version() > 0;
                     assert!(!is_new_kind || !self.without_accounts.contains(&to), "router {to} can't read {frame:?}");
                     self.nodes[to].core.frame(now, &from, frame)
                 }
@@ -805,6 +805,39 @@
         home
     }
 
+    /// Sends a permit request like [`World::request_permit`], for a request with these contents.
+    pub fn request_permit_with(
+        &mut self,
+        index: usize,
+        number: u128,
+        contents: &Contents,
+        parts: &[(u64, u32)],
+    ) -> id::Router {
+        let (service, ask) = permit_request(index, number, parts);
+        let ask = Ask { fingerprint: contents.fingerprint, customer: contents.customer.clone(), ..ask };
+        let now = self.local_time(index);
+        let (home, effects) = self.nodes[index].core.ask(now, &service, ask);
+        self.perform(index, effects);
+        home
+    }
+
+    /// Starts a request with these contents whose permit was granted, and returns its engine; `None` if there is no grant.
+    pub fn start_request_with(
+        &mut self,
+        index: usize,
+        number: u128,
+        home: &id::Router,
+        contents: &Contents,
+        parts: &[(u64, u32)],
+    ) -> Option<id::Upstream> {
+        let (attempt, upstream) = (id::Attempt(number), self.granted(index, number)?);
+        let (customer, route, fingerprint) = (contents.customer.clone(), id::Route(0), contents.fingerprint);
+        let held = Held { attempt, upstream: upstream.clone(), read: 0, customer, route, fingerprint };
+        let parts: Vec<_> = parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect();
+        self.nodes[index].core.start(&"chat".parse().unwrap(), held, home, &parts);
+        Some(upstream)
+    }
+
     /// Starts a request whose permit was granted, and returns its engine; `None` if there is no grant.
     pub fn start_request(
         &mut self,
