What a connection may read besides bodies is bounded

What callers saw: while an upstream sent the digits of a chunk's size or interim answers without end, other callers of the router waited for seconds or got 503; a caller's connection that did the same lasted until its deadline. Cause: the HTTP library parses framing and interim heads for as long as bytes come, on the router's one thread. Change: an adapter around the socket (serve::meter) counts what is read and what was delivered as bodies; a connection that exceeds both by a buffer's size is closed with a log line, and after 16 kB other tasks have their turn. Weighed against settings of the library: it has none for interim heads or a chunk's size. Heads of upstreams have 32 kB at most. A rejection's body is read up to 16 kB.

--- a/crates/stairvale-serve/src/body.rs
+++ b/crates/stairvale-serve/src/body.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Frame, Incoming, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::upstream::Fault;
+use crate::{meter::Meter, upstream::Fault};
 
 /// A response that was truncated: the client's connection is closed abruptly, so that the response doesn't look
 /// complete.
@@ -71,16 +71,17 @@
     }
 }
 
-/// The next non-empty chunk of a body; `None` at its end.
+/// The next non-empty chunk of a body, whose connection `meter` counts; `None` at its end.
 ///
 /// # Errors
 /// A [`Fault`] if the rest of the body didn't arrive.
-pub async fn next(body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+pub async fn next(body: &mut Incoming, meter: &Meter) -> Result<Option<Bytes>, Fault> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| Fault::of(&error))?;
         if let Ok(chunk) = frame.into_data()
             && !chunk.is_empty()
         {
+            meter.deliver(chunk.len());
             return Ok(Some(chunk));
         }
     }
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -22,6 +22,7 @@
     core::Core,
     dialect::Head,
     exchange::{Exchange, Served, millis},
+    meter::{Excess, Meter, Metered},
     problem::Problem,
     relay,
 };
@@ -62,20 +63,29 @@
         return;
     }
     let limits = shared.table.load().document().limits;
-    let service = service_fn(|request| serve(shared.clone(), dialect.clone(), request));
+    let buffer = limits.head_bytes.max(MIN_READ_BUFFER_BYTES);
+    let meter = Meter::new(buffer + MIN_READ_BUFFER_BYTES);
+    let service = service_fn(|request| serve(shared.clone(), dialect.clone(), meter.clone(), request));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time.max(limits.head_time) + IDLE_SLACK)
-        .max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER_BYTES));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(tcp), service));
+        .max_buf_size(buffer);
+    let stream = TokioIo::new(Metered::new(tcp, meter.clone()));
+    let mut connection = pin!(builder.serve_connection(stream, service));
     let mut closing = shared.closing.subscribe();
     let shutdown = async move {
         // An error means that the process is exiting anyway.
         let _ = closing.wait_for(|closing| *closing).await;
     };
     tokio::select! {
-        _ = connection.as_mut() => return,
+        result = connection.as_mut() => {
+            if result.is_err_and(|error| Excess::caused(&error)) {
+                shared.metrics.count("caller-excess");
+                tracing::info!("a caller sent too many bytes that belong to no body");
+            }
+            return;
+        }
         () = shutdown => {}
     }
     connection.as_mut().graceful_shutdown();
@@ -85,15 +95,17 @@
 async fn serve<D: Dialect>(
     shared: Arc<Shared>,
     dialect: D,
+    meter: Meter,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let received_at = shared.now();
     let in_flight = InFlightGuard::new(shared.clone());
+    meter.reset();
     let (parts, body) = request.into_parts();
     let head = dialect.read(&parts);
     let id = head.as_ref().map(|head| head.id.clone()).unwrap_or_default();
     let served = match head.map_err(Problem::Malformed) {
-        Ok(head) => prepare_exchange(&shared, &dialect, parts, body, head, received_at).await,
+        Ok(head) => prepare_exchange(&shared, &dialect, parts, (body, &meter), head, received_at).await,
         Err(problem) => Err(problem),
     };
     let mut response = match served {
@@ -139,7 +151,7 @@
     shared: &Arc<Shared>,
     dialect: &D,
     parts: request::Parts,
-    body: Incoming,
+    (body, meter): (Incoming, &Meter),
     head: Head,
     received_at: Moment,
 ) -> Result<Exchange<D>, Problem> {
@@ -167,7 +179,7 @@
     let service = route.service(draw).ok_or(Problem::NoRoute)?.clone();
     let limits = table.document().limits;
     let exchange = Exchange::new(shared.clone(), dialect.clone(), route.clone(), service, head, parts, received_at);
-    let reading = read_body(body, limits.body_bytes);
+    let reading = read_body(body, meter, limits.body_bytes);
     let body = shared.clock.with_deadline(exchange.deadline, reading).await.unwrap_or(Err(Problem::IncompleteBody))?;
     let exchange = exchange.with_body(body);
     Ok(match customer {
@@ -181,7 +193,11 @@
     parts.uri.host().or(named)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Problem> {
+async fn read_body(body: Incoming, meter: &Meter, limit: usize) -> Result<Bytes, Problem> {
+    let body = body.map_frame(|frame| {
+        meter.deliver(frame.data_ref().map_or(0, Bytes::len));
+        frame
+    });
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(Problem::BodyTooLarge),
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -18,6 +18,7 @@
     frame::Origin,
     framing::Framing,
     hop::strip,
+    meter::Meter,
     permit::Permit,
     problem::Problem,
     traffic::Kind,
@@ -211,7 +212,7 @@
     /// Waits for the first event of a stream, so that a failure before it can still be reported with an error status.
     async fn begin_stream(&mut self, mut reply: UpstreamResponse) -> Result<Served, Problem> {
         let mut events = self.events_of(&reply);
-        let reading = read_first(&mut reply.body, reply.framing, events.as_mut());
+        let reading = read_first(&mut reply.body, reply.connection.meter(), reply.framing, events.as_mut());
         match self.await_upstream(&reply.permit, reading).await {
             Ok(first) => {
                 reply.permit.begun();
@@ -237,16 +238,17 @@
 
     /// Reads a non-streamed response completely before any of it is forwarded to the client, unless it proves too long.
     async fn read_complete(&mut self, mut reply: UpstreamResponse) -> Result<Served, Problem> {
-        let body = match self.await_upstream(&reply.permit, read_buffered(&mut reply.body)).await {
-            Ok(Buffered::Whole(body)) => body,
-            Ok(Buffered::Beginning(first)) => {
-                reply.permit.begun();
-                self.shared.count_traffic(Kind::Answer, &reply.permit, first.len());
-                self.shared.metrics.record_first_byte(self.elapsed());
-                return Ok(Served::Stream { reply: Box::new(reply), events: None, first });
-            }
-            Err(fault) => return Err(self.fail_attempt(&fault, reply.permit).await),
-        };
+        let body =
+            match self.await_upstream(&reply.permit, read_buffered(&mut reply.body, reply.connection.meter())).await {
+                Ok(Buffered::Whole(body)) => body,
+                Ok(Buffered::Beginning(first)) => {
+                    reply.permit.begun();
+                    self.shared.count_traffic(Kind::Answer, &reply.permit, first.len());
+                    self.shared.metrics.record_first_byte(self.elapsed());
+                    return Ok(Served::Stream { reply: Box::new(reply), events: None, first });
+                }
+                Err(fault) => return Err(self.fail_attempt(&fault, reply.permit).await),
+            };
         let UpstreamResponse { mut head, connection, framing, permit, .. } = reply;
         if framing == Framing::CloseDelimited && self.closed_by_crash(&permit, &connection).await {
             return Err(self.fail_attempt(&Fault::Terminated, permit).await);
@@ -362,10 +364,15 @@
 
 /// Reads the first part of a body: up to the first complete event, or the first chunk if the body isn't a stream of events.
 /// Returns what is to be passed on.
-async fn read_first(body: &mut Incoming, framing: Framing, mut events: Option<&mut Events>) -> Result<Bytes, Fault> {
+async fn read_first(
+    body: &mut Incoming,
+    meter: &Meter,
+    framing: Framing,
+    mut events: Option<&mut Events>,
+) -> Result<Bytes, Fault> {
     let mut first = BytesMut::new();
     loop {
-        let Some(chunk) = next(body).await? else {
+        let Some(chunk) = next(body, meter).await? else {
             let is_partial = events.is_some_and(|events| events.is_partial());
             // A close-delimited body that hasn't begun looks like one that was cut off.
             let is_broken = is_partial || framing == Framing::CloseDelimited && first.is_empty();
@@ -390,9 +397,9 @@
 }
 
 /// Reads a body into memory, or its beginning if it is too long for that.
-async fn read_buffered(body: &mut Incoming) -> Result<Buffered, Fault> {
+async fn read_buffered(body: &mut Incoming, meter: &Meter) -> Result<Buffered, Fault> {
     let mut read = BytesMut::new();
-    while let Some(chunk) = next(body).await? {
+    while let Some(chunk) = next(body, meter).await? {
         read.extend_from_slice(&chunk);
         if read.len() > MAX_BUFFERED_BYTES {
             return Ok(Buffered::Beginning(read.freeze()));
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use stairvale_dispatch::{Ask, Outcome, Part};
 use stairvale_replica::Upstream;
@@ -27,6 +27,8 @@
 const QUEUE_TIME_DIVISOR: u32 = 5;
 /// Number of upstreams that may reject a request as full or gone before the client is told to retry later.
 const MAX_REJECTIONS: u32 = 3;
+/// Maximum size of a rejection's body whose connection is used again.
+const MAX_REJECTION_BYTES: usize = 16 << 10;
 /// How long an attempt at a repeatable request waits for the upstream, as a multiple of the route's objective; after
 /// that the request is sent to another upstream.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u32 = 2;
@@ -276,12 +278,12 @@
         }
     }
 
-    /// Reads a rejection's body to its end, so that its connection can be reused.
+    /// Reads a rejection's body to its end, so that its connection can be reused; one that is too long is closed.
     fn drain_rejection(&self, headers: HeaderMap, body: Incoming, connection: Connection) {
         let shared = self.shared.clone();
         tokio::spawn(async move {
             let limit = Duration::from_millis(200);
-            if let Ok(Ok(_)) = tokio::time::timeout(limit, body.collect()).await {
+            if let Ok(Ok(_)) = tokio::time::timeout(limit, Limited::new(body, MAX_REJECTION_BYTES).collect()).await {
                 shared.upstreams.release(connection, &headers);
             }
         });
--- a/crates/stairvale-serve/src/lib.rs
+++ b/crates/stairvale-serve/src/lib.rs
@@ -25,6 +25,7 @@
 mod hop;
 pub mod inspect;
 pub mod isolation;
+pub mod meter;
 pub mod metrics;
 pub mod permit;
 pub mod problem;
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -145,7 +145,7 @@
             let stall = self.stall_timeout();
             let clock = &self.exchange.shared.clock;
             let chunk = tokio::select! {
-                chunk = clock.with_deadline(clock.now() + left.min(stall), next(&mut reply.body)) => chunk,
+                chunk = clock.with_deadline(clock.now() + left.min(stall), next(&mut reply.body, reply.connection.meter())) => chunk,
                 () = self.sender.closed() => return End::Left,
                 () = reply.permit.upstream_replaced() => return End::Ended,
             };
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -17,16 +17,13 @@
 use futures::future::{Either, select};
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1,
-    rt::{Read, Write},
-};
+use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use stairvale_clock::Clock;
 use stairvale_link::set_liveness_timeouts;
 use stairvale_types::{Moment, id};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpSocket, TcpStream},
     task::AbortHandle,
 };
@@ -34,6 +31,7 @@
 use crate::{
     core::Peer,
     isolation::{Change, Isolation},
+    meter::{Excess, Meter, Metered},
     tunnel::{self, Tunnels},
 };
 
@@ -48,6 +46,10 @@
 /// An idle connection is discarded this long before the upstream's announced keep-alive timeout, so that a request
 /// doesn't race with the close.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(700);
+/// Maximum size of the head of an answer, and of what is read of a body before it is delivered.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+/// What an upstream may send in heads, interim heads and framing, beside what bodies account for.
+const MAX_UNDELIVERED_BYTES: usize = 2 * MAX_BUFFER_BYTES;
 /// Maximum number of idle connections that are kept to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -101,9 +103,16 @@
     task: AbortHandle,
     /// The peer through which the connection runs; `None` if it is direct.
     via: Option<id::Router>,
+    meter: Meter,
 }
 
 impl Connection {
+    /// Counts what the connection reads; parts of bodies are to be reported to it.
+    #[must_use]
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
     /// The peer through which the connection runs; `None` if it is direct.
     #[must_use]
     pub fn via(&self) -> Option<&id::Router> {
@@ -172,6 +181,7 @@
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         let mut request = request;
         if let Some(mut connection) = self.take(upstream) {
+            connection.meter.reset();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -286,7 +296,7 @@
         peers: [Vec<Peer>; 2],
     ) -> Result<Connection, Fault> {
         match self.tunnels.open(&self.clock, peers, upstream, address).await {
-            Ok((stream, via)) => handshake_over(upstream, stream, Some(via)).await,
+            Ok((stream, via)) => handshake_over(upstream, TokioIo::new(stream), Some(via)).await,
             Err(tunnel::Fault::NoPeer) if self.is_isolated() => Err(Fault::NoPath),
             Err(tunnel::Fault::NoPeer | tunnel::Fault::Unreachable) => Err(Fault::Unreachable),
         }
@@ -356,18 +366,25 @@
 
 async fn handshake(upstream: &id::Upstream, tcp: TcpStream) -> Result<Connection, Fault> {
     set_liveness_timeouts(&tcp, ACK_TIMEOUT).map_err(|_| Fault::Unreachable)?;
-    handshake_over(upstream, TokioIo::new(tcp), None).await
+    handshake_over(upstream, tcp, None).await
 }
 
-async fn handshake_over<I: Read + Write + Unpin + Send + 'static>(
+async fn handshake_over<I: AsyncRead + AsyncWrite + Unpin + Send + 'static>(
     upstream: &id::Upstream,
     stream: I,
     via: Option<id::Router>,
 ) -> Result<Connection, Fault> {
-    let (sender, connection) = http1::Builder::new().handshake(stream).await.map_err(|_| Fault::Unreachable)?;
+    let meter = Meter::new(MAX_UNDELIVERED_BYTES);
+    let stream = TokioIo::new(Metered::new(stream, meter.clone()));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let (sender, connection) = builder.handshake(stream).await.map_err(|_| Fault::Unreachable)?;
+    let id = upstream.clone();
     let task = tokio::spawn(async move {
         // Errors are returned to the caller that awaits the response.
-        let _ = connection.await;
+        if connection.await.is_err_and(|error| Excess::caused(&error)) {
+            tracing::warn!(upstream = %id, "an upstream sent too many bytes that belong to no body");
+        }
     });
-    Ok(Connection { upstream: upstream.clone(), sender, task: task.abort_handle(), via })
+    Ok(Connection { upstream: upstream.clone(), sender, task: task.abort_handle(), via, meter })
 }
