A router without a configuration doesn't answer that routes don't exist

Cause: Core::is_current asked only how old the copy of the store is; a copy can be confirmed before the store has a configuration, or before one is applied. Change: without a configuration nothing is known to be missing, so 503 with a retry time.

--- a/crates/stairvale-serve/src/core/mod.rs
+++ b/crates/stairvale-serve/src/core/mod.rs
@@ -263,11 +263,11 @@
         self.bounds.key_trust_limit().is_none_or(|limit| age.is_some_and(|age| age < limit))
     }
 
-    /// Whether the configuration is recent enough to conclude that something missing from it doesn't exist.
+    /// Whether there is a configuration that is recent enough to conclude that something missing from it doesn't exist.
     #[must_use]
     pub fn is_current(&self, now: Moment) -> bool {
         let limit = Duration::from_millis(self.bounds.configuration_ms);
-        self.view.age(now).is_some_and(|age| age < limit)
+        self.table.version() > 0 && self.view.age(now).is_some_and(|age| age < limit)
     }
 
     /// Whether this router can serve requests: it has a configuration and upstreams, its copy is recent enough, and
