--- a/crates/stairvale-dispatch/src/suspects.rs
+++ b/crates/stairvale-dispatch/src/suspects.rs
@@ -3,7 +3,7 @@
 //! Each upstream that crashes takes all its running requests with it, so a single crash makes many requests suspects,
 //! and all shared parts of their prompts. A suspect is found to be the cause when upstreams crashed under it several
 //! times without it being served in between, and so many crashes can't be explained by the upstreams' usual crash rate,
-//! which follows from the crashes without the suspect ([`judge`]). Of several requests with the same crashes none is
+//! which follows from the crashes without the suspect (`judge`). Of several requests with the same crashes none is
 //! found; they are placed apart, so that the next crash distinguishes them.
 
 use std::{collections::VecDeque, time::Duration};
--- a/crates/stairvale-serve/src/core/streams.rs
+++ b/crates/stairvale-serve/src/core/streams.rs
@@ -102,7 +102,7 @@
     }
 
     /// Looks for the origin of a stream that a client takes up again, `None` if the client doesn't name it. Peers are
-    /// asked if this router doesn't know it; their answers are returned as [`Reply::StreamFound`] to `attempt`.
+    /// asked if this router doesn't know it; their answers are returned as [`StreamFound`](super::Reply::StreamFound) to `attempt`.
     pub fn find_stream(
         &mut self,
         now: Moment,
--- a/crates/stairvale-serve/src/meter.rs
+++ b/crates/stairvale-serve/src/meter.rs
@@ -2,7 +2,7 @@
 //!
 //! The HTTP library reads heads, interim heads and the framing of bodies for as long as they come. Bytes that belong to no
 //! body could so occupy a thread that serves many connections. A [`Metered`] stream gives other tasks their turn after
-//! [`MAX_TURN_BYTES`], and fails once it has read too much that wasn't delivered as part of a body.
+//! some kilobytes, and fails once it has read too much that wasn't delivered as part of a body.
 
 use std::{
     io,
