Comments and small simplifications of the quarantine of parts

Cause: the read-through of the change: a constant whose comment referred to its neighbor, a loop over a collected filter, the form of evidence chosen twice, comments that equal parts always follow equal parts. Change: these; no rule changes. Result: clippy and cargo doc pass with -D warnings; the tests of suspects, parts and quarantine in dispatch and serve pass.

--- a/crates/stairvale-dispatch/src/ask.rs
+++ b/crates/stairvale-dispatch/src/ask.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use stairvale_types::{Refusal, id};
 
-/// A part of a prompt. Prompts share parts from their start on; equal parts always follow equal parts.
+/// A part of a prompt. Prompts usually share parts from their start on, so that equal parts follow equal parts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     /// The identifier of the part, which is the same for the same text.
--- a/crates/stairvale-dispatch/src/cache.rs
+++ b/crates/stairvale-dispatch/src/cache.rs
@@ -17,8 +17,8 @@
     reader: Option<id::Attempt>,
 }
 
-/// A model of one engine's prefix cache. The id of a part depends on all parts before it, so the id alone identifies
-/// it.
+/// A model of one engine's prefix cache. Equal parts usually follow equal parts, so a part is identified by its id alone;
+/// where one follows others, the model expects tokens to be cached that the engine has to prefill.
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
     capacity: u64,
--- a/crates/stairvale-dispatch/src/pool/quarantine.rs
+++ b/crates/stairvale-dispatch/src/pool/quarantine.rs
@@ -78,19 +78,20 @@
 
     /// Derives evidence from the end of a request at an upstream.
     pub(super) fn record_outcome(&mut self, now: Moment, upstream: &id::Upstream, hold: &Hold, outcome: Outcome) {
-        let has_parts = !hold.contents.parts.is_empty();
+        let form = |evidence: Evidence| {
+            if hold.contents.parts.is_empty() { evidence.without_parts() } else { evidence }
+        };
         let evidence = match outcome {
             Outcome::Ended => {
                 let (contents, ran) = (Contents::clone(&hold.contents), now.since(hold.since));
-                Evidence::Crashed { contents, upstream: upstream.clone(), ran }
+                form(Evidence::Crashed { contents, upstream: upstream.clone(), ran })
             }
             Outcome::Served => {
                 if !self.suspects.is_empty() {
                     self.suspects.answered(now, upstream, hold.since);
                 }
                 if self.suspects.record_served(&hold.contents) {
-                    let completed = Evidence::Completed { contents: Contents::clone(&hold.contents) };
-                    self.evidence.push(if has_parts { completed } else { completed.without_parts() });
+                    self.evidence.push(form(Evidence::Completed { contents: Contents::clone(&hold.contents) }));
                 }
                 return;
             }
@@ -103,7 +104,6 @@
             | Outcome::Gone
             | Outcome::Abandoned => return,
         };
-        let evidence = if has_parts { evidence } else { evidence.without_parts() };
         if self.suspects.learn(now, &evidence) {
             self.evidence.push(evidence);
         }
--- a/crates/stairvale-dispatch/src/suspects/judge.rs
+++ b/crates/stairvale-dispatch/src/suspects/judge.rs
@@ -1,7 +1,7 @@
 //! The rules by which a suspect is found to be the cause of crashes.
 //!
 //! A request runs at one upstream at a time. A part can run at many at once, together with other parts, most of which
-//! are the same in other prompts. So three more rules apply to parts:
+//! are the same in other prompts. So further rules apply to parts:
 //! - Upstreams that crash at the same time count as one crash, since a popular part runs at each of them.
 //! - Whatever else can explain the same crashes goes first: the request, if it alone was sent again; of several parts,
 //!   those that never were served. Parts that never were served and always came together are found together, after
@@ -27,15 +27,14 @@
 const BASE_CRASHES_PER_SECOND: f64 = 1.0 / 3_600.0;
 /// Lower limit of a run's time: a request that reaches a connection just after its upstream crashed fails at once.
 const MIN_RUN: Duration = Duration::from_millis(250);
+/// The probability at which a part is found after [`MAX_CRASHES`]. While many upstreams crash at once again and again,
+/// some harmless part meets as many crashes, since requests have many parts.
+const MAX_CHANCE_OF_MANY: f64 = 1e-4;
+/// Number of crashes after which that probability applies to a part that was served earlier.
+const MAX_CRASHES_OF_SERVED: usize = 8;
 /// Time from the first crash under parts that always came together until they are found: several times that of most
 /// requests.
 const MIN_OBSERVATION: Duration = Duration::from_secs(1);
-/// The same after [`MAX_CRASHES`] under a part. There are many more parts than requests at a time, so that some
-/// harmless one meets as many crashes while many upstreams crash at once again and again.
-const MAX_CHANCE_OF_MANY: f64 = 1e-4;
-/// The number of crashes for that probability under a part that was served earlier.
-const MAX_CRASHES_OF_SERVED: usize = 8;
-
 /// Interval of judgements while nothing changes, which only remove old suspects.
 const IDLE_INTERVAL: Duration = Duration::from_secs(10);
 
--- a/crates/stairvale-serve/src/core/quarantine.rs
+++ b/crates/stairvale-serve/src/core/quarantine.rs
@@ -19,13 +19,13 @@
 use super::{Core, Effect, RunningRequest};
 use crate::frame::Frame;
 
-/// Length of the first quarantine of a request or a part: enough time to notice that it makes upstreams crash and to fix that.
-/// Each retry crashes at most one more upstream.
+/// Length of the first quarantine: enough time to notice that upstreams crash and to fix that. Each retry crashes at
+/// most one more upstream.
 const INITIAL_LENGTH: Duration = Duration::from_secs(120);
 /// Maximum length of a quarantine, however often the request was retried: the longest lease that the store grants.
 const MAX_LENGTH: Duration = Duration::from_secs(600);
-/// Maximum number of quarantined requests and parts; each has crashed three upstreams. Beyond it the one whose quarantine ends
-/// first is dropped.
+/// Maximum number of quarantined requests and parts; each has crashed three upstreams. Beyond it the one whose
+/// quarantine ends first is dropped.
 const CAPACITY: usize = 4_096;
 
 /// The quarantine of one request or part.
@@ -78,8 +78,12 @@
 
     /// Ends a quarantine early; returns whether it was in force.
     fn lift(&mut self, now: Moment, fingerprint: id::Fingerprint) -> bool {
-        let term = self.terms.get_mut(&fingerprint).filter(|term| term.until > now && !term.was_lifted);
-        term.map(|term| (term.until, term.was_lifted) = (now, true)).is_some()
+        let Some(term) = self.terms.get_mut(&fingerprint).filter(|term| term.until > now && !term.was_lifted) else {
+            return false;
+        };
+        term.until = now;
+        term.was_lifted = true;
+        true
     }
 
     /// Drops requests whose quarantine ended at least [`MAX_LENGTH`] ago.
@@ -157,11 +161,11 @@
         for cause in found {
             effects.extend(self.start_quarantine(now, service, cause));
         }
-        for fingerprint in
-            cleared.into_iter().filter(|fingerprint| self.lift_quarantine(now, *fingerprint)).collect::<Vec<_>>()
-        {
-            effects.push(Effect::QuarantineLifted { service: service.clone(), fingerprint });
-            effects.extend(self.broadcast_quarantine(fingerprint, Duration::ZERO));
+        for fingerprint in cleared {
+            if self.lift_quarantine(now, fingerprint) {
+                effects.push(Effect::QuarantineLifted { service: service.clone(), fingerprint });
+                effects.extend(self.broadcast_quarantine(fingerprint, Duration::ZERO));
+            }
         }
         effects
     }
