New connections wait unread until the process is ready for the next one

Cause: all connections that arrived were accepted and read at once. Each request takes some ten turns of the one thread, and new ones got as many turns as those that were under way. So the time of each request grew with the number of arrivals, slots of upstreams were held all that time, and the home refused requests of other routers too. Class: work is taken in without regard to what can be finished.

Change: `serve::intake`, a queue of accepted connections from which nothing has been read. One is read each time all tasks that are ready have run, so what is under way takes precedence and the process reads what it can serve. Readiness stays as it is: it would only move the crowd to the next router. The event `connection-shed` and a log line show it.

--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http::{HeaderValue, Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -22,6 +23,7 @@
     core::Core,
     dialect::Head,
     exchange::{Exchange, Served, millis},
+    intake::Intake,
     meter::{Excess, Meter, Metered},
     problem::Problem,
     relay,
@@ -43,21 +45,47 @@
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
 /// Accepts clients' connections until the task is dropped.
+///
+/// All tasks that are ready run between one connection and the next, so requests that have been read take precedence.
 pub async fn listen<D: Dialect>(shared: Arc<Shared>, dialect: D, listener: TcpListener) {
+    let mut intake = Intake::new(shared.now());
+    let mut is_shedding = false;
     loop {
-        match listener.accept().await {
-            Ok((tcp, _)) => drop(tokio::spawn(connection(shared.clone(), dialect.clone(), tcp))),
-            Err(error) => {
-                // Clients take precedence over idle connections that might be reused later.
-                tracing::warn!(%error, "accepting a client's connection failed; closing idle connections to upstreams");
-                shared.metrics.count("accept-fault");
-                shared.upstreams.drop_all_idle();
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+        if intake.is_empty() {
+            match listener.accept().await {
+                Ok((tcp, _)) => intake.push(shared.now(), tcp),
+                Err(error) => {
+                    accept_failed(&shared, &error);
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
             }
         }
+        while let Some(Ok((tcp, _))) = listener.accept().now_or_never() {
+            intake.push(shared.now(), tcp);
+        }
+        let now = shared.now();
+        while let Some(unread) = intake.take_expired(now) {
+            shared.metrics.count("connection-shed");
+            drop(unread);
+        }
+        if let Some(tcp) = intake.take() {
+            drop(tokio::spawn(connection(shared.clone(), dialect.clone(), tcp)));
+        }
+        tokio::task::yield_now().await;
+        if is_shedding != intake.is_standing(now) {
+            is_shedding = !is_shedding;
+            tracing::info!(is_shedding, "closing of new connections that wait too long began or ended");
+        }
     }
 }
 
+fn accept_failed(shared: &Shared, error: &std::io::Error) {
+    // Clients take precedence over idle connections that might be reused later.
+    tracing::warn!(%error, "accepting a client's connection failed; closing idle connections to upstreams");
+    shared.metrics.count("accept-fault");
+    shared.upstreams.drop_all_idle();
+}
+
 async fn connection<D: Dialect>(shared: Arc<Shared>, dialect: D, tcp: TcpStream) {
     if set_liveness_timeouts(&tcp, ACK_TIMEOUT).is_err() {
         return;
--- a/crates/stairvale-serve/src/lib.rs
+++ b/crates/stairvale-serve/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod framing;
 mod hop;
 pub mod inspect;
+pub mod intake;
 pub mod isolation;
 pub mod meter;
 pub mod metrics;
