Callers' connections leave descriptors for connections to upstreams

Callers saw: a router with 512 descriptors and 489 callers that keep their connections served 0 of 60 further requests; each got 503.

Cause: callers' connections were accepted until no descriptor was left, so what was read couldn't be sent to an upstream.

Change: a quarter of the process's descriptors is kept for other connections, and an eighth of the rest for callers' connections that wait to be read. While all others are in use, the connection that has been open longest is asked to close, which it does once it is idle. If none becomes free in time, new connections are closed unread. The event `connections-exhausted` counts this.

--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -13,9 +13,13 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::process::{Resource, getrlimit};
 use stairvale_link::set_liveness_timeouts;
 use stairvale_types::{Moment, Refusal, outcome::Reason};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
+};
 
 use crate::{
     Dialect, Shared,
@@ -29,6 +33,15 @@
     relay,
 };
 
+/// One part in this many of the process's descriptors is kept for connections to upstreams, to other routers and to the
+/// store.
+const RESERVED_DESCRIPTORS_DIVISOR: u64 = 4;
+/// The most callers' connections, also if the process has no limit of descriptors.
+const MAX_CONNECTIONS: u64 = 1 << 16;
+/// Callers' connections that wait to be read may take one part in this many of all connections.
+const WAITING_DIVISOR: usize = 8;
+/// While all connections are in use, one is asked to close each time this has passed.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(2);
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// A client that acknowledges nothing for this long counts as disconnected. A client that reads slowly gets the same
@@ -44,10 +57,35 @@
 /// Smallest read buffer that hyper accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
+/// The connections that are being served, and the limit of their number.
+#[derive(Clone, Debug)]
+struct Connections {
+    free: Arc<Semaphore>,
+    /// Asks the connection that has been open longest to close.
+    close_oldest: Arc<Notify>,
+}
+
+impl Connections {
+    fn new(limit: usize) -> Self {
+        Self { free: Arc::new(Semaphore::new(limit)), close_oldest: Arc::default() }
+    }
+}
+
+/// The number of callers' connections that leaves enough of the process's descriptors for all others.
+fn max_connections() -> usize {
+    let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(MAX_CONNECTIONS);
+    let limit = descriptors - descriptors / RESERVED_DESCRIPTORS_DIVISOR;
+    usize::try_from(limit.min(MAX_CONNECTIONS)).unwrap_or(usize::MAX)
+}
+
 /// Accepts clients' connections until the task is dropped.
 ///
 /// All tasks that are ready run between one connection and the next, so requests that have been read take precedence.
 pub async fn listen<D: Dialect>(shared: Arc<Shared>, dialect: D, listener: TcpListener) {
+    let limit = max_connections();
+    let max_waiting = limit / WAITING_DIVISOR;
+    let connections = Connections::new(limit - max_waiting);
+    tracing::info!(connections = limit - max_waiting, "accepting callers' connections");
     let mut intake = Intake::new(shared.now());
     let mut is_shedding = false;
     loop {
@@ -60,7 +98,9 @@
                 }
             }
         }
-        while let Some(Ok((tcp, _))) = listener.accept().now_or_never() {
+        while intake.len() < max_waiting
+            && let Some(Ok((tcp, _))) = listener.accept().now_or_never()
+        {
             intake.push(shared.now(), tcp);
         }
         let now = shared.now();
@@ -68,13 +108,24 @@
             shared.metrics.count("connection-shed");
             drop(unread);
         }
-        if let Some(tcp) = intake.take() {
-            drop(tokio::spawn(connection(shared.clone(), dialect.clone(), tcp)));
+        match connections.free.clone().try_acquire_owned() {
+            Ok(slot) => {
+                if let Some(tcp) = intake.take() {
+                    let close = connections.close_oldest.clone();
+                    tokio::spawn(connection(shared.clone(), dialect.clone(), tcp, close, slot));
+                }
+                tokio::task::yield_now().await;
+            }
+            Err(_) => {
+                shared.metrics.count("connections-exhausted");
+                connections.close_oldest.notify_one();
+                tokio::time::sleep(CLOSE_INTERVAL).await;
+            }
         }
-        tokio::task::yield_now().await;
         if is_shedding != intake.is_standing(now) {
             is_shedding = !is_shedding;
-            tracing::info!(is_shedding, "closing of new connections that wait too long began or ended");
+            let waiting = intake.len();
+            tracing::info!(waiting, is_shedding, "closing of new connections that wait too long began or ended");
         }
     }
 }
@@ -86,7 +137,13 @@
     shared.upstreams.drop_all_idle();
 }
 
-async fn connection<D: Dialect>(shared: Arc<Shared>, dialect: D, tcp: TcpStream) {
+async fn connection<D: Dialect>(
+    shared: Arc<Shared>,
+    dialect: D,
+    tcp: TcpStream,
+    close: Arc<Notify>,
+    _slot: OwnedSemaphorePermit,
+) {
     if set_liveness_timeouts(&tcp, ACK_TIMEOUT).is_err() {
         return;
     }
@@ -115,6 +172,7 @@
             return;
         }
         () = shutdown => {}
+        () = close.notified() => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/crates/stairvale-serve/src/intake.rs
+++ b/crates/stairvale-serve/src/intake.rs
@@ -32,6 +32,12 @@
         Self { waiting: VecDeque::new(), empty_at: now }
     }
 
+    /// Number of connections that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Whether no connection waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
