Cut and unfinished answers, refused resumptions and panics are logged and counted

Cause: no line said that a caller's answer was cut or why no other upstream was found; a process that exited didn't say what it still held; a panic in a task was printed as text only.

Change: the relay logs and counts each cut with its reason and the time left, and each resumption that was refused. A pending answer whose connection breaks or whose process exits is logged with the request's id and counted (unanswered, unanswered-at-exit). 'stopped' names the open connections, which are a gauge now. Panics are logged as an error.

--- a/crates/stairvale-serve/src/body.rs
+++ b/crates/stairvale-serve/src/body.rs
@@ -8,10 +8,10 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::{meter::Meter, upstream::Fault};
+use crate::{meter::Meter, pending::PendingAnswer, upstream::Fault};
 
 /// A response that was truncated: the client's connection is closed abruptly, so that the response doesn't look
 /// complete.
@@ -19,9 +19,19 @@
 #[error("the response was truncated")]
 pub struct Truncated;
 
-/// A response body: complete, or streamed in chunks.
+/// A response body.
 #[derive(Debug)]
-pub enum Body {
+pub struct Body {
+    content: Content,
+    /// The number of bytes that are still to be handed over, if the head states the body's length.
+    remaining: Option<u64>,
+    /// The answer that this body belongs to, until all of the body was handed over.
+    pending: Option<PendingAnswer>,
+}
+
+/// The content of a body: complete, or streamed in chunks.
+#[derive(Debug)]
+enum Content {
     /// The complete body, until it is handed over.
     Complete(Option<Bytes>),
     /// The chunks of a streamed body.
@@ -32,7 +42,22 @@
     /// Creates a complete body.
     #[must_use]
     pub fn complete(bytes: impl Into<Bytes>) -> Self {
-        Self::Complete(Some(bytes.into()))
+        Self { content: Content::Complete(Some(bytes.into())), remaining: None, pending: None }
+    }
+
+    /// Creates a body that is streamed in chunks. `length` is the number of bytes that the head states, if any.
+    #[must_use]
+    pub const fn chunks(chunks: mpsc::Receiver<Result<Bytes, Truncated>>, length: Option<u64>) -> Self {
+        Self { content: Content::Chunks(chunks), remaining: length, pending: None }
+    }
+
+    /// Ends `pending` as soon as all of the body was handed over.
+    pub fn hold(&mut self, pending: PendingAnswer) {
+        if self.is_end_stream() {
+            pending.end();
+        } else {
+            self.pending = Some(pending);
+        }
     }
 }
 
@@ -47,26 +72,38 @@
     type Error = Truncated;
 
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        match self.get_mut() {
-            Self::Complete(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
-            }
-            Self::Chunks(chunks) => chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+        let body = self.get_mut();
+        let chunk = match &mut body.content {
+            Content::Complete(bytes) => bytes.take().filter(|bytes| !bytes.is_empty()).map(Ok),
+            Content::Chunks(chunks) => match chunks.poll_recv(context) {
+                Poll::Ready(chunk) => chunk,
+                Poll::Pending => return Poll::Pending,
+            },
+        };
+        if let (Some(Ok(chunk)), Some(remaining)) = (&chunk, &mut body.remaining) {
+            *remaining = remaining.saturating_sub(chunk.len() as u64);
+        }
+        // The relay logs why it truncated an answer.
+        if (chunk.as_ref().is_none_or(Result::is_err) || body.is_end_stream())
+            && let Some(pending) = body.pending.take()
+        {
+            pending.end();
         }
+        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Complete(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Chunks(_) => false,
+        match &self.content {
+            Content::Complete(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            // The HTTP library doesn't ask for what follows a body of a stated length.
+            Content::Chunks(_) => self.remaining == Some(0),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Complete(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
-            Self::Chunks(_) => SizeHint::default(),
+        match &self.content {
+            Content::Complete(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Content::Chunks(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -29,6 +29,7 @@
     exchange::{Exchange, Served, millis},
     intake::Intake,
     meter::{Excess, Meter, Metered},
+    pending::PendingAnswer,
     problem::Problem,
     relay,
 };
@@ -147,6 +148,7 @@
     if set_liveness_timeouts(&tcp, ACK_TIMEOUT).is_err() {
         return;
     }
+    let _open = ConnectionGuard::new(shared.clone());
     let limits = shared.table.load().document().limits;
     let buffer = limits.head_bytes.max(MIN_READ_BUFFER_BYTES);
     let meter = Meter::new(buffer + MIN_READ_BUFFER_BYTES);
@@ -190,15 +192,19 @@
     let (parts, body) = request.into_parts();
     let head = dialect.read(&parts);
     let id = head.as_ref().map(|head| head.id.clone()).unwrap_or_default();
+    let mut pending = PendingAnswer::new(shared.clone(), id.clone());
     let served = match head.map_err(Problem::Malformed) {
         Ok(head) => prepare_exchange(&shared, &dialect, parts, (body, &meter), head, received_at).await,
         Err(problem) => Err(problem),
     };
     let mut response = match served {
-        Ok(mut exchange) => match exchange.run().await {
-            Served::Complete(response) => response,
-            Served::Stream { reply, events, first } => relay::start(exchange, *reply, events, first),
-        },
+        Ok(mut exchange) => {
+            pending.set_route(&exchange.route.name);
+            match exchange.run().await {
+                Served::Complete(response) => response,
+                Served::Stream { reply, events, first } => relay::start(exchange, *reply, events, first),
+            }
+        }
         Err(problem) => {
             shared.metrics.count(problem.label());
             let (version, age) = shared.query(|core, now| (core.table().version(), core.view().age(now)));
@@ -212,10 +218,27 @@
     if shared.is_stopping() || !shared.query(Core::is_ready) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    response.body_mut().hold(pending);
     drop(in_flight);
     Ok(response)
 }
 
+/// Counts a connection as open for as long as it exists.
+struct ConnectionGuard(Arc<Shared>);
+
+impl ConnectionGuard {
+    fn new(shared: Arc<Shared>) -> Self {
+        shared.metrics.connections.fetch_add(1, Ordering::Relaxed);
+        Self(shared)
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.metrics.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request as in flight for as long as it exists.
 pub(crate) struct InFlightGuard(Arc<Shared>);
 
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -77,6 +77,31 @@
     held_failure: Option<HeldFailure>,
 }
 
+/// Why a request must not be sent to another upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NoRetry {
+    /// The request may run only once.
+    NotRepeatable,
+    /// The route's attempts are used up.
+    Attempts,
+    /// The request's deadline passed.
+    Deadline,
+    /// The retry budget is exhausted.
+    Budget,
+}
+
+impl NoRetry {
+    /// The name in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRepeatable => "not-repeatable",
+            Self::Attempts => "attempts",
+            Self::Deadline => "deadline",
+            Self::Budget => "budget",
+        }
+    }
+}
+
 /// A server error that an upstream returned and that is held back, since a retry elsewhere may succeed.
 #[derive(Debug)]
 struct HeldFailure {
@@ -200,7 +225,7 @@
             }
             let failed = reply.head.status.is_server_error();
             match self.read_complete(reply).await {
-                Ok(Served::Complete(response)) if failed && self.try_start_retry() => {
+                Ok(Served::Complete(response)) if failed && self.try_start_retry().is_ok() => {
                     self.attempts.held_failure = Some(HeldFailure { response, runs: self.attempts.runs });
                 }
                 Ok(served) => return Ok(served),
@@ -276,19 +301,29 @@
 
     /// Returns `problem` unless the request may be retried after an attempt that may have run and did not succeed.
     fn retry_or_fail(&mut self, problem: Problem) -> Result<(), Problem> {
-        if self.try_start_retry() { Ok(()) } else { Err(problem) }
+        self.try_start_retry().map_err(|_| problem)
     }
 
-    /// Whether the request may be sent to another upstream although it may have run already; if so, charges the retry
-    /// to the budget.
-    pub(crate) fn try_start_retry(&mut self) -> bool {
-        let allowed =
-            self.route.is_repeatable() && self.attempts.runs < self.route.attempts && !self.time_left().is_zero();
-        let allowed = allowed && self.take_retry("failure");
-        if allowed {
-            self.shared.metrics.count("retry");
+    /// Charges a retry to the budget, so that the request may be sent to another upstream although it may have run
+    /// already.
+    ///
+    /// # Errors
+    /// A [`NoRetry`] if the request must not be sent again.
+    pub(crate) fn try_start_retry(&mut self) -> Result<(), NoRetry> {
+        if !self.route.is_repeatable() {
+            return Err(NoRetry::NotRepeatable);
         }
-        allowed
+        if self.attempts.runs >= self.route.attempts {
+            return Err(NoRetry::Attempts);
+        }
+        if self.time_left().is_zero() {
+            return Err(NoRetry::Deadline);
+        }
+        if !self.take_retry("failure") {
+            return Err(NoRetry::Budget);
+        }
+        self.shared.metrics.count("retry");
+        Ok(())
     }
 
     /// Charges a retry to the budget; `false` if the budget is exhausted. `cause` says why the last attempt ended.
@@ -330,6 +365,11 @@
         self.deadline.since(self.shared.now())
     }
 
+    /// Number of upstreams that may have run the request.
+    pub(crate) const fn runs(&self) -> u32 {
+        self.attempts.runs
+    }
+
     /// The time since the request arrived.
     pub(crate) fn elapsed(&self) -> Duration {
         self.shared.now().since(self.received_at)
--- a/crates/stairvale-serve/src/metrics.rs
+++ b/crates/stairvale-serve/src/metrics.rs
@@ -86,6 +86,8 @@
     placing: Latency,
     /// Number of requests in flight.
     pub in_flight: AtomicU64,
+    /// Number of clients' connections.
+    pub connections: AtomicU64,
     /// The count of log lines that were dropped because the log writer could not keep up.
     dropped_lines: OnceLock<DroppedLines>,
 }
@@ -104,8 +106,9 @@
     #[must_use]
     pub fn new(zone: id::Zone) -> Self {
         let (first_byte, placing) = (Latency::new("first_byte"), Latency::new("placing"));
-        let (in_flight, dropped_lines) = (AtomicU64::new(0), OnceLock::new());
-        Self { events: Family::default(), traffic: Traffic::new(zone), first_byte, placing, in_flight, dropped_lines }
+        let (in_flight, connections, dropped_lines) = (AtomicU64::new(0), AtomicU64::new(0), OnceLock::new());
+        let (events, traffic) = (Family::default(), Traffic::new(zone));
+        Self { events, traffic, first_byte, placing, in_flight, connections, dropped_lines }
     }
 
     /// Counts an event.
@@ -141,6 +144,7 @@
             latency.write(&mut text);
         }
         let _ = writeln!(text, "stairvale_in_flight {}", self.in_flight.load(Ordering::Relaxed));
+        let _ = writeln!(text, "stairvale_connections {}", self.connections.load(Ordering::Relaxed));
         let _ =
             writeln!(text, "stairvale_log_lines_dropped {}", self.dropped_lines.get().map_or(0, |dropped| dropped.0()));
         // Writing to a string doesn't fail.
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -41,11 +41,12 @@
     if exchange.route.kind == table::Kind::Stream {
         head.headers.remove(header::CONTENT_LENGTH);
     }
+    let length = head.headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
     let relay = Relay { exchange, sender, events };
     // Counted before the request's own count ends, so that a stopping process never regards the stream as finished.
     relay.exchange.shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
     tokio::spawn(relay.run(reply, first));
-    Response::from_parts(head, Body::Chunks(receiver))
+    Response::from_parts(head, Body::chunks(receiver, length))
 }
 
 /// The task that relays one stream.
@@ -73,6 +74,19 @@
     Left,
 }
 
+impl End {
+    /// The label of answers that were cut for this reason in counters.
+    const fn cut_label(self) -> &'static str {
+        match self {
+            Self::Whole | Self::Left => "not-cut",
+            Self::Broken => "cut-broken",
+            Self::Ended => "cut-ended",
+            Self::Silent => "cut-silent",
+            Self::Late => "cut-late",
+        }
+    }
+}
+
 impl<D: Dialect> Relay<D> {
     async fn run(mut self, reply: UpstreamResponse, first: Bytes) {
         let in_flight = self.exchange.shared.clone();
@@ -104,6 +118,12 @@
         };
         if !matches!(end, End::Whole | End::Left) {
             self.exchange.shared.metrics.count("stream-cut");
+            self.exchange.shared.metrics.count(end.cut_label());
+            tracing::info!(
+                id = self.exchange.head.id, route = self.exchange.route.name, reason = ?end,
+                events = self.events.as_ref().map(Events::count), ms = millis(self.exchange.elapsed()),
+                left_ms = millis(self.exchange.time_left()), "a client's answer was cut"
+            );
             // If the client has disconnected, the failed send doesn't matter.
             let _ = self.sender.send(Err(Truncated)).await;
         }
@@ -112,18 +132,42 @@
 
     /// Requests the events after the last complete one from another upstream.
     async fn resume(&mut self) -> Option<UpstreamResponse> {
-        if !self.exchange.try_start_retry() {
+        if let Some(refusal) = self.exchange.try_start_retry().err() {
+            self.log_unresumed(refusal.as_str());
             return None;
         }
         let events = self.events.as_mut()?;
         events.discard_partial();
         let last = events.last()?.to_owned();
         let reply = tokio::select! {
-            reply = self.exchange.dispatch(Some(&last)) => reply.ok()?,
+            reply = self.exchange.dispatch(Some(&last)) => reply,
             () = self.sender.closed() => return None,
         };
-        self.exchange.shared.metrics.count("stream-resumed");
-        reply.head.status.is_success().then_some(reply)
+        match reply {
+            Ok(reply) if reply.head.status.is_success() => {
+                self.exchange.shared.metrics.count("stream-resumed");
+                Some(reply)
+            }
+            Ok(_) => {
+                self.log_unresumed("the upstream failed");
+                None
+            }
+            Err(problem) => {
+                self.log_unresumed(problem.label());
+                None
+            }
+        }
+    }
+
+    fn log_unresumed(&self, reason: &str) {
+        self.exchange.shared.metrics.count("stream-not-resumed");
+        tracing::info!(
+            id = self.exchange.head.id,
+            route = self.exchange.route.name,
+            reason,
+            tries = self.exchange.runs(),
+            "a stream was not resumed"
+        );
     }
 
     /// The id of the last complete event; `None` if the stream can't be resumed after it.
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -46,6 +46,15 @@
     Signal,
 }
 
+/// Logs panics, beside what the standard library prints: a panic ends one task, and with it what the task served.
+fn log_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        tracing::error!(%panic, "a task panicked");
+        print(panic);
+    }));
+}
+
 /// Runs a process until it is asked to stop and no request is in flight any more. `file` is the path from which its
 /// settings were read.
 ///
@@ -61,6 +70,7 @@
     source: S,
     dropped_lines: impl Fn() -> usize + Send + Sync + 'static,
 ) -> Result<(), Report<Error>> {
+    log_panics();
     let runtime = runtime::Builder::new_current_thread().enable_all().build().change_context(Error::Runtime)?;
     let result = runtime.block_on(async {
         // Before anything else, so that the default action of a signal never applies.
@@ -164,6 +174,7 @@
     pub async fn stop(self) {
         let Self { shared, accepting, tasks } = self;
         stop(&shared, || accepting.abort()).await;
+        shared.exiting.store(true, Ordering::Relaxed);
         drop(tasks);
     }
 }
@@ -235,7 +246,8 @@
         idle_polls = if in_flight == 0 { idle_polls + 1 } else { 0 };
         // The last response may still be on its way to the client.
         if idle_polls >= 2 || shared.now().since(stopping_since) >= limit {
-            tracing::info!(in_flight, "stopped");
+            let connections = shared.metrics.connections.load(Ordering::Relaxed);
+            tracing::info!(in_flight, connections, "stopped");
             return;
         }
     }
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -109,6 +109,8 @@
     pub upstreams: Connections,
     /// Whether the process is shutting down.
     pub stopping: AtomicBool,
+    /// Whether the process no longer serves, and what it still does is dropped.
+    pub exiting: AtomicBool,
     /// Notifies callers' connections to close as soon as they are idle.
     pub closing: watch::Sender<bool>,
     /// Whether a configuration is in force.
@@ -152,6 +154,7 @@
             upstreams,
             clock,
             stopping: AtomicBool::new(false),
+            exiting: AtomicBool::new(false),
             closing: watch::Sender::new(false),
             configured: watch::Sender::new(false),
             inspections,
