A stream's upstream stays while another one is sought

What callers saw: a stream of a resumable route ended within its events when its upstream, or the router itself, stood still for three target pauses (0.9 s at least).

Cause: the stall ended the upstream's part first, and only then another one was sought. The retry budget, the attempts, or the lack of another upstream then cut an answer whose upstream was about to go on. Class: a time-out as a verdict where it is only a reason to look further.

Change: a stall starts a race. The upstream that stalled and the search for another one go on side by side; the first complete event decides, and the other one's connection is closed, which cancels its work. If no other upstream is to be had, the first goes on until the deadline. Events are passed on whole and the other upstream is asked for those after the last one, so none comes twice or is missing. An attempt that is given up after it was sent counts as a run. Connections that broke are resumed as before.

--- a/crates/stairvale-serve/src/events.rs
+++ b/crates/stairvale-serve/src/events.rs
@@ -70,7 +70,7 @@
 
 /// Passes a stream of server-sent events on. By default only complete events are passed on, and the id of the last one is
 /// recorded.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Events {
     delivery: Delivery,
     scanner: Scanner,
@@ -139,9 +139,15 @@
         self.scanner.is_in_event
     }
 
-    /// Discards an incomplete event, which the upstream that resumes the stream sends again.
-    pub fn discard_partial(&mut self) {
-        self.partial.clear();
-        self.scanner = Scanner { count: self.scanner.count, ..Scanner::default() };
+    /// The events of an upstream that resumes this stream after the last complete event. It sends an incomplete one again.
+    #[must_use]
+    pub fn resumed(&self) -> Self {
+        Self {
+            delivery: self.delivery,
+            scanner: Scanner { count: self.scanner.count, ..Scanner::default() },
+            partial: BytesMut::new(),
+            last: self.last.clone(),
+            has_split: self.has_split,
+        }
     }
 }
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -69,6 +69,8 @@
 struct Attempts {
     /// Number of upstreams that may have run the request.
     runs: u32,
+    /// Whether the request is being sent to an upstream, which may run it from now on.
+    is_sending: bool,
     /// Number of upstreams that rejected the request without running it.
     rejections: u32,
     /// Upstreams that further attempts must not use.
@@ -91,6 +93,14 @@
 }
 
 impl NoRetry {
+    /// Whether no retry will be allowed later either.
+    pub(crate) const fn is_final(self) -> bool {
+        match self {
+            Self::NotRepeatable | Self::Attempts | Self::Deadline => true,
+            Self::Budget => false,
+        }
+    }
+
     /// The name in logs.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
@@ -355,7 +365,14 @@
 
     /// Excludes an upstream from further attempts.
     pub(crate) fn avoid(&mut self, upstream: &id::Upstream) {
-        self.attempts.avoid.push(upstream.clone());
+        if !self.attempts.avoid.contains(upstream) {
+            self.attempts.avoid.push(upstream.clone());
+        }
+    }
+
+    /// Records that an attempt was given up, if there is one: its upstream may have run the request.
+    pub(crate) fn cancel_attempt(&mut self) {
+        self.attempts.runs += u32::from(std::mem::take(&mut self.attempts.is_sending));
     }
 
     // ------------------------------------------------------------------------
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -155,7 +155,10 @@
         let (id, address) = (permit.upstream.id.clone(), permit.upstream.address);
         let peers = || self.shared.query(Core::tunnel_peers);
         let sending = self.shared.upstreams.send(&id, address, peers, request);
-        let (response, connection) = match self.await_upstream(&permit, sending).await {
+        self.attempts.is_sending = true;
+        let sent = self.await_upstream(&permit, sending).await;
+        self.attempts.is_sending = false;
+        let (response, connection) = match sent {
             Ok(sent) => sent,
             Err(Fault::Unreachable | Fault::Unsent) => {
                 permit.end(Outcome::Unreachable);
@@ -208,7 +211,7 @@
 
     /// Ends an attempt that may have run and got no response, and returns the resulting problem. Idle connections to
     /// the upstream are dropped, since they are probably no better than the one that failed.
-    pub(super) async fn fail_attempt(&self, fault: &Fault, permit: Permit) -> Problem {
+    pub(crate) async fn fail_attempt(&self, fault: &Fault, permit: Permit) -> Problem {
         self.shared.upstreams.drop_idle(&permit.upstream.id);
         match fault {
             Fault::Unresponsive => {
@@ -264,7 +267,7 @@
     }
 
     /// Awaits an upstream's response until the attempt's deadline, or until the upstream's incarnation ends.
-    pub(super) async fn await_upstream<T>(
+    pub(crate) async fn await_upstream<T>(
         &self,
         permit: &Permit,
         work: impl Future<Output = Result<T, Fault>>,
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -1,6 +1,6 @@
 //! Relays a stream from an upstream to the client, and resumes it at another upstream where the route allows that.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{pin::pin, sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, header};
@@ -20,11 +20,16 @@
     upstream::Fault,
 };
 
+mod resumption;
+
+use resumption::Resumption;
+
 /// Chunks that are buffered for a client; one that reads more slowly applies back-pressure to the upstream.
 const MAX_BUFFERED_CHUNKS: usize = 32;
-/// A resumable stream is resumed elsewhere after a stall of this many times the route's target pause between events.
+/// Another upstream is sought for a resumable stream after a stall of this many times the route's target pause between
+/// events.
 const STALL_TIMEOUT_PAUSES: u32 = 3;
-/// Lower bound of the stall after which a resumable stream is resumed elsewhere.
+/// Lower bound of the stall after which another upstream is sought for a resumable stream.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Returns the response head for the client and spawns a task that relays the body, beginning with `first`. `events` has
@@ -42,10 +47,12 @@
         head.headers.remove(header::CONTENT_LENGTH);
     }
     let length = head.headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
-    let relay = Relay { exchange, sender, events };
+    let can_resume = exchange.route.is_repeatable();
+    let relay = Relay { exchange, sender, events, can_resume };
     // Counted before the request's own count ends, so that a stopping process never regards the stream as finished.
     relay.exchange.shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
-    tokio::spawn(relay.run(reply, first));
+    let source = Source { reply, has_begun: !first.is_empty() };
+    tokio::spawn(relay.run(source, first));
     Response::from_parts(head, Body::chunks(receiver, length))
 }
 
@@ -55,6 +62,15 @@
     sender: mpsc::Sender<Result<Bytes, Truncated>>,
     /// The events of the stream; `None` if the body isn't a stream of events.
     events: Option<Events>,
+    /// Whether the stream may be resumed at another upstream.
+    can_resume: bool,
+}
+
+/// The upstream whose part of the stream is forwarded.
+struct Source {
+    reply: UpstreamResponse,
+    /// Whether any of its body arrived.
+    has_begun: bool,
 }
 
 /// Why an upstream's part of the stream ended. The names are printed in the log.
@@ -66,7 +82,7 @@
     Broken,
     /// The upstream terminated.
     Ended,
-    /// The upstream stalled or acknowledged nothing.
+    /// The upstream acknowledged nothing, or stalled and another one resumed the stream.
     Silent,
     /// The request's deadline passed.
     Late,
@@ -75,6 +91,11 @@
 }
 
 impl End {
+    /// Whether another upstream may resume the stream.
+    const fn is_interruption(self) -> bool {
+        matches!(self, Self::Broken | Self::Ended | Self::Silent)
+    }
+
     /// The label of answers that were cut for this reason in counters.
     const fn cut_label(self) -> &'static str {
         match self {
@@ -87,87 +108,177 @@
     }
 }
 
+impl From<Fault> for End {
+    fn from(fault: Fault) -> Self {
+        match fault {
+            Fault::Unresponsive => Self::Silent,
+            Fault::Terminated => Self::Ended,
+            Fault::Broken | Fault::Unreachable | Fault::NoPath | Fault::Unsent => Self::Broken,
+        }
+    }
+}
+
+/// What a part of the stream came to.
+enum Part {
+    /// It ended.
+    Ended(End),
+    /// The upstream has sent nothing for a while.
+    Stalled,
+}
+
+/// What came first after an upstream had stalled.
+enum Race {
+    /// The upstream went on with these events.
+    Continued(Bytes),
+    /// Another upstream resumed the stream. The stalled one's part ended for this reason.
+    Resumed(Box<Resumption>, End),
+    /// The part of the upstream that had stalled ended, and no other upstream resumed the stream.
+    Ended(End),
+    /// No other upstream was found, and the one that stalled may still go on.
+    NoOther,
+}
+
 impl<D: Dialect> Relay<D> {
-    async fn run(mut self, reply: UpstreamResponse, first: Bytes) {
+    async fn run(mut self, mut source: Source, first: Bytes) {
         let in_flight = self.exchange.shared.clone();
-        let mut reply = reply;
-        let mut first = first;
+        let mut events = first;
         let end = loop {
-            let end = self.forward_all(&mut reply, std::mem::take(&mut first)).await;
-            self.log(&reply, end);
-            let UpstreamResponse { head, connection, permit, .. } = reply;
-            let upstream = permit.upstream.id.clone();
-            match end {
-                End::Whole => {
-                    permit.end(Outcome::Served);
-                    self.exchange.shared.upstreams.release(connection, &head.headers);
-                }
-                End::Broken => self.exchange.connection_broke(permit).await,
-                End::Ended => self.exchange.upstream_terminated(permit),
-                End::Silent => permit.end(self.exchange.outcome_of(Outcome::Silent)),
-                End::Late | End::Left => permit.end(Outcome::Abandoned),
-            }
-            if !matches!(end, End::Broken | End::Ended | End::Silent) || self.last_event().is_none() {
+            let end = match self.forward_all(&mut source, std::mem::take(&mut events)).await {
+                Part::Ended(end) => end,
+                Part::Stalled => match self.race(&mut source).await {
+                    Race::Continued(next) => {
+                        events = next;
+                        continue;
+                    }
+                    Race::Resumed(resumption, end) => {
+                        let stalled = std::mem::replace(&mut source, self.take_over(*resumption, &mut events));
+                        self.settle(stalled, end).await;
+                        continue;
+                    }
+                    Race::NoOther => continue,
+                    Race::Ended(end) => end,
+                },
+            };
+            self.settle(source, end).await;
+            if !end.is_interruption() || self.last_event().is_none() {
                 break end;
             }
-            self.exchange.avoid(&upstream);
-            match self.resume().await {
-                Some(next) => reply = next,
-                None => break end,
+            match self.resume(end).await {
+                Ok(resumption) => source = self.take_over(resumption, &mut events),
+                Err(end) => break end,
             }
         };
         if !matches!(end, End::Whole | End::Left) {
-            self.exchange.shared.metrics.count("stream-cut");
-            self.exchange.shared.metrics.count(end.cut_label());
-            tracing::info!(
-                id = self.exchange.head.id, route = self.exchange.route.name, reason = ?end,
-                events = self.events.as_ref().map(Events::count), ms = millis(self.exchange.elapsed()),
-                left_ms = millis(self.exchange.time_left()), "a client's answer was cut"
-            );
+            self.log_cut(end);
             // If the client has disconnected, the failed send doesn't matter.
             let _ = self.sender.send(Err(Truncated)).await;
         }
         in_flight.metrics.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Requests the events after the last complete one from another upstream.
-    async fn resume(&mut self) -> Option<UpstreamResponse> {
-        if let Some(refusal) = self.exchange.try_start_retry().err() {
+    /// Releases an upstream whose part of the stream ended. An unfinished answer's connection is closed, which cancels
+    /// the upstream's work.
+    async fn settle(&mut self, source: Source, end: End) {
+        self.log(&source.reply, end);
+        let UpstreamResponse { head, connection, permit, .. } = source.reply;
+        if end.is_interruption() {
+            self.exchange.avoid(&permit.upstream.id);
+        }
+        match end {
+            End::Whole => {
+                permit.end(Outcome::Served);
+                self.exchange.shared.upstreams.release(connection, &head.headers);
+            }
+            End::Broken => self.exchange.connection_broke(permit).await,
+            End::Ended => self.exchange.upstream_terminated(permit),
+            End::Silent => permit.end(self.exchange.outcome_of(Outcome::Silent)),
+            End::Late | End::Left => permit.end(Outcome::Abandoned),
+        }
+    }
+
+    /// Goes on with another upstream, whose first events are to be forwarded next.
+    fn take_over(&mut self, resumption: Resumption, events: &mut Bytes) -> Source {
+        self.exchange.shared.metrics.count("stream-resumed");
+        let Resumption { reply, events: new, first } = resumption;
+        let has_begun = !first.is_empty();
+        (*events, self.events) = (first, Some(new));
+        Source { reply, has_begun }
+    }
+
+    /// Seeks another upstream while the one that stalled may go on; what comes first decides. The other one's work is
+    /// cancelled then.
+    async fn race(&mut self, stalled: &mut Source) -> Race {
+        self.exchange.shared.metrics.count("stream-stalled");
+        if let Err(refusal) = self.exchange.try_start_retry() {
+            self.can_resume &= !refusal.is_final();
             self.log_unresumed(refusal.as_str());
-            return None;
+            return Race::NoOther;
         }
-        let events = self.events.as_mut()?;
-        events.discard_partial();
-        let last = events.last()?.to_owned();
-        let reply = tokio::select! {
-            reply = self.exchange.dispatch(Some(&last)) => reply,
-            () = self.sender.closed() => return None,
+        self.exchange.avoid(&stalled.reply.permit.upstream.id);
+        let Some(events) = self.events.as_mut() else {
+            return Race::NoOther;
         };
-        match reply {
-            Ok(reply) if reply.head.status.is_success() => {
-                self.exchange.shared.metrics.count("stream-resumed");
-                Some(reply)
-            }
-            Ok(_) => {
-                self.log_unresumed("the upstream failed");
-                None
+        let (shared, deadline, sender) = (self.exchange.shared.clone(), self.exchange.deadline, &self.sender);
+        let UpstreamResponse { body, connection, permit, .. } = &mut stalled.reply;
+        let mut end = None;
+        let race = async {
+            let mut seeking =
+                pin!(Resumption::seek(&mut self.exchange, events.last().map(str::to_owned), events.resumed()));
+            loop {
+                tokio::select! {
+                    biased;
+                    chunk = next(body, connection.meter()), if end.is_none() => match chunk {
+                        Ok(Some(chunk)) => {
+                            shared.count_traffic(Kind::Answer, permit, chunk.len());
+                            let complete = events.pass_on(chunk);
+                            if !complete.is_empty() {
+                                return Ok(Race::Continued(complete));
+                            }
+                        }
+                        Ok(None) if events.is_partial() => end = Some(End::Broken),
+                        // Whether the close of the connection ends the stream is found out by the one that goes on with it.
+                        Ok(None) => return Ok(Race::Continued(Bytes::new())),
+                        Err(fault) => end = Some(End::from(fault)),
+                    },
+                    found = &mut seeking => return match found {
+                        Ok(resumption) => Ok(Race::Resumed(Box::new(resumption), end.unwrap_or(End::Silent))),
+                        Err(reason) => Err(reason),
+                    },
+                    () = sender.closed() => return Ok(Race::Ended(End::Left)),
+                    () = permit.upstream_replaced(), if end.is_none() => end = Some(End::Ended),
+                }
             }
-            Err(problem) => {
-                self.log_unresumed(problem.label());
-                None
+        };
+        let winner = shared.clock.with_deadline(deadline, race).await;
+        self.exchange.cancel_attempt();
+        match winner {
+            Ok(Ok(race)) => race,
+            Ok(Err(reason)) => {
+                self.log_unresumed(reason);
+                end.map_or(Race::NoOther, Race::Ended)
             }
+            Err(_) => Race::Ended(End::Late),
         }
     }
 
-    fn log_unresumed(&self, reason: &str) {
-        self.exchange.shared.metrics.count("stream-not-resumed");
-        tracing::info!(
-            id = self.exchange.head.id,
-            route = self.exchange.route.name,
-            reason,
-            tries = self.exchange.runs(),
-            "a stream was not resumed"
-        );
+    /// Requests the events after the last complete one from another upstream. `end` is how the last upstream's part ended.
+    ///
+    /// The error is how the stream ends if no other upstream resumes it.
+    async fn resume(&mut self, end: End) -> Result<Resumption, End> {
+        if let Err(refusal) = self.exchange.try_start_retry() {
+            self.log_unresumed(refusal.as_str());
+            return Err(end);
+        }
+        let events = self.events.as_ref().ok_or(end)?;
+        let seeking = Resumption::seek(&mut self.exchange, events.last().map(str::to_owned), events.resumed());
+        let found = tokio::select! {
+            found = seeking => found,
+            () = self.sender.closed() => return Err(End::Left),
+        };
+        found.map_err(|reason| {
+            self.log_unresumed(reason);
+            end
+        })
     }
 
     /// The id of the last complete event; `None` if the stream can't be resumed after it.
@@ -175,42 +286,43 @@
         self.events.as_ref()?.last()
     }
 
-    /// Forwards one upstream's part of the stream until it ends. `first` was passed to [`Self::events`] already.
-    async fn forward_all(&mut self, reply: &mut UpstreamResponse, first: Bytes) -> End {
-        let mut begun = !first.is_empty();
-        if begun && !self.send(first).await {
-            return End::Left;
+    /// Forwards one upstream's part of the stream until it ends or stalls. `first` was passed to [`Self::events`] already.
+    async fn forward_all(&mut self, source: &mut Source, first: Bytes) -> Part {
+        if !first.is_empty() {
+            source.has_begun = true;
+            if !self.send(first).await {
+                return Part::Ended(End::Left);
+            }
         }
+        let reply = &mut source.reply;
         loop {
             let left = self.exchange.time_left();
             if left.is_zero() {
-                return End::Late;
+                return Part::Ended(End::Late);
             }
             let stall = self.stall_timeout();
             let clock = &self.exchange.shared.clock;
             let chunk = tokio::select! {
                 chunk = clock.with_deadline(clock.now() + left.min(stall), next(&mut reply.body, reply.connection.meter())) => chunk,
-                () = self.sender.closed() => return End::Left,
-                () = reply.permit.upstream_replaced() => return End::Ended,
+                () = self.sender.closed() => return Part::Ended(End::Left),
+                () = reply.permit.upstream_replaced() => return Part::Ended(End::Ended),
             };
             let Ok(chunk) = chunk else {
-                return if stall < left { End::Silent } else { End::Late };
+                return if stall < left { Part::Stalled } else { Part::Ended(End::Late) };
             };
             match chunk {
                 Ok(Some(chunk)) => {
-                    if !begun {
-                        begun = true;
+                    if !source.has_begun {
+                        source.has_begun = true;
                         reply.permit.begun();
                     }
                     self.exchange.shared.count_traffic(Kind::Answer, &reply.permit, chunk.len());
                     if !self.forward(chunk).await {
-                        return End::Left;
+                        return Part::Ended(End::Left);
                     }
                 }
-                Ok(None) => return self.end_of(reply, begun).await,
-                Err(Fault::Unresponsive) => return End::Silent,
-                Err(Fault::Terminated) => return End::Ended,
-                Err(Fault::Broken | Fault::Unreachable | Fault::NoPath | Fault::Unsent) => return End::Broken,
+                Ok(None) => return Part::Ended(self.end_of(reply, source.has_begun).await),
+                Err(fault) => return Part::Ended(End::from(fault)),
             }
         }
     }
@@ -230,10 +342,12 @@
         }
     }
 
-    /// How long the upstream may send nothing before the stream is resumed elsewhere.
+    /// How long the upstream may send nothing before another one is sought.
     fn stall_timeout(&self) -> Duration {
         match self.exchange.route.pause {
-            Some(pause) if self.exchange.route.is_repeatable() => (pause * STALL_TIMEOUT_PAUSES).max(MIN_STALL_TIMEOUT),
+            Some(pause) if self.can_resume && self.last_event().is_some() => {
+                (pause * STALL_TIMEOUT_PAUSES).max(MIN_STALL_TIMEOUT)
+            }
             Some(_) | None => Duration::MAX,
         }
     }
@@ -266,4 +380,26 @@
             inside_event = self.events.as_ref().is_some_and(Events::is_partial), version, last_event, resumes, "streamed"
         );
     }
+
+    fn log_unresumed(&self, reason: &str) {
+        self.exchange.shared.metrics.count("stream-not-resumed");
+        tracing::info!(
+            id = self.exchange.head.id,
+            route = self.exchange.route.name,
+            reason,
+            tries = self.exchange.runs(),
+            "a stream was not resumed"
+        );
+    }
+
+    fn log_cut(&self, end: End) {
+        let exchange = &self.exchange;
+        exchange.shared.metrics.count("stream-cut");
+        exchange.shared.metrics.count(end.cut_label());
+        tracing::info!(
+            id = exchange.head.id, route = exchange.route.name, reason = ?end,
+            events = self.events.as_ref().map(Events::count), ms = millis(exchange.elapsed()),
+            left_ms = millis(exchange.time_left()), "a client's answer was cut"
+        );
+    }
 }
