A stopping process waits until its answers are written

What callers saw: a large answer that was read slowly ended within its body 2.4 s after a planned stop, with half of the grace time left.

Cause: the stop waited for the count of requests in flight, which falls when an answer is handed to the HTTP library, not when it is written. Class: work counted as done when it is passed on.

Change: the stop also waits until no caller's connection is open. Idle ones are closed at once and all others when their last answer is written; the grace time still bounds the wait, so a caller that reads nothing can't hold it.

--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -170,7 +170,7 @@
     }
 
     /// Shuts down gracefully: reports not ready to the load balancer, hands its homes over, stops accepting connections
-    /// after a delay, and waits for the requests in flight.
+    /// after a delay, and waits until all answers are written.
     pub async fn stop(self) {
         let Self { shared, accepting, tasks } = self;
         stop(&shared, || accepting.abort()).await;
@@ -228,7 +228,7 @@
 }
 
 /// Shuts down gracefully: reports not ready to the load balancer, hands its homes over, stops accepting connections
-/// after a delay, and waits for the requests in flight.
+/// after a delay, and waits until all answers are written, and for the tunnels of peers.
 async fn stop(shared: &Shared, stop_accepting: impl FnOnce()) {
     tracing::info!("stopping");
     let stopping_since = shared.now();
@@ -243,10 +243,11 @@
     loop {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
         let in_flight = shared.metrics.in_flight.load(Ordering::Relaxed);
-        idle_polls = if in_flight == 0 { idle_polls + 1 } else { 0 };
+        // An idle connection closes at once, and any other one when its last answer is written.
+        let connections = shared.metrics.connections.load(Ordering::Relaxed);
+        idle_polls = if in_flight == 0 && connections == 0 { idle_polls + 1 } else { 0 };
         // The last response may still be on its way to the client.
         if idle_polls >= 2 || shared.now().since(stopping_since) >= limit {
-            let connections = shared.metrics.connections.load(Ordering::Relaxed);
             tracing::info!(in_flight, connections, "stopped");
             return;
         }
