Requests that arrived before a close are served

What callers saw: around a planned stop, requests on idle and on new connections were answered by a reset although they had arrived before the router closed them.

Cause: the decision to close was taken from what the runtime knew, not from what the kernel held. A process that had no processor sees its own timer before the bytes that came meanwhile; it closed idle connections without a last read, and dropped the connections that waited for their turn. Class: a close that is decided on a stale view.

Change: before a connection is closed, or the listening socket, the runtime asks the kernel once more, and what has arrived is served. The accepting task ends by itself when nothing waits, and the stop waits for it.

Evidence: a_stop_serves_what_arrived_before_connections_are_closed failed before (24 of 24 unread) and passes.

--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -18,7 +18,7 @@
 use stairvale_types::{Moment, Refusal, outcome::Reason};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, OwnedSemaphorePermit, Semaphore},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
 };
 
 use crate::{
@@ -79,7 +79,7 @@
     usize::try_from(limit.min(MAX_CONNECTIONS)).unwrap_or(usize::MAX)
 }
 
-/// Accepts clients' connections until the task is dropped.
+/// Accepts clients' connections until the process stops. Those that were established by then are still served.
 ///
 /// All tasks that are ready run between one connection and the next, so requests that have been read take precedence.
 pub async fn listen<D: Dialect>(shared: Arc<Shared>, dialect: D, listener: TcpListener) {
@@ -89,9 +89,18 @@
     tracing::info!(connections = limit - max_waiting, "accepting callers' connections");
     let mut intake = Intake::new(shared.now());
     let mut is_shedding = false;
+    let mut closing = shared.closing.subscribe();
     loop {
         if intake.is_empty() {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = closed(&mut closing) => match await_events(listener.accept()).await {
+                    Some(accepted) => accepted,
+                    None => return,
+                },
+            };
+            match accepted {
                 Ok((tcp, _)) => intake.push(shared.now(), tcp),
                 Err(error) => {
                     accept_failed(&shared, &error);
@@ -131,6 +140,21 @@
     }
 }
 
+/// Waits until connections are to be closed. An error means that the process exits anyway.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    let _ = closing.wait_for(|closing| *closing).await;
+}
+
+/// Polls `work` with the input and output events of which the kernel knows by now; `None` if it isn't done then. Events that
+/// came while this process wasn't running are known to the runtime only after it has asked the kernel again.
+async fn await_events<T>(work: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        result = work => Some(result),
+        () = tokio::task::yield_now() => None,
+    }
+}
+
 fn accept_failed(shared: &Shared, error: &std::io::Error) {
     // Clients take precedence over idle connections that might be reused later.
     tracing::warn!(%error, "accepting a client's connection failed; closing idle connections to upstreams");
@@ -161,23 +185,27 @@
     let stream = TokioIo::new(Metered::new(tcp, meter.clone()));
     let mut connection = pin!(builder.serve_connection(stream, service));
     let mut closing = shared.closing.subscribe();
-    let shutdown = async move {
-        // An error means that the process is exiting anyway.
-        let _ = closing.wait_for(|closing| *closing).await;
+    let ended = tokio::select! {
+        biased;
+        result = connection.as_mut() => Some(result),
+        () = closed(&mut closing) => None,
+        () = close.notified() => None,
     };
-    tokio::select! {
-        result = connection.as_mut() => {
-            if result.is_err_and(|error| Excess::caused(&error)) {
-                shared.metrics.count("caller-excess");
-                tracing::info!("a caller sent too many bytes that belong to no body");
+    let result = match ended {
+        Some(result) => result,
+        // A request that has arrived is served before the connection is closed.
+        None => match await_events(connection.as_mut()).await {
+            Some(result) => result,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
             }
-            return;
-        }
-        () = shutdown => {}
-        () = close.notified() => {}
+        },
+    };
+    if result.is_err_and(|error| Excess::caused(&error)) {
+        shared.metrics.count("caller-excess");
+        tracing::info!("a caller sent too many bytes that belong to no body");
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
 
 async fn serve<D: Dialect>(
--- a/crates/stairvale-serve/src/run.rs
+++ b/crates/stairvale-serve/src/run.rs
@@ -173,8 +173,9 @@
     /// after a delay, and waits until all answers are written.
     pub async fn stop(self) {
         let Self { shared, accepting, tasks } = self;
-        stop(&shared, || accepting.abort()).await;
+        stop(&shared, &accepting).await;
         shared.exiting.store(true, Ordering::Relaxed);
+        accepting.abort();
         drop(tasks);
     }
 }
@@ -229,7 +230,7 @@
 
 /// Shuts down gracefully: reports not ready to the load balancer, hands its homes over, stops accepting connections
 /// after a delay, and waits until all answers are written, and for the tunnels of peers.
-async fn stop(shared: &Shared, stop_accepting: impl FnOnce()) {
+async fn stop(shared: &Shared, accepting: &JoinHandle<()>) {
     tracing::info!("stopping");
     let stopping_since = shared.now();
     shared.stopping.store(true, Ordering::Relaxed);
@@ -237,7 +238,6 @@
     let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s);
     let limit = grace.saturating_sub(KILL_MARGIN);
     tokio::time::sleep(BALANCER_DRAIN_DELAY.min(limit)).await;
-    stop_accepting();
     shared.closing.send_replace(true);
     let mut idle_polls = 0;
     loop {
@@ -245,7 +245,8 @@
         let in_flight = shared.metrics.in_flight.load(Ordering::Relaxed);
         // An idle connection closes at once, and any other one when its last answer is written.
         let connections = shared.metrics.connections.load(Ordering::Relaxed);
-        idle_polls = if in_flight == 0 && connections == 0 { idle_polls + 1 } else { 0 };
+        let is_idle = in_flight == 0 && connections == 0 && accepting.is_finished();
+        idle_polls = if is_idle { idle_polls + 1 } else { 0 };
         // The last response may still be on its way to the client.
         if idle_polls >= 2 || shared.now().since(stopping_since) >= limit {
             tracing::info!(in_flight, connections, "stopped");
