Rejected requests' bodies are read to their end, within bounds

What callers saw: a caller that was still sending a body got a reset instead of the rejection (unknown key, body too large): 4 to 10 of 40.

Cause: the rejection was written before the body was read, and the connection was closed with unread bytes, which the kernel answers with a reset. Class: a close that discards what the other side is still to receive.

Change: the rejection is sent at once, and the rest of the body is read and discarded beside it, for a second and 4 MiB at most. The connection can then be kept. A caller that waits for a status before it sends the body is left alone.

--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -11,7 +11,11 @@
 use futures::FutureExt;
 use http::{HeaderValue, Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustix::process::{Resource, getrlimit};
 use stairvale_link::set_liveness_timeouts;
@@ -55,6 +59,9 @@
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 /// A newly started process makes a request wait for the configuration for at most the client's timeout divided by this.
 const STARTUP_WAIT_DIVISOR: u32 = 4;
+/// The rest of a rejected request's body is read for this long at most, and up to this many bytes.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+const MAX_DISCARDED_BYTES: usize = 4 << 20;
 /// Smallest read buffer that hyper accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -217,12 +224,13 @@
     let received_at = shared.now();
     let in_flight = InFlightGuard::new(shared.clone());
     meter.reset();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
+    let expects_continue = parts.headers.contains_key(header::EXPECT);
     let head = dialect.read(&parts);
     let id = head.as_ref().map(|head| head.id.clone()).unwrap_or_default();
     let mut pending = PendingAnswer::new(shared.clone(), id.clone());
     let served = match head.map_err(Problem::Malformed) {
-        Ok(head) => prepare_exchange(&shared, &dialect, parts, (body, &meter), head, received_at).await,
+        Ok(head) => prepare_exchange(&shared, &dialect, parts, (&mut body, &meter), head, received_at).await,
         Err(problem) => Err(problem),
     };
     let mut response = match served {
@@ -239,6 +247,10 @@
             let age_ms = age.map(millis);
             let status = problem.status().as_u16();
             tracing::info!(id, version, age_ms, status, reason = problem.label(), "not taken");
+            // A client that expects a status before it sends the body doesn't send it now.
+            if !expects_continue && !body.is_end_stream() {
+                tokio::spawn(tokio::time::timeout(DISCARD_TIME, discard(body, meter)));
+            }
             problem.into_response(&dialect, &id)
         }
     };
@@ -288,7 +300,7 @@
     shared: &Arc<Shared>,
     dialect: &D,
     parts: request::Parts,
-    (body, meter): (Incoming, &Meter),
+    (body, meter): (&mut Incoming, &Meter),
     head: Head,
     received_at: Moment,
 ) -> Result<Exchange<D>, Problem> {
@@ -330,7 +342,20 @@
     parts.uri.host().or(named)
 }
 
-async fn read_body(body: Incoming, meter: &Meter, limit: usize) -> Result<Bytes, Problem> {
+/// Reads the rest of a rejected request's body. If the connection were closed within the body, the kernel would reset it, and
+/// the client might not receive the rejection.
+async fn discard(mut body: Incoming, meter: Meter) {
+    let mut discarded = 0;
+    while discarded < MAX_DISCARDED_BYTES
+        && let Some(Ok(frame)) = body.frame().await
+    {
+        let bytes = frame.data_ref().map_or(0, Bytes::len);
+        meter.deliver(bytes);
+        discarded += bytes;
+    }
+}
+
+async fn read_body(body: &mut Incoming, meter: &Meter, limit: usize) -> Result<Bytes, Problem> {
     let body = body.map_frame(|frame| {
         meter.deliver(frame.data_ref().map_or(0, Bytes::len));
         frame
