A deadline that a process missed lets finished work count

What callers saw: streams given up by a router that had no processor for a time, although their events had arrived.

Cause: when such a process goes on, its timers fire before other tasks have read what the kernel held. Waits gave 5 ms more only after a suspension of the VM. Class: one's own delay is taken for the other side's.

Change: with_deadline gives the same 5 ms whenever its timer fires 20 ms late or more.

Evidence: a_deadline_that_passed_while_the_process_was_not_running_lets_ finished_work_count failed before and passes.

--- a/crates/stairvale-clock/src/clock.rs
+++ b/crates/stairvale-clock/src/clock.rs
@@ -20,8 +20,10 @@
 /// The shortest difference between the clocks that counts as a suspension. The clocks are read one after the other, so
 /// a pause of the process between the two readings makes them differ by less than this without any suspension.
 const MIN_SUSPENSION: Duration = Duration::from_millis(100);
-/// Extra time for work whose deadline passed during a suspension: data that arrived while the VM was suspended is still
-/// read.
+/// A timer that fires this much after its time shows that the process wasn't running for a while.
+const MIN_DELAY: Duration = Duration::from_millis(20);
+/// Extra time for work whose deadline passed while the VM was suspended or the process wasn't running: data that arrived
+/// meanwhile is still read.
 const RESUME_GRACE: Duration = Duration::from_millis(5);
 
 /// Measures the time since the start of a process, suspensions included. Clones share their state and give the same
@@ -66,7 +68,7 @@
         Duration::from_micros(self.simulated_suspension_us.load(Ordering::Relaxed))
     }
 
-    /// Waits for `work` until `until`; time during which the VM is suspended counts.
+    /// Waits for `work` until `until`; time during which the VM is suspended or the process isn't running counts.
     ///
     /// # Errors
     /// Returns an error if `until` passes before `work` is done.
@@ -80,7 +82,11 @@
                 biased;
                 done = &mut work => return Ok(done),
                 _ = suspensions.changed() => {}
-                () = tokio::time::sleep(remaining) => return Err(DeadlinePassed),
+                () = tokio::time::sleep(remaining) => {
+                    if self.now().since(until) < MIN_DELAY {
+                        return Err(DeadlinePassed);
+                    }
+                }
             }
             if self.now() >= until {
                 return tokio::time::timeout(RESUME_GRACE, work).await.map_err(|_| DeadlinePassed);
--- a/crates/stairvale-clock/tests/clock.rs
+++ b/crates/stairvale-clock/tests/clock.rs
@@ -58,3 +58,25 @@
         assert_eq!(clock.detect_suspension(), None, "a suspension is reported only once");
     });
 }
+
+/// Guards against work that is given up although it is done: its result came while the process wasn't running, and the timer of
+/// its deadline is seen first.
+#[tokio::test]
+async fn a_deadline_that_passed_while_the_process_was_not_running_lets_finished_work_count() {
+    let clock = Clock::start();
+    let (sender, result) = tokio::sync::oneshot::channel();
+    // Stands for another task of the process, which only takes the result from the kernel after the pause.
+    let relaying = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::task::yield_now().await;
+        sender.send(7).unwrap();
+    });
+    let waiting = clock.with_deadline(clock.now() + Duration::from_millis(30), result);
+    let blocking = async {
+        tokio::task::yield_now().await;
+        std::thread::sleep(Duration::from_millis(200));
+    };
+    let (result, ()) = tokio::join!(waiting, blocking);
+    assert_eq!(result.unwrap(), Ok(7));
+    relaying.await.unwrap();
+}
