A streamed body is complete only with its end

Cause: found by reading, as the same class elsewhere: a body whose sender was dropped counted as complete, so a panic of the task that relays an answer would have let a cut answer look whole.

Change: the relay sends an end; a body without it is truncated. The end's place in the channel is reserved when the stream starts, so a caller that reads slowly doesn't hold the relay.

--- a/crates/stairvale-serve/src/body.rs
+++ b/crates/stairvale-serve/src/body.rs
@@ -19,6 +19,15 @@
 #[error("the response was truncated")]
 pub struct Truncated;
 
+/// A part of a streamed body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Chunk {
+    /// The next bytes.
+    Data(Bytes),
+    /// The body is complete. Without this, a body whose sender was dropped is truncated.
+    End,
+}
+
 /// A response body.
 #[derive(Debug)]
 pub struct Body {
@@ -35,7 +44,7 @@
     /// The complete body, until it is handed over.
     Complete(Option<Bytes>),
     /// The chunks of a streamed body.
-    Chunks(mpsc::Receiver<Result<Bytes, Truncated>>),
+    Chunks(mpsc::Receiver<Chunk>),
 }
 
 impl Body {
@@ -47,7 +56,7 @@
 
     /// Creates a body that is streamed in chunks. `length` is the number of bytes that the head states, if any.
     #[must_use]
-    pub const fn chunks(chunks: mpsc::Receiver<Result<Bytes, Truncated>>, length: Option<u64>) -> Self {
+    pub const fn chunks(chunks: mpsc::Receiver<Chunk>, length: Option<u64>) -> Self {
         Self { content: Content::Chunks(chunks), remaining: length, pending: None }
     }
 
@@ -76,7 +85,9 @@
         let chunk = match &mut body.content {
             Content::Complete(bytes) => bytes.take().filter(|bytes| !bytes.is_empty()).map(Ok),
             Content::Chunks(chunks) => match chunks.poll_recv(context) {
-                Poll::Ready(chunk) => chunk,
+                Poll::Ready(Some(Chunk::Data(bytes))) => Some(Ok(bytes)),
+                Poll::Ready(Some(Chunk::End)) => None,
+                Poll::Ready(None) => Some(Err(Truncated)),
                 Poll::Pending => return Poll::Pending,
             },
         };
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     Dialect,
-    body::{Body, Truncated, next},
+    body::{Body, Chunk, next},
     events::Events,
     exchange::{Exchange, UpstreamResponse, millis},
     framing::Framing,
@@ -40,7 +40,8 @@
     events: Option<Events>,
     first: Bytes,
 ) -> Response<Body> {
-    let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS + 1);
+    let end_permit = sender.clone().try_reserve_owned().ok();
     let mut head = reply.head.clone();
     strip(&mut head.headers);
     if exchange.route.kind == table::Kind::Stream {
@@ -48,7 +49,7 @@
     }
     let length = head.headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
     let can_resume = exchange.route.is_repeatable();
-    let relay = Relay { exchange, sender, events, can_resume };
+    let relay = Relay { exchange, sender, end_permit, events, can_resume };
     // Counted before the request's own count ends, so that a stopping process never regards the stream as finished.
     relay.exchange.shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
     let source = Source { reply, has_begun: !first.is_empty() };
@@ -59,7 +60,9 @@
 /// The task that relays one stream.
 struct Relay<D> {
     exchange: Exchange<D>,
-    sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    sender: mpsc::Sender<Chunk>,
+    /// The place in the channel for the end of the body, so that a client that reads slowly doesn't delay the relay.
+    end_permit: Option<mpsc::OwnedPermit<Chunk>>,
     /// The events of the stream; `None` if the body isn't a stream of events.
     events: Option<Events>,
     /// Whether the stream may be resumed at another upstream.
@@ -168,10 +171,13 @@
                 Err(end) => break end,
             }
         };
-        if !matches!(end, End::Whole | End::Left) {
-            self.log_cut(end);
-            // If the client has disconnected, the failed send doesn't matter.
-            let _ = self.sender.send(Err(Truncated)).await;
+        match end {
+            End::Whole => {
+                // Without a permit the body would be truncated; there is one, since the channel was empty.
+                self.end_permit.take().map(|permit| permit.send(Chunk::End));
+            }
+            End::Left => {}
+            End::Broken | End::Ended | End::Silent | End::Late => self.log_cut(end),
         }
         in_flight.metrics.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
@@ -365,7 +371,12 @@
     /// Sends bytes to the client; returns `false` if the client has disconnected.
     async fn send(&self, chunk: Bytes) -> bool {
         // A client that reads nothing until the request's deadline counts as disconnected.
-        let sent = self.exchange.shared.clock.with_deadline(self.exchange.deadline, self.sender.send(Ok(chunk))).await;
+        let sent = self
+            .exchange
+            .shared
+            .clock
+            .with_deadline(self.exchange.deadline, self.sender.send(Chunk::Data(chunk)))
+            .await;
         sent.is_ok_and(|sent| sent.is_ok())
     }
 
