Names in the relay that say what they hold

Cause: read as a newcomer; can_resume only decides whether a stall starts a race, and a stream whose connection broke is resumed all the same.

Change: may_race; an if-let in place of a map for its effect; two comments.

Measured: nothing; no change of behaviour.

--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -48,8 +48,8 @@
         head.headers.remove(header::CONTENT_LENGTH);
     }
     let length = head.headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
-    let can_resume = exchange.route.is_repeatable();
-    let relay = Relay { exchange, sender, end_permit, events, can_resume };
+    let may_race = exchange.route.is_repeatable();
+    let relay = Relay { exchange, sender, end_permit, events, may_race };
     // Counted before the request's own count ends, so that a stopping process never regards the stream as finished.
     relay.exchange.shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
     let source = Source { reply, has_begun: !first.is_empty() };
@@ -61,12 +61,12 @@
 struct Relay<D> {
     exchange: Exchange<D>,
     sender: mpsc::Sender<Chunk>,
-    /// The place in the channel for the end of the body, so that a client that reads slowly doesn't delay the relay.
+    /// The place in the channel for the end of the body, reserved so that a client that reads slowly doesn't delay the relay.
     end_permit: Option<mpsc::OwnedPermit<Chunk>>,
     /// The events of the stream; `None` if the body isn't a stream of events.
     events: Option<Events>,
-    /// Whether the stream may be resumed at another upstream.
-    can_resume: bool,
+    /// Whether another upstream may be sought while the present one may still go on.
+    may_race: bool,
 }
 
 /// The upstream whose part of the stream is forwarded.
@@ -173,8 +173,9 @@
         };
         match end {
             End::Whole => {
-                // Without a permit the body would be truncated; there is one, since the channel was empty.
-                self.end_permit.take().map(|permit| permit.send(Chunk::End));
+                if let Some(permit) = self.end_permit.take() {
+                    permit.send(Chunk::End);
+                }
             }
             End::Left => {}
             End::Broken | End::Ended | End::Silent | End::Late => self.log_cut(end),
@@ -216,7 +217,7 @@
     async fn race(&mut self, stalled: &mut Source) -> Race {
         self.exchange.shared.metrics.count("stream-stalled");
         if let Err(refusal) = self.exchange.try_start_retry() {
-            self.can_resume &= !refusal.is_final();
+            self.may_race &= !refusal.is_final();
             self.log_unresumed(refusal.as_str());
             return Race::NoOther;
         }
@@ -242,7 +243,7 @@
                             }
                         }
                         Ok(None) if events.is_partial() => end = Some(End::Broken),
-                        // Whether the close of the connection ends the stream is found out by the one that goes on with it.
+                        // `forward_all` finds out whether the close of the connection ends the stream.
                         Ok(None) => return Ok(Race::Continued(Bytes::new())),
                         Err(fault) => end = Some(End::from(fault)),
                     },
@@ -351,7 +352,7 @@
     /// How long the upstream may send nothing before another one is sought.
     fn stall_timeout(&self) -> Duration {
         match self.exchange.route.pause {
-            Some(pause) if self.can_resume && self.last_event().is_some() => {
+            Some(pause) if self.may_race && self.last_event().is_some() => {
                 (pause * STALL_TIMEOUT_PAUSES).max(MIN_STALL_TIMEOUT)
             }
             Some(_) | None => Duration::MAX,
