A back-off outlasts the test that checks it

The upstream asked for 3 s of back-off, and the test sent its two rounds of requests in 2.5 s on an idle machine; on a busy one it outlived the back-off, after which each router may ask once more, as the count shows.

Ruled out: a back-off that is dropped early.

Change: the upstream asks for 600 s, longer than the test may run.

--- a/crates/stairvale-router/tests/path.rs
+++ b/crates/stairvale-router/tests/path.rs
@@ -307,7 +307,8 @@
         load.json()["refused"].as_u64().unwrap()
     };
     let faults = format!("http://{service}/admin/faults");
-    call(Method::POST, faults.clone(), &[], "{\"rest\":3}".into()).await.unwrap();
+    // Longer than the test runs, so that any further request is one during the back-off.
+    call(Method::POST, faults.clone(), &[], "{\"rest\":600}".into()).await.unwrap();
     let key = format!("Bearer {CUSTOMER}");
     let send_requests = |round: &'static str| {
         let key = key.clone();
