The excess of routers that callers left counts against the retry budget

What callers' upstreams saw: more retries than a service allows, 31 of 30 (five of seven routers spend their part and die), and 265 of 210 when callers only move to other routers, a case that no test had.

Cause: requests leave the window before the retries that they paid for. The routers that were left exceed what their later requests allow, and the same callers earn retries at other routers. The sum of what routers may spend bounds the fleet only while no router is in excess.

Change: the peers that keep a router's account take its excess off their own budgets, whether it lives or not.

--- a/crates/stairvale-dispatch/src/budget.rs
+++ b/crates/stairvale-dispatch/src/budget.rs
@@ -73,19 +73,32 @@
         self.step(now, budget).requests += 1;
     }
 
-    /// Takes one retry if the budget allows it; `routers` share the free retries.
+    /// How many more retries the budget allows now; `routers` share the free ones. Negative if the requests that earned
+    /// retries have left the window before these.
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
-    pub fn spend(&mut self, now: Moment, budget: Budget, routers: usize) -> bool {
+    pub fn headroom(&mut self, now: Moment, budget: Budget, routers: usize) -> f64 {
         self.step(now, budget);
         let Usage { requests, retries } = self.usage();
         let free = budget.free / routers.max(1) as f64;
-        let allowed = f64::from(requests) * budget.ratio + free;
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
+        f64::from(requests) * budget.ratio + free - f64::from(retries)
+    }
+
+    /// Takes one retry if the budget allows it; `routers` share the free retries.
+    #[must_use]
+    pub fn spend(&mut self, now: Moment, budget: Budget, routers: usize) -> bool {
+        let is_allowed = self.headroom(now, budget, routers) >= 1.0;
+        if is_allowed {
+            self.step(now, budget).retries += 1;
         }
-        self.step(now, budget).retries += 1;
-        true
+        is_allowed
+    }
+
+    /// Whether the window that ends now has retries.
+    #[must_use]
+    pub fn has_retries(&self, now: Moment, budget: Budget) -> bool {
+        let oldest = step_number(now, budget).saturating_sub(u64::from(STEPS));
+        self.steps.iter().chain(&self.inherited).any(|step| step.number >= oldest && step.retries > 0)
     }
 
     /// The requests and retries of the window that ends with the last one.
--- a/crates/stairvale-serve/src/core/retries.rs
+++ b/crates/stairvale-serve/src/core/retries.rs
@@ -1,9 +1,12 @@
 //! The retry budgets of this router, and the copies of them that survive its process.
 //!
 //! A router may send retries in proportion to its own requests. Its next process must count what this one has sent, or
-//! a fleet that restarts spends its budget twice. So each router reports its account to a few peers while it spends,
-//! and they return it to the router's next process. A process that has no complete account of the last window yet gets
-//! only a small part of its budget.
+//! a fleet that restarts spends its budget twice. So each router reports its account to a few peers while it holds
+//! retries, and they return it to the router's next process. A process that has no complete account of the last window
+//! yet gets only a small part of its budget.
+//!
+//! A router that its callers leave, or that dies, has sent more retries than its requests of the last window allow, while
+//! the same callers earn retries at other routers. The peers that keep its account take the excess off their own budgets.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -23,6 +26,9 @@
 
 /// Lower bound of the time between two reports, which bounds what a process that is killed has not reported.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Upper bound of the time between two reports of an account that holds retries: peers that don't learn of later requests
+/// overestimate the excess.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which the stream to a peer that is needed is opened again.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of peers in other zones that keep a copy of this router's account, beside one in its own zone: the account
@@ -93,11 +99,20 @@
         // A router that has just started doesn't know yet how many routers share the free part of the budget, so it
         // gets none of it.
         let routers = if self.knows_fleet(now) { self.budget_sharers() } else { usize::MAX };
-        let taken = self.retries.windows.entry(service.clone()).or_default().spend(now, budget, routers);
+        let excess = self.excess_of_peers(now, service, routers);
+        let window = self.retries.windows.entry(service.clone()).or_default();
+        let taken = window.headroom(now, budget, routers) - excess >= 1.0 && window.spend(now, budget, routers);
         self.retries.has_unreported |= taken;
         taken
     }
 
+    /// How many retries the peers whose accounts this router keeps have sent beyond what their requests allow now.
+    fn excess_of_peers(&mut self, now: Moment, service: &id::Service, routers: usize) -> f64 {
+        let budget = self.bounds.budget();
+        let windows = self.retries.copies.values_mut().filter_map(|copy| copy.windows.get_mut(service));
+        windows.map(|window| (-window.headroom(now, budget, routers)).max(0.0)).sum()
+    }
+
     /// The requests and retries of a service on which its retry budget was last decided.
     #[must_use]
     pub fn retry_usage(&self, service: &id::Service) -> Usage {
@@ -215,7 +230,7 @@
         effects
     }
 
-    /// Reports recent retries to the replicas, and the whole account to those that don't have it yet.
+    /// Reports the recent part of the account to the replicas, and the whole account to those that don't have it yet.
     fn report_account(&mut self, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
         let is_new = |(peer, is_informed): (&id::Router, &bool)| {
@@ -223,10 +238,11 @@
         };
         let new: Vec<_> = self.retries.replicas.iter().filter_map(is_new).collect();
         let since_report = now.since(self.retries.reported_at);
-        if self.retries.has_unreported && since_report >= REPORT_INTERVAL {
+        let interval = if self.retries.has_unreported { REPORT_INTERVAL } else { REFRESH_INTERVAL };
+        if since_report >= interval {
             let account = self.account(now, Some(since_report));
             let informed = self.retries.replicas.iter().filter(|(_, is_informed)| **is_informed);
-            for (peer, _) in informed {
+            for (peer, _) in informed.filter(|_| !account.services.is_empty()) {
                 effects.extend(self.send(peer, Frame::RetryAccount { account: account.clone() }));
             }
             self.retries.has_unreported = false;
@@ -242,10 +258,10 @@
     /// This router's account of the last `length`, or of the whole window.
     fn account(&self, now: Moment, length: Option<Duration>) -> Account {
         let budget = self.bounds.budget();
-        let services =
-            self.retries.windows.iter().map(|(service, window)| (service.clone(), window.periods(now, budget, length)));
-        // A service without retries has nothing that its next process must know.
-        let services = services.filter(|(_, periods)| periods.iter().any(|period| period.retries > 0)).collect();
+        // A service without retries has nothing that peers or the next process must know.
+        let windows = self.retries.windows.iter().filter(|(_, window)| window.has_retries(now, budget));
+        let services = windows.map(|(service, window)| (service.clone(), window.periods(now, budget, length)));
+        let services = services.filter(|(_, periods)| !periods.is_empty()).collect();
         Account { covered: self.covered(now), services }
     }
 
--- a/crates/stairvale-serve/tests/retries.rs
+++ b/crates/stairvale-serve/tests/retries.rs
@@ -4,6 +4,8 @@
 
 mod world;
 
+use std::collections::BTreeSet;
+
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use stairvale_types::id;
@@ -27,20 +29,23 @@
     next: usize,
     /// Whether runs fail.
     failing: bool,
+    /// The routers that callers send requests to.
+    reached: BTreeSet<usize>,
 }
 
 impl Load {
     fn new(interval: u64) -> Self {
-        Self { interval, requests: Vec::new(), retries: Vec::new(), next: 0, failing: false }
+        let reached = (0..ROUTERS).collect();
+        Self { interval, requests: Vec::new(), retries: Vec::new(), next: 0, failing: false, reached }
     }
 
-    /// Advances the world while requests arrive at its running routers in turn.
+    /// Advances the world while requests arrive at the running routers that callers reach, in turn.
     fn run(&mut self, world: &mut World, millis: u64) {
         let service: id::Service = "chat".parse().unwrap();
         let end = world.now + millis;
         while world.now < end {
             world.run(self.interval);
-            let routers: Vec<_> = (0..world.nodes.len()).filter(|index| world.is_alive(*index)).collect();
+            let routers: Vec<_> = self.reached.iter().copied().filter(|index| world.is_alive(*index)).collect();
             if routers.is_empty() {
                 continue;
             }
@@ -83,7 +88,7 @@
 }
 
 fn restart(world: &mut World, load: &mut Load, index: usize) {
-    world.kill(index);
+    world.kill_noticed(index);
     load.run(world, 400);
     world.start(index, ZONES);
 }
@@ -141,6 +146,38 @@
     load.assert_within_budget(&world, "dead routers");
 }
 
+// Callers moved away from routers that had spent their part, and the others earned anew from the same callers.
+#[test]
+fn callers_that_move_to_other_routers_do_not_renew_the_retry_budget() {
+    for interval in [5, 20, 50] {
+        let (mut world, mut load) = failing(interval);
+        load.run(&mut world, 2_000);
+        load.reached = (ROUTERS - 2..ROUTERS).collect();
+        load.run(&mut world, 2 * WINDOW_MS);
+        load.assert_within_budget(&world, &format!("callers moved, a request each {interval} ms"));
+    }
+}
+
+// Callers that move again and again between random routers, some of which die.
+#[test]
+fn the_retry_budget_holds_while_callers_move() {
+    for seed in 0..12 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut world, mut load) = failing([5, 20, 50][rng.random_range(0..3)]);
+        for _ in 0..10 {
+            load.run(&mut world, rng.random_range(300..4_000));
+            load.reached = (0..ROUTERS).filter(|_| rng.random_bool(0.4)).collect();
+            let victim = rng.random_range(0..4 * ROUTERS);
+            if victim < ROUTERS && (0..ROUTERS).filter(|index| world.is_alive(*index)).count() > 3 {
+                world.kill(victim);
+            }
+        }
+        load.reached = (0..ROUTERS).collect();
+        load.run(&mut world, WINDOW_MS);
+        load.assert_within_budget(&world, &format!("seed {seed}"));
+    }
+}
+
 // Random restarts and partitions, several at once, while runs fail.
 #[test]
 fn the_retry_budget_holds_over_random_faults() {
--- a/crates/stairvale-serve/tests/world/mod.rs
+++ b/crates/stairvale-serve/tests/world/mod.rs
@@ -573,6 +573,17 @@
         self.nodes[index].alive = false;
     }
 
+    /// Stops a router's process like [`Self::kill`]; its peers notice that their streams to it ended.
+    pub fn kill_noticed(&mut self, index: usize) {
+        self.kill(index);
+        for peer in 0..self.nodes.len() {
+            if self.nodes[peer].alive && !self.cut_links.contains(&(peer, index)) {
+                let now = self.local_time(peer);
+                self.nodes[peer].core.broken(now, &router_id(index));
+            }
+        }
+    }
+
     /// Suspends a router's process, or resumes it. Its clock advances meanwhile.
     pub fn freeze(&mut self, index: usize, frozen: bool) {
         self.nodes[index].frozen = frozen;
