A router without a copy of the store retries reading it at least each second

Cause: a router that isn't its zone's watcher backs off 1 to 4 s, since the watcher reads the store and sends it the changes. One without any copy did so too, although its watcher had none either. After a restore of the store a first stale read counts as an empty copy of the new epoch, so "no copy" is what its revision's number says.

Change: a router without a copy backs off as a watcher does, 100 ms to 1 s. A router with a copy makes no more calls than before.

--- a/crates/stairvale-serve/src/core/freshness.rs
+++ b/crates/stairvale-serve/src/core/freshness.rs
@@ -105,6 +105,12 @@
         self.roles.reader.as_ref() == Some(&self.me) && self.has_discovered_peers(now)
     }
 
+    /// Whether this router has a copy of the store, however old. A copy that predates the first write counts as none.
+    #[must_use]
+    pub fn has_copy(&self) -> bool {
+        Revision::from(self.view.revision()).number() > 0
+    }
+
     /// Whether the other routers of this zone receive store updates from this one.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
@@ -144,7 +150,7 @@
         self.update_roles(now);
         self.check_update_source(now);
         let after = self.view.revision();
-        let is_empty = Revision::from(after).number() == 0;
+        let is_empty = !self.has_copy();
         let mut to = Vec::new();
         to.extend(self.snapshot_source().filter(|_| is_empty));
         to.extend(self.update_source().filter(|source| source != &self.me));
--- a/crates/stairvale-serve/src/watch.rs
+++ b/crates/stairvale-serve/src/watch.rs
@@ -17,7 +17,8 @@
 const UNCONFIRMED_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The delay after a first failure; it doubles with each further one, within the limits below.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
-/// The longest delay after failures for a watcher, from which other routers receive the store's changes.
+/// The longest delay after failures for a watcher, from which other routers receive the store's changes, and for a router
+/// without any copy: its watcher may have none either.
 const MAX_WATCHER_BACKOFF: Duration = Duration::from_millis(1_000);
 /// The delay of any other router after its second failure. Its zone's watcher retries more often and sends it the
 /// changes. If the store fails only for the watchers, the first two attempts show that.
@@ -108,8 +109,8 @@
                 }
                 shared.modify(Core::record_store_failure);
                 tokio::time::sleep(delay).await;
-                let is_watcher = shared.query(|core, _| core.is_watcher());
-                delay = if is_watcher {
+                let retries_soon = shared.query(|core, _| core.is_watcher() || !core.has_copy());
+                delay = if retries_soon {
                     (delay * 2).min(MAX_WATCHER_BACKOFF)
                 } else {
                     (delay * 2).clamp(MIN_OTHER_BACKOFF, MAX_OTHER_BACKOFF)
