What a caller that reads nothing leaves in memory is bounded by bytes

What callers may see: a router that exceeds its memory ends and loses all the requests that it holds. 120 callers that read nothing of a large answer were enough for 160 MB.

Cause: a relay buffered 32 chunks for its caller whatever their size, and a chunk is up to 32 KiB. The bound was on the count only.

Change: the chunks that are buffered for a caller have at most 128 KiB altogether; small events are still buffered up to 32.

--- a/crates/stairvale-serve/src/body.rs
+++ b/crates/stairvale-serve/src/body.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use crate::{meter::Meter, pending::PendingAnswer, upstream::Fault};
 
@@ -20,10 +20,10 @@
 pub struct Truncated;
 
 /// A part of a streamed body.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Debug)]
 pub enum Chunk {
-    /// The next bytes.
-    Data(Bytes),
+    /// The next bytes, and what they take of the bytes that may be buffered, if these are limited.
+    Data(Bytes, Option<OwnedSemaphorePermit>),
     /// The body is complete. Without this, a body whose sender was dropped is truncated.
     End,
 }
@@ -85,7 +85,7 @@
         let chunk = match &mut body.content {
             Content::Complete(bytes) => bytes.take().filter(|bytes| !bytes.is_empty()).map(Ok),
             Content::Chunks(chunks) => match chunks.poll_recv(context) {
-                Poll::Ready(Some(Chunk::Data(bytes))) => Some(Ok(bytes)),
+                Poll::Ready(Some(Chunk::Data(bytes, _))) => Some(Ok(bytes)),
                 Poll::Ready(Some(Chunk::End)) => None,
                 Poll::Ready(None) => Some(Err(Truncated)),
                 Poll::Pending => return Poll::Pending,
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -1,13 +1,17 @@
 //! Relays a stream from an upstream to the client, and resumes it at another upstream where the route allows that.
 
-use std::{pin::pin, sync::atomic::Ordering, time::Duration};
+use std::{
+    pin::pin,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Response, header};
 use stairvale_dispatch::Outcome;
 use stairvale_table as table;
 use stairvale_types::id;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 use crate::{
     Dialect,
@@ -26,6 +30,8 @@
 
 /// Chunks that are buffered for a client; one that reads more slowly applies back-pressure to the upstream.
 const MAX_BUFFERED_CHUNKS: usize = 32;
+/// Bytes that these chunks may have. Clients that read nothing of large answers must not exhaust the process's memory.
+const MAX_BUFFERED_BYTES: usize = 128 << 10;
 /// Another upstream is sought for a resumable stream after a stall of this many times the route's target pause between
 /// events.
 const STALL_TIMEOUT_PAUSES: u32 = 3;
@@ -49,7 +55,8 @@
     }
     let length = head.headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
     let may_race = exchange.route.is_repeatable();
-    let relay = Relay { exchange, sender, end_permit, events, may_race };
+    let buffer = Arc::new(Semaphore::new(MAX_BUFFERED_BYTES));
+    let relay = Relay { exchange, sender, buffer, end_permit, events, may_race };
     // Counted before the request's own count ends, so that a stopping process never regards the stream as finished.
     relay.exchange.shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
     let source = Source { reply, has_begun: !first.is_empty() };
@@ -61,6 +68,8 @@
 struct Relay<D> {
     exchange: Exchange<D>,
     sender: mpsc::Sender<Chunk>,
+    /// The bytes that may still be buffered for the client.
+    buffer: Arc<Semaphore>,
     /// The place in the channel for the end of the body, reserved so that a client that reads slowly doesn't delay the relay.
     end_permit: Option<mpsc::OwnedPermit<Chunk>>,
     /// The events of the stream; `None` if the body isn't a stream of events.
@@ -372,13 +381,16 @@
     /// Sends bytes to the client; returns `false` if the client has disconnected.
     async fn send(&self, chunk: Bytes) -> bool {
         // A client that reads nothing until the request's deadline counts as disconnected.
-        let sent = self
-            .exchange
-            .shared
-            .clock
-            .with_deadline(self.exchange.deadline, self.sender.send(Chunk::Data(chunk)))
-            .await;
-        sent.is_ok_and(|sent| sent.is_ok())
+        let clock = &self.exchange.shared.clock;
+        let sent = clock.with_deadline(self.exchange.deadline, self.buffer_chunk(chunk)).await;
+        sent.is_ok_and(|sent| sent.is_some())
+    }
+
+    /// Waits until there is room for a chunk and buffers it; `None` if the client has disconnected.
+    async fn buffer_chunk(&self, chunk: Bytes) -> Option<()> {
+        let size = u32::try_from(chunk.len().min(MAX_BUFFERED_BYTES)).ok()?;
+        let reserved = self.buffer.clone().acquire_many_owned(size).await.ok()?;
+        self.sender.send(Chunk::Data(chunk, Some(reserved))).await.ok()
     }
 
     fn log(&self, reply: &UpstreamResponse, end: End) {
--- a/crates/stairvale-serve/tests/body.rs
+++ b/crates/stairvale-serve/tests/body.rs
@@ -12,7 +12,7 @@
 async fn a_body_is_complete_only_with_its_end() {
     for is_complete in [true, false] {
         let (sender, receiver) = mpsc::channel(4);
-        sender.send(Chunk::Data(Bytes::from_static(b"text"))).await.unwrap();
+        sender.send(Chunk::Data(Bytes::from_static(b"text"), None)).await.unwrap();
         if is_complete {
             sender.send(Chunk::End).await.unwrap();
         }
