Logs and metrics say when peers' excess is taken off the retry budget

Cause: the line of a retry has the requests and retries that the budget was decided on; since the peers' excess counts too, a refusal could no longer be explained from them.

No decision changes.

--- a/crates/stairvale-serve/src/core/retries.rs
+++ b/crates/stairvale-serve/src/core/retries.rs
@@ -96,19 +96,25 @@
         let full = self.bounds.budget();
         let is_covered = self.covered(now) >= full.window;
         let budget = if is_covered { full } else { self.bounds.uncovered_budget() };
-        // A router that has just started doesn't know yet how many routers share the free part of the budget, so it
-        // gets none of it.
-        let routers = if self.knows_fleet(now) { self.budget_sharers() } else { usize::MAX };
-        let excess = self.excess_of_peers(now, service, routers);
+        let routers = self.free_part_sharers(now);
+        let excess = self.excess_of_peers(now, service);
         let window = self.retries.windows.entry(service.clone()).or_default();
         let taken = window.headroom(now, budget, routers) - excess >= 1.0 && window.spend(now, budget, routers);
         self.retries.has_unreported |= taken;
         taken
     }
 
-    /// How many retries the peers whose accounts this router keeps have sent beyond what their requests allow now.
-    fn excess_of_peers(&mut self, now: Moment, service: &id::Service, routers: usize) -> f64 {
-        let budget = self.bounds.budget();
+    /// The number of routers that share the free part of the budget. A router that has just started doesn't know it yet,
+    /// and gets none of that part.
+    fn free_part_sharers(&self, now: Moment) -> usize {
+        if self.knows_fleet(now) { self.budget_sharers() } else { usize::MAX }
+    }
+
+    /// How many retries the peers whose accounts this router keeps have sent beyond what their requests allow now. They are
+    /// taken off this router's budget.
+    #[must_use]
+    pub fn excess_of_peers(&mut self, now: Moment, service: &id::Service) -> f64 {
+        let (budget, routers) = (self.bounds.budget(), self.free_part_sharers(now));
         let windows = self.retries.copies.values_mut().filter_map(|copy| copy.windows.get_mut(service));
         windows.map(|window| (-window.headroom(now, budget, routers)).max(0.0)).sum()
     }
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -338,17 +338,21 @@
 
     /// Charges a retry to the budget; `false` if the budget is exhausted. `cause` says why the last attempt ended.
     pub(crate) fn take_retry(&self, cause: &'static str) -> bool {
-        let (allowed, usage, routers) = self.shared.modify(|core, now| {
+        let (allowed, usage, routers, peers_excess) = self.shared.modify(|core, now| {
+            let peers_excess = core.excess_of_peers(now, &self.service);
             let allowed = core.take_retry(now, &self.service);
-            (allowed, core.retry_usage(&self.service), core.budget_sharers())
+            (allowed, core.retry_usage(&self.service), core.budget_sharers(), peers_excess)
         });
         if allowed {
             tracing::info!(
                 id = self.head.id, route = self.route.name, service = %self.service, tries = self.attempts.runs, cause,
-                requests = usage.requests, retries = usage.retries, routers, "retrying at another upstream"
+                requests = usage.requests, retries = usage.retries, routers, peers_excess, "retrying at another upstream"
             );
         } else {
             self.shared.metrics.count("retry-over-budget");
+            if peers_excess > 0.0 {
+                self.shared.metrics.count("retry-beside-excess");
+            }
         }
         allowed
     }
