--- /dev/null
+++ b/review/standin/case.rs
@@ -0,0 +1,317 @@
+//! The drivers of the cases.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::{SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::http::{Message, base64, call};
+
+mod unframed;
+
+/// Runs a case and returns the exit code.
+pub fn run(name: &str, dir: &str) -> i32 {
+    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
+    let result = match name {
+        "unframed" => Fleet::start(Path::new(dir)).and_then(|fleet| unframed::run(fleet, &trouble)),
+        _ => Err(format!("no such case: {name}")),
+    };
+    match result {
+        Ok(broken) => i32::from(broken),
+        Err(error) => {
+            eprintln!("the case couldn't run: {error}");
+            2
+        }
+    }
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, a: u64, b: u64, c: u64, d: u64) -> i32;
+}
+
+/// A process that is killed when it is dropped, or when this process ends. Only the main thread starts processes.
+pub struct Process(Child);
+
+impl Process {
+    fn start(program: &Path, arguments: &[&str], log: &Path) -> Result<Self, String> {
+        let log = fs::File::create(log).map_err(|error| error.to_string())?;
+        let mut command = Command::new(program);
+        command.args(arguments).stdin(Stdio::null()).stderr(Stdio::null()).stdout(log);
+        // SAFETY: the call only asks the kernel to kill the child when this process ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
+        command.spawn().map(Self).map_err(|error| format!("{}: {error}", program.display()))
+    }
+
+    /// Kills the process without waiting for its end.
+    pub fn signal_kill(&mut self) {
+        let _ = self.0.kill();
+    }
+
+    pub fn kill(&mut self) {
+        self.signal_kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn free_address() -> Result<SocketAddr, String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+    listener.local_addr().map_err(|error| error.to_string())
+}
+
+/// A router: its process and the address for clients.
+pub struct Router {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+/// A runner: its process, id, address and service.
+pub struct Runner {
+    pub process: Process,
+    pub id: String,
+    pub address: SocketAddr,
+    pub service: &'static str,
+    pub options: Vec<String>,
+}
+
+/// The store, the runners and the routers of a case, and its record.
+pub struct Fleet {
+    dir: PathBuf,
+    temporary: PathBuf,
+    programs: PathBuf,
+    store_address: SocketAddr,
+    _store: Process,
+    pub runners: Vec<Runner>,
+    pub routers: Vec<Router>,
+    record: Arc<Mutex<String>>,
+    since: Instant,
+    serial: usize,
+}
+
+/// The name of the host in requests, and the key.
+pub const HOST: &str = "assist.example";
+pub const KEY: &str = "key-1";
+
+const CONFIGURATION: &str = r#"{"version": 1,
+ "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+ "tenants": [{"name": "tenant-1", "api_keys": ["key-1"]}],
+ "services": [{"name": "assist-llm", "max_conns": 370, "engine": {"slots": 64, "kv_capacity": 363122}}, {"name": "points-api", "max_conns": 110}],
+ "routes": [
+  {"name": "til-chat", "host": "assist.example", "path_prefix": "/til-chat/", "kind": "streaming", "timeout_ms": 15000, "slo_ms": 400, "gap_slo_ms": 300, "priority": 2, "service": "assist-llm", "max_attempts": 1},
+  {"name": "dispute-triage", "host": "assist.example", "path_prefix": "/dispute-triage/", "kind": "streaming", "timeout_ms": 4000, "slo_ms": 500, "gap_slo_ms": 300, "priority": 0, "resumable": true, "service": "assist-llm", "max_attempts": 2},
+  {"name": "points-redeem", "host": "assist.example", "path_prefix": "/points-redeem/", "kind": "unsafe", "timeout_ms": 2000, "slo_ms": 300, "priority": 2, "service": "points-api", "max_attempts": 1},
+  {"name": "balance-lookup", "host": "assist.example", "path_prefix": "/balance-lookup/", "kind": "safe", "timeout_ms": 2000, "slo_ms": 300, "priority": 2, "service": "points-api", "max_attempts": 2}]}"#;
+
+impl Fleet {
+    /// Starts the store.
+    pub fn start(dir: &Path) -> Result<Self, String> {
+        let programs = PathBuf::from(std::env::var("PROGRAMS").unwrap_or_else(|_| "target/release".into()));
+        let temporary = std::env::temp_dir().join(format!("stairvale-review-{}", std::process::id()));
+        fs::create_dir_all(&temporary).map_err(|error| error.to_string())?;
+        let configuration = temporary.join("configuration.json");
+        fs::write(&configuration, CONFIGURATION).map_err(|error| error.to_string())?;
+        let store_address = free_address()?;
+        let arguments = ["--store", &store_address.to_string(), "--configuration", &configuration.to_string_lossy()];
+        let store = Process::start(&programs.join("stairvale-platform-standin"), &arguments, &temporary.join("store.log"))?;
+        let fleet = Self {
+            dir: dir.to_owned(),
+            temporary,
+            programs,
+            store_address,
+            _store: store,
+            runners: Vec::new(),
+            routers: Vec::new(),
+            record: Arc::default(),
+            since: Instant::now(),
+            serial: 0,
+        };
+        let until = Instant::now() + Duration::from_secs(5);
+        while fleet.transact("[]", "[]").is_err() {
+            if Instant::now() > until {
+                return Err("the store doesn't answer".into());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        // The stand-in's own runners aren't part of the case.
+        Ok(fleet)
+    }
+
+    fn transact(&self, put: &str, remove: &str) -> Result<(), String> {
+        let body = format!("{{\"expected_rev\":[],\"put\":{put},\"remove\":{remove}}}");
+        let to = self.store_address;
+        let request = format!("POST /api/kv-txn HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let answer = call_once(to, &request)?;
+        if answer.status() == 200 { Ok(()) } else { Err(format!("the store answers {}", answer.status())) }
+    }
+
+    /// Writes a runner's entry, as the runner does.
+    pub fn enter(&self, index: usize, state: &str) -> Result<(), String> {
+        let Runner { id, address, service, .. } = &self.runners[index];
+        let value = format!(
+            "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"regina-a\",\"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"cold_left_ms\":0,\"seq\":1}}"
+        );
+        let value = base64(value.as_bytes());
+        self.transact(&format!("[{{\"key\":\"servers/{id}\",\"value\":\"{value}\",\"lease\":0}}]"), "[]")
+    }
+
+    /// Switches what runners do while this is on.
+    pub fn switch(&self, name: &str, on: bool) -> Result<(), String> {
+        let file = self.temporary.join(name);
+        let result = if on { fs::write(file, "") } else { fs::remove_file(file) };
+        self.note(&format!("switch    {name} {}", if on { "on" } else { "off" }));
+        result.map_err(|error| error.to_string())
+    }
+
+    /// Removes the entry of a runner that is gone.
+    pub fn remove_entry(&self, id: &str) -> Result<(), String> {
+        self.transact("[]", &format!("[\"servers/{id}\"]"))
+    }
+
+    fn start_runner(&mut self, address: SocketAddr, options: &[String]) -> Result<(Process, String), String> {
+        self.serial += 1;
+        let id = format!("i-{:04x}", 0x1000 + self.serial * 7);
+        let (addr, dir) = (address.to_string(), self.temporary.to_string_lossy().into_owned());
+        let mut arguments = vec!["runner", "--addr", &addr, "--id", &id, "--dir", &dir];
+        arguments.extend(options.iter().map(String::as_str));
+        let program = std::env::current_exe().map_err(|error| error.to_string())?;
+        let process = Process::start(&program, &arguments, &self.temporary.join(format!("{id}.log")))?;
+        Ok((process, id))
+    }
+
+    /// Starts a runner and enters it.
+    pub fn add_runner(&mut self, service: &'static str, options: &[&str]) -> Result<(), String> {
+        let options: Vec<String> = options.iter().map(|&word| word.to_owned()).collect();
+        let address = free_address()?;
+        let (process, id) = self.start_runner(address, &options)?;
+        self.runners.push(Runner { process, id, address, service, options });
+        self.enter(self.runners.len() - 1, "ready")
+    }
+
+    /// Starts a runner that has crashed again: a new incarnation with a new id at the same address.
+    pub fn restart_runner(&mut self, index: usize) -> Result<(), String> {
+        let (address, options) = (self.runners[index].address, self.runners[index].options.clone());
+        let (process, id) = self.start_runner(address, &options)?;
+        self.runners[index].process = process;
+        self.runners[index].id = id;
+        self.enter(index, "ready")
+    }
+
+    /// Starts routers with the command of the deploy file, and waits until all are ready.
+    pub fn start_routers(&mut self, zones: &[&str]) -> Result<(), String> {
+        let peers = zones.iter().map(|_| free_address()).collect::<Result<Vec<_>, _>>()?;
+        for (number, zone) in zones.iter().enumerate() {
+            let (callers, ready) = (free_address()?, free_address()?);
+            let seeds: Vec<_> = peers.iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
+            // The template of the deploy file, filled with the values of a small deployment.
+            let settings = format!(
+                "router: \"front-{zone}-{number}\"\nzone: \"{zone}\"\ncallers: \"{callers}\"\nready: \"{ready}\"\npeers: \"{}\"\nseeds: [{}]\nstore: \"{}\"\ncores: 0.25\nfirst_start: true\nzones: {{\"regina-a\": \"prairie-west\", \"saskatoon-b\": \"prairie-west\", \"brandon-c\": \"prairie-west\"}}\nbounds:\n  revoke_ms: 5000\n  strict_revoke: true\n  configuration_ms: 2000\n  leave_ms: 2000\n  grace_s: 8\n  retry_ratio: 0.2\n  retry_free: 58\n  retry_window_s: 10\n  load_multiple: 2\n",
+                peers[number],
+                seeds.join(", "),
+                self.store_address
+            );
+            let file = self.temporary.join(format!("router-{number}.yaml"));
+            fs::write(&file, settings).map_err(|error| error.to_string())?;
+            let program = self.programs.join("stairvale-platform");
+            let log = self.temporary.join(format!("router-{number}.log"));
+            let process = Process::start(&program, &["--settings", &file.to_string_lossy()], &log)?;
+            self.routers.push(Router { process, callers, ready });
+        }
+        let until = Instant::now() + Duration::from_secs(15);
+        for router in &self.routers {
+            let request = format!("GET /api/ready HTTP/1.1\r\nHost: {}\r\n\r\n", router.ready);
+            while call_once(router.ready, &request).map_or(0, |answer| answer.status()) != 200 {
+                if Instant::now() > until {
+                    return Err("a router isn't ready".into());
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+        // The routers are in touch from here on (`contact_ms`).
+        thread::sleep(Duration::from_secs(4));
+        Ok(())
+    }
+
+    /// Adds a line to the record.
+    pub fn note(&self, line: &str) {
+        note(&self.record, self.since, line);
+    }
+
+    pub fn recorder(&self) -> impl Fn(&str) + Send + Clone + use<> {
+        let (record, since) = (self.record.clone(), self.since);
+        move |line| note(&record, since, line)
+    }
+
+    /// The lines that runners wrote: the runner's id, the request's id and what was asked.
+    pub fn runs(&self) -> Vec<String> {
+        fs::read_to_string(self.temporary.join("runs")).unwrap_or_default().lines().map(str::to_owned).collect()
+    }
+
+    /// Lines of the routers' logs that contain a text.
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        let read = |number| fs::read_to_string(self.temporary.join(format!("router-{number}.log"))).unwrap_or_default();
+        let logs: Vec<_> = (0..self.routers.len()).map(read).collect();
+        logs.iter().flat_map(|log| log.lines()).filter(|line| line.contains(text)).map(str::to_owned).collect()
+    }
+
+    /// Writes the record, with what ran.
+    pub fn finish(&self, verdict: &str) -> Result<(), String> {
+        let mut text = self.record.lock().map_err(|_| "the record is lost")?.clone();
+        for line in self.runs() {
+            let _ = writeln!(text, "run       {line}");
+        }
+        let _ = writeln!(text, "{verdict}");
+        println!("{verdict}");
+        fs::write(self.dir.join("record.txt"), text).map_err(|error| error.to_string())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.temporary);
+        }
+    }
+}
+
+fn note(record: &Mutex<String>, since: Instant, line: &str) {
+    if let Ok(mut record) = record.lock() {
+        let _ = writeln!(record, "{:9.3} {line}", since.elapsed().as_secs_f64());
+    }
+}
+
+fn call_once(to: SocketAddr, request: &str) -> Result<Message, String> {
+    call(to, request.as_bytes(), Duration::from_secs(2)).map_err(|error| error.to_string())
+}
+
+/// A request of a client.
+pub fn request(route: &str, id: &str, deadline_ms: u64, more: &str) -> String {
+    let body = "review";
+    format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nX-Api-Key: {KEY}\r\n{more}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
