Review: case 2, a stream that a crash cut behind a freeze ends as complete

A router is frozen while one runner crashes and starts again at its address; the new incarnation is taken for the old one. The clients of both script cases are shared now.

--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -17,6 +17,7 @@
 
 use crate::http::{Message, base64, call};
 
+mod frozen;
 mod unframed;
 
 /// Runs a case and returns the exit code.
@@ -24,6 +25,7 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
     let result = match name {
         "unframed" => Fleet::start(Path::new(dir)).and_then(|fleet| unframed::run(fleet, &trouble)),
+        "frozen" => Fleet::start(Path::new(dir)).and_then(|fleet| frozen::run(fleet, &trouble)),
         _ => Err(format!("no such case: {name}")),
     };
     match result {
@@ -37,9 +39,12 @@
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+pub const SIGSTOP: i32 = 19;
+pub const SIGCONT: i32 = 18;
 
 unsafe extern "C" {
     fn prctl(option: i32, a: u64, b: u64, c: u64, d: u64) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 /// A process that is killed when it is dropped, or when this process ends. Only the main thread starts processes.
@@ -60,6 +65,14 @@
         command.spawn().map(Self).map_err(|error| format!("{}: {error}", program.display()))
     }
 
+    /// Sends a signal to the process, which this process started and hasn't waited for yet.
+    pub fn signal(&self, signal: i32) {
+        if let Ok(process) = i32::try_from(self.0.id()) {
+            // SAFETY: the call takes plain numbers.
+            unsafe { kill(process, signal) };
+        }
+    }
+
     /// Kills the process without waiting for its end.
     pub fn signal_kill(&mut self) {
         let _ = self.0.kill();
@@ -315,3 +328,56 @@
         body.len()
     )
 }
+
+/// Clients that each have one stream at a time, and check that an answer that looks complete has all events.
+pub struct Clients {
+    stop: Arc<AtomicBool>,
+    sent: Arc<AtomicUsize>,
+    broken: Arc<AtomicUsize>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Clients {
+    pub fn start(fleet: &Fleet, count: usize, events: usize) -> Self {
+        let (stop, sent, broken) = (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let client = |client: usize| {
+            let router = client % fleet.routers.len();
+            let (to, note) = (fleet.routers[router].callers, fleet.recorder());
+            let (stop, sent, broken) = (stop.clone(), sent.clone(), broken.clone());
+            move || {
+                // The clients don't begin all at once.
+                thread::sleep(Duration::from_millis(4_500 * client as u64 / count as u64));
+                while !stop.load(Ordering::Relaxed) {
+                    let number = sent.fetch_add(1, Ordering::Relaxed);
+                    let id = format!("{:016x}", 0x9c41_0000_0000_0000_u64 + number as u64);
+                    let more = format!("Model: m\r\nToken-Counts: 713,280\r\nPrompt-Prefix: 5c1e{:02x}:603,{number:x}:110\r\n", number % 40);
+                    note(&format!("sent      {id} router={router}"));
+                    match call(to, request("til-chat", &id, 15_000, &more).as_bytes(), Duration::from_secs(16)) {
+                        Err(error) => note(&format!("answered  {id} none ({error})")),
+                        Ok(answer) => {
+                            let received = String::from_utf8_lossy(&answer.body).matches("id: ").count();
+                            let status = answer.status();
+                            let is_complete = status == 200 && answer.whole && answer.framed;
+                            let is_cut = is_complete && received < events;
+                            broken.fetch_add(usize::from(is_cut), Ordering::Relaxed);
+                            let mark = if is_cut { " BROKEN: ends as complete before its last event" } else { "" };
+                            note(&format!("answered  {id} {status} events={received} of {events} complete={is_complete}{mark}"));
+                            if status != 200 {
+                                thread::sleep(Duration::from_millis(500));
+                            }
+                        }
+                    }
+                }
+            }
+        };
+        let threads = (0..count).map(|number| thread::spawn(client(number))).collect();
+        Self { stop, sent, broken, threads }
+    }
+
+    /// Waits for the last answers; returns the number of requests, and that of streams that wrongly looked complete.
+    pub fn finish(self) -> Result<(usize, usize), String> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.threads.into_iter().try_for_each(|thread| thread.join().map_err(|_| "a client failed"))?;
+        Ok((self.sent.load(Ordering::Relaxed), self.broken.load(Ordering::Relaxed)))
+    }
+}
--- a/review/standin/case/unframed.rs
+++ b/review/standin/case/unframed.rs
@@ -27,40 +27,7 @@
         fleet.add_runner("assist-llm", &["--events", &events, "--pause", PAUSE_MS, "--unframed", unframed])?;
     }
     fleet.start_routers(&["regina-a", "saskatoon-b", "brandon-c", "regina-a", "saskatoon-b", "brandon-c"])?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let (sent, broken) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let to = fleet.routers[client % fleet.routers.len()].callers;
-            let (stop, sent, broken, note) = (stop.clone(), sent.clone(), broken.clone(), fleet.recorder());
-            thread::spawn(move || {
-                // The clients don't begin all at once.
-                thread::sleep(Duration::from_millis(15 * client as u64));
-                while !stop.load(Ordering::Relaxed) {
-                    let number = sent.fetch_add(1, Ordering::Relaxed);
-                    let id = format!("{:016x}", 0x9c41_0000_0000_0000_u64 + number as u64);
-                    let prefix = format!("Model: m\r\nToken-Counts: 713,280\r\nPrompt-Prefix: 5c1e{:02x}:603,{number:x}:110\r\n", number % 40);
-                    note(&format!("sent      {id}"));
-                    match call(to, request("til-chat", &id, 15_000, &prefix).as_bytes(), Duration::from_secs(16)) {
-                        Err(error) => note(&format!("answered  {id} none ({error})")),
-                        Ok(answer) => {
-                            let text = String::from_utf8_lossy(&answer.body).into_owned();
-                            let events = text.matches("id: ").count();
-                            let (status, whole, framed) = (answer.status(), answer.whole, answer.framed);
-                            let looks_complete = status == 200 && whole && framed;
-                            let is_cut = looks_complete && events < EVENTS;
-                            broken.fetch_add(usize::from(is_cut), Ordering::Relaxed);
-                            let mark = if is_cut { " BROKEN: ends as complete before its last event" } else { "" };
-                            note(&format!("answered  {id} {status} events={events} of {EVENTS} complete={looks_complete}{mark}"));
-                            if status != 200 {
-                                thread::sleep(Duration::from_millis(500));
-                            }
-                        }
-                    }
-                }
-            })
-        })
-        .collect();
+    let clients = Clients::start(&fleet, CLIENTS, EVENTS);
     thread::sleep(Duration::from_secs(9));
     let unframed = trouble != "0";
     if unframed {
@@ -83,16 +50,12 @@
         thread::sleep(ENTRY_LAPSES - CRASH_TIME);
         crashed.iter().try_for_each(|id| fleet.remove_entry(id))?;
     }
-    stop.store(true, Ordering::Relaxed);
-    for client in clients {
-        client.join().map_err(|_| "a client failed")?;
-    }
+    let (sent, broken) = clients.finish()?;
     for line in fleet.log_lines("close-delimited") {
         if trouble == "1" || line.contains("Whole") {
             fleet.note(&format!("log       {line}"));
         }
     }
-    let broken = broken.load(Ordering::Relaxed);
-    fleet.finish(&format!("{} requests; {broken} streams ended as complete before their last event", sent.load(Ordering::Relaxed)))?;
+    fleet.finish(&format!("{sent} requests; {broken} streams ended as complete before their last event"))?;
     Ok(broken > 0)
 }
