Review: case 3, a stream that a crash cut behind a peer ends as complete

A router that finds three crashed runners opens connections through its peers; when a runner whose stream came that way crashes, the stream ends as complete. Case 1 plays two rounds now, and the scripts take ports that outgoing connections don't use.

--- a/review/standin/case.rs
+++ b/review/standin/case.rs
@@ -18,6 +18,7 @@
 use crate::http::{Message, base64, call};
 
 mod frozen;
+mod tunnel;
 mod unframed;
 
 /// Runs a case and returns the exit code.
@@ -26,6 +27,7 @@
     let result = match name {
         "unframed" => Fleet::start(Path::new(dir)).and_then(|fleet| unframed::run(fleet, &trouble)),
         "frozen" => Fleet::start(Path::new(dir)).and_then(|fleet| frozen::run(fleet, &trouble)),
+        "tunnel" => Fleet::start(Path::new(dir)).and_then(|fleet| tunnel::run(fleet, &trouble)),
         _ => Err(format!("no such case: {name}")),
     };
     match result {
@@ -90,9 +92,21 @@
     }
 }
 
+/// A free port below those from which the kernel takes the ports of outgoing connections.
 fn free_address() -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
-    listener.local_addr().map_err(|error| error.to_string())
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let start = std::process::id().wrapping_mul(7_919);
+    for _ in 0..COUNT {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed) as u32) % COUNT;
+        let address =
+            SocketAddr::from(([127, 0, 0, 1], u16::try_from(FIRST + number).map_err(|error| error.to_string())?));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err("no port is free".into())
 }
 
 /// A router: its process and the address for clients.
@@ -149,7 +163,8 @@
         fs::write(&configuration, CONFIGURATION).map_err(|error| error.to_string())?;
         let store_address = free_address()?;
         let arguments = ["--store", &store_address.to_string(), "--configuration", &configuration.to_string_lossy()];
-        let store = Process::start(&programs.join("stairvale-platform-standin"), &arguments, &temporary.join("store.log"))?;
+        let store =
+            Process::start(&programs.join("stairvale-platform-standin"), &arguments, &temporary.join("store.log"))?;
         let fleet = Self {
             dir: dir.to_owned(),
             temporary,
@@ -176,7 +191,8 @@
     fn transact(&self, put: &str, remove: &str) -> Result<(), String> {
         let body = format!("{{\"expected_rev\":[],\"put\":{put},\"remove\":{remove}}}");
         let to = self.store_address;
-        let request = format!("POST /api/kv-txn HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let request =
+            format!("POST /api/kv-txn HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         let answer = call_once(to, &request)?;
         if answer.status() == 200 { Ok(()) } else { Err(format!("the store answers {}", answer.status())) }
     }
@@ -338,11 +354,19 @@
 }
 
 impl Clients {
+    /// Starts clients, spread over all routers.
     pub fn start(fleet: &Fleet, count: usize, events: usize) -> Self {
-        let (stop, sent, broken) = (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let routers: Vec<_> = fleet.routers.iter().map(|router| router.callers).collect();
+        Self::start_at(fleet, &routers, count, events)
+    }
+
+    /// Starts clients, spread over some routers.
+    pub fn start_at(fleet: &Fleet, routers: &[SocketAddr], count: usize, events: usize) -> Self {
+        let (stop, sent, broken) =
+            (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
         let client = |client: usize| {
-            let router = client % fleet.routers.len();
-            let (to, note) = (fleet.routers[router].callers, fleet.recorder());
+            let router = client % routers.len();
+            let (to, note) = (routers[router], fleet.recorder());
             let (stop, sent, broken) = (stop.clone(), sent.clone(), broken.clone());
             move || {
                 // The clients don't begin all at once.
@@ -350,7 +374,10 @@
                 while !stop.load(Ordering::Relaxed) {
                     let number = sent.fetch_add(1, Ordering::Relaxed);
                     let id = format!("{:016x}", 0x9c41_0000_0000_0000_u64 + number as u64);
-                    let more = format!("Model: m\r\nToken-Counts: 713,280\r\nPrompt-Prefix: 5c1e{:02x}:603,{number:x}:110\r\n", number % 40);
+                    let more = format!(
+                        "Model: m\r\nToken-Counts: 713,280\r\nPrompt-Prefix: 5c1e{:02x}:603,{number:x}:110\r\n",
+                        number % 40
+                    );
                     note(&format!("sent      {id} router={router}"));
                     match call(to, request("til-chat", &id, 15_000, &more).as_bytes(), Duration::from_secs(16)) {
                         Err(error) => note(&format!("answered  {id} none ({error})")),
@@ -361,7 +388,9 @@
                             let is_cut = is_complete && received < events;
                             broken.fetch_add(usize::from(is_cut), Ordering::Relaxed);
                             let mark = if is_cut { " BROKEN: ends as complete before its last event" } else { "" };
-                            note(&format!("answered  {id} {status} events={received} of {events} complete={is_complete}{mark}"));
+                            note(&format!(
+                                "answered  {id} {status} events={received} of {events} complete={is_complete}{mark}"
+                            ));
                             if status != 200 {
                                 thread::sleep(Duration::from_millis(500));
                             }
@@ -381,3 +410,36 @@
         Ok((self.sent.load(Ordering::Relaxed), self.broken.load(Ordering::Relaxed)))
     }
 }
+
+/// Clients that send plain requests, one after the other.
+pub struct PlainClients {
+    stop: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl PlainClients {
+    pub fn start(fleet: &Fleet, routers: &[SocketAddr], per_router: usize) -> Self {
+        let stop = Arc::<AtomicBool>::default();
+        let threads = (0..routers.len() * per_router).map(|client| {
+            let (to, note, stop) = (routers[client % routers.len()], fleet.recorder(), stop.clone());
+            thread::spawn(move || {
+                let mut number = 0_u64;
+                while !stop.load(Ordering::Relaxed) {
+                    number += 1;
+                    let id = format!("{:016x}", 0x7000_0000_0000_0000_u64 + ((client as u64) << 32) + number);
+                    note(&format!("sent      {id} points-redeem"));
+                    let answer = call(to, request("points-redeem", &id, 4_000, "").as_bytes(), Duration::from_secs(5));
+                    note(&format!("answered  {id} {}", answer.map_or(0, |answer| answer.status())));
+                    thread::sleep(Duration::from_millis(80));
+                }
+            })
+        });
+        let threads = threads.collect();
+        Self { stop, threads }
+    }
+
+    pub fn finish(self) -> Result<(), String> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.threads.into_iter().try_for_each(|thread| thread.join().map_err(|_| "a client failed".to_owned()))
+    }
+}
--- a/review/standin/case/unframed.rs
+++ b/review/standin/case/unframed.rs
@@ -11,6 +11,9 @@
 /// How long they do so, and when in that time the crash comes.
 const UNFRAMED_TIME: Duration = Duration::from_millis(5_000);
 const CRASH_AFTER: Duration = Duration::from_millis(4_400);
+/// Three other runners crash in the second round, after the connections to the new ones have come to be kept.
+const ROUNDS: usize = 2;
+const SETTLING_TIME: Duration = Duration::from_millis(6_000);
 /// How long the runners are down, and when the entries of those that said nothing lapse: after three heartbeats.
 const CRASH_TIME: Duration = Duration::from_millis(2_000);
 const ENTRY_LAPSES: Duration = Duration::from_millis(3_600);
@@ -30,25 +33,31 @@
     let clients = Clients::start(&fleet, CLIENTS, EVENTS);
     thread::sleep(Duration::from_secs(9));
     let unframed = trouble != "0";
-    if unframed {
-        fleet.switch("unframed", true)?;
-    }
-    thread::sleep(CRASH_AFTER);
-    let crashed: Vec<String> = (0..CRASHED).map(|index| fleet.runners[index].id.clone()).collect();
-    if trouble == "1" {
-        fleet.note(&format!("crash     {}", crashed.join(" ")));
-        fleet.runners[..CRASHED].iter_mut().for_each(|runner| runner.process.signal_kill());
-        fleet.runners[..CRASHED].iter_mut().for_each(|runner| runner.process.kill());
-    }
-    thread::sleep(UNFRAMED_TIME - CRASH_AFTER);
-    if unframed {
-        fleet.switch("unframed", false)?;
-    }
-    thread::sleep(CRASH_TIME - (UNFRAMED_TIME - CRASH_AFTER));
-    if trouble == "1" {
-        (0..CRASHED).try_for_each(|index| fleet.restart_runner(index))?;
+    for round in 0..ROUNDS {
+        if unframed {
+            fleet.switch("unframed", true)?;
+        }
+        thread::sleep(CRASH_AFTER);
+        let indices = round * CRASHED..(round + 1) * CRASHED;
+        let crashed: Vec<String> = fleet.runners[indices.clone()].iter().map(|runner| runner.id.clone()).collect();
+        if trouble == "1" {
+            fleet.note(&format!("crash     {}", crashed.join(" ")));
+            fleet.runners[indices.clone()].iter_mut().for_each(|runner| runner.process.signal_kill());
+            fleet.runners[indices.clone()].iter_mut().for_each(|runner| runner.process.kill());
+        }
+        thread::sleep(UNFRAMED_TIME - CRASH_AFTER);
+        if unframed {
+            fleet.switch("unframed", false)?;
+        }
+        thread::sleep(CRASH_TIME - (UNFRAMED_TIME - CRASH_AFTER));
+        if trouble == "1" {
+            indices.clone().try_for_each(|index| fleet.restart_runner(index))?;
+        }
         thread::sleep(ENTRY_LAPSES - CRASH_TIME);
-        crashed.iter().try_for_each(|id| fleet.remove_entry(id))?;
+        if trouble == "1" {
+            crashed.iter().try_for_each(|id| fleet.remove_entry(id))?;
+        }
+        thread::sleep(SETTLING_TIME);
     }
     let (sent, broken) = clients.finish()?;
     for line in fleet.log_lines("close-delimited") {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -25,10 +25,13 @@
     work: Duration,
     /// While the switch `unframed` is on, one answer in this many has no length and ends with its connection; 0 for none.
     unframed: usize,
+    /// One plain answer in this many says that its connection closes; 0 for none.
+    close: usize,
     /// The directory with the record of what ran, and the switches.
     dir: PathBuf,
     runs: Mutex<File>,
     answers: AtomicUsize,
+    plain_answers: AtomicUsize,
 }
 
 fn option<'a>(options: &[&'a str], name: &str) -> &'a str {
@@ -48,9 +51,11 @@
         pause: millis("--pause"),
         work: millis("--work"),
         unframed: number("--unframed"),
+        close: number("--close"),
         dir,
         runs: Mutex::new(runs),
         answers: AtomicUsize::new(0),
+        plain_answers: AtomicUsize::new(0),
     });
     for tcp in listener.incoming().flatten() {
         let options = options.clone();
@@ -105,9 +110,11 @@
     if options.events == 0 {
         thread::sleep(options.work);
         let body = format!("{id} {}\n{}\n", options.id, "x".repeat(800));
-        head.push_str(&if is_unframed { "Connection: close\r\n\r\n".into() } else { format!("Content-Length: {}\r\n\r\n", body.len()) });
+        let closes = options.close > 0 && options.plain_answers.fetch_add(1, Ordering::Relaxed) % options.close == 0;
+        head.push_str(if closes { "Connection: close\r\n" } else { "" });
+        head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
         out.write_all((head + &body).as_bytes())?;
-        return Ok(!is_unframed);
+        return Ok(!closes);
     }
     head.push_str("Content-Type: text/event-stream\r\n");
     head.push_str(if is_unframed { "Connection: close\r\n\r\n" } else { "Transfer-Encoding: chunked\r\n\r\n" });
