--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -43,7 +43,12 @@
     }
 }
 
-/// The routers that were started and not ended yet.
+/// Notes a process that the case has started, so that it ends with the case.
+pub fn started(process: u32) {
+    RUNNING.lock().unwrap().push(process);
+}
+
+/// The processes that were started and not ended yet.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 /// Ends the case as one that couldn't run, and the processes that it started.
@@ -592,7 +597,7 @@
         let mut command = Command::new(program);
         command.arg("--settings").arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
         let child = command.spawn().unwrap_or_else(|error| quit(&format!("the router can't be started: {error}")));
-        RUNNING.lock().unwrap().push(child.id());
+        started(child.id());
         record.line(&format!("router {} starts: callers at {}, process {}", self.name, self.callers, child.id()));
         self.child = Some(child);
     }
