--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -73,10 +73,19 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// A loopback address on which nothing listens.
+/// A loopback address on which nothing listens. Its port is below those that the kernel gives to outgoing connections, so that
+/// none of these takes it before a process listens there.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| quit(&error.to_string()));
-    listener.local_addr().unwrap_or_else(|error| quit(&error.to_string()))
+    static TAKEN: AtomicUsize = AtomicUsize::new(0);
+    let first = std::process::id() as usize * 61;
+    for _ in 0..9_000 {
+        let number = first + TAKEN.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from(([127, 0, 0, 1], 22_000 + (number % 9_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    quit("no port is free")
 }
 
 // ---------------------------------------------------------------------------
@@ -467,9 +476,11 @@
                     .filter_map(|row| Some((row.get("key")?.text()?.to_owned(), row.get("rev")?.number()?)))
                     .collect();
                 let result = self.change(|items| {
-                    let current = |key: &str| items.items.get(key).filter(|item| item.value.is_some()).map_or(0, |item| item.rev);
+                    let current =
+                        |key: &str| items.items.get(key).filter(|item| item.value.is_some()).map_or(0, |item| item.rev);
                     if rows.iter().any(|(key, rev)| current(key) != *rev) {
-                        let stored: Vec<_> = rows.iter().filter_map(|(key, _)| Some(items.items.get(key)?.json(key))).collect();
+                        let stored: Vec<_> =
+                            rows.iter().filter_map(|(key, _)| Some(items.items.get(key)?.json(key))).collect();
                         return Err(stored.join(","));
                     }
                     for put in list("put") {
@@ -562,7 +573,8 @@
 
 /// Starts routers with the settings that the platform fills in from the template for a small deployment.
 pub fn start_routers(folder: &Folder, store: SocketAddr, zones: &[&str], record: &Record) -> Vec<Router> {
-    let addresses: Vec<[SocketAddr; 3]> = zones.iter().map(|_| [free_address(), free_address(), free_address()]).collect();
+    let addresses: Vec<[SocketAddr; 3]> =
+        zones.iter().map(|_| [free_address(), free_address(), free_address()]).collect();
     let seeds: Vec<_> = addresses.iter().take(3).map(|[_, _, peers]| format!("\"{peers}\"")).collect();
     let region: Vec<_> = zones.iter().map(|zone| format!("\"{zone}\":\"west\"")).collect();
     let mut routers = Vec::new();
@@ -578,8 +590,7 @@
             region.join(",")
         );
         std::fs::write(&settings, text).unwrap_or_else(|error| quit(&error.to_string()));
-        let mut router =
-            Router { name, callers: *callers, ready: *ready, peers: *peers, settings, child: None };
+        let mut router = Router { name, callers: *callers, ready: *ready, peers: *peers, settings, child: None };
         router.start(record);
         routers.push(router);
     }
