One budget of bytes bounds the bodies of a process

What callers saw: clients with large bodies took a router beyond its machine's memory (32 clients with 4 MB each: 145 to 246 MB resident, 381 MB for a mix), the platform killed it, and all its requests were lost.

Cause: each body was bounded, all together weren't. A body was kept as the slices of the read buffers in which it came, so a byte that arrived in a chunk of its own held kilobytes, and was copied into one piece at its end, so it existed twice. It was kept until the end of its answer though a request of a single attempt can't be sent again. A body that announced more than the limit was read up to the limit.

The new crate stairvale-memory has the budget of the process, from `memory_mb` of the settings, else from what the system shows. Room is reserved before anything is read as far as the length is announced, and part by part for chunks; the bytes are copied into it, and it is given back when the last clone is dropped. Nobody waits for room: what finds none is refused with 503 and Retry-After. Bodies that go on at less than 64 kB/s for a second give way to others then, small bodies have room of their own, and a customer's further bodies may take twice what is left for others. The body of a request that can't be sent again is dropped when its answer begins. Large parts are pages of their own, which the system takes back at once.

A property test of the budget: what is held never exceeds it, and after any history a body finds room once those that don't go on have fallen behind.

--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use http::{HeaderValue, Request, Response, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{
     body::{Body as _, Incoming},
     server::conn::http1,
@@ -19,6 +19,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustix::process::{Resource, getrlimit};
 use stairvale_link::set_liveness_timeouts;
+use stairvale_memory::{Content, Shortage, budget::Account};
 use stairvale_types::{Moment, Refusal, outcome::Reason};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -327,8 +328,9 @@
     let draw = rapidhash::v3::rapidhash_v3(first_attempt.as_bytes());
     let service = route.service(draw).ok_or(Problem::NoRoute)?.clone();
     let limits = table.document().limits;
+    let account = customer.map(|customer| customer.name.clone());
     let exchange = Exchange::new(shared.clone(), dialect.clone(), route.clone(), service, head, parts, received_at);
-    let reading = read_body(body, meter, limits.body_bytes);
+    let reading = read_body(shared, (body, meter), account, limits.body_bytes);
     let body = shared.clock.with_deadline(exchange.deadline, reading).await.unwrap_or(Err(Problem::IncompleteBody))?;
     let exchange = exchange.with_body(body);
     Ok(match customer {
@@ -355,14 +357,40 @@
     }
 }
 
-async fn read_body(body: &mut Incoming, meter: &Meter, limit: usize) -> Result<Bytes, Problem> {
-    let body = body.map_frame(|frame| {
-        meter.deliver(frame.data_ref().map_or(0, Bytes::len));
-        frame
-    });
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Problem::BodyTooLarge),
-        Err(_) => Err(Problem::IncompleteBody),
+/// Reads a request's body into memory. Room for it is reserved before anything of it is read, as far as its length is
+/// announced.
+async fn read_body(
+    shared: &Shared,
+    (body, meter): (&mut Incoming, &Meter),
+    account: Account,
+    limit: usize,
+) -> Result<Content, Problem> {
+    if body.is_end_stream() {
+        return Ok(Content::default());
+    }
+    let announced = body.size_hint().exact().map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+    if announced.is_some_and(|length| length > limit) {
+        return Err(Problem::BodyTooLarge);
+    }
+    let mut upload = shared.memory.upload(shared.now(), account, announced, limit).map_err(Problem::Shortage)?;
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = upload.displaced() => return Err(Problem::Shortage(Shortage::Displaced)),
+        };
+        match frame {
+            None => return upload.finish().map_err(Problem::Shortage),
+            Some(Err(_)) => return Err(Problem::IncompleteBody),
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    meter.deliver(bytes.len());
+                    if upload.len() + bytes.len() > limit {
+                        return Err(Problem::BodyTooLarge);
+                    }
+                    upload.push(shared.now(), bytes).map_err(Problem::Shortage)?;
+                }
+            }
+        }
     }
 }
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -6,6 +6,7 @@
 use http::{Response, StatusCode, header, request, response};
 use hyper::body::Incoming;
 use stairvale_dispatch::{Contents, Outcome};
+use stairvale_memory::Content;
 use stairvale_table::{self as table, Route};
 use stairvale_types::{Moment, id};
 
@@ -46,8 +47,8 @@
     pub head: Head,
     /// The raw request head.
     pub parts: request::Parts,
-    /// The request body.
-    pub body: Bytes,
+    /// The request body, for as long as it may have to be sent.
+    pub body: Content,
     /// The customer that sent the request, if customers are identified.
     pub customer: Option<id::Customer>,
     /// The priority, from 0 to 9.
@@ -150,7 +151,7 @@
     ) -> Self {
         let limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let deadline = received_at + limit;
-        let (body, customer, priority, attempts) = (Bytes::new(), None, route.priority, Attempts::default());
+        let (body, customer, priority, attempts) = (Content::default(), None, route.priority, Attempts::default());
         let exchange = Self {
             shared,
             dialect,
@@ -174,7 +175,7 @@
 
     /// Sets the request body.
     #[must_use]
-    pub fn with_body(mut self, body: Bytes) -> Self {
+    pub fn with_body(mut self, body: Content) -> Self {
         self.body = body;
         self
     }
@@ -210,7 +211,7 @@
     /// beginning of a stream.
     pub async fn run(&mut self) -> Served {
         self.shared.modify(|core, now| core.count(now, &self.service));
-        let fingerprint = fingerprint::of(&self.parts, self.customer.as_ref(), &self.body);
+        let fingerprint = fingerprint::of_parts(&self.parts, self.customer.as_ref(), self.body.parts());
         self.contents = Contents::new(fingerprint, self.customer.clone(), &self.head.parts);
         self.serve().await.unwrap_or_else(|problem| {
             self.log_problem(problem);
@@ -225,6 +226,7 @@
                 Ok(reply) => reply,
                 Err(problem) => return self.take_held_failure().map(Served::Complete).ok_or(problem),
             };
+            self.release_body();
             // Further attempts must not use this upstream again.
             self.attempts.avoid.push(reply.permit.upstream.id.clone());
             if self.route.kind == table::Kind::Stream && reply.head.status.is_success() || exceeds_buffer(&reply.head) {
@@ -344,6 +346,13 @@
         Ok(())
     }
 
+    /// Releases the body if it won't be sent again. An upstream that is still reading it holds a copy of its own.
+    pub(crate) fn release_body(&mut self) {
+        if !self.route.is_repeatable() || self.attempts.runs >= self.route.attempts {
+            self.body = Content::default();
+        }
+    }
+
     /// Charges a retry to the budget; `false` if the budget is exhausted. `cause` says why the last attempt ended.
     pub(crate) fn take_retry(&self, cause: &'static str) -> bool {
         let (allowed, usage, routers, peers_excess) = self.shared.modify(|core, now| {
--- a/crates/stairvale-serve/src/exchange/ending.rs
+++ b/crates/stairvale-serve/src/exchange/ending.rs
@@ -6,9 +6,9 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
+use stairvale_memory::Content;
 use stairvale_replica::Upstream;
 use stairvale_types::id;
 
@@ -94,7 +94,7 @@
         }
         let is_engine = self.shared.table.load().service(&self.service).is_some_and(|service| service.engine.is_some());
         let asked = Asked { upstream: id, is_engine };
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Content::default());
         let path = self.dialect.ask_identity(asked, limit, request.headers_mut());
         *request.uri_mut() = http::Uri::from_static(path);
         let Ok(host) = address.to_string().parse() else {
--- a/crates/stairvale-serve/src/exchange/send.rs
+++ b/crates/stairvale-serve/src/exchange/send.rs
@@ -2,11 +2,11 @@
 
 use std::{fmt, time::Duration};
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, header, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use stairvale_dispatch::{Ask, Outcome, Part};
+use stairvale_memory::Content;
 use stairvale_replica::Upstream;
 use stairvale_types::{Moment, Refusal, id, outcome::Reason};
 
@@ -293,8 +293,8 @@
     }
 
     /// Builds the request for the permit's upstream.
-    fn request(&self, permit: &Permit, last_event: Option<&str>) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, permit: &Permit, last_event: Option<&str>) -> Request<Content> {
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = self.parts.uri.clone();
         let headers = request.headers_mut();
--- a/crates/stairvale-serve/src/fingerprint.rs
+++ b/crates/stairvale-serve/src/fingerprint.rs
@@ -26,6 +26,16 @@
 /// taken for another customer's. Hashing takes 8 microseconds for a body of 18 kB and less than one for 600 bytes.
 #[must_use]
 pub fn of(head: &request::Parts, customer: Option<&id::Customer>, body: &[u8]) -> id::Fingerprint {
+    of_parts(head, customer, [body])
+}
+
+/// The fingerprint of a request whose body is held in several parts; it is the same however the body is divided.
+#[must_use]
+pub fn of_parts<T: AsRef<[u8]>>(
+    head: &request::Parts,
+    customer: Option<&id::Customer>,
+    body: impl IntoIterator<Item = T>,
+) -> id::Fingerprint {
     let mut hasher = blake3::Hasher::new();
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     let customer = customer.map_or("", id::Customer::as_str);
@@ -33,7 +43,9 @@
         hasher.update(&field.len().to_le_bytes());
         hasher.update(field.as_bytes());
     }
-    hasher.update(body);
+    for part in body {
+        hasher.update(part.as_ref());
+    }
     let mut truncated = [0; size_of::<u64>()];
     hasher.finalize_xof().fill(&mut truncated);
     id::Fingerprint(u64::from_le_bytes(truncated))
--- a/crates/stairvale-serve/src/inspect.rs
+++ b/crates/stairvale-serve/src/inspect.rs
@@ -3,11 +3,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use futures::StreamExt;
 use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use stairvale_dispatch::Part;
+use stairvale_memory::Content;
 use stairvale_types::id;
 use tokio::sync::mpsc;
 
@@ -63,7 +63,7 @@
         return None;
     }
     let request = Request::get(path).header(http::header::HOST, address.to_string());
-    let request = request.body(Full::new(Bytes::new())).ok()?;
+    let request = request.body(Content::default()).ok()?;
     let request_bytes = traffic::request_head(&request);
     let (response, connection) = shared.upstreams.send(upstream, address, Default::default, request).await.ok()?;
     let (head, body) = response.into_parts();
--- a/crates/stairvale-serve/src/problem.rs
+++ b/crates/stairvale-serve/src/problem.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Response, StatusCode, header};
+use stairvale_memory::{Shortage, budget::MAX_STALL};
 use stairvale_types::Refusal;
 
 use crate::{Dialect, body::Body, dialect};
@@ -28,6 +29,9 @@
     /// The request was not run, and the client may retry it.
     #[error("{0}")]
     Refused(Refusal),
+    /// This router has no memory for the request. The request was not run, and the client may retry it.
+    #[error("{0}")]
+    Shortage(Shortage),
     /// No router in reach knows at which version the stream began that the client takes up again. The request was not run.
     #[error("the stream is not known here")]
     UnknownStream {
@@ -57,7 +61,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Refused(_) | Self::UnknownStream { .. } | Self::VersionUnavailable { .. } => {
+            Self::Refused(_) | Self::Shortage(_) | Self::UnknownStream { .. } | Self::VersionUnavailable { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
@@ -75,6 +79,7 @@
             Self::BodyTooLarge => "large",
             Self::IncompleteBody => "body",
             Self::Refused(refusal) => refusal.reason.as_str(),
+            Self::Shortage(shortage) => shortage.as_str(),
             Self::UnknownStream { .. } => "unknown-stream",
             Self::VersionUnavailable { .. } => "version-unavailable",
             Self::UpstreamFailed => "broken",
@@ -87,6 +92,8 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Refused(refusal) => Some(refusal.retry_after),
+            // Bodies that don't go on give way after this time.
+            Self::Shortage(_) => Some(MAX_STALL),
             Self::UnknownStream { retry_after } | Self::VersionUnavailable { retry_after } => Some(retry_after),
             Self::Malformed(_)
             | Self::UnknownKey
--- a/crates/stairvale-serve/src/relay/resumption.rs
+++ b/crates/stairvale-serve/src/relay/resumption.rs
@@ -38,6 +38,7 @@
     ) -> Result<Self, &'static str> {
         loop {
             let mut reply = exchange.dispatch(last.as_deref()).await.map_err(Problem::label)?;
+            exchange.release_body();
             if !reply.head.status.is_success() {
                 return Err("upstream-failed");
             }
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -9,6 +9,7 @@
 use error_stack::Report;
 use serde::Deserialize;
 use stairvale_dispatch::budget::Budget;
+use stairvale_memory::machine;
 use stairvale_types::id;
 
 /// Why settings are invalid.
@@ -46,6 +47,10 @@
     /// The VM's share of a processor, in cores. The strongest routers become homes.
     #[serde(default = "one")]
     pub cores: f64,
+    /// The VM's memory in MB (2^20 bytes), which bounds what the router holds for its clients; by default what the system
+    /// shows.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// Whether the fleet is started for the first time, so that no earlier process of any router has sent anything.
     #[serde(default)]
     pub first_start: bool,
@@ -61,6 +66,9 @@
     pub bounds: Bounds,
 }
 
+/// The memory of a VM if neither the settings nor the system state it.
+const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
+
 fn one() -> f64 {
     1.0
 }
@@ -140,10 +148,20 @@
         if !settings.cores.is_finite() || settings.cores <= 0.0 {
             return Err(Fault::Range("cores", "a number above 0 is expected").into());
         }
+        if settings.memory_mb == Some(0) {
+            return Err(Fault::Range("memory_mb", "a number of MB above 0 is expected").into());
+        }
         settings.bounds.check()?;
         Ok(settings)
     }
 
+    /// The bytes that the process may hold for its clients.
+    #[must_use]
+    pub fn memory_budget(&self) -> usize {
+        let stated = self.memory_mb.map(|megabytes| megabytes.saturating_mul(1 << 20));
+        machine::budget(stated.or_else(machine::memory).unwrap_or(DEFAULT_MEMORY_BYTES))
+    }
+
     /// The zones that lie in any of the given regions.
     #[must_use]
     pub fn zones_of(&self, regions: &[id::Region]) -> BTreeSet<id::Zone> {
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -17,6 +17,7 @@
 use stairvale_clock::Clock;
 use stairvale_dispatch::suspects::Cause;
 use stairvale_link::{Links, Sink};
+use stairvale_memory::Budget;
 use stairvale_table::Table;
 use stairvale_types::{Moment, id};
 use stairvale_wire::codec;
@@ -102,6 +103,8 @@
     pub settings: Settings,
     /// The configuration in force.
     pub table: ArcSwap<Table>,
+    /// What the process holds for its clients.
+    pub memory: Budget,
     /// The counters of this process.
     pub metrics: Metrics,
     /// The clock of this process.
@@ -151,6 +154,7 @@
         upstreams.set_source(settings.upstream_source);
         Arc::new_cyclic(|weak| Self {
             links: Links::new(settings.router.clone(), Inbox(weak.clone())),
+            memory: Budget::new(settings.memory_budget()),
             metrics: Metrics::new(settings.zone.clone()),
             settings,
             table: ArcSwap::default(),
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -13,14 +13,13 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use futures::future::{Either, select};
 use http::{HeaderMap, Request, Response, header};
-use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use stairvale_clock::Clock;
 use stairvale_link::set_liveness_timeouts;
+use stairvale_memory::Content;
 use stairvale_types::{Moment, id};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -93,7 +92,7 @@
     }
 }
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+type Sender = http1::SendRequest<Content>;
 
 /// A connection in use. It is closed immediately when it is dropped.
 #[derive(Debug)]
@@ -177,7 +176,7 @@
         upstream: &id::Upstream,
         address: SocketAddr,
         peers: impl FnOnce() -> [Vec<Peer>; 2],
-        request: Request<Full<Bytes>>,
+        request: Request<Content>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         let mut request = request;
         if let Some(mut connection) = self.take(upstream) {
@@ -204,7 +203,7 @@
         upstream: &id::Upstream,
         address: SocketAddr,
         peers: impl FnOnce() -> [Vec<Peer>; 2],
-        request: Request<Full<Bytes>>,
+        request: Request<Content>,
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         let mut connection = self.open(upstream, address, peers).await?;
         match connection.sender.try_send_request(request).await {
