Connections and heads are part of the budget of bytes

What callers saw: connections alone took a router beyond a VM of 160 MB at the limit of descriptors (1,200 idle connections: 81 MB, with an unfinished head: 93 MB). A crowd that held all connections with unfinished heads shut out all others for the idle time, since only connections that finish their request were asked to close.

Cause: the number of connections followed from descriptors alone, and the HTTP library keeps room for the whole future of a request in each connection, also while it is idle.

The future of a request is allocated when the request arrives. When all connections are taken, the one that has been unused for longest is closed, also one whose head isn't complete; no request has been read on that one, so none is lost.

--- a/crates/stairvale-memory/src/lib.rs
+++ b/crates/stairvale-memory/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A process has one [`Budget`]. Whatever it holds for clients is reserved there first: a [`Reservation`] for connections,
 //! requests and answers, an [`Upload`] for a body that is being received. A body that is complete becomes a [`Content`],
-//! whose room is released when the last part of it has been dropped.
+//! whose room is released when the last part of it has been dropped. [`Connections`] are those of one port; when all are
+//! taken, the one that has been unused for longest is closed.
 //!
 //! Nobody waits for room. A reservation succeeds or fails at once, so there is no order of arrivals after which all wait
 //! for each other.
@@ -22,6 +23,7 @@
 //! ```
 
 pub mod budget;
+pub mod connections;
 pub mod content;
 pub mod machine;
 mod receiving;
@@ -31,6 +33,7 @@
 pub mod upload;
 
 pub use budget::{Budget, Kind, Shortage};
+pub use connections::Connections;
 pub use content::Content;
 pub use reservation::Reservation;
 pub use upload::Upload;
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -19,11 +19,15 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustix::process::{Resource, getrlimit};
 use stairvale_link::set_liveness_timeouts;
-use stairvale_memory::{Content, Shortage, budget::Account};
+use stairvale_memory::{
+    Budget, Connections, Content, Shortage,
+    budget::Account,
+    connections::{Connection, InUse},
+};
 use stairvale_types::{Moment, Refusal, outcome::Reason};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
+    sync::watch,
 };
 
 use crate::{
@@ -63,37 +67,31 @@
 /// The rest of a rejected request's body is read for this long at most, and up to this many bytes.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
+/// Bytes that a connection takes: its buffers, among them a head of the longest usual size, and what the kernel has received
+/// for it.
+const CONNECTION_BYTES: usize = 64 << 10;
+/// Bytes that a request takes beside its connection, its body and what is held of its answer: the parsed head and the
+/// connection to an upstream with its buffers.
+const REQUEST_BYTES: usize = 128 << 10;
 /// Smallest read buffer that hyper accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
-/// The connections that are being served, and the limit of their number.
-#[derive(Clone, Debug)]
-struct Connections {
-    free: Arc<Semaphore>,
-    /// Asks the connection that has been open longest to close.
-    close_oldest: Arc<Notify>,
-}
-
-impl Connections {
-    fn new(limit: usize) -> Self {
-        Self { free: Arc::new(Semaphore::new(limit)), close_oldest: Arc::default() }
-    }
-}
-
-/// The number of callers' connections that leaves enough of the process's descriptors for all others.
-fn max_connections() -> usize {
+/// The number of callers' connections that leaves enough of the process's descriptors and of its memory for all else.
+fn max_connections(memory: &Budget) -> usize {
     let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(MAX_CONNECTIONS);
     let limit = descriptors - descriptors / RESERVED_DESCRIPTORS_DIVISOR;
-    usize::try_from(limit.min(MAX_CONNECTIONS)).unwrap_or(usize::MAX)
+    let limit = usize::try_from(limit.min(MAX_CONNECTIONS)).unwrap_or(usize::MAX);
+    limit.min(memory.connections_limit() / CONNECTION_BYTES)
 }
 
 /// Accepts clients' connections until the process stops. Those that were established by then are still served.
 ///
 /// All tasks that are ready run between one connection and the next, so requests that have been read take precedence.
 pub async fn listen<D: Dialect>(shared: Arc<Shared>, dialect: D, listener: TcpListener) {
-    let limit = max_connections();
-    let max_waiting = limit / WAITING_DIVISOR;
-    let connections = Connections::new(limit - max_waiting);
+    let limit = max_connections(&shared.memory);
+    let max_waiting = (limit / WAITING_DIVISOR).max(1);
+    let connections =
+        Connections::new(shared.clock.clone(), shared.memory.clone(), CONNECTION_BYTES, limit - max_waiting);
     tracing::info!(connections = limit - max_waiting, "accepting callers' connections");
     let mut intake = Intake::new(shared.now());
     let mut is_shedding = false;
@@ -126,17 +124,16 @@
             shared.metrics.count("connection-shed");
             drop(unread);
         }
-        match connections.free.clone().try_acquire_owned() {
-            Ok(slot) => {
+        match connections.open() {
+            Ok(open) => {
                 if let Some(tcp) = intake.take() {
-                    let close = connections.close_oldest.clone();
-                    tokio::spawn(connection(shared.clone(), dialect.clone(), tcp, close, slot));
+                    tokio::spawn(connection(shared.clone(), dialect.clone(), tcp, open));
                 }
                 tokio::task::yield_now().await;
             }
             Err(_) => {
                 shared.metrics.count("connections-exhausted");
-                connections.close_oldest.notify_one();
+                connections.close_unused();
                 tokio::time::sleep(CLOSE_INTERVAL).await;
             }
         }
@@ -170,13 +167,16 @@
     shared.upstreams.drop_all_idle();
 }
 
-async fn connection<D: Dialect>(
-    shared: Arc<Shared>,
-    dialect: D,
-    tcp: TcpStream,
-    close: Arc<Notify>,
-    _slot: OwnedSemaphorePermit,
-) {
+/// Why a connection is closed although its client hasn't asked for that.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Close {
+    /// The process stops.
+    Stop,
+    /// All connections are taken, and this one has been unused for longest.
+    Replace,
+}
+
+async fn connection<D: Dialect>(shared: Arc<Shared>, dialect: D, tcp: TcpStream, open: Connection) {
     if set_liveness_timeouts(&tcp, ACK_TIMEOUT).is_err() {
         return;
     }
@@ -184,7 +184,10 @@
     let limits = shared.table.load().document().limits;
     let buffer = limits.head_bytes.max(MIN_READ_BUFFER_BYTES);
     let meter = Meter::new(buffer + MIN_READ_BUFFER_BYTES);
-    let service = service_fn(|request| serve(shared.clone(), dialect.clone(), meter.clone(), request));
+    // The library reserves the memory of the service's future for as long as the connection is open, also while it is idle.
+    let service = service_fn(|request| {
+        Box::pin(serve(shared.clone(), dialect.clone(), meter.clone(), open.begin_use(), request))
+    });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -195,15 +198,17 @@
     let mut closing = shared.closing.subscribe();
     let ended = tokio::select! {
         biased;
-        result = connection.as_mut() => Some(result),
-        () = closed(&mut closing) => None,
-        () = close.notified() => None,
+        result = connection.as_mut() => Ok(result),
+        () = closed(&mut closing) => Err(Close::Stop),
+        () = open.asked_to_close() => Err(Close::Replace),
     };
     let result = match ended {
-        Some(result) => result,
+        Ok(result) => result,
         // A request that has arrived is served before the connection is closed.
-        None => match await_events(connection.as_mut()).await {
+        Err(close) => match await_events(connection.as_mut()).await {
             Some(result) => result,
+            // A head that isn't complete would keep the connection open.
+            None if close == Close::Replace && !open.was_used() => return,
             None => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
@@ -220,6 +225,7 @@
     shared: Arc<Shared>,
     dialect: D,
     meter: Meter,
+    in_use: InUse,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let received_at = shared.now();
@@ -229,7 +235,7 @@
     let expects_continue = parts.headers.contains_key(header::EXPECT);
     let head = dialect.read(&parts);
     let id = head.as_ref().map(|head| head.id.clone()).unwrap_or_default();
-    let mut pending = PendingAnswer::new(shared.clone(), id.clone());
+    let mut pending = PendingAnswer::new(shared.clone(), id.clone(), in_use);
     let served = match head.map_err(Problem::Malformed) {
         Ok(head) => prepare_exchange(&shared, &dialect, parts, (&mut body, &meter), head, received_at).await,
         Err(problem) => Err(problem),
@@ -305,6 +311,7 @@
     head: Head,
     received_at: Moment,
 ) -> Result<Exchange<D>, Problem> {
+    let room = shared.memory.request(received_at, REQUEST_BYTES).map_err(Problem::Shortage)?;
     shared.until_configured(head.deadline.map_or(Duration::MAX, |deadline| deadline / STARTUP_WAIT_DIVISOR)).await;
     let table = shared.table.load_full();
     let (current, trusted) = shared.query(|core, now| (core.is_current(now), core.trusts_keys(now)));
@@ -332,7 +339,7 @@
     let exchange = Exchange::new(shared.clone(), dialect.clone(), route.clone(), service, head, parts, received_at);
     let reading = read_body(shared, (body, meter), account, limits.body_bytes);
     let body = shared.clock.with_deadline(exchange.deadline, reading).await.unwrap_or(Err(Problem::IncompleteBody))?;
-    let exchange = exchange.with_body(body);
+    let exchange = exchange.with_body(body).with_room(room);
     Ok(match customer {
         Some(customer) => exchange.with_customer(customer),
         None => exchange,
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode, header, request, response};
 use hyper::body::Incoming;
 use stairvale_dispatch::{Contents, Outcome};
-use stairvale_memory::Content;
+use stairvale_memory::{Content, Reservation};
 use stairvale_table::{self as table, Route};
 use stairvale_types::{Moment, id};
 
@@ -64,6 +64,8 @@
     /// Where the stream began that this request begins or continues; `None` before its first event.
     origin: Option<Origin>,
     attempts: Attempts,
+    /// The memory that is reserved for the request, until its answer has ended.
+    room: Option<Reservation>,
 }
 
 /// Which upstreams were tried for a request, and with which results.
@@ -168,6 +170,7 @@
             contents: Contents::default(),
             origin: None,
             attempts,
+            room: None,
         };
         let regions = exchange.route.regions.clone();
         exchange.restrict_to_regions(&regions)
@@ -180,6 +183,13 @@
         self
     }
 
+    /// Sets the memory that is reserved for the request.
+    #[must_use]
+    pub fn with_room(mut self, room: Reservation) -> Self {
+        self.room = Some(room);
+        self
+    }
+
     /// Sets the customer. The customer's priority takes precedence over the route's.
     #[must_use]
     pub fn with_customer(mut self, customer: &stairvale_table::Customer) -> Self {
--- a/crates/stairvale-serve/src/pending.rs
+++ b/crates/stairvale-serve/src/pending.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
+use stairvale_memory::connections::InUse;
 use stairvale_types::Moment;
 
 use crate::{Shared, exchange::millis};
@@ -16,14 +17,16 @@
     route: String,
     since: Moment,
     has_ended: bool,
+    /// The use of the client's connection, which ends with the answer.
+    _in_use: InUse,
 }
 
 impl PendingAnswer {
     /// The answer to the request with this id, which has just been read.
     #[must_use]
-    pub fn new(shared: Arc<Shared>, id: String) -> Self {
+    pub fn new(shared: Arc<Shared>, id: String, in_use: InUse) -> Self {
         let since = shared.now();
-        Self { shared, id, route: String::new(), since, has_ended: false }
+        Self { shared, id, route: String::new(), since, has_ended: false, _in_use: in_use }
     }
 
     /// Sets the route of the request.
