Answers that wait for their clients are part of the budget of bytes

Cause: the buffers of answers were bounded one by one.

A collected answer reserves what its buffer grows to; without room it is relayed as it comes, as a longer one is. A relayed answer has 32 kB that belong to its request's room, and reserves the rest when a slow client needs it for the first time. Without room it goes on with what it has, so no answer waits for another one's room. A complete answer holds its room until its client has read it.

--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -33,6 +33,9 @@
 /// Longer responses are streamed through instead of being buffered until they are complete.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
+/// An answer of at most this many bytes is held without a reservation of its own.
+const MAX_SMALL_ANSWER_BYTES: usize = 16 << 10;
+
 /// A request that is being served.
 pub struct Exchange<D> {
     /// State that all tasks of the process share.
@@ -286,17 +289,19 @@
 
     /// Reads a non-streamed response completely before any of it is forwarded to the client, unless it proves too long.
     async fn read_complete(&mut self, mut reply: UpstreamResponse) -> Result<Served, Problem> {
-        let body =
-            match self.await_upstream(&reply.permit, read_buffered(&mut reply.body, reply.connection.meter())).await {
-                Ok(Buffered::Whole(body)) => body,
-                Ok(Buffered::Beginning(first)) => {
-                    reply.permit.begun();
-                    self.shared.count_traffic(Kind::Answer, &reply.permit, first.len());
-                    self.shared.metrics.record_first_byte(self.elapsed());
-                    return Ok(Served::Stream { reply: Box::new(reply), events: None, first });
-                }
-                Err(fault) => return Err(self.fail_attempt(&fault, reply.permit).await),
-            };
+        let body = match self
+            .await_upstream(&reply.permit, read_buffered(&self.shared, &mut reply.body, reply.connection.meter()))
+            .await
+        {
+            Ok(Buffered::Whole(body)) => body,
+            Ok(Buffered::Beginning(first)) => {
+                reply.permit.begun();
+                self.shared.count_traffic(Kind::Answer, &reply.permit, first.len());
+                self.shared.metrics.record_first_byte(self.elapsed());
+                return Ok(Served::Stream { reply: Box::new(reply), events: None, first });
+            }
+            Err(fault) => return Err(self.fail_attempt(&fault, reply.permit).await),
+        };
         let UpstreamResponse { mut head, connection, framing, permit, .. } = reply;
         if framing == Framing::CloseDelimited {
             let ended = if body.is_empty() && promises_body(head.status) {
@@ -480,20 +485,48 @@
 enum Buffered {
     /// The whole body.
     Whole(Bytes),
-    /// The body is longer than [`MAX_BUFFERED_BYTES`].
+    /// The body is longer than [`MAX_BUFFERED_BYTES`], or there is no room for all of it.
     Beginning(Bytes),
 }
 
 /// Reads a body into memory, or its beginning if it is too long for that.
-async fn read_buffered(body: &mut Incoming, meter: &Meter) -> Result<Buffered, Fault> {
-    let mut read = BytesMut::new();
+async fn read_buffered(shared: &Shared, body: &mut Incoming, meter: &Meter) -> Result<Buffered, Fault> {
+    let (mut read, mut room) = (BytesMut::new(), None);
     while let Some(chunk) = next(body, meter).await? {
+        let needed = read.len() + chunk.len();
+        let has_room = needed <= read.capacity() || reserve_buffer(shared, &mut room, &mut read, needed);
         read.extend_from_slice(&chunk);
-        if read.len() > MAX_BUFFERED_BYTES {
-            return Ok(Buffered::Beginning(read.freeze()));
+        if needed > MAX_BUFFERED_BYTES || !has_room {
+            return Ok(Buffered::Beginning(hold(read, room)));
         }
     }
-    Ok(Buffered::Whole(read.freeze()))
+    Ok(Buffered::Whole(hold(read, room)))
+}
+
+/// Extends a buffer for this many bytes; `false` if there is no room for them. A small buffer belongs to the room of the
+/// client's connection.
+fn reserve_buffer(shared: &Shared, room: &mut Option<Reservation>, buffer: &mut BytesMut, needed: usize) -> bool {
+    let capacity = needed.max(2 * buffer.capacity()).min(MAX_BUFFERED_BYTES).max(needed);
+    if capacity > MAX_SMALL_ANSWER_BYTES {
+        let now = shared.now();
+        let reserved = match room {
+            Some(room) => room.grow(now, capacity),
+            None => shared.memory.answer(now, capacity).map(|reserved| *room = Some(reserved)),
+        };
+        if reserved.is_err() {
+            return false;
+        }
+    }
+    buffer.reserve(capacity - buffer.len());
+    true
+}
+
+fn hold(buffer: BytesMut, room: Option<Reservation>) -> Bytes {
+    let bytes = buffer.freeze();
+    match room {
+        Some(room) => room.hold(bytes),
+        None => bytes,
+    }
 }
 
 /// Whether a response with this status has a body, which may be empty if the response states its end. A close-delimited body that
--- a/crates/stairvale-serve/src/relay.rs
+++ b/crates/stairvale-serve/src/relay.rs
@@ -9,12 +9,13 @@
 use bytes::Bytes;
 use http::{Response, header};
 use stairvale_dispatch::Outcome;
+use stairvale_memory::Reservation;
 use stairvale_table as table;
 use stairvale_types::id;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, TryAcquireError, mpsc};
 
 use crate::{
-    Dialect,
+    Dialect, Shared,
     body::{Body, Chunk, next},
     events::Events,
     exchange::{Exchange, UpstreamResponse, millis},
@@ -30,7 +31,9 @@
 
 /// Chunks that are buffered for a client; one that reads more slowly applies back-pressure to the upstream.
 const MAX_BUFFERED_CHUNKS: usize = 32;
-/// Bytes that these chunks may have. Clients that read nothing of large answers must not exhaust the process's memory.
+/// Bytes that these chunks may have in any case, which belong to the request's room.
+const MIN_BUFFERED_BYTES: usize = 32 << 10;
+/// Bytes that these chunks may have if there is room for them in the process's memory.
 const MAX_BUFFERED_BYTES: usize = 128 << 10;
 /// Another upstream is sought for a resumable stream after a stall of this many times the route's target pause between
 /// events.
@@ -55,7 +58,7 @@
     }
     let length = head.headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
     let may_race = exchange.route.is_repeatable();
-    let buffer = Arc::new(Semaphore::new(MAX_BUFFERED_BYTES));
+    let buffer = Buffer::new();
     let relay = Relay { exchange, sender, buffer, end_permit, events, may_race };
     // Counted before the request's own count ends, so that a stopping process never regards the stream as finished.
     relay.exchange.shared.metrics.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -69,7 +72,7 @@
     exchange: Exchange<D>,
     sender: mpsc::Sender<Chunk>,
     /// The bytes that may still be buffered for the client.
-    buffer: Arc<Semaphore>,
+    buffer: Buffer,
     /// The place in the channel for the end of the body, reserved so that a client that reads slowly doesn't delay the relay.
     end_permit: Option<mpsc::OwnedPermit<Chunk>>,
     /// The events of the stream; `None` if the body isn't a stream of events.
@@ -78,6 +81,40 @@
     may_race: bool,
 }
 
+/// The bytes that may still be buffered for a client. A client that reads makes room for the next bytes itself, so an answer
+/// goes on also while the process has no memory left.
+struct Buffer {
+    free: Arc<Semaphore>,
+    /// The room beyond [`MIN_BUFFERED_BYTES`], which is reserved when it is needed for the first time.
+    more: Option<Reservation>,
+}
+
+impl Buffer {
+    fn new() -> Self {
+        Self { free: Arc::new(Semaphore::new(MIN_BUFFERED_BYTES)), more: None }
+    }
+
+    const fn capacity(&self) -> usize {
+        if self.more.is_some() { MAX_BUFFERED_BYTES } else { MIN_BUFFERED_BYTES }
+    }
+
+    /// The number of permits for a chunk. One that is larger than the buffer gets all of it.
+    fn permits(&self, bytes: usize) -> u32 {
+        u32::try_from(bytes.min(self.capacity())).unwrap_or(u32::MAX)
+    }
+
+    /// Reserves the room beyond [`MIN_BUFFERED_BYTES`] if there is some.
+    fn extend(&mut self, shared: &Shared) {
+        let more = MAX_BUFFERED_BYTES - MIN_BUFFERED_BYTES;
+        if self.more.is_none()
+            && let Ok(room) = shared.memory.answer(shared.now(), more)
+        {
+            self.more = Some(room);
+            self.free.add_permits(more);
+        }
+    }
+}
+
 /// The upstream whose part of the stream is forwarded.
 struct Source {
     reply: UpstreamResponse,
@@ -385,17 +422,24 @@
     }
 
     /// Sends bytes to the client; returns `false` if the client has disconnected.
-    async fn send(&self, chunk: Bytes) -> bool {
+    async fn send(&mut self, chunk: Bytes) -> bool {
         // A client that reads nothing until the request's deadline counts as disconnected.
-        let clock = &self.exchange.shared.clock;
-        let sent = clock.with_deadline(self.exchange.deadline, self.buffer_chunk(chunk)).await;
+        let (shared, deadline) = (self.exchange.shared.clone(), self.exchange.deadline);
+        let sent = shared.clock.with_deadline(deadline, self.buffer_chunk(chunk)).await;
         sent.is_ok_and(|sent| sent.is_some())
     }
 
     /// Waits until there is room for a chunk and buffers it; `None` if the client has disconnected.
-    async fn buffer_chunk(&self, chunk: Bytes) -> Option<()> {
-        let size = u32::try_from(chunk.len().min(MAX_BUFFERED_BYTES)).ok()?;
-        let reserved = self.buffer.clone().acquire_many_owned(size).await.ok()?;
+    async fn buffer_chunk(&mut self, chunk: Bytes) -> Option<()> {
+        let free = self.buffer.free.clone();
+        let reserved = match free.clone().try_acquire_many_owned(self.buffer.permits(chunk.len())) {
+            Ok(reserved) => reserved,
+            Err(TryAcquireError::Closed) => return None,
+            Err(TryAcquireError::NoPermits) => {
+                self.buffer.extend(&self.exchange.shared);
+                free.acquire_many_owned(self.buffer.permits(chunk.len())).await.ok()?
+            }
+        };
         self.sender.send(Chunk::Data(chunk, Some(reserved))).await.ok()
     }
 
