The readiness and metrics ports bound their connections

What callers saw: 600 silent clients at the readiness or the metrics port took all descriptors of the process, and ordinary callers got no answer for as long as they stayed.

Cause: these ports accepted connections without a limit, and tried again at once when that failed.

Each port serves 32 connections, in room of its own that callers can't take. A further one replaces the one that has been unused for longest. After an accept that failed, the port waits.

--- a/crates/stairvale-serve/src/ready.rs
+++ b/crates/stairvale-serve/src/ready.rs
@@ -1,37 +1,62 @@
 //! The endpoint for the balancer's readiness checks and for metrics.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use http::{Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use stairvale_memory::{Budget, Connections, connections::Connection};
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::{Shared, body::Body, core::Core, metrics, rollouts};
 
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// The most connections. The balancer needs one, and each system that reads the metrics another one.
+const MAX_CONNECTIONS: usize = 32;
+/// Bytes that a connection takes.
+const CONNECTION_BYTES: usize = 32 << 10;
+/// The largest head, in bytes: the smallest limit that hyper accepts.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+/// Delay before the next `accept` after one that failed.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Number of customers per service that metrics list by name: enough to show which one causes a burst, and few enough
 /// for the system that stores the metrics.
 const MAX_CUSTOMERS: usize = 8;
 
 /// Serves readiness checks and metrics until the task is dropped.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener, path: &'static str) {
+    // Room of its own, which callers can't take.
+    let budget = Budget::new(2 * MAX_CONNECTIONS * CONNECTION_BYTES);
+    let connections = Connections::new(shared.clock.clone(), budget, CONNECTION_BYTES, MAX_CONNECTIONS);
     loop {
         let Ok((tcp, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let shared = shared.clone();
-        tokio::spawn(async move {
-            let service = service_fn(|request| {
-                let answer = answer(&shared, path, &request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            // It doesn't matter here if the balancer closes its connection.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(tcp), service).await;
-        });
+        match connections.open_or_replace().await {
+            Some(open) => {
+                tokio::spawn(serve(shared.clone(), tcp, path, open));
+            }
+            None => shared.metrics.count("ready-connection-refused"),
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, tcp: TcpStream, path: &'static str, open: Connection) {
+    let service = service_fn(|request| {
+        let _in_use = open.begin_use();
+        let answer = answer(&shared, path, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    tokio::select! {
+        // It doesn't matter here if the balancer closes its connection.
+        _ = builder.serve_connection(TokioIo::new(tcp), service) => {}
+        () = open.asked_to_close() => {}
     }
 }
 
