The peers' port bounds connections without a stream

What callers saw: 600 silent clients at the peers' port took all descriptors of the process, and ordinary callers got no answer for as long as they stayed.

Cause: a connection was kept for as long as its handshake took.

Connections on which no peer has opened a stream take at most one in eight of the descriptors, and a further one replaces the one that has been there for longest. That is room for all routers of the largest fleet, which connect at once at a start.

--- a/crates/stairvale-link/src/listen.rs
+++ b/crates/stairvale-link/src/listen.rs
@@ -4,7 +4,10 @@
 
 use h2::{RecvStream, server::SendResponse};
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
+use rustix::process::{Resource, getrlimit};
 use serde::de::DeserializeOwned;
+use stairvale_clock::Clock;
+use stairvale_memory::{Budget, Connections, connections::Connection};
 use stairvale_types::id;
 use stairvale_wire::codec;
 use tokio::net::{TcpListener, TcpStream};
@@ -18,35 +21,78 @@
 /// Delay before the next `accept` after one that failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Connections on which no peer has opened a stream may take one part in this many of the process's descriptors: as many as
+/// a fleet has routers, which may all connect at the same time.
+const PENDING_DIVISOR: u64 = 8;
+/// The most such connections, also if the process has no limit of descriptors.
+const MAX_PENDING: u64 = 1 << 12;
+/// Bytes that such a connection takes.
+const PENDING_BYTES: usize = 16 << 10;
+
+/// The connections on which no peer has opened a stream. They have room of their own, which callers can't take.
+fn pending_connections() -> Connections {
+    let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    let limit = usize::try_from((descriptors / PENDING_DIVISOR).min(MAX_PENDING)).unwrap_or(usize::MAX);
+    Connections::new(Clock::start(), Budget::new(2 * limit * PENDING_BYTES), PENDING_BYTES, limit)
+}
+
 /// Accepts connections and streams from peers, and passes their frames to `sink`, until the future is dropped.
 pub async fn listen<F: DeserializeOwned + Send + 'static, S: Sink<F>>(listener: TcpListener, sink: S) {
+    let pending = pending_connections();
     loop {
         let Ok((tcp, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        tokio::spawn(serve::<F, S>(tcp, sink.clone()));
+        if let Some(open) = pending.open_or_replace().await {
+            tokio::spawn(serve::<F, S>(tcp, sink.clone(), open));
+        }
     }
 }
 
-async fn serve<F: DeserializeOwned + Send + 'static, S: Sink<F>>(tcp: TcpStream, sink: S) {
+/// Serves a connection. `pending` is its place among those without a stream.
+async fn serve<F: DeserializeOwned + Send + 'static, S: Sink<F>>(tcp: TcpStream, sink: S, pending: Connection) {
     if set_liveness_timeouts(&tcp, ACK_TIMEOUT).is_err() {
         return;
     }
     let handshake = h2::server::Builder::new().initial_connection_window_size(CONNECTION_WINDOW_BYTES).handshake(tcp);
-    let Ok(mut connection) = handshake.await else {
+    let handshake = tokio::select! {
+        handshake = handshake => handshake,
+        () = pending.asked_to_close() => return,
+    };
+    let Ok(mut connection) = handshake else {
         return;
     };
-    while let Some(Ok((request, respond))) = connection.accept().await {
+    let mut pending = Some(pending);
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            () = asked_to_close(pending.as_ref()) => return,
+        };
+        let Some(Ok((request, respond))) = accepted else {
+            return;
+        };
         if request.method() == Method::CONNECT {
+            pending = None;
             sink.tunnel(request, respond);
             continue;
         }
         let sender = sender(request.headers());
+        if sender.is_some() {
+            pending = None;
+        }
         tokio::spawn(serve_stream::<F, S>(sender, request.into_body(), respond, sink.clone()));
     }
 }
 
+/// Waits until a connection without a stream is asked to close; forever if it has one.
+async fn asked_to_close(pending: Option<&Connection>) {
+    match pending {
+        Some(pending) => pending.asked_to_close().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The router that opened the stream; `None` if the headers are invalid or its protocol version differs.
 fn sender(headers: &HeaderMap) -> Option<id::Router> {
     let version = headers.get(VERSION_HEADER)?.to_str().ok()?;
