The own interface uses the same budget of bytes

What callers saw: clients with large bodies took stairvale-router beyond its machine's memory (32 clients with 4 MB each: 142 to 243 MB), and 600 silent clients took all its descriptors, so that ordinary callers got no answer.

Cause: bodies were bounded one by one, connections not at all, and a body that didn't go on was waited for without a limit.

stairvale-router has one budget as well, from `memory_mb` of its settings. Reading a body is one function of stairvale-memory for both processes, and so is the number of connections. A body is waited for until the request's deadline.

A test for silent connections to the peers' port is new.

--- a/crates/stairvale-link/src/listen.rs
+++ b/crates/stairvale-link/src/listen.rs
@@ -4,10 +4,9 @@
 
 use h2::{RecvStream, server::SendResponse};
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
-use rustix::process::{Resource, getrlimit};
 use serde::de::DeserializeOwned;
 use stairvale_clock::Clock;
-use stairvale_memory::{Budget, Connections, connections::Connection};
+use stairvale_memory::{Connections, connections::Connection};
 use stairvale_types::id;
 use stairvale_wire::codec;
 use tokio::net::{TcpListener, TcpStream};
@@ -21,24 +20,9 @@
 /// Delay before the next `accept` after one that failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Connections on which no peer has opened a stream may take one part in this many of the process's descriptors: as many as
-/// a fleet has routers, which may all connect at the same time.
-const PENDING_DIVISOR: u64 = 8;
-/// The most such connections, also if the process has no limit of descriptors.
-const MAX_PENDING: u64 = 1 << 12;
-/// Bytes that such a connection takes.
-const PENDING_BYTES: usize = 16 << 10;
-
-/// The connections on which no peer has opened a stream. They have room of their own, which callers can't take.
-fn pending_connections() -> Connections {
-    let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
-    let limit = usize::try_from((descriptors / PENDING_DIVISOR).min(MAX_PENDING)).unwrap_or(usize::MAX);
-    Connections::new(Clock::start(), Budget::new(2 * limit * PENDING_BYTES), PENDING_BYTES, limit)
-}
-
 /// Accepts connections and streams from peers, and passes their frames to `sink`, until the future is dropped.
 pub async fn listen<F: DeserializeOwned + Send + 'static, S: Sink<F>>(listener: TcpListener, sink: S) {
-    let pending = pending_connections();
+    let pending = Connections::pending(Clock::start());
     loop {
         let Ok((tcp, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -67,7 +51,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = connection.accept() => accepted,
-            () = asked_to_close(pending.as_ref()) => return,
+            () = Connection::any_asked_to_close(pending.as_ref()) => return,
         };
         let Some(Ok((request, respond))) = accepted else {
             return;
@@ -85,14 +69,6 @@
     }
 }
 
-/// Waits until a connection without a stream is asked to close; forever if it has one.
-async fn asked_to_close(pending: Option<&Connection>) {
-    match pending {
-        Some(pending) => pending.asked_to_close().await,
-        None => std::future::pending().await,
-    }
-}
-
 /// The router that opened the stream; `None` if the headers are invalid or its protocol version differs.
 fn sender(headers: &HeaderMap) -> Option<id::Router> {
     let version = headers.get(VERSION_HEADER)?.to_str().ok()?;
--- a/crates/stairvale-memory/src/connections.rs
+++ b/crates/stairvale-memory/src/connections.rs
@@ -10,10 +10,15 @@
 use stairvale_types::Moment;
 use tokio::sync::Notify;
 
-use crate::{Budget, Reservation, Shortage};
+use crate::{Budget, Reservation, Shortage, machine};
 
 /// A connection on which no request has arrived for this long may be closed in favour of a new one.
 pub const MIN_UNUSED: Duration = Duration::from_millis(500);
+/// Connections on which no peer has opened a stream may take one part in this many of the process's descriptors: as many as
+/// a fleet has routers, which may all connect at the same time.
+const PENDING_DIVISOR: usize = 8;
+/// Bytes that such a connection takes.
+const PENDING_BYTES: usize = 16 << 10;
 /// How often a new connection looks whether the one that was asked to close has done so, and the time between two looks.
 const MAX_LOOKS: u32 = 20;
 const LOOK_INTERVAL: Duration = Duration::from_millis(1);
@@ -44,6 +49,8 @@
 struct State {
     /// When the connection was opened or its last answer ended; `None` while it is used or was asked to close.
     unused_since: Option<Moment>,
+    /// Number of requests for which it is used. HTTP/2 has several at a time.
+    uses: usize,
     /// Whether a request has arrived on it.
     was_used: bool,
     close: Arc<Notify>,
@@ -72,6 +79,14 @@
         Self(Arc::new(Shared { clock, budget, bytes, limit, open: Mutex::default() }))
     }
 
+    /// The connections of a port for peers on which no peer has opened a stream yet. They have room of their own, which
+    /// clients can't take.
+    #[must_use]
+    pub fn pending(clock: Clock) -> Self {
+        let limit = (machine::descriptors() / PENDING_DIVISOR).max(1);
+        Self::new(clock, Budget::new(2 * limit * PENDING_BYTES), PENDING_BYTES, limit)
+    }
+
     /// The number of connections.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -99,7 +114,7 @@
         let number = open.next;
         open.next += 1;
         let close = Arc::new(Notify::new());
-        let state = State { unused_since: Some(now), was_used: false, close: close.clone() };
+        let state = State { unused_since: Some(now), uses: 0, was_used: false, close: close.clone() };
         open.connections.insert(number, state);
         Ok(Connection { shared: shared.clone(), number, close, _reservation: reservation })
     }
@@ -139,6 +154,14 @@
 }
 
 impl Connection {
+    /// Waits until the connection is asked to close; forever if there is none.
+    pub async fn any_asked_to_close(connection: Option<&Self>) {
+        match connection {
+            Some(connection) => connection.asked_to_close().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Waits until the connection is asked to close.
     pub async fn asked_to_close(&self) {
         self.close.notified().await;
@@ -154,6 +177,7 @@
     pub fn begin_use(&self) -> InUse {
         if let Some(state) = self.shared.open().connections.get_mut(&self.number) {
             (state.unused_since, state.was_used) = (None, true);
+            state.uses += 1;
         }
         InUse { shared: self.shared.clone(), number: self.number }
     }
@@ -169,7 +193,10 @@
     fn drop(&mut self) {
         let now = self.shared.clock.now();
         if let Some(state) = self.shared.open().connections.get_mut(&self.number) {
-            state.unused_since = Some(now);
+            state.uses -= 1;
+            if state.uses == 0 {
+                state.unused_since = Some(now);
+            }
         }
     }
 }
--- a/crates/stairvale-memory/src/content.rs
+++ b/crates/stairvale-memory/src/content.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    io::{self, Read},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
@@ -62,6 +63,12 @@
         &self.parts
     }
 
+    /// Reads the bytes from the beginning.
+    #[must_use]
+    pub fn reader(&self) -> Reader<'_> {
+        Reader { parts: &self.parts, offset: 0 }
+    }
+
     /// Takes at most this many bytes from the beginning; `None` if there are none left.
     pub fn take(&mut self, max: usize) -> Option<Bytes> {
         while self.parts.first().is_some_and(Bytes::is_empty) {
@@ -90,3 +97,25 @@
         SizeHint::with_exact(self.len as u64)
     }
 }
+
+/// Reads the bytes of a [`Content`].
+#[derive(Clone, Debug)]
+pub struct Reader<'a> {
+    parts: &'a [Bytes],
+    /// The number of bytes of the first part that were read.
+    offset: usize,
+}
+
+impl Read for Reader<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        while let Some((first, others)) = self.parts.split_first() {
+            let read = first[self.offset..].as_ref().read(buffer)?;
+            if read > 0 || buffer.is_empty() {
+                self.offset += read;
+                return Ok(read);
+            }
+            (self.parts, self.offset) = (others, 0);
+        }
+        Ok(0)
+    }
+}
--- a/crates/stairvale-memory/src/lib.rs
+++ b/crates/stairvale-memory/src/lib.rs
@@ -1,7 +1,7 @@
 //! The budget of bytes that a process holds for its clients.
 //!
 //! A process has one [`Budget`]. Whatever it holds for clients is reserved there first: a [`Reservation`] for connections,
-//! requests and answers, an [`Upload`] for a body that is being received. A body that is complete becomes a [`Content`],
+//! requests and answers, an [`Upload`] for a body that is being received. [`receive()`] reads one. A body that is complete becomes a [`Content`],
 //! whose room is released when the last part of it has been dropped. [`Connections`] are those of one port; when all are
 //! taken, the one that has been unused for longest is closed.
 //!
@@ -26,6 +26,7 @@
 pub mod connections;
 pub mod content;
 pub mod machine;
+pub mod receive;
 mod receiving;
 pub mod reservation;
 mod state;
@@ -35,5 +36,6 @@
 pub use budget::{Budget, Kind, Shortage};
 pub use connections::Connections;
 pub use content::Content;
+pub use receive::receive;
 pub use reservation::Reservation;
 pub use upload::Upload;
--- a/crates/stairvale-router/src/caller.rs
+++ b/crates/stairvale-router/src/caller.rs
@@ -3,6 +3,7 @@
 
 use std::{
     convert::Infallible,
+    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -10,15 +11,18 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
 };
 use stairvale_control::{Input, io};
+use stairvale_memory::{
+    Connections, Content,
+    connections::{Connection, InUse},
+    machine, receive,
+};
 use stairvale_permit::request::Grant;
 use stairvale_types::{Class, Moment, Reason, Refusal, id, unit};
 use stairvale_wire::Profile;
@@ -29,10 +33,10 @@
     body::Body,
     end::End,
     guard::{InFlight, Permit},
-    head::{Head, is_returning},
+    head::{Head, is_returning_chat},
     metrics::Outcome,
     once,
-    problem::{InvalidRequest, Unknown},
+    problem::Unknown,
     relay::{PlainAnswer, Relay},
     shared::{Command, Endpoint, Placement},
     upstream::{Call, Client, Failure, forwarded_headers},
@@ -48,32 +52,62 @@
 /// Limits how long a caller may take to send a complete HTTP/1 head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bytes that a connection takes: its buffers, among them a head of the longest usual size, and what the kernel has received
+/// for it.
+const CONNECTION_BYTES: usize = 64 << 10;
+/// Bytes of all requests of an HTTP/2 connection that may wait to be read.
+const CONNECTION_WINDOW_BYTES: u32 = 64 << 10;
+
 /// Accepts callers' connections until the task is dropped.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener) {
     let client = Client::new(shared.clone());
+    let limit = machine::max_connections(&shared.memory, CONNECTION_BYTES);
+    let connections = Connections::new(shared.clock.clone(), shared.memory.clone(), CONNECTION_BYTES, limit);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Most likely the process is out of file descriptors: wait for connections to close.
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
+        let Some(open) = connections.open_or_replace().await else {
+            shared.metrics.connections_refused.fetch_add(1, Ordering::Relaxed);
+            continue;
+        };
         let _ = stream.set_nodelay(true);
-        tokio::spawn(connection(shared.clone(), client.clone(), stream));
+        tokio::spawn(connection(shared.clone(), client.clone(), stream, open));
     }
 }
 
-async fn connection(shared: Arc<Shared>, client: Client, stream: TcpStream) {
+async fn connection(shared: Arc<Shared>, client: Client, stream: TcpStream, open: Connection) {
     let max_head = shared.settings.limits.head;
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(max_head);
     let max_header_list = u32::try_from(max_head).unwrap_or(u32::MAX);
-    builder.http2().timer(TokioTimer::new()).max_header_list_size(max_header_list);
-    let service = service_fn(move |request| handle(shared.clone(), client.clone(), request));
-    // Errors of a connection need no handling: its requests are dropped together with it.
-    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(max_header_list)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
+    // The library reserves the memory of the service's future for as long as the connection is open, also while it is idle.
+    let service = service_fn(|request| Box::pin(handle(shared.clone(), client.clone(), open.begin_use(), request)));
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        // Errors of a connection need no handling: its requests are dropped together with it.
+        _ = connection.as_mut() => return,
+        () = open.asked_to_close() => {}
+    }
+    if open.was_used() {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
 }
 
-async fn handle(shared: Arc<Shared>, client: Client, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+async fn handle(
+    shared: Arc<Shared>,
+    client: Client,
+    in_use: InUse,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
     match request.uri().path() {
         "/healthz" => return Ok(plain_text(StatusCode::OK, "alive\n")),
         "/readyz" if shared.is_ready() => return Ok(plain_text(StatusCode::OK, "ready\n")),
@@ -82,7 +116,7 @@
     }
     let attempt = id::Attempt(uuid::Uuid::new_v4().as_u128());
     let started_at = shared.now();
-    let result = serve(&shared, &client, request, attempt, started_at).await;
+    let result = serve(&shared, &client, in_use, request, attempt, started_at).await;
     let mut response = result.unwrap_or_else(|problem| {
         shared.metrics.count_problem(&problem);
         problem.respond(None)
@@ -105,6 +139,7 @@
 async fn serve(
     shared: &Arc<Shared>,
     client: &Client,
+    in_use: InUse,
     request: Request<Incoming>,
     attempt: id::Attempt,
     started_at: Moment,
@@ -113,11 +148,14 @@
     if snapshot.generation.0 == 0 {
         return Err(Refusal::new(Reason::NotReady, DEFAULT_RETRY_AFTER).into());
     }
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = Head::parse(&snapshot, &parts.method, &parts.uri, &parts.headers)?;
     check_rate_limit(shared, &head)?;
-    let in_flight = InFlight::acquire(shared).ok_or_else(|| Refusal::new(Reason::Busy, BUSY_RETRY_AFTER))?;
-    let body = read_body(body, shared.settings.limits.body).await?;
+    let in_flight = InFlight::acquire(shared, in_use).ok_or_else(|| Refusal::new(Reason::Busy, BUSY_RETRY_AFTER))?;
+    let (account, limit) = (Some(head.account.customer.name.clone()), shared.settings.limits.body);
+    let receiving = receive(&shared.memory, &shared.clock, account, &mut body, limit, |_| ());
+    let received = shared.clock.with_deadline(started_at + head.deadline, receiving).await;
+    let body = received.unwrap_or(Err(receive::Fault::Incomplete))?;
     let repeatable = head.repeatable;
     let pending = PendingRequest::new(&head, parts.method, parts.headers, body, attempt, started_at);
     if repeatable {
@@ -144,15 +182,6 @@
     admitted.map_err(|wait| Refusal::new(Reason::Limit, wait))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, InvalidRequest> {
-    let collected = Limited::new(body, limit).collect().await;
-    match collected {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => Err(InvalidRequest::BodyTooLarge),
-        Err(_) => Err(InvalidRequest::BodyIncomplete),
-    }
-}
-
 // ----------------------------------------------------------------------------
 
 /// A completely received and validated request that waits for an upstream.
@@ -179,7 +208,7 @@
         head: &Head<'_>,
         method: Method,
         headers: http::HeaderMap,
-        body: Bytes,
+        body: Content,
         attempt: id::Attempt,
         started_at: Moment,
     ) -> Self {
@@ -190,7 +219,7 @@
             weight: customer.weight,
             class: head.class,
             chat: head.chat,
-            returning: head.chat.is_some() && is_returning(&body),
+            returning: head.chat.is_some() && is_returning_chat(body.reader()),
         };
         let permit_request = io::Request {
             attempt,
--- a/crates/stairvale-router/src/guard.rs
+++ b/crates/stairvale-router/src/guard.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use stairvale_control::Input;
+use stairvale_memory::{Reservation, connections::InUse};
 use stairvale_types::id;
 
 use crate::Shared;
@@ -48,18 +49,26 @@
     }
 }
 
-/// A slot for one of the limited number of requests that a router serves at the same time.
+/// Bytes that a request takes beside its connection and its body: the parsed head, the connection to an upstream with its
+/// buffers, and the pieces of the answer that wait for the caller.
+const REQUEST_BYTES: usize = 256 << 10;
+
+/// A slot for one of the limited number of requests that a router serves at the same time, and the memory for it.
 #[derive(Debug)]
 pub struct InFlight {
     shared: Arc<Shared>,
+    _room: Reservation,
+    /// The use of the caller's connection.
+    _in_use: InUse,
 }
 
 impl InFlight {
-    /// Acquires a slot; `None` if the limit is reached.
+    /// Acquires a slot; `None` if the limit is reached or there is no memory for a further request.
     #[must_use]
-    pub fn acquire(shared: &Arc<Shared>) -> Option<Self> {
+    pub fn acquire(shared: &Arc<Shared>, in_use: InUse) -> Option<Self> {
+        let room = shared.memory.request(shared.now(), REQUEST_BYTES).ok()?;
         let before = shared.in_flight.fetch_add(1, Ordering::Relaxed);
-        let slot = Self { shared: shared.clone() };
+        let slot = Self { shared: shared.clone(), _room: room, _in_use: in_use };
         // If the limit is reached, dropping the guard decrements the counter again.
         (before < shared.settings.limits.in_flight).then_some(slot)
     }
--- a/crates/stairvale-router/src/head.rs
+++ b/crates/stairvale-router/src/head.rs
@@ -1,6 +1,9 @@
 //! Parses and validates the head of a caller's request.
 
-use std::time::Duration;
+use std::{
+    io::{BufReader, Read},
+    time::Duration,
+};
 
 use http::{HeaderMap, Method, Uri, header};
 use serde::Deserialize;
@@ -150,6 +153,12 @@
 /// Whether a chat's body contains earlier answers of the model. A body that is no chat doesn't.
 #[must_use]
 pub fn is_returning(body: &[u8]) -> bool {
-    let body: ChatBody = serde_json::from_slice(body).unwrap_or_default();
+    is_returning_chat(body)
+}
+
+/// Whether the chat's body that a reader returns contains earlier answers of the model, like [`is_returning`].
+#[must_use]
+pub fn is_returning_chat(body: impl Read) -> bool {
+    let body: ChatBody = serde_json::from_reader(BufReader::new(body)).unwrap_or_default();
     body.messages.iter().any(|message| message.role == "assistant")
 }
--- a/crates/stairvale-router/src/metrics.rs
+++ b/crates/stairvale-router/src/metrics.rs
@@ -86,6 +86,8 @@
     sent: Mutex<BTreeMap<&'static str, Sent>>,
     /// Control bytes received from peers.
     pub control_received: AtomicU64,
+    /// Callers' connections that were closed because there was no room for them.
+    pub connections_refused: AtomicU64,
     /// Frames and datagrams dropped because a queue was full or because they were invalid.
     pub dropped: AtomicU64,
 }
@@ -100,6 +102,7 @@
             between_tokens: DurationHistogram::new(),
             sent: Mutex::default(),
             control_received: AtomicU64::new(0),
+            connections_refused: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
         }
     }
@@ -162,6 +165,8 @@
         let sent = self.sent_bytes() + store_bytes;
         gauge(&mut registry, "control_sent_bytes", saturating_i64(sent));
         gauge(&mut registry, "control_received_bytes", saturating_i64(self.control_received.load(Ordering::Relaxed)));
+        let refused = self.connections_refused.load(Ordering::Relaxed);
+        gauge(&mut registry, "connections_refused", saturating_i64(refused));
         gauge(&mut registry, "control_dropped", saturating_i64(self.dropped.load(Ordering::Relaxed)));
         gauge(&mut registry, "store_calls", saturating_i64(store_calls));
         gauge(&mut registry, "ready", i64::from(status.ready));
--- a/crates/stairvale-router/src/once.rs
+++ b/crates/stairvale-router/src/once.rs
@@ -236,7 +236,9 @@
     hasher.update(b" ");
     hasher.update(call.path.as_bytes());
     hasher.update(b"\n");
-    hasher.update(&call.body);
+    for part in call.body.parts() {
+        hasher.update(part);
+    }
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
     id::Print(u64::from_be_bytes(bytes))
--- a/crates/stairvale-router/src/problem.rs
+++ b/crates/stairvale-router/src/problem.rs
@@ -4,6 +4,7 @@
 
 use http::{Response, StatusCode, header};
 use serde::Serialize;
+use stairvale_memory::{budget::MAX_STALL, receive};
 use stairvale_types::{Reason, Refusal, id};
 
 use crate::body::Body;
@@ -88,6 +89,17 @@
 /// The retry delay sent to the caller if the outcome of its request is not known.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+impl From<receive::Fault> for Problem {
+    fn from(fault: receive::Fault) -> Self {
+        match fault {
+            receive::Fault::TooLarge => InvalidRequest::BodyTooLarge.into(),
+            receive::Fault::Incomplete => InvalidRequest::BodyIncomplete.into(),
+            // Bodies that don't go on give way after this time.
+            receive::Fault::Shortage(_) => Refusal::new(Reason::Busy, MAX_STALL).into(),
+        }
+    }
+}
+
 impl Problem {
     /// The reason as a short code, for metrics and for the JSON field `reason`.
     #[must_use]
--- a/crates/stairvale-router/src/run.rs
+++ b/crates/stairvale-router/src/run.rs
@@ -8,6 +8,7 @@
 use error_stack::{Report, ResultExt};
 use stairvale_clock::Clock;
 use stairvale_control::{Input, node};
+use stairvale_memory::{Budget, machine};
 use stairvale_types::id;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -110,6 +111,7 @@
         commands,
         metrics: Metrics::default(),
         faults: Cuts::default(),
+        memory: Budget::new(machine::budget_of(settings.memory_mb)),
         ready: false.into(),
         in_flight: 0.into(),
         clock,
--- a/crates/stairvale-router/src/settings.rs
+++ b/crates/stairvale-router/src/settings.rs
@@ -116,6 +116,10 @@
     /// The number of threads that serve callers.
     #[serde(default = "two")]
     pub traffic_threads: usize,
+    /// The VM's memory in MB (2^20 bytes), which bounds what the router holds for its callers; by default what the system
+    /// shows.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// Limits on what callers send.
     #[serde(default)]
     pub limits: Limits,
@@ -162,6 +166,8 @@
         let is_duplicate = (0..ports.len()).any(|i| ports[..i].contains(&ports[i]));
         let reason = if is_duplicate {
             "callers, operators and peers: each needs an address of its own"
+        } else if self.memory_mb == Some(0) {
+            "memory_mb: must be above 0"
         } else if self.traffic_threads == 0 || self.traffic_threads > 64 {
             "traffic_threads: must be from 1 to 64"
         } else if self.limits.body == 0 || self.limits.in_flight == 0 || self.limits.head < 8 << 10 {
--- a/crates/stairvale-router/src/shared.rs
+++ b/crates/stairvale-router/src/shared.rs
@@ -14,6 +14,7 @@
 use stairvale_config::{Customer, Document, Generation, Manifest, Service};
 use stairvale_control::{Fleet, Input, explain, io::Request, stats::Stats};
 use stairvale_membership::upstreams;
+use stairvale_memory::Budget;
 use stairvale_permit::request::Grant;
 use stairvale_types::{Moment, Refusal, id};
 use stairvale_wire::{ClaimVerdict, StoredAnswer};
@@ -194,6 +195,8 @@
     pub store: stairvale_store::Client,
     /// Network cuts set by a test; never any without the feature `faults`.
     pub faults: faults::Cuts,
+    /// What the process holds for its callers.
+    pub memory: Budget,
     /// Whether this router accepts callers' requests.
     pub ready: AtomicBool,
     /// The number of callers' requests in flight.
--- a/crates/stairvale-router/src/upstream.rs
+++ b/crates/stairvale-router/src/upstream.rs
@@ -2,15 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioIo},
 };
 use stairvale_control::Input;
+use stairvale_memory::Content;
 use stairvale_types::{Class, Rest, id};
 use tokio::net::TcpStream;
 
@@ -64,7 +64,7 @@
     /// The caller's headers, from which those of `NOT_FORWARDED` are removed when the request is built.
     pub headers: HeaderMap,
     /// The complete request body.
-    pub body: Bytes,
+    pub body: Content,
     /// The id of the attempt.
     pub attempt: id::Attempt,
     /// The priority class.
@@ -80,10 +80,9 @@
 }
 
 impl Call {
-    fn request(&self, endpoint: &Endpoint) -> Option<Request<Full<Bytes>>> {
+    fn request(&self, endpoint: &Endpoint) -> Option<Request<Content>> {
         let uri = format!("http://{}{}", endpoint.address, self.path);
-        let mut request =
-            Request::builder().method(self.method.clone()).uri(uri).body(Full::new(self.body.clone())).ok()?;
+        let mut request = Request::builder().method(self.method.clone()).uri(uri).body(self.body.clone()).ok()?;
         *request.headers_mut() = self.head();
         let host = HeaderValue::try_from(endpoint.address.to_string()).ok()?;
         request.headers_mut().insert(header::HOST, host);
@@ -128,7 +127,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     shared: Arc<Shared>,
-    pool: legacy::Client<HttpConnector, Full<Bytes>>,
+    pool: legacy::Client<HttpConnector, Content>,
 }
 
 impl Client {
@@ -197,7 +196,7 @@
     ) -> Result<Response<Incoming>, Failure> {
         self.check_cut(endpoint)?;
         let uri = format!("http://{}/v1/streams/{attempt}?after={after}", endpoint.address);
-        let request = Request::get(uri).body(Full::default()).map_err(|_| Failure::Unreachable)?;
+        let request = Request::get(uri).body(Content::default()).map_err(|_| Failure::Unreachable)?;
         let answered = tokio::time::timeout(RESUME_TIMEOUT, self.pool.request(request)).await;
         let response = answered.map_err(|_| Failure::Incomplete)?.map_err(|error| failure_of(&error))?;
         self.report_back_off(endpoint, &response);
@@ -220,7 +219,7 @@
     async fn incarnation(&self, endpoint: &Endpoint) -> Option<u64> {
         self.check_cut(endpoint).ok()?;
         let uri = format!("http://{}/v1/status", endpoint.address);
-        let request = Request::get(uri).body(Full::default()).ok()?;
+        let request = Request::get(uri).body(Content::default()).ok()?;
         let body = self.pool.request(request).await.ok()?.into_body().collect().await.ok()?.to_bytes();
         let status: Status = serde_json::from_slice(&body).ok()?;
         Some(status.boot)
@@ -229,7 +228,7 @@
     /// Cancels a stream at an engine.
     pub async fn cancel(&self, endpoint: &Endpoint, attempt: id::Attempt) {
         let uri = format!("http://{}/v1/streams/{attempt}", endpoint.address);
-        let Ok(request) = Request::delete(uri).body(Full::default()) else {
+        let Ok(request) = Request::delete(uri).body(Content::default()) else {
             return;
         };
         // An engine that doesn't receive this request drops the stream after a timeout of its own.
--- a/crates/stairvale-router/tests/crowds.rs
+++ b/crates/stairvale-router/tests/crowds.rs
@@ -29,7 +29,7 @@
 const CUSTOMER: &str = "customers-key";
 /// Memory of the router's machine in MB, and the settings that state it.
 const MEMORY_MB: u64 = 64;
-const MEMORY_SETTINGS: &str = "";
+const MEMORY_SETTINGS: &str = "memory_mb: 64\n";
 /// The limit of a body, in bytes.
 const BODY_BYTES: usize = 4 << 20;
 /// Clients with bodies of the limit: 128 MB together.
@@ -48,6 +48,7 @@
     process: Child,
     callers: SocketAddr,
     operators: SocketAddr,
+    peers: SocketAddr,
     descriptors: usize,
     folder: PathBuf,
 }
@@ -124,7 +125,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let world = Self { process, callers, operators, descriptors, folder };
+        let world = Self { process, callers, operators, peers, descriptors, folder };
         let configuration = format!("http://{operators}/v1/config?base=0&submission=first");
         await_ok(Method::PUT, configuration, OPERATOR, document()).await;
         world.await_ordinary_answer().await;
@@ -253,3 +254,8 @@
         |_| Sending::once(String::new()),
     );
 }
+
+#[test]
+fn own_interface_silent_connections_to_the_peers_port() {
+    assert_bears("peers-silent", FEW_DESCRIPTORS, |world| world.peers, PORT_CLIENTS, |_| Sending::once(String::new()));
+}
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -17,12 +17,11 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use rustix::process::{Resource, getrlimit};
 use stairvale_link::set_liveness_timeouts;
 use stairvale_memory::{
-    Budget, Connections, Content, Shortage,
-    budget::Account,
+    Connections,
     connections::{Connection, InUse},
+    machine, receive,
 };
 use stairvale_types::{Moment, Refusal, outcome::Reason};
 use tokio::{
@@ -43,11 +42,6 @@
     relay,
 };
 
-/// One part in this many of the process's descriptors is kept for connections to upstreams, to other routers and to the
-/// store.
-const RESERVED_DESCRIPTORS_DIVISOR: u64 = 4;
-/// The most callers' connections, also if the process has no limit of descriptors.
-const MAX_CONNECTIONS: u64 = 1 << 16;
 /// Callers' connections that wait to be read may take one part in this many of all connections.
 const WAITING_DIVISOR: usize = 8;
 /// While all connections are in use, one is asked to close each time this has passed.
@@ -76,19 +70,11 @@
 /// Smallest read buffer that hyper accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
-/// The number of callers' connections that leaves enough of the process's descriptors and of its memory for all else.
-fn max_connections(memory: &Budget) -> usize {
-    let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(MAX_CONNECTIONS);
-    let limit = descriptors - descriptors / RESERVED_DESCRIPTORS_DIVISOR;
-    let limit = usize::try_from(limit.min(MAX_CONNECTIONS)).unwrap_or(usize::MAX);
-    limit.min(memory.connections_limit() / CONNECTION_BYTES)
-}
-
 /// Accepts clients' connections until the process stops. Those that were established by then are still served.
 ///
 /// All tasks that are ready run between one connection and the next, so requests that have been read take precedence.
 pub async fn listen<D: Dialect>(shared: Arc<Shared>, dialect: D, listener: TcpListener) {
-    let limit = max_connections(&shared.memory);
+    let limit = machine::max_connections(&shared.memory, CONNECTION_BYTES);
     let max_waiting = (limit / WAITING_DIVISOR).max(1);
     let connections =
         Connections::new(shared.clock.clone(), shared.memory.clone(), CONNECTION_BYTES, limit - max_waiting);
@@ -337,8 +323,10 @@
     let limits = table.document().limits;
     let account = customer.map(|customer| customer.name.clone());
     let exchange = Exchange::new(shared.clone(), dialect.clone(), route.clone(), service, head, parts, received_at);
-    let reading = read_body(shared, (body, meter), account, limits.body_bytes);
-    let body = shared.clock.with_deadline(exchange.deadline, reading).await.unwrap_or(Err(Problem::IncompleteBody))?;
+    let on_data = |bytes| meter.deliver(bytes);
+    let receiving = receive(&shared.memory, &shared.clock, account, body, limits.body_bytes, on_data);
+    let received = shared.clock.with_deadline(exchange.deadline, receiving).await;
+    let body = received.unwrap_or(Err(receive::Fault::Incomplete))?;
     let exchange = exchange.with_body(body).with_room(room);
     Ok(match customer {
         Some(customer) => exchange.with_customer(customer),
@@ -363,41 +351,3 @@
         discarded += bytes;
     }
 }
-
-/// Reads a request's body into memory. Room for it is reserved before anything of it is read, as far as its length is
-/// announced.
-async fn read_body(
-    shared: &Shared,
-    (body, meter): (&mut Incoming, &Meter),
-    account: Account,
-    limit: usize,
-) -> Result<Content, Problem> {
-    if body.is_end_stream() {
-        return Ok(Content::default());
-    }
-    let announced = body.size_hint().exact().map(|length| usize::try_from(length).unwrap_or(usize::MAX));
-    if announced.is_some_and(|length| length > limit) {
-        return Err(Problem::BodyTooLarge);
-    }
-    let mut upload = shared.memory.upload(shared.now(), account, announced, limit).map_err(Problem::Shortage)?;
-    loop {
-        let frame = tokio::select! {
-            biased;
-            frame = body.frame() => frame,
-            () = upload.displaced() => return Err(Problem::Shortage(Shortage::Displaced)),
-        };
-        match frame {
-            None => return upload.finish().map_err(Problem::Shortage),
-            Some(Err(_)) => return Err(Problem::IncompleteBody),
-            Some(Ok(frame)) => {
-                if let Some(bytes) = frame.data_ref() {
-                    meter.deliver(bytes.len());
-                    if upload.len() + bytes.len() > limit {
-                        return Err(Problem::BodyTooLarge);
-                    }
-                    upload.push(shared.now(), bytes).map_err(Problem::Shortage)?;
-                }
-            }
-        }
-    }
-}
--- a/crates/stairvale-serve/src/problem.rs
+++ b/crates/stairvale-serve/src/problem.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Response, StatusCode, header};
-use stairvale_memory::{Shortage, budget::MAX_STALL};
+use stairvale_memory::{Shortage, budget::MAX_STALL, receive};
 use stairvale_types::Refusal;
 
 use crate::{Dialect, body::Body, dialect};
@@ -52,6 +52,16 @@
     Timeout,
 }
 
+impl From<receive::Fault> for Problem {
+    fn from(fault: receive::Fault) -> Self {
+        match fault {
+            receive::Fault::TooLarge => Self::BodyTooLarge,
+            receive::Fault::Incomplete => Self::IncompleteBody,
+            receive::Fault::Shortage(shortage) => Self::Shortage(shortage),
+        }
+    }
+}
+
 impl Problem {
     /// The response's status. Only 400, 401, 404, 413 and 503 mean that nothing was run.
     #[must_use]
--- a/crates/stairvale-serve/src/settings.rs
+++ b/crates/stairvale-serve/src/settings.rs
@@ -66,9 +66,6 @@
     pub bounds: Bounds,
 }
 
-/// The memory of a VM if neither the settings nor the system state it.
-const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
-
 fn one() -> f64 {
     1.0
 }
@@ -158,8 +155,7 @@
     /// The bytes that the process may hold for its clients.
     #[must_use]
     pub fn memory_budget(&self) -> usize {
-        let stated = self.memory_mb.map(|megabytes| megabytes.saturating_mul(1 << 20));
-        machine::budget(stated.or_else(machine::memory).unwrap_or(DEFAULT_MEMORY_BYTES))
+        machine::budget_of(self.memory_mb)
     }
 
     /// The zones that lie in any of the given regions.
