The own interface's operators' and peers' ports bound their connections

What callers saw: 600 silent clients at either port took all descriptors of the process, and ordinary callers got no answer.

Cause: both ports kept connections without a limit.

The operators' port serves 32 connections in room of its own, the peers' port bounds those without a stream, as that of stairvale-platform does; a further connection replaces the one that has been unused for longest.

Evidence: own_interface_silent_connections_to_the_operators_port failed and passes, and so does the one for the peers' port.

--- a/crates/stairvale-router/src/operators.rs
+++ b/crates/stairvale-router/src/operators.rs
@@ -21,8 +21,12 @@
     apply::{Intent, Machine, Outcome, Step, Submission},
     io::Answer,
 };
+use stairvale_memory::{
+    Budget, Connections,
+    connections::{Connection, InUse},
+};
 use stairvale_types::id;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     Shared, audit,
@@ -33,6 +37,10 @@
     store,
 };
 
+/// The most connections of operators and of systems that read the metrics.
+const MAX_CONNECTIONS: usize = 32;
+/// Bytes that such a connection takes.
+const CONNECTION_BYTES: usize = 64 << 10;
 /// Limits the length of a submission id.
 const MAX_SUBMISSION_ID_BYTES: usize = 64;
 
@@ -126,21 +134,31 @@
 
 /// Accepts operators' connections until the task is dropped.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener) {
+    // Room of its own, which callers can't take.
+    let budget = Budget::new(2 * MAX_CONNECTIONS * CONNECTION_BYTES);
+    let connections = Connections::new(shared.clock.clone(), budget, CONNECTION_BYTES, MAX_CONNECTIONS);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(std::time::Duration::from_millis(50)).await;
             continue;
         };
-        let shared = shared.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| answer(shared.clone(), request));
-            let builder = auto::Builder::new(TokioExecutor::new());
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-        });
+        if let Some(open) = connections.open_or_replace().await {
+            tokio::spawn(serve(shared.clone(), stream, open));
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream, open: Connection) {
+    let service = service_fn(|request| answer(shared.clone(), open.begin_use(), request));
+    let builder = auto::Builder::new(TokioExecutor::new());
+    tokio::select! {
+        // A connection that fails ends with its requests.
+        _ = builder.serve_connection(TokioIo::new(stream), service) => {}
+        () = open.asked_to_close() => {}
     }
 }
 
-async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+async fn answer(shared: Arc<Shared>, _in_use: InUse, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
     let result = route(&shared, request).await;
     Ok(result.unwrap_or_else(|error| {
         let mut response = json(&error);
--- a/crates/stairvale-router/src/peers.rs
+++ b/crates/stairvale-router/src/peers.rs
@@ -16,6 +16,7 @@
 use h2::{RecvStream, SendStream};
 use http::{Request, Response, StatusCode};
 use stairvale_control::Input;
+use stairvale_memory::{Connections, connections::Connection};
 use stairvale_types::id;
 use stairvale_wire::{Frame, Packet, VERSION, codec};
 use tokio::{
@@ -180,21 +181,37 @@
 
 /// Accepts streams from peers until the task is dropped.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener) {
+    let pending = Connections::pending(shared.clock.clone());
     loop {
         let Ok((tcp, _)) = listener.accept().await else {
             tokio::time::sleep(RECONNECT_DELAY).await;
             continue;
         };
         let _ = tcp.set_nodelay(true);
-        tokio::spawn(serve(shared.clone(), tcp));
+        if let Some(open) = pending.open_or_replace().await {
+            tokio::spawn(serve(shared.clone(), tcp, open));
+        }
     }
 }
 
-async fn serve(shared: Arc<Shared>, tcp: TcpStream) {
-    let Ok(mut connection) = h2::server::handshake(tcp).await else {
+/// Serves a connection. `pending` is its place among those without a stream.
+async fn serve(shared: Arc<Shared>, tcp: TcpStream, pending: Connection) {
+    let handshake = tokio::select! {
+        handshake = h2::server::handshake(tcp) => handshake,
+        () = pending.asked_to_close() => return,
+    };
+    let Ok(mut connection) = handshake else {
         return;
     };
-    while let Some(Ok((request, mut respond))) = connection.accept().await {
+    let mut pending = Some(pending);
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            () = Connection::any_asked_to_close(pending.as_ref()) => return,
+        };
+        let Some(Ok((request, mut respond))) = accepted else {
+            return;
+        };
         let received = request.headers().get(PROOF_HEADER).and_then(|value| value.to_str().ok());
         let authenticated = received.is_some_and(|received| is_proof(&shared, b"stream", received));
         let status = if authenticated { StatusCode::OK } else { StatusCode::FORBIDDEN };
@@ -203,6 +220,7 @@
         if respond.send_response(response, !authenticated).is_err() || !authenticated {
             continue;
         }
+        pending = None;
         let shared = shared.clone();
         tokio::spawn(async move {
             // Keeps the response's body open as long as frames are received.
