What is held for clients is told in metrics and the log; what the kernel receives and what is discarded is bounded

What callers saw: nothing of this told an operator why a request was refused. A router read the rest of every body that it refused, for all connections at once, and the kernel extended the buffers of connections that send much.

The rest of refused bodies is read on 64 connections at a time. The listener of callers' connections sets their receive buffer to 64 kB, which is part of what a connection reserves.

--- a/crates/stairvale-link/src/lib.rs
+++ b/crates/stairvale-link/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use links::Links;
 pub use listen::listen;
-pub use silence::set_liveness_timeouts;
+pub use silence::{set_liveness_timeouts, set_receive_buffer};
 
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
--- a/crates/stairvale-link/src/silence.rs
+++ b/crates/stairvale-link/src/silence.rs
@@ -4,7 +4,7 @@
 use std::{io, time::Duration};
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Time after which an idle connection is probed, and the interval of further probes: the shortest that the kernel
 /// allows, which counts in whole seconds.
@@ -25,3 +25,13 @@
     socket.set_tcp_user_timeout(Some(limit))?;
     socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL))
 }
+
+/// Bounds what the kernel receives for each connection that a listener accepts from now on, beyond what the process has
+/// read, in bytes. The kernel reserves twice as much for its own overhead. A sender is then limited to this many bytes for
+/// each round trip.
+///
+/// # Errors
+/// The error of the system call; the kernel then chooses the bound, as it does without this call.
+pub fn set_receive_buffer(listener: &TcpListener, bytes: usize) -> io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(bytes)
+}
--- a/crates/stairvale-memory/src/budget.rs
+++ b/crates/stairvale-memory/src/budget.rs
@@ -1,7 +1,7 @@
 //! The budget of a process, what it is held for and why there may be no room.
 
 use std::{
-    fmt,
+    fmt::{self, Write},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -113,6 +113,33 @@
         self.state().held(kind)
     }
 
+    /// The most bytes that were held at any time so far.
+    #[must_use]
+    pub fn peak(&self) -> usize {
+        self.state().peak
+    }
+
+    /// How often there was no room for something so far.
+    #[must_use]
+    pub fn refusals(&self) -> u64 {
+        self.state().refusals
+    }
+
+    /// What is held, in the Prometheus text format.
+    #[must_use]
+    pub fn metrics(&self) -> String {
+        let mut text = String::new();
+        for kind in Kind::ALL {
+            // Writing into a string can't fail.
+            let _ = writeln!(text, "stairvale_memory_held_bytes{{kind=\"{kind}\"}} {}", self.held(kind));
+        }
+        let _ = writeln!(text, "stairvale_memory_limit_bytes {}", self.limit());
+        let _ = writeln!(text, "stairvale_memory_peak_bytes {}", self.peak());
+        let _ = writeln!(text, "stairvale_memory_refusals {}", self.refusals());
+        let _ = writeln!(text, "stairvale_memory_displacements {}", self.displacements());
+        text
+    }
+
     /// The number of bodies that gave way to others so far.
     #[must_use]
     pub fn displacements(&self) -> u64 {
--- a/crates/stairvale-memory/src/state.rs
+++ b/crates/stairvale-memory/src/state.rs
@@ -80,6 +80,10 @@
     accounts: HashMap<Account, Holding>,
     receiving: BTreeMap<u64, Receiving>,
     next: u64,
+    /// The most bytes that were held at any time.
+    pub(crate) peak: usize,
+    /// How often there was no room for something.
+    pub(crate) refusals: u64,
     /// Number of bodies that gave way to others.
     pub(crate) displacements: u64,
 }
@@ -95,6 +99,8 @@
             accounts: HashMap::new(),
             receiving: BTreeMap::new(),
             next: 0,
+            peak: 0,
+            refusals: 0,
             displacements: 0,
         }
     }
@@ -111,7 +117,10 @@
     /// Takes room. Bodies that fall behind give way to it, except for the one with the number `own`.
     pub(crate) fn take(&mut self, now: Moment, held_for: &Use, bytes: usize, own: Option<u64>) -> Result<(), Shortage> {
         while let Err(shortage) = self.check(held_for, bytes) {
-            let victim = self.victim(now, held_for, bytes, shortage, own).ok_or(shortage)?;
+            let Some(victim) = self.victim(now, held_for, bytes, shortage, own) else {
+                self.refusals += 1;
+                return Err(shortage);
+            };
             self.displace(victim);
         }
         self.add(held_for, bytes);
@@ -227,6 +236,7 @@
 
     fn add(&mut self, held_for: &Use, bytes: usize) {
         *self.of(held_for.kind()) += bytes;
+        self.peak = self.peak.max(self.total());
         if let Use::Body(account, size) = held_for {
             *self.accounts.entry(account.clone()).or_default().of(*size) += bytes;
         }
--- a/crates/stairvale-router/src/caller.rs
+++ b/crates/stairvale-router/src/caller.rs
@@ -18,6 +18,7 @@
     server::conn::auto,
 };
 use stairvale_control::{Input, io};
+use stairvale_link::set_receive_buffer;
 use stairvale_memory::{
     Connections, Content,
     connections::{Connection, InUse},
@@ -55,12 +56,16 @@
 /// Bytes that a connection takes: its buffers, among them a head of the longest usual size, and what the kernel has received
 /// for it.
 const CONNECTION_BYTES: usize = 64 << 10;
+/// Bytes that the kernel may have received for a connection and the process hasn't read.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// Bytes of all requests of an HTTP/2 connection that may wait to be read.
 const CONNECTION_WINDOW_BYTES: u32 = 64 << 10;
 
 /// Accepts callers' connections until the task is dropped.
 pub async fn listen(shared: Arc<Shared>, listener: TcpListener) {
     let client = Client::new(shared.clone());
+    // Without this bound the kernel would extend the buffers of connections that send much.
+    let _ = set_receive_buffer(&listener, RECEIVE_BUFFER_BYTES);
     let limit = machine::max_connections(&shared.memory, CONNECTION_BYTES);
     let connections = Connections::new(shared.clock.clone(), shared.memory.clone(), CONNECTION_BYTES, limit);
     loop {
--- a/crates/stairvale-router/src/operators.rs
+++ b/crates/stairvale-router/src/operators.rs
@@ -308,6 +308,8 @@
 async fn metrics(shared: &Shared) -> Result<Response<Body>, Error> {
     let status = shared.call_control(Command::Status).await.ok_or(Error::Stopping)?;
     let text = shared.metrics.to_text(&status, shared.store.sent_bytes(), shared.store.calls());
+    // The other metrics end with the line that terminates the document, so this comes first.
+    let text = shared.memory.metrics() + &text;
     let mut response = Response::new(Body::complete(text));
     let kind = header::HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
--- a/crates/stairvale-router/tests/crowds.rs
+++ b/crates/stairvale-router/tests/crowds.rs
@@ -154,7 +154,8 @@
     fn check_process(&mut self, when: &str) {
         assert_eq!(self.process.try_wait().unwrap(), None, "{when}");
         let id = self.process.id();
-        let (peak, now, descriptors) = (memory_mb(id, "VmHWM:"), memory_mb(id, "VmRSS:"), descriptors(id));
+        let [peak, now] = ["VmHWM:", "VmRSS:"].map(|name| memory_mb(id, name).unwrap());
+        let descriptors = descriptors(id);
         println!("{when}: {peak} MB at the peak, {now} MB now, {descriptors} descriptors");
         assert!(peak <= MEMORY_MB, "{when}: {peak} MB at the peak");
         assert!(descriptors <= self.descriptors, "{when}: {descriptors} descriptors");
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -17,7 +17,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use stairvale_link::set_liveness_timeouts;
+use stairvale_link::{set_liveness_timeouts, set_receive_buffer};
 use stairvale_memory::{
     Connections,
     connections::{Connection, InUse},
@@ -26,7 +26,7 @@
 use stairvale_types::{Moment, Refusal, outcome::Reason};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{OwnedSemaphorePermit, watch},
 };
 
 use crate::{
@@ -64,6 +64,8 @@
 /// Bytes that a connection takes: its buffers, among them a head of the longest usual size, and what the kernel has received
 /// for it.
 const CONNECTION_BYTES: usize = 64 << 10;
+/// Bytes that the kernel may have received for a connection and the process hasn't read.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// Bytes that a request takes beside its connection, its body and what is held of its answer: the parsed head and the
 /// connection to an upstream with its buffers.
 const REQUEST_BYTES: usize = 128 << 10;
@@ -74,6 +76,8 @@
 ///
 /// All tasks that are ready run between one connection and the next, so requests that have been read take precedence.
 pub async fn listen<D: Dialect>(shared: Arc<Shared>, dialect: D, listener: TcpListener) {
+    // Without this bound the kernel would extend the buffers of connections that send much.
+    let _ = set_receive_buffer(&listener, RECEIVE_BUFFER_BYTES);
     let limit = machine::max_connections(&shared.memory, CONNECTION_BYTES);
     let max_waiting = (limit / WAITING_DIVISOR).max(1);
     let connections =
@@ -241,8 +245,11 @@
             let status = problem.status().as_u16();
             tracing::info!(id, version, age_ms, status, reason = problem.label(), "not taken");
             // A client that expects a status before it sends the body doesn't send it now.
-            if !expects_continue && !body.is_end_stream() {
-                tokio::spawn(tokio::time::timeout(DISCARD_TIME, discard(body, meter)));
+            if !expects_continue
+                && !body.is_end_stream()
+                && let Ok(permit) = shared.discarding.clone().try_acquire_owned()
+            {
+                tokio::spawn(tokio::time::timeout(DISCARD_TIME, discard(body, meter, permit)));
             }
             problem.into_response(&dialect, &id)
         }
@@ -341,7 +348,7 @@
 
 /// Reads the rest of a rejected request's body. If the connection were closed within the body, the kernel would reset it, and
 /// the client might not receive the rejection.
-async fn discard(mut body: Incoming, meter: Meter) {
+async fn discard(mut body: Incoming, meter: Meter, _permit: OwnedSemaphorePermit) {
     let mut discarded = 0;
     while discarded < MAX_DISCARDED_BYTES
         && let Some(Ok(frame)) = body.frame().await
--- a/crates/stairvale-serve/src/ready.rs
+++ b/crates/stairvale-serve/src/ready.rs
@@ -65,7 +65,7 @@
         // The other metrics end with the line that terminates the document, so these come first.
         let more =
             shared.query(|core, _| metrics::customers(core.customers(MAX_CUSTOMERS)) + &rollouts::metrics(core.view()));
-        return Response::new(Body::complete(more + &shared.metrics.text()));
+        return Response::new(Body::complete(more + &shared.memory.metrics() + &shared.metrics.text()));
     }
     let ready = !shared.is_stopping() && shared.query(Core::is_ready);
     let status = match (request.uri().path() == path, ready) {
--- a/crates/stairvale-serve/src/shared.rs
+++ b/crates/stairvale-serve/src/shared.rs
@@ -23,7 +23,7 @@
 use stairvale_wire::codec;
 use tokio::{
     net::UdpSocket,
-    sync::{Notify, mpsc, watch},
+    sync::{Notify, Semaphore, mpsc, watch},
 };
 
 use crate::{
@@ -48,6 +48,9 @@
 /// all start at once after a loss of power it takes 350 to 600 ms (docs/INCIDENTS.md).
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Rejected requests of which the rest is read at the same time.
+const MAX_DISCARDING: usize = 64;
+
 /// Passes frames and events of the links to the core.
 #[derive(Clone, Debug)]
 pub struct Inbox(Weak<Shared>);
@@ -115,6 +118,8 @@
     pub stopping: AtomicBool,
     /// Whether the process no longer serves, and what it still does is dropped.
     pub exiting: AtomicBool,
+    /// Rejected requests of which the rest is read.
+    pub discarding: Arc<Semaphore>,
     /// Notifies callers' connections to close as soon as they are idle.
     pub closing: watch::Sender<bool>,
     /// Whether a configuration is in force.
@@ -162,6 +167,7 @@
             clock,
             stopping: AtomicBool::new(false),
             exiting: AtomicBool::new(false),
+            discarding: Arc::new(Semaphore::new(MAX_DISCARDING)),
             closing: watch::Sender::new(false),
             configured: watch::Sender::new(false),
             inspections,
--- a/crates/stairvale-serve/src/traffic.rs
+++ b/crates/stairvale-serve/src/traffic.rs
@@ -153,7 +153,11 @@
 pub async fn log(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(LOG_INTERVAL).await;
-        tracing::info!(zone = %shared.settings.zone, totals = shared.metrics.traffic.totals(), "bytes passed so far");
+        let (memory_peak, memory_refusals) = (shared.memory.peak(), shared.memory.refusals());
+        tracing::info!(
+            zone = %shared.settings.zone, totals = shared.metrics.traffic.totals(), memory_peak, memory_refusals,
+            "bytes passed so far"
+        );
     }
 }
 
