An answer whose status is none is a failure of its upstream

Cause: the HTTP library takes any three digits from 100 on; a status outside 100 to 599 is invalid (RFC 9110, section 15), and nothing checked that.

Where an answer of an upstream is read for the first time, one with such a status is handled as bytes that are no answer: the request may have run, its connection is closed, the upstream counts as having failed it, and a request that may be repeated goes to another one. That holds also if the answer says that nothing was run: then a stream was sent to a second upstream while the first might have run it. The store's answers of such a status were invalid already.

--- a/crates/stairvale-router/src/upstream.rs
+++ b/crates/stairvale-router/src/upstream.rs
@@ -22,6 +22,8 @@
 const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limits the time for an upstream's answer to a question for its status.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest valid status of a response. The HTTP library rejects those below 100.
+const MAX_STATUS: u16 = 599;
 /// The response header by which an upstream states, besides a 503, that it did not run the request, such as while it
 /// drains. After it has received the request, only this header allows a request that must not be repeated to be sent to
 /// another upstream.
@@ -149,6 +151,7 @@
         self.check_cut(endpoint)?;
         let request = call.request(endpoint).ok_or(Failure::Unreachable)?;
         let response = self.pool.request(request).await.map_err(|error| failure_of(&error))?;
+        let response = check_status(response)?;
         self.report_back_off(endpoint, &response);
         check_refused(response)
     }
@@ -176,7 +179,7 @@
         // The connection closes after the answer; its errors surface when the answer is read.
         tokio::spawn(connection);
         before_send();
-        let response = sender.send_request(request).await.map_err(|_| Failure::Incomplete)?;
+        let response = check_status(sender.send_request(request).await.map_err(|_| Failure::Incomplete)?)?;
         self.report_back_off(endpoint, &response);
         if response.headers().get(NOT_RUN_HEADER).is_some_and(|value| value == "?1") {
             return Err(Failure::Refused);
@@ -220,7 +223,8 @@
         self.check_cut(endpoint).ok()?;
         let uri = format!("http://{}/v1/status", endpoint.address);
         let request = Request::get(uri).body(Content::default()).ok()?;
-        let body = self.pool.request(request).await.ok()?.into_body().collect().await.ok()?.to_bytes();
+        let response = check_status(self.pool.request(request).await.ok()?).ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
         let status: Status = serde_json::from_slice(&body).ok()?;
         Some(status.boot)
     }
@@ -261,6 +265,12 @@
     if error.is_connect() { Failure::Unreachable } else { Failure::Incomplete }
 }
 
+/// Rejects a response whose status is outside 100 to 599 and therefore invalid (RFC 9110, section 15). What the rest of it
+/// says of the request can't be relied on either.
+fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, Failure> {
+    if response.status().as_u16() > MAX_STATUS { Err(Failure::Incomplete) } else { Ok(response) }
+}
+
 fn check_refused(response: Response<Incoming>) -> Result<Response<Incoming>, Failure> {
     if response.status() == http::StatusCode::SERVICE_UNAVAILABLE {
         return Err(Failure::Refused);
--- a/crates/stairvale-router/tests/ends.rs
+++ b/crates/stairvale-router/tests/ends.rs
@@ -435,3 +435,27 @@
     let answer = fleet.send(0, Method::GET, None).await.unwrap();
     assert_eq!((answer.status, answer.is_complete), (StatusCode::NOT_FOUND, true), "{answer:?}");
 }
+
+/// Answers that are whole but for their status, which is none (RFC 9110, section 15).
+const INVALID_STATUSES: [(&str, &str); 5] = [
+    ("000", "HTTP/1.1 000 None\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nwhat"),
+    ("600", "HTTP/1.1 600 None\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nwhat"),
+    ("700", "HTTP/1.1 700 None\r\ncontent-type: text/event-stream\r\ncontent-length: 4\r\n\r\nwhat"),
+    ("999", "HTTP/1.1 999 None\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nwhat"),
+    ("abc", "HTTP/1.1 abc None\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nwhat"),
+];
+
+// An answer of status 600 to 999 was passed on.
+#[tokio::test]
+async fn own_interface_a_status_that_is_none_reaches_no_caller() {
+    let answers = INVALID_STATUSES.map(|(_, answer)| (answer, End::Close));
+    let fleet = Fleet::start(&answers).await;
+    for (number, (status, _)) in INVALID_STATUSES.iter().enumerate() {
+        for method in METHODS {
+            let key = (method == Method::POST).then(|| format!("key-{number}"));
+            let answer = fleet.send(number, method.clone(), key.as_deref()).await.unwrap();
+            let is_own = answer.status.is_server_error() && !answer.body.contains("what");
+            assert!(is_own, "{method}, status {status}: {answer:?}");
+        }
+    }
+}
--- a/crates/stairvale-serve/src/upstream.rs
+++ b/crates/stairvale-serve/src/upstream.rs
@@ -49,6 +49,8 @@
 const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// What an upstream may send in heads, interim heads and framing, beside what bodies account for.
 const MAX_UNDELIVERED_BYTES: usize = 2 * MAX_BUFFER_BYTES;
+/// The largest valid status of a response. The HTTP library rejects those below 100.
+const MAX_STATUS: u16 = 599;
 /// Maximum number of idle connections that are kept to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -182,7 +184,7 @@
         if let Some(mut connection) = self.take(upstream) {
             connection.meter.reset();
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => return Ok((check_status(response)?, connection)),
                 Err(mut error) => match error.take_message() {
                     // The upstream closed the idle connection meanwhile, and nothing of the request was written.
                     Some(unsent_request) => request = unsent_request,
@@ -207,7 +209,7 @@
     ) -> Result<(Response<Incoming>, Connection), Fault> {
         let mut connection = self.open(upstream, address, peers).await?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, connection)),
+            Ok(response) => Ok((check_status(response)?, connection)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Fault::Unsent),
                 None => Err(Fault::of(error.error())),
@@ -365,6 +367,12 @@
     }
 }
 
+/// Rejects a response whose status is outside 100 to 599 and therefore invalid (RFC 9110, section 15). What the rest of it
+/// says of the request can't be relied on either.
+fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, Fault> {
+    if response.status().as_u16() > MAX_STATUS { Err(Fault::Broken) } else { Ok(response) }
+}
+
 /// How long a connection may stay idle after this response; `None` if the upstream closes it.
 fn idle_time(headers: &HeaderMap) -> Option<Duration> {
     let tokens = headers.get_all(header::CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
