Names of the memory budget: the field's terms; what is held of an answer has a file of its own

Evicted in place of displaced, PartialBody for a body that is being received, reservation in place of room in the code; exchange/buffer.rs has what is read of an answer before it is passed on.

--- a/crates/stairvale-memory/src/budget.rs
+++ b/crates/stairvale-memory/src/budget.rs
@@ -16,9 +16,9 @@
 
 /// Bodies of at most this many bytes have room that larger ones don't take.
 pub const MAX_SMALL_BYTES: usize = 64 << 10;
-/// A body that goes on at less than this rate falls behind, in bytes per second.
+/// A body that arrives at less than this rate falls behind, in bytes per second.
 pub const MIN_RATE: u64 = 64 << 10;
-/// A body may fall behind for this long before it gives way to others that find no room.
+/// A body may fall behind for this long before it may be evicted.
 pub const MAX_STALL: Duration = Duration::from_secs(1);
 /// What room is held for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -64,9 +64,9 @@
     /// The customer's bodies take more than its share.
     #[error("the customer's bodies take too much of the process's memory")]
     Share,
-    /// The body fell behind and gave way to others.
-    #[error("the body gave way to others for lack of memory")]
-    Displaced,
+    /// The body fell behind and was evicted.
+    #[error("the body was evicted for lack of memory")]
+    Evicted,
 }
 
 impl Shortage {
@@ -76,7 +76,7 @@
         match self {
             Self::Full => "memory-full",
             Self::Share => "memory-share",
-            Self::Displaced => "memory-displaced",
+            Self::Evicted => "memory-evicted",
         }
     }
 }
@@ -136,14 +136,14 @@
         let _ = writeln!(text, "stairvale_memory_limit_bytes {}", self.limit());
         let _ = writeln!(text, "stairvale_memory_peak_bytes {}", self.peak());
         let _ = writeln!(text, "stairvale_memory_refusals {}", self.refusals());
-        let _ = writeln!(text, "stairvale_memory_displacements {}", self.displacements());
+        let _ = writeln!(text, "stairvale_memory_evictions {}", self.evictions());
         text
     }
 
-    /// The number of bodies that gave way to others so far.
+    /// The number of bodies that were evicted so far.
     #[must_use]
-    pub fn displacements(&self) -> u64 {
-        self.state().displacements
+    pub fn evictions(&self) -> u64 {
+        self.state().evictions
     }
 
     /// Reserves room for a connection.
--- a/crates/stairvale-memory/src/connections.rs
+++ b/crates/stairvale-memory/src/connections.rs
@@ -19,9 +19,9 @@
 const PENDING_DIVISOR: usize = 8;
 /// Bytes that such a connection takes.
 const PENDING_BYTES: usize = 16 << 10;
-/// How often a new connection looks whether the one that was asked to close has done so, and the time between two looks.
-const MAX_LOOKS: u32 = 20;
-const LOOK_INTERVAL: Duration = Duration::from_millis(1);
+/// How often a new connection polls whether the one that was asked to close has done so, and the time between two polls.
+const MAX_POLLS: u32 = 20;
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// The connections of one port. Clones share them.
 #[derive(Clone, Debug)]
@@ -143,8 +143,8 @@
         if !self.close_unused() {
             return None;
         }
-        for _ in 0..MAX_LOOKS {
-            tokio::time::sleep(LOOK_INTERVAL).await;
+        for _ in 0..MAX_POLLS {
+            tokio::time::sleep(POLL_INTERVAL).await;
             if let Ok(connection) = self.open() {
                 return Some(connection);
             }
--- a/crates/stairvale-memory/src/receiving.rs
+++ b/crates/stairvale-memory/src/partial.rs
@@ -18,23 +18,23 @@
 
 /// A body that is being received.
 #[derive(Debug)]
-pub(crate) struct Receiving {
+pub(crate) struct PartialBody {
     pub(crate) account: Account,
     parts: Vec<Storage>,
     /// The room that the body holds, in bytes.
     capacity: usize,
     /// The most bytes that the body may have.
     max: usize,
-    /// The body has gone on at [`MIN_RATE`] or faster until this time, and falls behind afterwards.
-    pub(crate) paid_until: Moment,
-    /// Notified when the body was displaced.
-    pub(crate) displaced: Arc<Notify>,
+    /// The body has arrived at [`MIN_RATE`] or faster until this time, and falls behind afterwards.
+    pub(crate) on_pace_until: Moment,
+    /// Notified when the body was evicted.
+    pub(crate) evicted: Arc<Notify>,
 }
 
-impl Receiving {
+impl PartialBody {
     pub(crate) fn new(now: Moment, account: Account, max: usize) -> Self {
-        let (paid_until, displaced) = (now + MAX_STALL, Arc::default());
-        Self { account, parts: Vec::new(), capacity: 0, max, paid_until, displaced }
+        let (on_pace_until, evicted) = (now + MAX_STALL, Arc::default());
+        Self { account, parts: Vec::new(), capacity: 0, max, on_pace_until, evicted }
     }
 
     pub(crate) const fn capacity(&self) -> usize {
@@ -68,7 +68,7 @@
     /// Records that bytes have arrived.
     pub(crate) fn progress(&mut self, now: Moment, bytes: usize) {
         let micros = (bytes as u64).saturating_mul(1_000_000) / MIN_RATE;
-        self.paid_until = (self.paid_until.max(now) + Duration::from_micros(micros)).min(now + MAX_STALL);
+        self.on_pace_until = (self.on_pace_until.max(now) + Duration::from_micros(micros)).min(now + MAX_STALL);
     }
 
     pub(crate) fn into_parts(self) -> Vec<Storage> {
--- a/crates/stairvale-memory/src/receive.rs
+++ b/crates/stairvale-memory/src/receive.rs
@@ -50,7 +50,7 @@
         let frame = tokio::select! {
             biased;
             frame = poll_fn(|context| std::pin::Pin::new(&mut *body).poll_frame(context)) => frame,
-            () = upload.displaced() => return Err(Shortage::Displaced.into()),
+            () = upload.evicted() => return Err(Shortage::Evicted.into()),
         };
         let Some(frame) = frame else {
             return Ok(upload.finish()?);
--- a/crates/stairvale-memory/src/state.rs
+++ b/crates/stairvale-memory/src/state.rs
@@ -1,4 +1,4 @@
-//! What is held, and which body gives way when room is short.
+//! What is held, and which body is evicted when memory is short.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -6,7 +6,7 @@
 
 use crate::{
     budget::{Account, Kind, MAX_SMALL_BYTES, Shortage},
-    receiving::Receiving,
+    partial::PartialBody,
 };
 
 /// Connections take one part in this many of the budget at most.
@@ -78,14 +78,14 @@
     answers: usize,
     bodies: usize,
     accounts: HashMap<Account, Holding>,
-    receiving: BTreeMap<u64, Receiving>,
+    uploads: BTreeMap<u64, PartialBody>,
     next: u64,
     /// The most bytes that were held at any time.
     pub(crate) peak: usize,
     /// How often there was no room for something.
     pub(crate) refusals: u64,
-    /// Number of bodies that gave way to others.
-    pub(crate) displacements: u64,
+    /// Number of bodies that were evicted.
+    pub(crate) evictions: u64,
 }
 
 impl State {
@@ -97,11 +97,11 @@
             answers: 0,
             bodies: 0,
             accounts: HashMap::new(),
-            receiving: BTreeMap::new(),
+            uploads: BTreeMap::new(),
             next: 0,
             peak: 0,
             refusals: 0,
-            displacements: 0,
+            evictions: 0,
         }
     }
 
@@ -114,29 +114,29 @@
         }
     }
 
-    /// Takes room. Bodies that fall behind give way to it, except for the one with the number `own`.
+    /// Takes room. Bodies that fall behind are evicted for it, except for the one with the number `own`.
     pub(crate) fn take(&mut self, now: Moment, held_for: &Use, bytes: usize, own: Option<u64>) -> Result<(), Shortage> {
         while let Err(shortage) = self.check(held_for, bytes) {
             let Some(victim) = self.victim(now, held_for, bytes, shortage, own) else {
                 self.refusals += 1;
                 return Err(shortage);
             };
-            self.displace(victim);
+            self.evict(victim);
         }
         self.add(held_for, bytes);
         Ok(())
     }
 
     /// Registers a body that is about to be received, and returns its number. It holds no room yet.
-    pub(crate) fn begin(&mut self, body: Receiving) -> u64 {
+    pub(crate) fn begin(&mut self, body: PartialBody) -> u64 {
         self.next += 1;
-        self.receiving.insert(self.next, body);
+        self.uploads.insert(self.next, body);
         self.next
     }
 
     /// Takes room for a further part of a body and allocates it. A body that was small may be large with it.
     pub(crate) fn extend(&mut self, now: Moment, number: u64, part: usize) -> Result<(), Shortage> {
-        let body = self.receiving.get(&number).ok_or(Shortage::Displaced)?;
+        let body = self.uploads.get(&number).ok_or(Shortage::Evicted)?;
         let (held, capacity) = (body.capacity(), body.capacity() + part);
         let (before, after) = (body.held_for(held), body.held_for(capacity));
         self.give_back(&before, held);
@@ -144,31 +144,31 @@
             self.add(&before, held);
             return Err(shortage);
         }
-        let body = self.receiving.get_mut(&number).ok_or(Shortage::Displaced)?;
+        let body = self.uploads.get_mut(&number).ok_or(Shortage::Evicted)?;
         if body.extend(part) { Ok(()) } else { Err(Shortage::Full) }
     }
 
     /// Adds bytes to a body.
     pub(crate) fn push(&mut self, now: Moment, number: u64, bytes: &[u8]) -> Result<(), Shortage> {
-        let body = self.receiving.get_mut(&number).ok_or(Shortage::Displaced)?;
+        let body = self.uploads.get_mut(&number).ok_or(Shortage::Evicted)?;
         body.progress(now, bytes.len());
         let mut rest = body.fill(bytes);
         while !rest.is_empty() {
-            let part = self.receiving.get(&number).ok_or(Shortage::Displaced)?.next_part();
+            let part = self.uploads.get(&number).ok_or(Shortage::Evicted)?.next_part();
             self.extend(now, number, part)?;
-            rest = self.receiving.get_mut(&number).ok_or(Shortage::Displaced)?.fill(rest);
+            rest = self.uploads.get_mut(&number).ok_or(Shortage::Evicted)?.fill(rest);
         }
         Ok(())
     }
 
     /// Removes a body that is being received; the room that it holds stays taken.
-    pub(crate) fn remove(&mut self, number: u64) -> Option<Receiving> {
-        self.receiving.remove(&number)
+    pub(crate) fn remove(&mut self, number: u64) -> Option<PartialBody> {
+        self.uploads.remove(&number)
     }
 
     /// Removes a body that is being received and gives its room back.
-    pub(crate) fn abandon(&mut self, number: u64) -> Option<Receiving> {
-        let body = self.receiving.remove(&number)?;
+    pub(crate) fn abandon(&mut self, number: u64) -> Option<PartialBody> {
+        let body = self.uploads.remove(&number)?;
         self.give_back(&body.held_for(body.capacity()), body.capacity());
         Some(body)
     }
@@ -201,13 +201,13 @@
         }
     }
 
-    /// The body that gives way: the one that has fallen behind for longest, else one of the customer that holds most, if it
+    /// The body to evict: the one that has fallen behind for longest, else one of the customer that holds most, if it
     /// holds more than the customer that finds no room.
     fn victim(&self, now: Moment, held_for: &Use, bytes: usize, shortage: Shortage, own: Option<u64>) -> Option<u64> {
-        let others = || self.receiving.iter().filter(|(number, _)| Some(**number) != own);
-        let counts = |body: &Receiving| shortage != Shortage::Share || body.held_for(body.capacity()) == *held_for;
-        let behind = others().filter(|(_, body)| body.paid_until < now && counts(body));
-        if let Some((number, _)) = behind.min_by_key(|(_, body)| body.paid_until) {
+        let others = || self.uploads.iter().filter(|(number, _)| Some(**number) != own);
+        let counts = |body: &PartialBody| shortage != Shortage::Share || body.held_for(body.capacity()) == *held_for;
+        let behind = others().filter(|(_, body)| body.on_pace_until < now && counts(body));
+        if let Some((number, _)) = behind.min_by_key(|(_, body)| body.on_pace_until) {
             return Some(*number);
         }
         let Use::Body(account, _) = held_for else {
@@ -224,13 +224,13 @@
             return None;
         }
         let theirs = others().filter(|(_, body)| body.account == *largest);
-        theirs.min_by_key(|(_, body)| body.paid_until).map(|(number, _)| *number)
+        theirs.min_by_key(|(_, body)| body.on_pace_until).map(|(number, _)| *number)
     }
 
-    fn displace(&mut self, number: u64) {
+    fn evict(&mut self, number: u64) {
         if let Some(body) = self.abandon(number) {
-            self.displacements += 1;
-            body.displaced.notify_one();
+            self.evictions += 1;
+            body.evicted.notify_one();
         }
     }
 
--- a/crates/stairvale-memory/src/upload.rs
+++ b/crates/stairvale-memory/src/upload.rs
@@ -8,20 +8,20 @@
 use crate::{
     budget::{Account, Budget, Shortage},
     content::Content,
-    receiving::Receiving,
+    partial::PartialBody,
     reservation::Reservation,
 };
 
 /// A body that is being received. Its bytes are copied, so that it holds what its room is reserved for and not the buffers
 /// in which they arrived.
 ///
-/// While room is short, a body that goes on too slowly gives way to others: it is displaced.
+/// While memory is short, a body that arrives too slowly is evicted in favour of others.
 #[derive(Debug)]
 pub struct Upload {
     budget: Budget,
     number: u64,
     len: usize,
-    displaced: Arc<Notify>,
+    evicted: Arc<Notify>,
 }
 
 impl Upload {
@@ -32,10 +32,10 @@
         announced: Option<usize>,
         max: usize,
     ) -> Result<Self, Shortage> {
-        let receiving = Receiving::new(now, account, max);
-        let displaced = receiving.displaced.clone();
-        let number = budget.state().begin(receiving);
-        let upload = Self { budget: budget.clone(), number, len: 0, displaced };
+        let partial = PartialBody::new(now, account, max);
+        let evicted = partial.evicted.clone();
+        let number = budget.state().begin(partial);
+        let upload = Self { budget: budget.clone(), number, len: 0, evicted };
         let announced = announced.unwrap_or(0).min(max);
         if announced > 0 {
             budget.state().extend(now, number, announced)?;
@@ -58,26 +58,26 @@
     /// Adds bytes that have arrived. Together there are at most as many as stated at the beginning.
     ///
     /// # Errors
-    /// A [`Shortage`] if there is no room for them or the body was displaced.
+    /// A [`Shortage`] if there is no room for them or the body was evicted.
     pub fn push(&mut self, now: Moment, bytes: &[u8]) -> Result<(), Shortage> {
         self.budget.state().push(now, self.number, bytes)?;
         self.len += bytes.len();
         Ok(())
     }
 
-    /// Waits until the body is displaced, which may never be the case.
-    pub async fn displaced(&self) {
-        self.displaced.notified().await;
+    /// Waits until the body is evicted, which may never be the case.
+    pub async fn evicted(&self) {
+        self.evicted.notified().await;
     }
 
     /// The whole body.
     ///
     /// # Errors
-    /// [`Shortage::Displaced`] if the body was displaced.
+    /// [`Shortage::Evicted`] if the body was evicted.
     pub fn finish(self) -> Result<Content, Shortage> {
-        let receiving = self.budget.state().remove(self.number).ok_or(Shortage::Displaced)?;
-        let (held_for, bytes) = (receiving.held_for(receiving.capacity()), receiving.capacity());
-        Ok(Content::new(receiving.into_parts(), Reservation::new(self.budget.clone(), held_for, bytes)))
+        let partial = self.budget.state().remove(self.number).ok_or(Shortage::Evicted)?;
+        let (held_for, bytes) = (partial.held_for(partial.capacity()), partial.capacity());
+        Ok(Content::new(partial.into_parts(), Reservation::new(self.budget.clone(), held_for, bytes)))
     }
 }
 
--- a/crates/stairvale-memory/tests/budget.rs
+++ b/crates/stairvale-memory/tests/budget.rs
@@ -95,9 +95,9 @@
     let crowd = fill(&budget, at(0), "crowd", MAX_BODY);
     let late = at(0) + MAX_STALL + Duration::from_millis(1);
     assert!(budget.upload(late, customer("crowd"), Some(MAX_BODY), MAX_BODY).is_ok());
-    assert_eq!(budget.displacements(), 1);
-    let displaced = crowd.into_iter().filter_map(|upload| upload.finish().err()).collect::<Vec<_>>();
-    assert_eq!(displaced, [Shortage::Displaced]);
+    assert_eq!(budget.evictions(), 1);
+    let evicted = crowd.into_iter().filter_map(|upload| upload.finish().err()).collect::<Vec<_>>();
+    assert_eq!(evicted, [Shortage::Evicted]);
 }
 
 #[test]
@@ -109,7 +109,7 @@
         crowd.iter_mut().for_each(|upload| upload.push(at(500 * half_second), &piece).unwrap());
         assert!(budget.upload(at(500 * half_second), customer("crowd"), Some(MAX_BODY), MAX_BODY).is_err());
     }
-    assert_eq!(budget.displacements(), 0);
+    assert_eq!(budget.evictions(), 0);
 }
 
 #[test]
@@ -131,11 +131,11 @@
 }
 
 #[tokio::test]
-async fn a_displaced_body_is_told() {
+async fn an_evicted_body_is_told() {
     let budget = Budget::new(LIMIT);
     let crowd = fill(&budget, at(0), "crowd", MAX_BODY);
     let _other = budget.upload(at(2_000), customer("crowd"), Some(MAX_BODY), MAX_BODY).unwrap();
-    let (first, _, _) = futures::future::select_all(crowd.iter().map(|upload| Box::pin(upload.displaced()))).await;
+    let (first, _, _) = futures::future::select_all(crowd.iter().map(|upload| Box::pin(upload.evicted()))).await;
     assert_eq!(first, ());
 }
 
--- a/crates/stairvale-router/src/guard.rs
+++ b/crates/stairvale-router/src/guard.rs
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 pub struct InFlight {
     shared: Arc<Shared>,
-    _room: Reservation,
+    _reservation: Reservation,
     /// The use of the caller's connection.
     _in_use: InUse,
 }
@@ -66,9 +66,9 @@
     /// Acquires a slot; `None` if the limit is reached or there is no memory for a further request.
     #[must_use]
     pub fn acquire(shared: &Arc<Shared>, in_use: InUse) -> Option<Self> {
-        let room = shared.memory.request(shared.now(), REQUEST_BYTES).ok()?;
+        let reservation = shared.memory.request(shared.now(), REQUEST_BYTES).ok()?;
         let before = shared.in_flight.fetch_add(1, Ordering::Relaxed);
-        let slot = Self { shared: shared.clone(), _room: room, _in_use: in_use };
+        let slot = Self { shared: shared.clone(), _reservation: reservation, _in_use: in_use };
         // If the limit is reached, dropping the guard decrements the counter again.
         (before < shared.settings.limits.in_flight).then_some(slot)
     }
--- a/crates/stairvale-router/src/problem.rs
+++ b/crates/stairvale-router/src/problem.rs
@@ -94,7 +94,7 @@
         match fault {
             receive::Fault::TooLarge => InvalidRequest::BodyTooLarge.into(),
             receive::Fault::Incomplete => InvalidRequest::BodyIncomplete.into(),
-            // Bodies that don't go on give way after this time.
+            // Bodies that don't arrive are evicted after this time.
             receive::Fault::Shortage(_) => Refusal::new(Reason::Busy, MAX_STALL).into(),
         }
     }
--- a/crates/stairvale-router/tests/crowds.rs
+++ b/crates/stairvale-router/tests/crowds.rs
@@ -172,7 +172,7 @@
 
 /// Lets a crowd send to the router, and checks its process beside it and afterwards. No other test of this file runs
 /// meanwhile.
-fn assert_bears(
+fn assert_withstands(
     name: &str,
     descriptors: usize,
     port: impl Fn(&World) -> SocketAddr,
@@ -188,8 +188,8 @@
     });
 }
 
-fn assert_callers_port_bears(name: &str, clients: usize, sending: impl Fn(usize) -> Sending) {
-    assert_bears(name, MAX_DESCRIPTORS, |world| world.callers, clients, sending);
+fn assert_callers_port_withstands(name: &str, clients: usize, sending: impl Fn(usize) -> Sending) {
+    assert_withstands(name, MAX_DESCRIPTORS, |world| world.callers, clients, sending);
 }
 
 fn head() -> String {
@@ -198,36 +198,36 @@
 
 #[test]
 fn own_interface_bodies_that_stop_just_short_of_their_end() {
-    assert_callers_port_bears("short", CLIENTS, |_| {
+    assert_callers_port_withstands("short", CLIENTS, |_| {
         Sending::announced(&head(), BODY_BYTES, BODY_BYTES - MISSING, 32 << 10)
     });
 }
 
 #[test]
 fn own_interface_whole_bodies_at_once() {
-    assert_callers_port_bears("whole", CLIENTS, |_| Sending::announced(&head(), BODY_BYTES, BODY_BYTES, 32 << 10));
+    assert_callers_port_withstands("whole", CLIENTS, |_| Sending::announced(&head(), BODY_BYTES, BODY_BYTES, 32 << 10));
 }
 
 #[test]
 fn own_interface_chunks_of_a_single_byte() {
-    assert_callers_port_bears("bytes", CLIENTS, |_| Sending::chunked(&head(), 1, 200_000));
+    assert_callers_port_withstands("bytes", CLIENTS, |_| Sending::chunked(&head(), 1, 200_000));
 }
 
 #[test]
 fn own_interface_chunked_bodies_without_end() {
-    assert_callers_port_bears("endless", CLIENTS, |_| Sending::chunked(&head(), 64 << 10, 1_024));
+    assert_callers_port_withstands("endless", CLIENTS, |_| Sending::chunked(&head(), 64 << 10, 1_024));
 }
 
 #[test]
 fn own_interface_heads_without_their_end() {
     let unfinished = format!("{}a: {}", head(), "x".repeat(15_000));
-    assert_callers_port_bears("heads", MANY_CLIENTS, |_| Sending::once(unfinished.clone()));
+    assert_callers_port_withstands("heads", MANY_CLIENTS, |_| Sending::once(unfinished.clone()));
 }
 
 #[test]
 fn own_interface_idle_connections_after_a_small_request() {
     let request = format!("GET /lookup/2f HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {CUSTOMER}\r\n\r\n");
-    assert_callers_port_bears("idle", MANY_CLIENTS, |_| Sending::once(request.clone()));
+    assert_callers_port_withstands("idle", MANY_CLIENTS, |_| Sending::once(request.clone()));
 }
 
 /// The descriptors that the process may have while clients take them at another port than the callers'.
@@ -236,7 +236,7 @@
 
 #[test]
 fn own_interface_silent_connections_to_the_callers_port() {
-    assert_bears(
+    assert_withstands(
         "callers-silent",
         FEW_DESCRIPTORS,
         |world| world.callers,
@@ -247,7 +247,7 @@
 
 #[test]
 fn own_interface_silent_connections_to_the_operators_port() {
-    assert_bears(
+    assert_withstands(
         "operators-silent",
         FEW_DESCRIPTORS,
         |world| world.operators,
@@ -258,5 +258,11 @@
 
 #[test]
 fn own_interface_silent_connections_to_the_peers_port() {
-    assert_bears("peers-silent", FEW_DESCRIPTORS, |world| world.peers, PORT_CLIENTS, |_| Sending::once(String::new()));
+    assert_withstands(
+        "peers-silent",
+        FEW_DESCRIPTORS,
+        |world| world.peers,
+        PORT_CLIENTS,
+        |_| Sending::once(String::new()),
+    );
 }
--- a/crates/stairvale-router/tests/ends.rs
+++ b/crates/stairvale-router/tests/ends.rs
@@ -436,7 +436,7 @@
     assert_eq!((answer.status, answer.is_complete), (StatusCode::NOT_FOUND, true), "{answer:?}");
 }
 
-/// Answers that are whole but for their status, which is none (RFC 9110, section 15).
+/// Answers that are whole but for their invalid status (RFC 9110, section 15).
 const INVALID_STATUSES: [(&str, &str); 5] = [
     ("000", "HTTP/1.1 000 None\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nwhat"),
     ("600", "HTTP/1.1 600 None\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nwhat"),
@@ -447,7 +447,7 @@
 
 // An answer of status 600 to 999 was passed on.
 #[tokio::test]
-async fn own_interface_a_status_that_is_none_reaches_no_caller() {
+async fn own_interface_an_invalid_status_reaches_no_caller() {
     let answers = INVALID_STATUSES.map(|(_, answer)| (answer, End::Close));
     let fleet = Fleet::start(&answers).await;
     for (number, (status, _)) in INVALID_STATUSES.iter().enumerate() {
--- a/crates/stairvale-serve/src/caller.rs
+++ b/crates/stairvale-serve/src/caller.rs
@@ -304,7 +304,7 @@
     head: Head,
     received_at: Moment,
 ) -> Result<Exchange<D>, Problem> {
-    let room = shared.memory.request(received_at, REQUEST_BYTES).map_err(Problem::Shortage)?;
+    let reservation = shared.memory.request(received_at, REQUEST_BYTES).map_err(Problem::Shortage)?;
     shared.until_configured(head.deadline.map_or(Duration::MAX, |deadline| deadline / STARTUP_WAIT_DIVISOR)).await;
     let table = shared.table.load_full();
     let (current, trusted) = shared.query(|core, now| (core.is_current(now), core.trusts_keys(now)));
@@ -334,7 +334,7 @@
     let receiving = receive(&shared.memory, &shared.clock, account, body, limits.body_bytes, on_data);
     let received = shared.clock.with_deadline(exchange.deadline, receiving).await;
     let body = received.unwrap_or(Err(receive::Fault::Incomplete))?;
-    let exchange = exchange.with_body(body).with_room(room);
+    let exchange = exchange.with_body(body).with_reservation(reservation);
     Ok(match customer {
         Some(customer) => exchange.with_customer(customer),
         None => exchange,
--- a/crates/stairvale-serve/src/exchange.rs
+++ b/crates/stairvale-serve/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Response, StatusCode, header, request, response};
 use hyper::body::Incoming;
 use stairvale_dispatch::{Contents, Outcome};
@@ -12,29 +12,25 @@
 
 use crate::{
     Dialect, Shared,
-    body::{Body, next},
+    body::Body,
     dialect::Head,
-    events::{Events, MAX_EVENT_BYTES, is_event_stream},
+    events::{Events, is_event_stream},
     fingerprint,
     frame::Origin,
     framing::Framing,
     hop::strip,
-    meter::Meter,
     permit::Permit,
     problem::Problem,
     traffic::Kind,
     upstream::{Connection, Fault},
 };
 
+mod buffer;
 mod ending;
 mod origin;
 mod send;
 
-/// Longer responses are streamed through instead of being buffered until they are complete.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
-
-/// An answer of at most this many bytes is held without a reservation of its own.
-const MAX_SMALL_ANSWER_BYTES: usize = 16 << 10;
+use buffer::{Buffered, MAX_BUFFERED_BYTES, read_buffered, read_first};
 
 /// A request that is being served.
 pub struct Exchange<D> {
@@ -68,7 +64,7 @@
     origin: Option<Origin>,
     attempts: Attempts,
     /// The memory that is reserved for the request, until its answer has ended.
-    room: Option<Reservation>,
+    reservation: Option<Reservation>,
 }
 
 /// Which upstreams were tried for a request, and with which results.
@@ -173,7 +169,7 @@
             contents: Contents::default(),
             origin: None,
             attempts,
-            room: None,
+            reservation: None,
         };
         let regions = exchange.route.regions.clone();
         exchange.restrict_to_regions(&regions)
@@ -188,8 +184,8 @@
 
     /// Sets the memory that is reserved for the request.
     #[must_use]
-    pub fn with_room(mut self, room: Reservation) -> Self {
-        self.room = Some(room);
+    pub fn with_reservation(mut self, reservation: Reservation) -> Self {
+        self.reservation = Some(reservation);
         self
     }
 
@@ -455,80 +451,6 @@
     },
 }
 
-/// Reads the first part of a body: up to the first complete event, or the first chunk if the body isn't a stream of events.
-/// Returns what is to be passed on.
-async fn read_first(
-    body: &mut Incoming,
-    meter: &Meter,
-    framing: Framing,
-    mut events: Option<&mut Events>,
-) -> Result<Bytes, Fault> {
-    let mut first = BytesMut::new();
-    loop {
-        let Some(chunk) = next(body, meter).await? else {
-            let is_partial = events.is_some_and(|events| events.is_partial());
-            // A close-delimited body that hasn't begun looks like one that was cut off.
-            let is_broken = is_partial || framing == Framing::CloseDelimited && first.is_empty();
-            return if is_broken { Err(Fault::Broken) } else { Ok(first.freeze()) };
-        };
-        let Some(events) = events.as_deref_mut() else {
-            return Ok(chunk);
-        };
-        first.extend_from_slice(&events.pass_on(chunk));
-        if events.count() > 0 || first.len() > MAX_EVENT_BYTES {
-            return Ok(first.freeze());
-        }
-    }
-}
-
-/// A response body that was read into memory.
-enum Buffered {
-    /// The whole body.
-    Whole(Bytes),
-    /// The body is longer than [`MAX_BUFFERED_BYTES`], or there is no room for all of it.
-    Beginning(Bytes),
-}
-
-/// Reads a body into memory, or its beginning if it is too long for that.
-async fn read_buffered(shared: &Shared, body: &mut Incoming, meter: &Meter) -> Result<Buffered, Fault> {
-    let (mut read, mut room) = (BytesMut::new(), None);
-    while let Some(chunk) = next(body, meter).await? {
-        let needed = read.len() + chunk.len();
-        let has_room = needed <= read.capacity() || reserve_buffer(shared, &mut room, &mut read, needed);
-        read.extend_from_slice(&chunk);
-        if needed > MAX_BUFFERED_BYTES || !has_room {
-            return Ok(Buffered::Beginning(hold(read, room)));
-        }
-    }
-    Ok(Buffered::Whole(hold(read, room)))
-}
-
-/// Extends a buffer for this many bytes; `false` if there is no room for them. A small buffer belongs to the room of the
-/// client's connection.
-fn reserve_buffer(shared: &Shared, room: &mut Option<Reservation>, buffer: &mut BytesMut, needed: usize) -> bool {
-    let capacity = needed.max(2 * buffer.capacity()).min(MAX_BUFFERED_BYTES).max(needed);
-    if capacity > MAX_SMALL_ANSWER_BYTES {
-        let now = shared.now();
-        let reserved = match room {
-            Some(room) => room.grow(now, capacity),
-            None => shared.memory.answer(now, capacity).map(|reserved| *room = Some(reserved)),
-        };
-        if reserved.is_err() {
-            return false;
-        }
-    }
-    buffer.reserve(capacity - buffer.len());
-    true
-}
-
-fn hold(buffer: BytesMut, room: Option<Reservation>) -> Bytes {
-    let bytes = buffer.freeze();
-    match room {
-        Some(room) => room.hold(bytes),
-        None => bytes,
-    }
-}
-
 /// Whether a response with this status has a body, which may be empty if the response states its end. A close-delimited body that
 /// hasn't begun looks like one that was cut off.
 fn promises_body(status: StatusCode) -> bool {
--- a/crates/stairvale-serve/src/problem.rs
+++ b/crates/stairvale-serve/src/problem.rs
@@ -102,7 +102,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Refused(refusal) => Some(refusal.retry_after),
-            // Bodies that don't go on give way after this time.
+            // Bodies that don't arrive are evicted after this time.
             Self::Shortage(_) => Some(MAX_STALL),
             Self::UnknownStream { retry_after } | Self::VersionUnavailable { retry_after } => Some(retry_after),
             Self::Malformed(_)
