--- a/crates/stairvale-memory/src/lib.rs
+++ b/crates/stairvale-memory/src/lib.rs
@@ -5,8 +5,7 @@
 //! whose room is released when the last part of it has been dropped. [`Connections`] are those of one port; when all are
 //! taken, the one that has been unused for longest is closed.
 //!
-//! Nobody waits for room. A reservation succeeds or fails at once, so there is no order of arrivals after which all wait
-//! for each other.
+//! A reservation never blocks: it succeeds or fails at once, so reservations can't deadlock.
 //!
 //! ```
 //! use stairvale_memory::{Budget, Kind};
--- a/crates/stairvale-memory/src/receive.rs
+++ b/crates/stairvale-memory/src/receive.rs
@@ -26,7 +26,7 @@
 }
 
 /// Reads a body of at most `max` bytes. Room for it is reserved before anything of it is read, as far as its length is
-/// announced. `on_data` is told the number of bytes of each part that arrives.
+/// announced. `on_data` is called with the number of bytes of each part that arrives.
 ///
 /// # Errors
 /// A [`Fault`]; the room is released then.
--- a/crates/stairvale-memory/tests/budget.rs
+++ b/crates/stairvale-memory/tests/budget.rs
@@ -1,4 +1,4 @@
-//! The budget: what is held never exceeds it, and nobody who sends is shut out by those who don't go on.
+//! The budget: reservations never exceed it, and stalled uploads don't starve others.
 
 #![allow(clippy::unwrap_used)]
 
